--- /dev/null
+++ b/choice.go
@@ -0,0 +1,57 @@
+package mustardsaddle
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Chooser picks the endpoint server for each attempt of one service. A Chooser
+// is a deterministic state machine: equal states, times, random sources and
+// calls give equal choices. It is not safe for concurrent use; its owner holds
+// a lock.
+type Chooser interface {
+	// SetServers replaces the set of known servers. State of servers that stay
+	// is kept.
+	SetServers(now time.Time, servers []Server)
+	// Choose picks a server for an attempt, and counts the attempt as in
+	// flight. It returns false when no server may take the attempt now.
+	Choose(now time.Time, rng *rand.Rand, need Need) (Choice, bool)
+	// Finish tells how a chosen attempt ended.
+	Finish(now time.Time, result Result)
+	// Observe takes a load report of a server.
+	Observe(now time.Time, server string, report Report)
+	// Probe picks the server whose load is most worth asking for, if any.
+	Probe(now time.Time, rng *rand.Rand) (Server, bool)
+}
+
+// Need describes the attempt that wants a server.
+type Need struct {
+	// Exclude names servers that this call has tried already.
+	Exclude []string
+	// Zone is the availability zone of the gateway.
+	Zone string
+}
+
+// Choice is a chosen server, with the reason for the log.
+type Choice struct {
+	Server Server
+	// Reason names the branch of the policy that decided, for example "Spill".
+	Reason string
+}
+
+// Result tells how one attempt ended.
+type Result struct {
+	// Server is the name of the server.
+	Server string
+	// Outcome is what is known about execution.
+	Outcome Outcome
+	// Shed is true when the server declared that it refused for load.
+	Shed bool
+	// Failed is true for a server error, a broken connection or a timeout.
+	Failed bool
+	// Canceled is true when the gateway or the caller gave the attempt up, which
+	// says nothing against the server.
+	Canceled bool
+	// Latency is the time from sending to the response header.
+	Latency time.Duration
+}
--- /dev/null
+++ b/internal/product/event/list.go
@@ -0,0 +1,41 @@
+package event
+
+// Process events.
+const (
+	// Started is logged once all addresses are open.
+	Started Event = iota + 1001
+	// StopBegun is logged when a graceful stop begins.
+	StopBegun
+	// StopEnded is logged when the process ends, with the number of calls cut.
+	StopEnded
+)
+
+// Rule events.
+const (
+	// RulesInForce is logged when a generation takes force on this gateway.
+	RulesInForce Event = iota + 2001
+	// RulesRefused is logged when a submission is refused.
+	RulesRefused
+)
+
+// Store events.
+const (
+	// StoreFailed is logged when a call to the platform's store fails.
+	StoreFailed Event = iota + 3001
+)
+
+// Call events.
+const (
+	// RouteChosen is logged for each choice of a server for an attempt.
+	RouteChosen Event = iota + 4001
+	// CallRefused is logged when a call ends without a server's answer.
+	CallRefused
+)
+
+// Peer events.
+const (
+	// LinkUp is logged when a peer link is established.
+	LinkUp Event = iota + 5001
+	// LinkDown is logged when a peer link ends.
+	LinkDown
+)
