--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		next.servers[m.Service] = append(next.servers[m.Service], mustardsaddle.Server{
-			Name: m.Name, Address: m.Address, Service: m.Service, Zone: m.Zone,
+			Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Zone: m.Zone,
 			Slots: m.Slots, Connections: m.Connections, Leaving: m.Leaving,
 		})
 	}
--- a/server.go
+++ b/server.go
@@ -6,6 +6,9 @@
 type Server struct {
 	// Name identifies the server's VM, for example "booking-07".
 	Name string
+	// Incarnation orders the lives of the server's VM: it grows with each
+	// restart.
+	Incarnation int64
 	// Address is the host and port that answers requests.
 	Address string
 	// Service is the service that the server belongs to.
@@ -58,3 +61,30 @@
 	v.Leaving = leaving
 	return v
 }
+
+// Mark is what the gateways tell each other about a VM, gateway or endpoint
+// server, that leaves. Marks are ordered by Incarnation, then Seq, then Leaving:
+// the higher one wins wherever two meet, so that marks arriving late, twice or
+// out of order do no harm, and an older "live" never undoes a "leaving".
+type Mark struct {
+	// Name is the name of the VM.
+	Name string
+	// Incarnation is the life of the VM that the mark is about.
+	Incarnation int64
+	// Seq grows only when a gateway that marked the VM as leaving has
+	// first-hand proof, newer than the mark, that it serves again.
+	Seq int64
+	// Leaving is true while the VM takes no new requests.
+	Leaving bool
+}
+
+// Newer reports whether m replaces old, a mark of the same VM.
+func (m Mark) Newer(old Mark) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	if m.Seq != old.Seq {
+		return m.Seq > old.Seq
+	}
+	return m.Leaving && !old.Leaving
+}
