--- /dev/null
+++ b/internal/control/rule/change.go
@@ -0,0 +1,202 @@
+package rule
+
+import (
+	"slices"
+	"sort"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Result,Verdict -output=enum_string.go
+
+// Change is the difference between two generations of a file. Its size depends
+// on the lines that differ alone.
+type Change struct {
+	// From is the generation that the change starts from.
+	From int64
+	// To is the generation that it leads to.
+	To int64
+	// Submission is the submission that led to it.
+	Submission int64
+	// Out are the lines that go, with their positions in the old file.
+	Out []Edit
+	// In are the lines that come, with their positions in the new file.
+	In []Edit
+	// Digest is the digest of the new file.
+	Digest uint64
+}
+
+// Edit is one line at a position, counted from 0 below the header.
+type Edit struct {
+	// At is the position.
+	At int
+	// Text is the line.
+	Text string
+}
+
+// Result says what became of a change.
+type Result int
+
+const (
+	// Applied means that the change led to a newer generation.
+	Applied Result = iota
+	// Stale means that the file has the change's generation or a newer one.
+	Stale
+	// Gap means that the file is older than the change's start: the whole file
+	// is needed.
+	Gap
+	// BadDigest means that the change does not fit the file or that the result
+	// differs from the sender's: the whole file is needed.
+	BadDigest
+)
+
+// Diff returns the change that leads from one file to another.
+func Diff(from, to File) Change {
+	c := Change{From: from.Generation, To: to.Generation, Digest: to.Digest()}
+	start := 0
+	for start < len(from.lines) && start < len(to.lines) && sameText(from.lines[start], to.lines[start]) {
+		start++
+	}
+	endFrom, endTo := len(from.lines), len(to.lines)
+	for endFrom > start && endTo > start && sameText(from.lines[endFrom-1], to.lines[endTo-1]) {
+		endFrom--
+		endTo--
+	}
+	keptFrom, keptTo := common(from.lines[start:endFrom], to.lines[start:endTo])
+	c.Out = missing(from.lines[start:endFrom], keptFrom, start)
+	c.In = missing(to.lines[start:endTo], keptTo, start)
+	return c
+}
+
+// missing returns the lines whose position is not among the kept ones.
+func missing(lines []line, kept []int, offset int) []Edit {
+	var edits []Edit
+	for i, l := range lines {
+		if len(kept) > 0 && kept[0] == i {
+			kept = kept[1:]
+			continue
+		}
+		edits = append(edits, Edit{At: offset + i, Text: l.text})
+	}
+	return edits
+}
+
+// common returns the positions, in both slices, of a longest common subsequence
+// of the lines whose text is unique: an increasing subsequence by patience.
+func common(a, b []line) (inA, inB []int) {
+	at := make(map[string]int, len(b))
+	for i, l := range b {
+		if _, repeated := at[l.text]; repeated {
+			at[l.text] = -1
+			continue
+		}
+		at[l.text] = i
+	}
+	type entry struct{ a, b, previous int }
+	var entries []entry
+	var tails []int
+	seen := make(map[string]bool, len(a))
+	for i, l := range a {
+		j, ok := at[l.text]
+		if !ok || j < 0 || seen[l.text] {
+			continue
+		}
+		seen[l.text] = true
+		k := sort.Search(len(tails), func(k int) bool { return entries[tails[k]].b >= j })
+		previous := -1
+		if k > 0 {
+			previous = tails[k-1]
+		}
+		entries = append(entries, entry{a: i, b: j, previous: previous})
+		tails = append(tails[:k], append([]int{len(entries) - 1}, tails[min(k+1, len(tails)):]...)...)
+	}
+	if len(tails) == 0 {
+		return nil, nil
+	}
+	for e := tails[len(tails)-1]; e >= 0; e = entries[e].previous {
+		inA = append(inA, entries[e].a)
+		inB = append(inB, entries[e].b)
+	}
+	slices.Reverse(inA)
+	slices.Reverse(inB)
+	return inA, inB
+}
+
+// Apply applies the change to a file. The returned File is the new one if the
+// result is Applied, else f. Rules of lines that stay are shared with f.
+func (c Change) Apply(f File) (File, Result) {
+	switch {
+	case c.To <= f.Generation:
+		return f, Stale
+	case c.From != f.Generation:
+		return f, Gap
+	}
+	kept, ok := c.remove(f.lines)
+	if !ok {
+		return f, BadDigest
+	}
+	lines, ok := c.insert(kept)
+	if !ok {
+		return f, BadDigest
+	}
+	next := File{Generation: c.To, HasGeneration: true, lines: lines}
+	if next.Digest() != c.Digest {
+		return f, BadDigest
+	}
+	return next, Applied
+}
+
+// remove returns the lines without those that go.
+func (c Change) remove(lines []line) ([]line, bool) {
+	kept := make([]line, 0, len(lines)+len(c.In))
+	next := 0
+	for _, out := range c.Out {
+		if out.At < next || out.At >= len(lines) || lines[out.At].text != out.Text {
+			return nil, false
+		}
+		kept = append(kept, lines[next:out.At]...)
+		next = out.At + 1
+	}
+	return append(kept, lines[next:]...), true
+}
+
+// insert returns the lines with those that come at their positions.
+func (c Change) insert(kept []line) ([]line, bool) {
+	if len(c.In) == 0 {
+		return kept, true
+	}
+	lines := make([]line, 0, len(kept)+len(c.In))
+	for _, in := range c.In {
+		n := in.At - len(lines)
+		if n < 0 || n > len(kept) {
+			return nil, false
+		}
+		lines = append(lines, kept[:n]...)
+		kept = kept[n:]
+		l, ok := parseEdit(in.Text)
+		if !ok {
+			return nil, false
+		}
+		lines = append(lines, l)
+	}
+	return append(lines, kept...), true
+}
+
+// parseEdit parses one line that comes from a peer.
+func parseEdit(text string) (line, bool) {
+	p := parser{seen: make(map[ID]int)}
+	p.line(1, text)
+	if len(p.problems) > 0 || len(p.file.lines) != 1 || p.file.lines[0].text != text {
+		return line{}, false
+	}
+	return p.file.lines[0], true
+}
+
+// Err returns nil for Applied and Stale, and else an error that says why the
+// whole file is needed.
+func (r Result) Err() error {
+	if r == Applied || r == Stale {
+		return nil
+	}
+	return code.Errorf(code.PeerBadMessage, "apply change of rules: got %s, want the whole file", r)
+}
--- /dev/null
+++ b/internal/control/rule/change_test.go
@@ -0,0 +1,93 @@
+package rule_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+)
+
+func TestDiffApply(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := genFile(t, 3), genFile(t, 4)
+		change := rule.Diff(from, to)
+		next, result := change.Apply(from)
+		if result != rule.Applied || !next.Equal(to) {
+			t.Fatalf("got %s and %q, want %q", result, next.Format(), to.Format())
+		}
+		other := genFile(t, 3)
+		if next, result := change.Apply(other); result == rule.Applied && !next.Equal(to) {
+			t.Fatalf("applied to another file: got %q, want %q", next.Format(), to.Format())
+		}
+	})
+}
+
+func TestApplyResult(t *testing.T) {
+	change := rule.Diff(fileOf(4, lineA, lineB), fileOf(5, lineA, lineC))
+	broken := change
+	broken.Digest++
+	beyond := change
+	beyond.In = []rule.Edit{{At: 9, Text: lineC}}
+	invalid := change
+	invalid.In = []rule.Edit{{At: 1, Text: "Path=/c"}}
+	for _, test := range []struct {
+		name   string
+		change rule.Change
+		file   rule.File
+		want   rule.Result
+	}{
+		{"next", change, fileOf(4, lineA, lineB), rule.Applied},
+		{"twice", change, fileOf(5, lineA, lineC), rule.Stale},
+		{"late", change, fileOf(7, lineA), rule.Stale},
+		{"gap", change, fileOf(3, lineA, lineB), rule.Gap},
+		{"other content", change, fileOf(4, lineA, lineD), rule.BadDigest},
+		{"shorter", change, fileOf(4, lineA), rule.BadDigest},
+		{"digest", broken, fileOf(4, lineA, lineB), rule.BadDigest},
+		{"position", beyond, fileOf(4, lineA, lineB), rule.BadDigest},
+		{"invalid line", invalid, fileOf(4, lineA, lineB), rule.BadDigest},
+	} {
+		convey.Convey("Given the change: "+test.name, t, func() {
+			next, result := test.change.Apply(test.file)
+			convey.So(result, convey.ShouldEqual, test.want)
+			if result != rule.Applied {
+				convey.So(next.Equal(test.file), convey.ShouldBeTrue)
+			}
+		})
+	}
+}
+
+// largeFile returns a file of n rules, 10 below each first segment.
+func largeFile(n int) rule.File {
+	lines := make([]string, 0, n)
+	for i := range n {
+		path := fmt.Sprintf("/area-%d/item-%d", i/10, i)
+		if i%3 == 0 {
+			path += "/{Id}"
+		}
+		lines = append(lines, fmt.Sprintf("Path=%s Service=S%d # Tan: why", path, i%280))
+	}
+	return fileOf(1, lines...)
+}
+
+// oneChanged returns the file with its middle rule changed.
+func oneChanged(f rule.File) rule.File {
+	lines := strings.Split(strings.TrimSpace(f.Format()), "\n")[1:]
+	lines[len(lines)/2] = strings.Replace(lines[len(lines)/2], "why", "another reason", 1)
+	return fileOf(2, lines...)
+}
+
+func TestChangeSizeIsFlat(t *testing.T) {
+	convey.Convey("Given one changed rule in files of 300 and 15,000 rules", t, func() {
+		small, large := largeFile(300), largeFile(15000)
+		a, err := cbor.Marshal(rule.Diff(small, oneChanged(small)))
+		convey.So(err, convey.ShouldBeNil)
+		b, err := cbor.Marshal(rule.Diff(large, oneChanged(large)))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(len(b)-len(a), convey.ShouldBeLessThan, 32)
+	})
+}
--- /dev/null
+++ b/internal/control/rule/field.go
@@ -0,0 +1,155 @@
+package rule
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+// maxDeadline bounds the Deadline of a rule.
+const maxDeadline = 24 * time.Hour
+
+// setField parses one field into r. The Problem has code.OK when it is valid.
+func setField(r *Rule, name, value string) Problem {
+	switch name {
+	case "Host":
+		return setHost(r, value)
+	case "Path":
+		r.Path = value
+		return checkPath(value)
+	case "Method":
+		r.Method = value
+		return checkMethod(value)
+	case "Service":
+		r.Service = value
+		return checkService(value)
+	case "Deadline":
+		return setDeadline(r, value)
+	case "Repeat":
+		return setRepeat(r, value)
+	default:
+		return problemf(code.RuleUnknownField, "unknown field %q", name)
+	}
+}
+
+func setHost(r *Rule, value string) Problem {
+	r.Host = strings.ToLower(value)
+	for _, label := range strings.Split(r.Host, ".") {
+		if !isHostLabel(label) {
+			return problemf(code.RuleBadValue, "got Host=%s, want a host name without port, such as rosters.example.org", value)
+		}
+	}
+	return Problem{}
+}
+
+func isHostLabel(label string) bool {
+	for _, c := range label {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return label != ""
+}
+
+func checkMethod(value string) Problem {
+	for _, c := range value {
+		if (c < 'A' || c > 'Z') && c != '-' {
+			return problemf(code.RuleBadValue, "got Method=%s, want capital letters, such as POST", value)
+		}
+	}
+	if value == "" || value == http.MethodConnect {
+		return problemf(code.RuleBadValue, "got Method=%s, want a method that can be forwarded", value)
+	}
+	return Problem{}
+}
+
+func checkService(value string) Problem {
+	for _, c := range value {
+		if !isNameRune(c) && c != '-' {
+			return problemf(code.RuleBadValue, "got Service=%s, want letters, digits, - and _", value)
+		}
+	}
+	if value == "" {
+		return problemf(code.RuleBadValue, "got empty Service, want a name")
+	}
+	return Problem{}
+}
+
+func isNameRune(c rune) bool {
+	return unicode.IsLetter(c) || unicode.IsDigit(c) || c == '_'
+}
+
+func setDeadline(r *Rule, value string) Problem {
+	d, err := time.ParseDuration(value)
+	if err != nil || d <= 0 || d > maxDeadline {
+		return problemf(code.RuleBadValue, "got Deadline=%s, want a duration up to 24h, such as 2s", value)
+	}
+	r.Deadline = d
+	return Problem{}
+}
+
+func setRepeat(r *Rule, value string) Problem {
+	for _, repeat := range []mustardsaddle.Repeat{mustardsaddle.RepeatYes, mustardsaddle.RepeatNo, mustardsaddle.RepeatClaim} {
+		if repeatName(repeat) == value {
+			r.Repeat, r.RepeatSet = repeat, true
+			return Problem{}
+		}
+	}
+	return problemf(code.RuleBadValue, "got Repeat=%s, want Yes, No or Claim", value)
+}
+
+func repeatName(repeat mustardsaddle.Repeat) string {
+	return strings.TrimPrefix(repeat.String(), "Repeat")
+}
+
+// checkPath accepts what Compile can hand to the router: a clean absolute path
+// in plain UTF-8, whose segments may be {Name}, and the last one *.
+func checkPath(path string) Problem {
+	rest, ok := strings.CutPrefix(path, "/")
+	if !ok {
+		return problemf(code.RuleBadPattern, "got Path=%s, want a path that starts with /", path)
+	}
+	if strings.ContainsAny(path, `%?\`) {
+		return problemf(code.RuleBadPattern, "got Path=%s, want plain text without %%, ? and \\", path)
+	}
+	segments := strings.Split(rest, "/")
+	seen := make(map[string]bool)
+	for i, segment := range segments {
+		last := i == len(segments)-1
+		if reason := checkSegment(segment, last); reason != "" {
+			return problemf(code.RuleBadPattern, "got Path=%s, %s", path, reason)
+		}
+		if isPattern(segment) && seen[segment] {
+			return problemf(code.RuleBadPattern, "got Path=%s, want each {Name} once", path)
+		}
+		seen[segment] = true
+	}
+	return Problem{}
+}
+
+// checkSegment returns what is wrong with a segment of a path, or "".
+func checkSegment(segment string, last bool) string {
+	switch {
+	case segment == "" && !last:
+		return "want no empty segment"
+	case segment == "." || segment == "..":
+		return "want no . or .. segment"
+	case segment == "*" && last:
+		return ""
+	case strings.Contains(segment, "*"):
+		return "want * only as the whole last segment"
+	case !strings.ContainsAny(segment, "{}"):
+		return ""
+	}
+	name, ok := strings.CutPrefix(segment, "{")
+	name, ok2 := strings.CutSuffix(name, "}")
+	if !ok || !ok2 || name == "" || strings.ContainsFunc(name, func(c rune) bool { return !isNameRune(c) }) {
+		return "want {Name} as a whole segment, with letters and digits only; got " + strconv.Quote(segment)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/control/rule/file.go
@@ -0,0 +1,88 @@
+package rule
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// File is a rules file: its generation and its lines in order. A File is
+// immutable; files that differ little share their rules.
+type File struct {
+	// Generation is the generation that the file states: of itself in an
+	// accepted file, of the file that was edited in a submission.
+	Generation int64
+	// HasGeneration is true when the text has a Generation line.
+	HasGeneration bool
+
+	lines []line
+}
+
+// line is one line below the header: a rule, a comment or an empty line.
+type line struct {
+	text string
+	// rule is the parsed rule; nil for a comment or an empty line.
+	rule *Rule
+	// number is the line number in the text that was parsed, from 1.
+	number int
+}
+
+// Rules returns the rules in the file's order.
+func (f File) Rules() []Rule {
+	rules := make([]Rule, 0, len(f.lines))
+	for _, l := range f.lines {
+		if l.rule != nil {
+			rules = append(rules, *l.rule)
+		}
+	}
+	return rules
+}
+
+// Len returns the number of lines below the header.
+func (f File) Len() int {
+	return len(f.lines)
+}
+
+// Format returns the text of the file, with its Generation line. Parse of that
+// text gives an equal file.
+func (f File) Format() string {
+	var b strings.Builder
+	b.WriteString(generationPrefix + strconv.FormatInt(f.Generation, 10) + "\n")
+	f.writeBody(&b)
+	return b.String()
+}
+
+func (f File) writeBody(b *strings.Builder) {
+	for _, l := range f.lines {
+		b.WriteString(l.text)
+		b.WriteByte('\n')
+	}
+}
+
+// Digest returns a digest of the lines below the header.
+func (f File) Digest() uint64 {
+	d := xxhash.New()
+	for _, l := range f.lines {
+		_, _ = d.WriteString(l.text)
+		_, _ = d.WriteString("\n")
+	}
+	return d.Sum64()
+}
+
+// Equal reports whether both files have the same generation and lines.
+func (f File) Equal(other File) bool {
+	return f.Generation == other.Generation && slices.EqualFunc(f.lines, other.lines, sameText)
+}
+
+func sameText(a, b line) bool {
+	return a.text == b.text
+}
+
+// WithGeneration returns a copy of f that states the given generation.
+func (f File) WithGeneration(generation int64) File {
+	f.Generation = generation
+	f.HasGeneration = true
+	return f
+}
--- /dev/null
+++ b/internal/control/rule/merge.go
@@ -0,0 +1,170 @@
+package rule
+
+import (
+	"strconv"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+// key identifies a line over all generations: a rule by its ID, any other line
+// by its text and how many equal lines stand above it.
+type key struct {
+	id   ID
+	text string
+	nth  int
+}
+
+// index maps the keys of a file's lines to their positions.
+type index struct {
+	file File
+	keys []key
+	at   map[key]int
+}
+
+func indexOf(f File) index {
+	x := index{file: f, keys: make([]key, len(f.lines)), at: make(map[key]int, len(f.lines))}
+	nth := make(map[string]int)
+	for i, l := range f.lines {
+		k := key{text: "#" + l.text, nth: nth[l.text]}
+		if l.rule != nil {
+			k = key{id: l.rule.ID()}
+		} else {
+			nth[l.text]++
+		}
+		x.keys[i] = k
+		x.at[k] = i
+	}
+	return x
+}
+
+// line returns the line with the given key, or nil.
+func (x index) line(k key) *line {
+	i, ok := x.at[k]
+	if !ok {
+		return nil
+	}
+	return &x.file.lines[i]
+}
+
+// Merge combines what a submission changed against its base with what has been
+// accepted since. Changes of different rules both stay. Where both changed the
+// same rule differently, or one removed what the other changed, the accepted one
+// stays and the Problem names the refused line.
+//
+// The order of lines is the accepted one; new lines follow the line that they
+// follow in the submission. With nothing accepted since, the result is the
+// submission as written.
+func Merge(base, accepted, submitted File) (File, []Problem) {
+	if base.Generation == accepted.Generation {
+		return submitted.WithGeneration(accepted.Generation), nil
+	}
+	m := merger{base: indexOf(base), accepted: indexOf(accepted), submitted: indexOf(submitted)}
+	kept, problems := m.keep()
+	added, conflicts := m.added(kept)
+	merged := File{Generation: accepted.Generation, HasGeneration: true}
+	merged.lines = append(merged.lines, added[-1]...)
+	for i := range accepted.lines {
+		if kept[i] != nil {
+			merged.lines = append(merged.lines, *kept[i])
+		}
+		merged.lines = append(merged.lines, added[i]...)
+	}
+	return merged, append(problems, conflicts...)
+}
+
+type merger struct {
+	base, accepted, submitted index
+}
+
+// keep decides about each accepted line: nil where the submission removes it.
+func (m merger) keep() ([]*line, []Problem) {
+	kept := make([]*line, len(m.accepted.keys))
+	var problems []Problem
+	for i, k := range m.accepted.keys {
+		b, a, s := m.base.line(k), &m.accepted.file.lines[i], m.submitted.line(k)
+		switch {
+		case equal(s, b) || equal(a, s):
+			kept[i] = a
+		case equal(a, b):
+			kept[i] = s
+		default:
+			kept[i] = a
+			problems = append(problems, m.conflict(k, b, s))
+		}
+	}
+	return kept, problems
+}
+
+// conflict describes a rule that the submission and an accepted one changed.
+func (m merger) conflict(k key, b, s *line) Problem {
+	name := describe(k.id)
+	if s == nil {
+		p := problemf(code.RuleConflictRemoval, "removes %s, which was changed after generation %d", name, m.base.file.Generation)
+		return p.at(m.lineBefore(k))
+	}
+	verb := "changes"
+	if b == nil {
+		verb = "adds"
+	}
+	p := problemf(code.RuleConflictChange, "%s %s, which was changed after generation %d", verb, name, m.base.file.Generation)
+	return p.at(s.number)
+}
+
+func describe(id ID) string {
+	return "Host=" + id.Host + " Path=" + id.Path + " Method=" + id.Method
+}
+
+// lineBefore returns the line number of the submitted line that stands before
+// the place of a removed one.
+func (m merger) lineBefore(k key) int {
+	for i := m.base.at[k] - 1; i >= 0; i-- {
+		if s := m.submitted.line(m.base.keys[i]); s != nil {
+			return s.number
+		}
+	}
+	return 1
+}
+
+// added returns the lines that only the submission has, by the position of the
+// accepted line that they follow, -1 for the start.
+func (m merger) added(kept []*line) (map[int][]line, []Problem) {
+	added := make(map[int][]line)
+	var problems []Problem
+	after := -1
+	for i, k := range m.submitted.keys {
+		if at, ok := m.accepted.at[k]; ok {
+			if kept[at] != nil {
+				after = at
+			}
+			continue
+		}
+		s, b := m.submitted.file.lines[i], m.base.line(k)
+		switch {
+		case b == nil:
+			added[after] = append(added[after], s)
+		case !equal(&s, b):
+			problem := problemf(code.RuleConflictRemoval, "changes %s, which was removed after generation %d", describe(k.id), m.base.file.Generation)
+			problems = append(problems, problem.at(s.number))
+		}
+	}
+	return added, problems
+}
+
+// equal reports whether two lines of the same key say the same.
+func equal(a, b *line) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	if a.rule == nil || b.rule == nil {
+		return a.text == b.text
+	}
+	return *a.rule == *b.rule
+}
+
+// plural returns a count with its noun.
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return strconv.Itoa(n) + " " + noun + "s"
+}
--- /dev/null
+++ b/internal/control/rule/parse.go
@@ -0,0 +1,171 @@
+package rule
+
+import (
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+const (
+	// MaxFileBytes is the size of the largest rules file, with its header.
+	MaxFileBytes = 1 << 20
+	// MaxLineBytes is the length of the longest line.
+	MaxLineBytes = 4096
+)
+
+const byteOrderMark = "\ufeff"
+
+// Parse reads a rules file and returns every mistake in it, in the order of the
+// lines. The File holds the lines without a mistake.
+//
+// Header lines of Rules/Accepted and Rules/InForce are passed over, so that an
+// operator may edit and submit what was read back.
+func Parse(text string) (File, []Problem) {
+	p := parser{seen: make(map[ID]int)}
+	if len(text) > MaxFileBytes {
+		return File{}, []Problem{problemf(code.RuleTooLarge, "got %d bytes, want at most %d", len(text), MaxFileBytes).at(1)}
+	}
+	if rest, ok := strings.CutPrefix(text, byteOrderMark); ok {
+		p.add(1, problemf(code.RuleBadEncoding, "file starts with a byte order mark, want plain UTF-8"))
+		text = rest
+	}
+	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+	if text == "" {
+		lines = nil
+	}
+	for i, s := range lines {
+		p.line(i+1, strings.TrimSpace(s))
+	}
+	return p.file, p.problems
+}
+
+type parser struct {
+	file     File
+	problems []Problem
+	// seen maps the rules so far to their lines.
+	seen map[ID]int
+}
+
+func (p *parser) add(number int, problem Problem) {
+	p.problems = append(p.problems, problem.at(number))
+}
+
+// generation takes the number of a Generation line.
+func (p *parser) generation(number int, text string) {
+	n, ok := parseNumber(text)
+	switch {
+	case !ok:
+		p.add(number, problemf(code.RuleBadGeneration, "got generation %q, want a number from 0", text))
+	case p.file.HasGeneration:
+		p.add(number, problemf(code.RuleBadGeneration, "second Generation line, want one"))
+	case len(p.file.lines) > 0:
+		p.add(number, problemf(code.RuleBadGeneration, "Generation line below other lines, want it first"))
+	default:
+		p.file.Generation, p.file.HasGeneration = n, true
+	}
+}
+
+func parseNumber(text string) (int64, bool) {
+	n, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
+	return n, err == nil && n >= 0
+}
+
+// line takes one line without the space around it.
+func (p *parser) line(number int, s string) {
+	if problem := checkText(s); problem.Code != code.OK {
+		p.add(number, problem)
+		return
+	}
+	if text, ok := strings.CutPrefix(s, generationPrefix); ok {
+		p.generation(number, text)
+		return
+	}
+	if isHeader(s) {
+		return
+	}
+	if s == "" || strings.HasPrefix(s, "#") {
+		p.file.lines = append(p.file.lines, line{text: s, number: number})
+		return
+	}
+	p.rule(number, s)
+}
+
+// rule takes a line that is neither empty nor a comment.
+func (p *parser) rule(number int, s string) {
+	r, problems := parseRule(s)
+	for _, problem := range problems {
+		p.add(number, problem)
+	}
+	if len(problems) > 0 {
+		return
+	}
+	if first, ok := p.seen[r.ID()]; ok {
+		p.add(number, problemf(code.RuleDuplicate, "same Host, Path and Method as line %d", first))
+		return
+	}
+	p.seen[r.ID()] = number
+	p.file.lines = append(p.file.lines, line{text: s, rule: &r, number: number})
+}
+
+// checkText checks the characters and the length of a line.
+func checkText(s string) Problem {
+	switch {
+	case len(s) > MaxLineBytes:
+		return problemf(code.RuleLineTooLong, "got %d bytes, want at most %d in a line", len(s), MaxLineBytes)
+	case !utf8.ValidString(s):
+		return problemf(code.RuleBadEncoding, "line is not valid UTF-8")
+	case strings.ContainsFunc(s, isForbidden):
+		return problemf(code.RuleBadEncoding, "line contains a control character or a byte order mark")
+	default:
+		return Problem{}
+	}
+}
+
+func isForbidden(c rune) bool {
+	return c != '\t' && unicode.IsControl(c) || c == '\ufeff'
+}
+
+// parseRule parses a rule and returns every mistake in it.
+func parseRule(s string) (Rule, []Problem) {
+	fields, who, _ := strings.Cut(s, "#")
+	r := Rule{Who: strings.TrimSpace(who)}
+	var problems []Problem
+	seen := make(map[string]bool)
+	for _, field := range strings.Fields(fields) {
+		if problem := parseField(&r, seen, field); problem.Code != code.OK {
+			problems = append(problems, problem)
+		}
+	}
+	for _, name := range []string{"Path", "Service"} {
+		if !seen[name] {
+			problems = append(problems, problemf(code.RuleMissingField, "rule has no %s", name))
+		}
+	}
+	if !namesWho(r.Who) {
+		problems = append(problems, problemf(code.RuleNoWho, "rule has no comment that names who asked and why, want # Who: why"))
+	}
+	return r, problems
+}
+
+func parseField(r *Rule, seen map[string]bool, field string) Problem {
+	name, value, ok := strings.Cut(field, "=")
+	if !ok {
+		return problemf(code.RuleSyntax, "got %q, want Name=Value", field)
+	}
+	if seen[name] {
+		return problemf(code.RuleRepeatedField, "field %s stands twice", name)
+	}
+	seen[name] = true
+	return setField(r, name, value)
+}
+
+// namesWho reports whether a comment has the form "Who: why". The full-width
+// colon of Chinese keyboards is as good.
+func namesWho(comment string) bool {
+	comment = strings.ReplaceAll(comment, "：", ":")
+	who, why, ok := strings.Cut(comment, ":")
+	return ok && strings.TrimSpace(who) != "" && strings.TrimSpace(why) != ""
+}
--- a/internal/control/rule/rule.go
+++ b/internal/control/rule/rule.go
@@ -1,30 +1,18 @@
-// Package rule reads the operators' rules file, decides which submissions are
-// accepted, and compiles the rules in force into a router.
-//
-// # Usage
-//
-//	file, problems := rule.Parse(text)
-//	table := rule.Compile(file)
-//	route, ok := table.Match(r)
 package rule
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/gorilla/mux"
-
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
-// Rule is one line of the rules file. A Rule is immutable.
+// Rule is one rule of the rules file. A Rule is immutable and comparable.
 type Rule struct {
-	// Host is the host that the request must name; empty for any.
+	// Host is the host that the request must name, in lower case; empty for any.
 	Host string
-	// Path is the path, or a pattern with {Name} parts; a trailing * matches any rest.
+	// Path is the path, or a pattern with {Name} segments and a final *.
 	Path string
 	// Method is the method; empty for any.
 	Method string
@@ -36,112 +24,42 @@
 	Repeat mustardsaddle.Repeat
 	// RepeatSet is true when the line states Repeat.
 	RepeatSet bool
-	// Who is the comment that names who asked for the rule.
+	// Who is the comment that names who asked for the rule, and why.
 	Who string
 }
 
-// File is a parsed rules file. A File is immutable.
-type File struct {
-	// Generation is the number on the first line.
-	Generation int64
-	// Rules are the rules in the file's order.
-	Rules []Rule
+// ID identifies a rule over all generations: two rules with the same ID match
+// the same requests.
+type ID struct {
+	// Host is the rule's host.
+	Host string
+	// Path is the rule's path, with the names of its patterns left out.
+	Path string
+	// Method is the rule's method.
+	Method string
 }
 
-// Problem is one mistake in a rules file.
-type Problem struct {
-	// Line is the line number, from 1.
-	Line int
-	// Code is the result code.
-	Code code.Code
-	// Text says what is wrong.
-	Text string
+// ID returns the identity of r.
+func (r Rule) ID() ID {
+	return ID{Host: r.Host, Path: withoutNames(r.Path), Method: r.Method}
 }
 
-// Parse reads a rules file and returns every mistake in it.
-func Parse(text string) (File, []Problem) {
-	var file File
-	var problems []Problem
-	for i, line := range strings.Split(text, "\n") {
-		line = strings.TrimSpace(line)
-		if rest, ok := strings.CutPrefix(line, "# Generation "); ok {
-			file.Generation, _ = strconv.ParseInt(strings.TrimSpace(rest), 10, 64)
-			continue
-		}
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
-		r, problem := parseLine(line)
-		if problem.Code != code.OK {
-			problem.Line = i + 1
-			problems = append(problems, problem)
-			continue
-		}
-		file.Rules = append(file.Rules, r)
+// withoutNames replaces each {Name} by {}.
+func withoutNames(path string) string {
+	if !strings.Contains(path, "{") {
+		return path
 	}
-	return file, problems
-}
-
-func parseLine(line string) (Rule, Problem) {
-	fields, who, _ := strings.Cut(line, "#")
-	r := Rule{Who: strings.TrimSpace(who)}
-	if r.Who == "" {
-		return r, Problem{Code: code.RuleNoWho, Text: "rule has no comment naming who asked for it"}
-	}
-	for _, field := range strings.Fields(fields) {
-		name, value, ok := strings.Cut(field, "=")
-		if !ok {
-			return r, Problem{Code: code.RuleSyntax, Text: "got " + strconv.Quote(field) + ", want Name=Value"}
-		}
-		if problem := setField(&r, name, value); problem.Code != code.OK {
-			return r, problem
-		}
-	}
-	if r.Path == "" || r.Service == "" {
-		return r, Problem{Code: code.RuleMissingField, Text: "rule needs Path and Service"}
-	}
-	return r, Problem{}
-}
-
-func setField(r *Rule, name, value string) Problem {
-	switch name {
-	case "Host":
-		r.Host = value
-	case "Path":
-		r.Path = value
-	case "Method":
-		r.Method = value
-	case "Service":
-		r.Service = value
-	case "Deadline":
-		d, err := time.ParseDuration(value)
-		if err != nil || d <= 0 {
-			return Problem{Code: code.RuleBadValue, Text: "got Deadline=" + value + ", want a positive duration such as 2s"}
-		}
-		r.Deadline = d
-	case "Repeat":
-		repeat, ok := parseRepeat(value)
-		if !ok {
-			return Problem{Code: code.RuleBadValue, Text: "got Repeat=" + value + ", want Yes, No or Claim"}
+	segments := strings.Split(path, "/")
+	for i, segment := range segments {
+		if isPattern(segment) {
+			segments[i] = "{}"
 		}
-		r.Repeat, r.RepeatSet = repeat, true
-	default:
-		return Problem{Code: code.RuleUnknownField, Text: "unknown field " + strconv.Quote(name)}
 	}
-	return Problem{}
+	return strings.Join(segments, "/")
 }
 
-func parseRepeat(value string) (mustardsaddle.Repeat, bool) {
-	switch value {
-	case "Yes":
-		return mustardsaddle.RepeatYes, true
-	case "No":
-		return mustardsaddle.RepeatNo, true
-	case "Claim":
-		return mustardsaddle.RepeatClaim, true
-	default:
-		return mustardsaddle.RepeatNo, false
-	}
+func isPattern(segment string) bool {
+	return strings.HasPrefix(segment, "{")
 }
 
 // RepeatOf returns whether a request with the given method may be repeated.
@@ -157,42 +75,66 @@
 	}
 }
 
-// Table is a compiled rules file. It is safe for concurrent use.
-type Table struct {
-	// File is the rules file that was compiled.
-	File   File
-	router *mux.Router
-	byName map[string]Rule
+// String returns the rule as a line of the rules file.
+func (r Rule) String() string {
+	var b strings.Builder
+	field := func(name, value string) {
+		if value != "" {
+			b.WriteString(name + "=" + value + " ")
+		}
+	}
+	field("Host", r.Host)
+	field("Path", r.Path)
+	field("Method", r.Method)
+	field("Service", r.Service)
+	if r.Deadline > 0 {
+		field("Deadline", r.Deadline.String())
+	}
+	if r.RepeatSet {
+		field("Repeat", repeatName(r.Repeat))
+	}
+	b.WriteString("# " + r.Who)
+	return b.String()
 }
 
-// Compile builds the router of a rules file.
-func Compile(file File) *Table {
-	t := &Table{File: file, router: mux.NewRouter(), byName: make(map[string]Rule)}
-	for i, r := range file.Rules {
-		name := strconv.Itoa(i)
-		t.byName[name] = r
-		route := t.router.NewRoute().Name(name)
-		if prefix, ok := strings.CutSuffix(r.Path, "*"); ok {
-			route = route.PathPrefix(prefix)
-		} else {
-			route = route.Path(r.Path)
-		}
-		if r.Host != "" {
-			route = route.Host(r.Host)
-		}
-		if r.Method != "" {
-			route.Methods(r.Method)
+// compare orders rules by which one wins when both match: negative if r does.
+func (r Rule) compare(other Rule) int {
+	if r.Host != other.Host {
+		return compareNamed(r.Host, other.Host)
+	}
+	if c := comparePaths(r.Path, other.Path); c != 0 {
+		return c
+	}
+	return compareNamed(r.Method, other.Method)
+}
+
+// compareNamed puts a stated value before an empty one, and HEAD before GET.
+func compareNamed(a, b string) int {
+	return strings.Compare(b, a)
+}
+
+func comparePaths(a, b string) int {
+	for a != "" && b != "" {
+		var sa, sb string
+		sa, a, _ = strings.Cut(a, "/")
+		sb, b, _ = strings.Cut(b, "/")
+		if ra, rb := segmentRank(sa), segmentRank(sb); ra != rb {
+			return ra - rb
+		} else if ra == 0 && sa != sb {
+			return strings.Compare(sa, sb)
 		}
 	}
-	return t
+	return len(a) - len(b)
 }
 
-// Match returns the first rule that matches the request.
-func (t *Table) Match(r *http.Request) (Rule, bool) {
-	var m mux.RouteMatch
-	if !t.router.Match(r, &m) || m.Route == nil {
-		return Rule{}, false
+// segmentRank orders the kinds of segments: literal, {Name}, final *.
+func segmentRank(segment string) int {
+	switch {
+	case segment == "*":
+		return 2
+	case isPattern(segment):
+		return 1
+	default:
+		return 0
 	}
-	found, ok := t.byName[m.Route.GetName()]
-	return found, ok
 }
--- /dev/null
+++ b/internal/control/rule/table.go
@@ -0,0 +1,153 @@
+package rule
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/gorilla/mux"
+)
+
+// Table is a compiled rules file. It is immutable and safe for concurrent use.
+//
+// The rules are spread over small routers by their host and the first segment of
+// their path, since a router tries its routes one after another.
+type Table struct {
+	// File is the rules file that was compiled.
+	File File
+
+	buckets map[bucketKey]*bucket
+}
+
+// bucketKey says which requests a bucket may match.
+type bucketKey struct {
+	host string
+	// first is the first segment of the path.
+	first string
+	// any is true for rules whose first segment is {Name} or *.
+	any bool
+}
+
+// bucket holds the rules of one bucketKey, the most specific first.
+type bucket struct {
+	rules  []*Rule
+	routes []*mux.Route
+	router *mux.Router
+}
+
+// Compile builds the table of a rules file.
+func Compile(file File) *Table {
+	return (&Table{}).Next(file)
+}
+
+// Next returns the table of another file. Parts whose rules are the same are
+// shared with t.
+func (t *Table) Next(file File) *Table {
+	rules := make(map[bucketKey][]*Rule)
+	for _, l := range file.lines {
+		if l.rule != nil {
+			k := keyOf(l.rule)
+			rules[k] = append(rules[k], l.rule)
+		}
+	}
+	next := &Table{File: file, buckets: make(map[bucketKey]*bucket, len(rules))}
+	for k, bucketRules := range rules {
+		slices.SortFunc(bucketRules, func(a, b *Rule) int { return a.compare(*b) })
+		old := t.buckets[k]
+		if old != nil && slices.EqualFunc(old.rules, bucketRules, sameRule) {
+			next.buckets[k] = old
+			continue
+		}
+		next.buckets[k] = newBucket(bucketRules)
+	}
+	return next
+}
+
+func sameRule(a, b *Rule) bool {
+	return a == b || *a == *b
+}
+
+func keyOf(r *Rule) bucketKey {
+	first := firstSegment(r.Path)
+	if segmentRank(first) > 0 {
+		return bucketKey{host: r.Host, any: true}
+	}
+	return bucketKey{host: r.Host, first: first}
+}
+
+func firstSegment(path string) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return first
+}
+
+func newBucket(rules []*Rule) *bucket {
+	b := &bucket{rules: rules, router: mux.NewRouter()}
+	for _, r := range rules {
+		// The router forgets a mismatch of methods only for a route with a handler.
+		route := b.router.NewRoute().Handler(http.NotFoundHandler())
+		if prefix, ok := strings.CutSuffix(r.Path, "*"); ok {
+			route.PathPrefix(prefix)
+		} else {
+			route.Path(r.Path)
+		}
+		if r.Method != "" {
+			route.Methods(r.methods()...)
+		}
+		b.routes = append(b.routes, route)
+	}
+	return b
+}
+
+// methods returns the methods that a rule with a Method covers.
+func (r Rule) methods() []string {
+	if r.Method == http.MethodGet {
+		return []string{http.MethodGet, http.MethodHead}
+	}
+	return []string{r.Method}
+}
+
+// Match returns the most specific rule that matches the request. A path with a
+// . or .. segment matches none, since a server might resolve it to another path
+// than the one that the rule is about.
+func (t *Table) Match(r *http.Request) (Rule, bool) {
+	if hasDotSegment(r.URL.Path) {
+		return Rule{}, false
+	}
+	for _, k := range keysOf(r) {
+		b := t.buckets[k]
+		if b == nil {
+			continue
+		}
+		var m mux.RouteMatch
+		if b.router.Match(r, &m) && m.Route != nil {
+			return *b.rules[slices.Index(b.routes, m.Route)], true
+		}
+	}
+	return Rule{}, false
+}
+
+// keysOf returns the buckets that may match a request, the most specific first.
+func keysOf(r *http.Request) [4]bucketKey {
+	host, first := hostName(r.Host), firstSegment(r.URL.Path)
+	return [4]bucketKey{{host: host, first: first}, {host: host, any: true}, {first: first}, {any: true}}
+}
+
+// hostName returns a request's host in lower case, without its port.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+func hasDotSegment(path string) bool {
+	if !strings.Contains(path, "/.") {
+		return false
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/product/code/code_string.go
+++ b/internal/product/code/code_string.go
@@ -21,12 +21,24 @@
 	_ = x[RuleMissingField-2004]
 	_ = x[RuleNoWho-2005]
 	_ = x[RuleDuplicate-2006]
+	_ = x[RuleBadEncoding-2007]
+	_ = x[RuleTooLarge-2008]
+	_ = x[RuleLineTooLong-2009]
+	_ = x[RuleRepeatedField-2010]
+	_ = x[RuleBadPattern-2011]
+	_ = x[RuleBadGeneration-2012]
+	_ = x[RuleUnknownBase-2013]
+	_ = x[RuleConflictChange-2014]
+	_ = x[RuleConflictRemoval-2015]
+	_ = x[RuleSubmissionLost-2016]
 	_ = x[StoreConflict-3001]
 	_ = x[StoreUnavailable-3002]
 	_ = x[StoreTooLarge-3003]
 	_ = x[StoreBadObject-3004]
 	_ = x[StoreRefused-3005]
 	_ = x[StoreBudget-3006]
+	_ = x[StoreNewerFormat-3007]
+	_ = x[StoreBackoff-3008]
 	_ = x[CallNoRule-4001]
 	_ = x[CallNoServer-4002]
 	_ = x[CallOverloaded-4003]
@@ -44,8 +56,8 @@
 const (
 	_Code_name_0 = "OKInternal"
 	_Code_name_1 = "SettingsUnreadableSettingsUnknownSectionSettingsUnknownKeySettingsBadValueSettingsMissing"
-	_Code_name_2 = "RuleSyntaxRuleUnknownFieldRuleBadValueRuleMissingFieldRuleNoWhoRuleDuplicate"
-	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudget"
+	_Code_name_2 = "RuleSyntaxRuleUnknownFieldRuleBadValueRuleMissingFieldRuleNoWhoRuleDuplicateRuleBadEncodingRuleTooLargeRuleLineTooLongRuleRepeatedFieldRuleBadPatternRuleBadGenerationRuleUnknownBaseRuleConflictChangeRuleConflictRemovalRuleSubmissionLost"
+	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudgetStoreNewerFormatStoreBackoff"
 	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceled"
 	_Code_name_5 = "PeerBadMessagePeerNewerFormat"
 	_Code_name_6 = "ReportBad"
@@ -54,8 +66,8 @@
 var (
 	_Code_index_0 = [...]uint8{0, 2, 10}
 	_Code_index_1 = [...]uint8{0, 18, 40, 58, 74, 89}
-	_Code_index_2 = [...]uint8{0, 10, 26, 38, 54, 63, 76}
-	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79}
+	_Code_index_2 = [...]uint8{0, 10, 26, 38, 54, 63, 76, 91, 103, 118, 135, 149, 166, 181, 199, 218, 236}
+	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79, 95, 107}
 	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108}
 	_Code_index_5 = [...]uint8{0, 14, 29}
 )
@@ -67,10 +79,10 @@
 	case 1001 <= i && i <= 1005:
 		i -= 1001
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
-	case 2001 <= i && i <= 2006:
+	case 2001 <= i && i <= 2016:
 		i -= 2001
 		return _Code_name_2[_Code_index_2[i]:_Code_index_2[i+1]]
-	case 3001 <= i && i <= 3006:
+	case 3001 <= i && i <= 3008:
 		i -= 3001
 		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
 	case 4001 <= i && i <= 4009:
--- a/internal/product/code/list.go
+++ b/internal/product/code/list.go
@@ -35,6 +35,31 @@
 	RuleNoWho
 	// RuleDuplicate means a second rule with the same Host, Path and Method.
 	RuleDuplicate
+	// RuleBadEncoding means text that is not UTF-8, has a byte order mark or
+	// contains control characters.
+	RuleBadEncoding
+	// RuleTooLarge means a rules file above the store's limit.
+	RuleTooLarge
+	// RuleLineTooLong means a line above the limit.
+	RuleLineTooLong
+	// RuleRepeatedField means a field that stands twice in one rule.
+	RuleRepeatedField
+	// RuleBadPattern means a Path that is not a valid path or pattern.
+	RuleBadPattern
+	// RuleBadGeneration means a Generation line that is missing, repeated, out
+	// of place or not a number.
+	RuleBadGeneration
+	// RuleUnknownBase means that the generation that a submission names is not
+	// known, because it is too old or was never accepted.
+	RuleUnknownBase
+	// RuleConflictChange means that the submission and an accepted one both
+	// changed the same rule, differently.
+	RuleConflictChange
+	// RuleConflictRemoval means that one side removed a rule that the other
+	// changed.
+	RuleConflictRemoval
+	// RuleSubmissionLost means that the store no longer has a submission.
+	RuleSubmissionLost
 )
 
 // Store codes.
@@ -49,8 +74,14 @@
 	StoreBadObject
 	// StoreRefused means that the store refused the call.
 	StoreRefused
-	// StoreBudget means that the gateway's own call budget is spent.
+	// StoreBudget means that the gateway's own call budget is spent. Nothing was
+	// sent.
 	StoreBudget
+	// StoreNewerFormat means an object whose format is newer than this program.
+	StoreNewerFormat
+	// StoreBackoff means that the client waits after failures before it calls
+	// the store again. Nothing was sent.
+	StoreBackoff
 )
 
 // Call codes.
--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -13,6 +13,9 @@
 	_ = x[StopEnded-1003]
 	_ = x[RulesInForce-2001]
 	_ = x[RulesRefused-2002]
+	_ = x[RulesAccepted-2003]
+	_ = x[RulesIgnored-2004]
+	_ = x[RulesStatusFailed-2005]
 	_ = x[StoreFailed-3001]
 	_ = x[RouteChosen-4001]
 	_ = x[CallRefused-4002]
@@ -22,7 +25,7 @@
 
 const (
 	_Event_name_0 = "StartedStopBegunStopEnded"
-	_Event_name_1 = "RulesInForceRulesRefused"
+	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailed"
 	_Event_name_2 = "StoreFailed"
 	_Event_name_3 = "RouteChosenCallRefused"
 	_Event_name_4 = "LinkUpLinkDown"
@@ -30,7 +33,7 @@
 
 var (
 	_Event_index_0 = [...]uint8{0, 7, 16, 25}
-	_Event_index_1 = [...]uint8{0, 12, 24}
+	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66}
 	_Event_index_3 = [...]uint8{0, 11, 22}
 	_Event_index_4 = [...]uint8{0, 6, 14}
 )
@@ -40,7 +43,7 @@
 	case 1001 <= i && i <= 1003:
 		i -= 1001
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
-	case 2001 <= i && i <= 2002:
+	case 2001 <= i && i <= 2005:
 		i -= 2001
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case i == 3001:
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -16,6 +16,12 @@
 	RulesInForce Event = iota + 2001
 	// RulesRefused is logged when a submission is refused.
 	RulesRefused
+	// RulesAccepted is logged when this gateway has handled a submission.
+	RulesAccepted
+	// RulesIgnored is logged when rules from the store or a peer are not taken.
+	RulesIgnored
+	// RulesStatusFailed is logged when Rules/InForce could not be written.
+	RulesStatusFailed
 )
 
 // Store events.
