Bound the store client by a budget, a time limit and a circuit breaker

Cause: the client called the platform as often as it was asked to, and each idle watch brought the whole value again. Ruled out: repeats inside the client (only the caller knows whether a write is worth repeating); waiting for a token (the caller can do other work). Change: Breaker and Budget are pure and take the time; the budget is divided by the fleet; status calls leave half of it to others; a watch without a change ends with 304. The stand-in refuses above a rate, counts by kind and shows the history of a key. Conclusion: the platform's rates hold whatever the callers of the client do.

--- a/internal/control/store/client.go
+++ b/internal/control/store/client.go
@@ -1,9 +1,16 @@
-// Package store is the client of the platform's object store.
+// Package store is the client of the platform's object store. It keeps every
+// call inside a time limit, the gateway's share of the platform's rates, and a
+// circuit breaker that pauses after failures. It never repeats a call by itself:
+// each caller knows whether its call is worth repeating.
 //
 // # Usage
 //
 //	c := store.New(store.Config{URL: "http://127.0.0.1:7000", Timeout: time.Second})
 //	o, err := c.Get(ctx, "Rules/Accepted")
+//	c.SetFleet(17)
+//	status := c.Status()
+//
+// The decisions, in Breaker and Budget, take the present time as an argument.
 package store
 
 import (
@@ -12,9 +19,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
@@ -24,70 +33,154 @@
 // MaxValueBytes is the largest value that the platform's store holds.
 const MaxValueBytes = 1 << 20
 
-// watchWait is how long the platform holds a watch open.
-const watchWait = 20 * time.Second
+const (
+	// watchWait is how long the platform holds a watch open.
+	watchWait = 20 * time.Second
+	// defaultTimeout bounds a call other than a watch.
+	defaultTimeout = 2 * time.Second
+	// defaultFleet is the number of gateways until SetFleet says otherwise.
+	defaultFleet = 17
+	// failuresToOpen is how many failures in a row open the circuit breaker.
+	failuresToOpen = 3
+	// maxConnections bounds the connections to the platform.
+	maxConnections = 16
+)
 
 // Config configures a Client.
 type Config struct {
 	// URL is the base address of the platform.
 	URL string
-	// Timeout bounds each call other than a watch.
+	// Timeout bounds each call other than a watch; 0 means 2 s.
 	Timeout time.Duration
+	// Rates are the calls per second of the whole fleet; 0 means 400 reads and
+	// 100 writes, a fifth of what the platform takes.
+	Rates Rates
+	// Fleet is the number of gateways that share the rates; 0 means 17.
+	Fleet int
+	// Backoff is the circuit breaker's pause; 0 means 200 ms to 3 s.
+	Backoff Backoff
+	// Seed seeds the jitter.
+	Seed uint64
+}
+
+// withDefaults returns a copy of cfg with its zero values replaced.
+func (cfg Config) withDefaults() Config {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	if cfg.Rates == (Rates{}) {
+		cfg.Rates = Rates{Reads: 400, Writes: 100}
+	}
+	if cfg.Fleet == 0 {
+		cfg.Fleet = defaultFleet
+	}
+	if cfg.Backoff == (Backoff{}) {
+		cfg.Backoff = Backoff{Base: 200 * time.Millisecond, Max: 3 * time.Second}
+	}
+	return cfg
 }
 
 // Client calls the platform over HTTP. It is safe for concurrent use.
 type Client struct {
 	cfg  Config
 	http *http.Client
+	core *core
+	// status marks a client whose calls are the first to be dropped.
+	status bool
+}
+
+// core is what a client and its status client share.
+type core struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	breaker *Breaker
+	budget  *Budget
+	stats   Stats
 }
 
 var _ mustardsaddle.Store = (*Client)(nil)
 
+// kind is the kind of a call, which decides what it counts as.
+type kind string
+
+const (
+	reading  kind = "read"
+	watching kind = "watch"
+	writing  kind = "write"
+)
+
 // New returns a Client. It opens no connection.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, http: &http.Client{}}
+	cfg = cfg.withDefaults()
+	return &Client{
+		cfg:  cfg,
+		http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections}},
+		core: &core{
+			rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+			breaker: NewBreaker(failuresToOpen, cfg.Backoff),
+			budget:  NewBudget(cfg.Rates, cfg.Fleet),
+		},
+	}
+}
+
+// Status returns a client for status reports, which shares everything with c. Its
+// calls are refused while half of the budget is spent.
+func (c *Client) Status() *Client {
+	status := *c
+	status.status = true
+	return &status
+}
+
+// SetFleet sets how many gateways share the platform's rates.
+func (c *Client) SetFleet(n int) {
+	c.core.mu.Lock()
+	defer c.core.mu.Unlock()
+	c.core.budget.SetFleet(time.Now(), n)
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
 }
 
 // Get reads the newest version of an object.
 func (c *Client) Get(ctx context.Context, key string) (mustardsaddle.Object, error) {
-	return c.read(ctx, key, "")
+	return c.object(ctx, request{kind: reading, path: objectPath(key)}, key, 0)
 }
 
 // GetVersion reads an old version of an object.
 func (c *Client) GetVersion(ctx context.Context, key string, version int64) (mustardsaddle.Object, error) {
-	return c.read(ctx, key, "?version="+strconv.FormatInt(version, 10))
+	path := objectPath(key) + "?version=" + strconv.FormatInt(version, 10)
+	return c.object(ctx, request{kind: reading, path: path}, key, 0)
 }
 
-// Watch waits until the object is newer than version.
+// Watch waits until the object is newer than version. When the wait ends without
+// a change the object has the given version and no value.
 func (c *Client) Watch(ctx context.Context, key string, version int64) (mustardsaddle.Object, error) {
-	query := fmt.Sprintf("?after=%d&wait=%s", version, watchWait)
-	ctx, cancel := context.WithTimeout(ctx, watchWait+c.cfg.Timeout)
-	defer cancel()
-	return c.object(ctx, key, query)
+	path := fmt.Sprintf("%s?after=%d&wait=%s", objectPath(key), version, watchWait)
+	return c.object(ctx, request{kind: watching, path: path}, key, version)
 }
 
-func (c *Client) read(ctx context.Context, key, query string) (mustardsaddle.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
-	return c.object(ctx, key, query)
+func objectPath(key string) string {
+	return (&url.URL{Path: "/objects/" + key}).EscapedPath()
 }
 
-func (c *Client) object(ctx context.Context, key, query string) (mustardsaddle.Object, error) {
-	status, header, body, err := c.call(ctx, http.MethodGet, "/objects/"+key+query, nil, nil)
+func (c *Client) object(ctx context.Context, q request, key string, version int64) (mustardsaddle.Object, error) {
+	a, err := c.call(ctx, q)
 	if err != nil {
 		return mustardsaddle.Object{}, err
 	}
-	if status == http.StatusNotFound {
+	switch a.status {
+	case http.StatusNotFound:
 		return mustardsaddle.Object{Key: key}, nil
+	case http.StatusNotModified:
+		return mustardsaddle.Object{Key: key, Version: version}, nil
 	}
-	if status != http.StatusOK {
-		return mustardsaddle.Object{}, code.Errorf(code.StoreRefused, "read %s: got status %d, want 200", key, status)
-	}
-	version, err := parseETag(header.Get("ETag"))
+	found, err := parseETag(a.header.Get("ETag"))
 	if err != nil {
 		return mustardsaddle.Object{}, err
 	}
-	return mustardsaddle.Object{Key: key, Version: version, Value: body}, nil
+	return mustardsaddle.Object{Key: key, Version: found, Value: a.body}, nil
 }
 
 // Put writes a value if the newest version is still the given one.
@@ -95,23 +188,15 @@
 	if len(value) > MaxValueBytes {
 		return 0, code.Errorf(code.StoreTooLarge, "write %s: got %d bytes, want at most %d", key, len(value), MaxValueBytes)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
 	condition := http.Header{"If-None-Match": {"*"}}
 	if version > 0 {
 		condition = http.Header{"If-Match": {strconv.Quote(strconv.FormatInt(version, 10))}}
 	}
-	status, header, _, err := c.call(ctx, http.MethodPut, "/objects/"+key, condition, value)
+	a, err := c.call(ctx, request{kind: writing, path: objectPath(key), header: condition, value: value})
 	if err != nil {
 		return 0, err
 	}
-	if status == http.StatusPreconditionFailed {
-		return 0, code.Errorf(code.StoreConflict, "write %s: version %d is not the newest", key, version)
-	}
-	if status != http.StatusOK {
-		return 0, code.Errorf(code.StoreRefused, "write %s: got status %d, want 200", key, status)
-	}
-	return parseETag(header.Get("ETag"))
+	return parseETag(a.header.Get("ETag"))
 }
 
 // List returns the keys below a prefix.
@@ -129,52 +214,104 @@
 }
 
 func (c *Client) decode(ctx context.Context, path string, v any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
-	status, _, body, err := c.call(ctx, http.MethodGet, path, nil, nil)
+	a, err := c.call(ctx, request{kind: reading, path: path})
 	if err != nil {
 		return err
 	}
-	if status != http.StatusOK {
-		return code.Errorf(code.StoreRefused, "read %s: got status %d, want 200", path, status)
-	}
-	if err := json.Unmarshal(body, v); err != nil {
+	if err := json.Unmarshal(a.body, v); err != nil {
 		return code.Wrapf(code.StoreBadObject, err, "decode %s", path)
 	}
 	return nil
 }
 
-func (c *Client) call(ctx context.Context, method, path string, header http.Header, value []byte) (int, http.Header, []byte, error) {
-	r, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+path, bytes.NewReader(value))
+func parseETag(etag string) (int64, error) {
+	text, err := strconv.Unquote(etag)
+	if err != nil {
+		return 0, code.Errorf(code.StoreBadObject, "got ETag %q, want a quoted version", etag)
+	}
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, code.Errorf(code.StoreBadObject, "got ETag %q, want a quoted version", etag)
+	}
+	return version, nil
+}
+
+// request is one call to the platform.
+type request struct {
+	kind   kind
+	path   string
+	header http.Header
+	value  []byte
+}
+
+// answer is a whole answer of the platform.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// call sends a request, if the budget and the circuit breaker allow it.
+func (c *Client) call(ctx context.Context, q request) (answer, error) {
+	if err := c.admit(time.Now(), q.kind); err != nil {
+		return answer{}, err
+	}
+	timeout := c.cfg.Timeout
+	if q.kind == watching {
+		timeout += watchWait
+	}
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a, err := c.send(limited, q)
+	if err == nil {
+		err = checkStatus(q, a.status)
+	}
+	c.finish(time.Now(), err, ctx.Err() != nil, len(a.body), len(q.value))
+	return a, err
+}
+
+func (c *Client) send(ctx context.Context, q request) (answer, error) {
+	method := http.MethodGet
+	if q.kind == writing {
+		method = http.MethodPut
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+q.path, bytes.NewReader(q.value))
 	if err != nil {
-		return 0, nil, nil, code.Wrapf(code.StoreRefused, err, "%s %s", method, path)
+		return answer{}, code.Wrapf(code.StoreRefused, err, "%s %s", method, q.path)
 	}
-	for name, values := range header {
+	// Without GetBody the transport does not send a request a second time.
+	r.GetBody = nil
+	for name, values := range q.header {
 		r.Header[name] = values
 	}
 	resp, err := c.http.Do(r)
 	if err != nil {
-		return 0, nil, nil, code.Wrapf(code.StoreUnavailable, err, "%s %s", method, path)
+		return answer{}, code.Wrapf(code.StoreUnavailable, err, "%s %s", method, q.path)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
 	if err != nil {
-		return 0, nil, nil, code.Wrapf(code.StoreUnavailable, err, "%s %s", method, path)
+		return answer{}, code.Wrapf(code.StoreUnavailable, err, "%s %s", method, q.path)
 	}
 	if len(body) > MaxValueBytes {
-		return 0, nil, nil, code.Errorf(code.StoreTooLarge, "%s %s: answer is larger than %d bytes", method, path, MaxValueBytes)
+		return answer{}, code.Errorf(code.StoreTooLarge, "%s %s: answer is larger than %d bytes", method, q.path, MaxValueBytes)
 	}
-	return resp.StatusCode, resp.Header, body, nil
+	return answer{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
-func parseETag(etag string) (int64, error) {
-	text, err := strconv.Unquote(etag)
-	if err != nil {
-		return 0, code.Errorf(code.StoreBadObject, "got ETag %q, want a quoted version", etag)
+// checkStatus turns a status into an error. A server error leaves it unknown
+// whether a write took effect.
+func checkStatus(q request, status int) error {
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case q.kind != writing && (status == http.StatusNotFound || status == http.StatusNotModified):
+		return nil
+	case status == http.StatusPreconditionFailed:
+		return code.Errorf(code.StoreConflict, "%s %s: the version is not the newest", q.kind, q.path)
+	case status >= http.StatusInternalServerError:
+		return code.Errorf(code.StoreUnavailable, "%s %s: got status %d, want 200", q.kind, q.path, status)
+	default:
+		return code.Errorf(code.StoreRefused, "%s %s: got status %d, want 200", q.kind, q.path, status)
 	}
-	version, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
-		return 0, code.Errorf(code.StoreBadObject, "got ETag %q, want a quoted version", etag)
-	}
-	return version, nil
 }
--- /dev/null
+++ b/internal/control/store/core_test.go
@@ -0,0 +1,95 @@
+package store_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"mustardsaddle.example/mustardsaddle/internal/control/store"
+)
+
+func TestBreaker(t *testing.T) {
+	convey.Convey("Given a breaker that opens after two failures", t, func() {
+		now := time.Unix(1000, 0)
+		rng := rand.New(rand.NewPCG(1, 1))
+		b := store.NewBreaker(2, store.Backoff{Base: time.Second, Max: 4 * time.Second})
+		b.Failure(now, rng)
+		convey.So(b.Allow(now), convey.ShouldBeTrue)
+		b.Failure(now, rng)
+		convey.Convey("It refuses until its pause has passed, then lets one call through", func() {
+			convey.So(b.Allow(now.Add(499*time.Millisecond)), convey.ShouldBeFalse)
+			now = now.Add(time.Second)
+			convey.So(b.Allow(now), convey.ShouldBeTrue)
+			convey.So(b.Allow(now), convey.ShouldBeFalse)
+			convey.Convey("A success closes it", func() {
+				b.Success()
+				convey.So(b.State(), convey.ShouldEqual, store.Closed)
+			})
+			convey.Convey("A failure doubles the pause", func() {
+				b.Failure(now, rng)
+				convey.So(b.Allow(now.Add(999*time.Millisecond)), convey.ShouldBeFalse)
+				convey.So(b.Allow(now.Add(2*time.Second)), convey.ShouldBeTrue)
+			})
+			convey.Convey("A call given up lets the next one try", func() {
+				b.Cancel(now)
+				convey.So(b.Allow(now), convey.ShouldBeTrue)
+			})
+		})
+	})
+}
+
+func TestBackoffProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := store.Backoff{Base: 100 * time.Millisecond, Max: 3 * time.Second}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		failures := rapid.IntRange(1, 1000).Draw(t, "failures")
+		if d := b.Delay(rng, failures); d < b.Base/2 || d > b.Max {
+			t.Fatalf("got %s, want %s to %s", d, b.Base/2, b.Max)
+		}
+	})
+}
+
+// TestBudgetProperty checks that no pattern of arrivals, and no change of the
+// fleet's size, lets a gateway take more than its share and one burst.
+func TestBudgetProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const burst = 20
+		b := store.NewBudget(store.Rates{Reads: 400, Writes: 100}, 17)
+		now, fleet := time.Unix(1000, 0), 17
+		allowed := map[bool]float64{true: burst, false: burst}
+		taken := map[bool]float64{}
+		for range rapid.IntRange(1, 200).Draw(t, "calls") {
+			step := rapid.IntRange(0, 200).Draw(t, "step")
+			now = now.Add(time.Duration(step) * time.Millisecond)
+			allowed[false] += 400 / float64(fleet) * float64(step) / 1000
+			allowed[true] += 100 / float64(fleet) * float64(step) / 1000
+			write, status := rapid.Bool().Draw(t, "write"), rapid.Bool().Draw(t, "status")
+			if b.Take(now, write, status) {
+				taken[write]++
+			}
+			if taken[write] > allowed[write]+1e-6 {
+				t.Fatalf("took %g, want at most %g (write: %t)", taken[write], allowed[write], write)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "resize") == 0 {
+				fleet = rapid.IntRange(1, 1000).Draw(t, "fleet")
+				b.SetFleet(now, fleet)
+			}
+		}
+	})
+}
+
+func TestStatusIsDroppedFirst(t *testing.T) {
+	convey.Convey("Given a budget of which half is spent", t, func() {
+		now := time.Unix(1000, 0)
+		b := store.NewBudget(store.Rates{Reads: 17, Writes: 17}, 17)
+		for range 3 {
+			convey.So(b.Take(now, true, false), convey.ShouldBeTrue)
+		}
+		convey.So(b.Take(now, true, true), convey.ShouldBeFalse)
+		convey.So(b.Take(now, true, false), convey.ShouldBeTrue)
+		convey.So(b.Take(now, true, false), convey.ShouldBeFalse)
+	})
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
 
 	"mustardsaddle.example/mustardsaddle"
 )
@@ -41,8 +43,9 @@
 	mu       sync.Mutex
 	objects  map[string]*object
 	machines map[string]machine
-	calls    int64
+	counts   Counts
 	fault    Fault
+	limiter  *rate.Limiter
 }
 
 // Fault makes the platform misbehave.
@@ -55,6 +58,17 @@
 	LoseAnswers bool
 	// HoldWatches keeps watches silent until their wait ends.
 	HoldWatches bool
+	// CallsPerSecond is the rate above which calls are refused with 429; 0 means
+	// no limit.
+	CallsPerSecond int
+}
+
+// Counts are the calls that the platform has received.
+type Counts struct {
+	// Reads, Watches and Writes are the calls, refused ones included.
+	Reads, Watches, Writes int64
+	// Refused are the calls above the rate.
+	Refused int64
 }
 
 type object struct {
@@ -82,13 +96,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
+	p.limiter = nil
+	if f.CallsPerSecond > 0 {
+		p.limiter = rate.NewLimiter(rate.Limit(f.CallsPerSecond), f.CallsPerSecond)
+	}
 }
 
 // Calls returns how many calls the platform has counted.
 func (p *Platform) Calls() int64 {
+	n := p.Counts()
+	return n.Reads + n.Watches + n.Writes
+}
+
+// Counts returns the calls by kind.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// History returns the versions of an object, the oldest first.
+func (p *Platform) History(key string) [][]byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.calls
+	return slices.Clone(p.objectOf(key).versions)
 }
 
 // Handler returns the platform's HTTP interface.
@@ -106,10 +137,11 @@
 
 func (p *Platform) faulty(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		p.calls++
-		f := p.fault
-		p.mu.Unlock()
+		f, allowed := p.count(r)
+		if !allowed {
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+			return
+		}
 		if f.Delay > 0 {
 			select {
 			case <-r.Context().Done():
@@ -125,6 +157,26 @@
 	})
 }
 
+// count counts a call, and returns the present fault and whether the rate allows
+// the call.
+func (p *Platform) count(r *http.Request) (Fault, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case r.Method == http.MethodPut:
+		p.counts.Writes++
+	case r.URL.Query().Has("after"):
+		p.counts.Watches++
+	default:
+		p.counts.Reads++
+	}
+	if p.limiter != nil && !p.limiter.Allow() {
+		p.counts.Refused++
+		return p.fault, false
+	}
+	return p.fault, true
+}
+
 func (p *Platform) putFault(w http.ResponseWriter, r *http.Request) {
 	var f Fault
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
@@ -145,13 +197,17 @@
 	if text := query.Get("after"); text != "" {
 		after, _ := strconv.ParseInt(text, 10, 64)
 		wait, _ := time.ParseDuration(query.Get("wait"))
-		p.wait(r, key, after, min(wait, maxWait))
+		if !p.wait(r, key, after, min(wait, maxWait)) {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 	}
 	p.answer(w, key, 0)
 }
 
-// wait blocks until the object is newer than after or the wait ends.
-func (p *Platform) wait(r *http.Request, key string, after int64, wait time.Duration) {
+// wait blocks until the object is newer than after, or returns false when the
+// wait ends.
+func (p *Platform) wait(r *http.Request, key string, after int64, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -161,14 +217,14 @@
 		changed := o.changed
 		p.mu.Unlock()
 		if newer {
-			return
+			return true
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return
+			return false
 		case <-r.Context().Done():
-			return
+			return false
 		}
 	}
 }
--- a/store.go
+++ b/store.go
@@ -28,7 +28,8 @@
 	// List returns the keys below a prefix, without values.
 	List(ctx context.Context, prefix string) ([]Object, error)
 	// Watch waits until the object is newer than version, and returns it. When
-	// the platform's wait ends without a change it returns the object as known.
+	// the platform's wait ends without a change it returns an object of the given
+	// version without its value.
 	Watch(ctx context.Context, key string, version int64) (Object, error)
 	// Machines reads the platform's lagging list of VMs.
 	Machines(ctx context.Context) ([]Machine, error)
