Add the registry: acceptance and spread of rules without a leader

Cause: each gateway put Rules/Submitted in force unchecked against others, so that racing operators lost lines and gateways could fall back. Ruled out: a lease for one accepting gateway (its holder can be paused and still believe in it); whole files between peers (23 KB/s a node would not hold); polling values (a list of versions costs about 100 bytes). Change: Core is a state machine that names the next read or write and takes its result; Registry does the calls. Only the conditional write of Rules/Accepted accepts. Watches by few, changes from peer to peer, versions listed by all. Conclusion: reading back after a lost answer saves time only; safety rests on the condition of the write.

--- /dev/null
+++ b/internal/control/registry/registry_test.go
@@ -0,0 +1,327 @@
+package registry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/registry"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/control/store"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
+)
+
+// promised is the time within which an accepted change is in force everywhere.
+const promised = 5 * time.Second
+
+// patience bounds waits for what has no promised time.
+const patience = 30 * time.Second
+
+// group is a fleet of registries on one platform, linked to each other.
+type group struct {
+	platform *platform.Platform
+	members  []*member
+}
+
+type member struct {
+	*registry.Registry
+	client *store.Client
+	// inbox holds the changes of peers; a silent link drops them.
+	inbox chan rule.Change
+
+	mu          sync.Mutex
+	generations []int64
+}
+
+// generation returns what is in force, or -1 if it ever fell.
+func (m *member) generation() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	last := int64(0)
+	for _, g := range m.generations {
+		if g < last {
+			return -1
+		}
+		last = g
+	}
+	return last
+}
+
+// shape says what a group is like.
+type shape struct {
+	size int
+	// watchers is how many members hold watches.
+	watchers int
+	// silent says which members hear nothing from peers.
+	silent func(i int) bool
+	// deaf says which members hold watches that never end.
+	deaf  func(i int) bool
+	fault platform.Fault
+	// snapshot is handed to each member at its start, as by a peer.
+	snapshot string
+}
+
+// silentWatch is a store whose watches have lost their connection.
+type silentWatch struct {
+	mustardsaddle.Store
+}
+
+// Watch waits for the end of the context.
+func (silentWatch) Watch(ctx context.Context, _ string, _ int64) (mustardsaddle.Object, error) {
+	<-ctx.Done()
+	return mustardsaddle.Object{}, ctx.Err()
+}
+
+// startGroup runs a group until the test ends.
+func startGroup(t *testing.T, s shape) *group {
+	g := &group{platform: platform.New(platform.Config{})}
+	g.platform.SetFault(s.fault)
+	server := httptest.NewServer(g.platform.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	var ends []chan struct{}
+	for i := range s.size {
+		m := &member{
+			client: store.New(store.Config{URL: server.URL, Fleet: s.size, Seed: uint64(i)}),
+			inbox:  make(chan rule.Change, 100),
+		}
+		var objects mustardsaddle.Store = m.client
+		if s.deaf != nil && s.deaf(i) {
+			objects = silentWatch{Store: m.client}
+		}
+		m.Registry = registry.New(registry.Config{
+			Name: fmt.Sprintf("gateway-%02d", i), Store: objects, StatusStore: m.client.Status(), Seed: uint64(i),
+			Rank:  func() int { return i },
+			Fleet: func() int { return s.size },
+			Watch: func() bool { return i < s.watchers },
+			InForce: func(table *rule.Table) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.generations = append(m.generations, table.File.Generation)
+			},
+			Spread: g.spread(i),
+		})
+		g.members = append(g.members, m)
+	}
+	for i, m := range g.members {
+		if s.snapshot != "" {
+			_, _ = m.ReceiveWhole(time.Now(), s.snapshot)
+		}
+		linked, run := make(chan struct{}), make(chan struct{})
+		go m.link(ctx, linked, s.silent != nil && s.silent(i))
+		go m.Run(ctx, run)
+		ends = append(ends, linked, run)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, end := range ends {
+			<-end
+		}
+		for _, m := range g.members {
+			m.client.Close()
+		}
+		server.Close()
+	})
+	return g
+}
+
+// spread sends a change to the next three members.
+func (g *group) spread(from int) func(rule.Change) {
+	return func(c rule.Change) {
+		for hop := 1; hop <= 3; hop++ {
+			select {
+			case g.members[(from+hop)%len(g.members)].inbox <- c:
+			default:
+			}
+		}
+	}
+}
+
+func (m *member) link(ctx context.Context, done chan<- struct{}, silent bool) {
+	defer close(done)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-m.inbox:
+			if !silent {
+				m.Receive(time.Now(), c)
+			}
+		}
+	}
+}
+
+// submit edits the newest accepted rules by adding lines.
+func (g *group) submit(lines ...string) {
+	base := rule.File{}
+	if history := g.platform.History(registry.AcceptedKey); len(history) > 0 {
+		a, _ := rule.ParseAccepted(string(history[len(history)-1]))
+		base = a.File
+	}
+	text := base.Format()
+	for _, line := range lines {
+		text += line + "\n"
+	}
+	g.platform.Put(registry.SubmittedKey, []byte(text), -1)
+}
+
+// await waits until a condition holds, and returns how long that took.
+func await(limit time.Duration, condition func() bool) time.Duration {
+	started := time.Now()
+	for !condition() && time.Since(started) < limit {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// everywhere returns whether every member has the generation in force.
+func (g *group) everywhere(generation int64) func() bool {
+	return func() bool {
+		for _, m := range g.members {
+			if m.generation() != generation {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func line(i int) string {
+	return fmt.Sprintf("Path=/r%d Service=S # Tan: rule %d", i, i)
+}
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	all := func(int) bool { return true }
+	only := func(n int) func(int) bool { return func(i int) bool { return i == n } }
+	for _, test := range []struct {
+		name  string
+		shape shape
+		after platform.Fault
+	}{
+		{"with watches and links", shape{size: 17, watchers: 6}, platform.Fault{}},
+		{"one watch silent and one link silent", shape{size: 17, watchers: 2, deaf: only(0), silent: only(9)}, platform.Fault{}},
+		{"every watch and every link silent", shape{size: 17, watchers: 6, deaf: all, silent: all}, platform.Fault{}},
+		{"answers of writes lost", shape{size: 17, watchers: 6}, platform.Fault{LoseAnswers: true}},
+		{"a slow store", shape{size: 17, watchers: 6}, platform.Fault{Delay: 200 * time.Millisecond}},
+	} {
+		convey.Convey("Given a fleet with rules in force: "+test.name, t, func() {
+			g := startGroup(t, test.shape)
+			g.submit(line(1))
+			await(patience, g.everywhere(1))
+			g.platform.SetFault(test.after)
+			g.submit(line(2))
+			took := await(patience, g.everywhere(2))
+			t.Logf("%s: in force everywhere after %s", test.name, took)
+			convey.So(g.everywhere(2)(), convey.ShouldBeTrue)
+			convey.So(took, convey.ShouldBeLessThan, promised)
+		})
+	}
+}
+
+func TestOutageAndRecovery(t *testing.T) {
+	convey.Convey("Given a fleet with rules, and a store that goes down", t, func() {
+		const outage = 6 * time.Second
+		g := startGroup(t, shape{size: 17, watchers: 6})
+		g.submit(line(1))
+		await(patience, g.everywhere(1))
+		g.platform.SetFault(platform.Fault{Down: true})
+		before := g.platform.Counts()
+		g.submit(line(2))
+		g.submit(line(3))
+		g.submit("Path=/broken")
+		time.Sleep(outage)
+		during := g.platform.Counts()
+		convey.So(g.everywhere(1)(), convey.ShouldBeTrue)
+		g.platform.SetFault(platform.Fault{CallsPerSecond: 100})
+		took := await(patience, g.everywhere(3))
+		convey.Convey("Every submission is handled in order, and no call of the outage is made up for", func() {
+			convey.So(g.everywhere(3)(), convey.ShouldBeTrue)
+			await(patience, func() bool { return len(g.platform.History(registry.AcceptedKey)) == 4 })
+			history := g.platform.History(registry.AcceptedKey)
+			a, err := rule.ParseAccepted(string(history[len(history)-1]))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(a.Submission, convey.ShouldEqual, 4)
+			convey.So(a.Refusals[0].Problem.Code, convey.ShouldEqual, code.RuleMissingField)
+			after := g.platform.Counts()
+			reads := func(c platform.Counts) float64 { return float64(c.Reads + c.Watches) }
+			t.Logf("outage of %s: %g reads and %d writes; then %g reads and %d writes in %s", outage,
+				reads(during)-reads(before), during.Writes-before.Writes, reads(after)-reads(during), after.Writes-during.Writes, took)
+			const callsPerSecond = 4 // of one gateway while it can't reach the store
+			convey.So(reads(during)-reads(before), convey.ShouldBeLessThan, 17*callsPerSecond*outage.Seconds())
+			convey.So(after.Refused, convey.ShouldEqual, 0)
+			convey.So(after.Writes-during.Writes, convey.ShouldBeLessThan, 17*5)
+		})
+	})
+}
+
+func TestColdFleetWithASlowStore(t *testing.T) {
+	convey.Convey("Given rules in a store that is slow and refuses above 200 calls a second", t, func() {
+		g := startGroup(t, shape{size: 17, watchers: 6, fault: platform.Fault{Delay: time.Second, CallsPerSecond: 200}})
+		g.platform.Put(registry.AcceptedKey, []byte(rule.Accepted{File: fileOf(7, line(1)), Submission: 9}.Format()), -1)
+		took := await(patience, g.everywhere(7))
+		counts := g.platform.Counts()
+		t.Logf("cold fleet of 17: rules everywhere after %s with %+v", took, counts)
+		convey.So(g.everywhere(7)(), convey.ShouldBeTrue)
+		convey.So(counts.Refused, convey.ShouldEqual, 0)
+	})
+}
+
+func TestStartFromAPeerWithTheStoreDown(t *testing.T) {
+	convey.Convey("Given a store that is down and a peer's snapshot", t, func() {
+		first := startGroup(t, shape{size: 1, watchers: 1})
+		first.submit(line(1))
+		await(patience, first.everywhere(1))
+		text, generation := first.members[0].Snapshot()
+		convey.So(generation, convey.ShouldEqual, 1)
+		g := startGroup(t, shape{size: 2, watchers: 1, fault: platform.Fault{Down: true}, snapshot: text})
+		convey.So(g.everywhere(1)(), convey.ShouldBeTrue)
+		convey.Convey("An empty store that comes back takes nothing away", func() {
+			g.platform.SetFault(platform.Fault{})
+			g.submit(line(2))
+			reads := g.platform.Counts().Reads
+			await(patience, func() bool { return g.platform.Counts().Reads > reads+4 })
+			convey.So(g.everywhere(1)(), convey.ShouldBeTrue)
+			convey.So(g.platform.History(registry.AcceptedKey), convey.ShouldBeEmpty)
+		})
+		convey.Convey("Rubbish and old files change nothing", func() {
+			m := g.members[0]
+			_, err := m.ReceiveWhole(time.Now(), "{}")
+			convey.So(code.Of(err), convey.ShouldEqual, code.StoreBadObject)
+			result, err := m.ReceiveWhole(time.Now(), rule.Accepted{File: fileOf(1)}.Format())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(result, convey.ShouldEqual, rule.Stale)
+		})
+	})
+}
+
+func TestOperatorsReadBackWhatIsInForce(t *testing.T) {
+	convey.Convey("Given a submission with a rule that conflicts", t, func() {
+		g := startGroup(t, shape{size: 3, watchers: 2})
+		g.submit(line(1))
+		await(patience, g.everywhere(1))
+		g.platform.Put(registry.SubmittedKey, []byte("# Generation 1\nPath=/r1 Service=T # Tan: one"), -1)
+		await(patience, g.everywhere(2))
+		g.platform.Put(registry.SubmittedKey, []byte("# Generation 1\nPath=/r1 Service=U # Mei Lin: other\n"+line(2)), -1)
+		await(patience, g.everywhere(3))
+		var status rule.InForce
+		await(patience, func() bool {
+			history := g.platform.History(registry.InForceKey)
+			if len(history) == 0 {
+				return false
+			}
+			status, _ = rule.ParseInForce(string(history[len(history)-1]))
+			return status.Accepted.File.Generation == 3 && len(status.VMs) == 3 && status.VMs[0].Generation+status.VMs[1].Generation+status.VMs[2].Generation == 9
+		})
+		convey.So(status.VMs, convey.ShouldResemble, []rule.VM{{Name: "gateway-00", Generation: 3}, {Name: "gateway-01", Generation: 3}, {Name: "gateway-02", Generation: 3}})
+		convey.So(len(status.Accepted.Refusals), convey.ShouldEqual, 1)
+		convey.So(status.Accepted.Refusals[0].Problem.Line, convey.ShouldEqual, 2)
+		convey.So(status.Accepted.Refusals[0].Problem.Code, convey.ShouldEqual, code.RuleConflictChange)
+		convey.So(rules(status.Accepted.File), convey.ShouldResemble, map[string]string{"/r1": "T", "/r2": "S"})
+	})
+}
