Bound load reports and the cost of probing

Cause: a report could state any number, and nothing bounded probes. Change: Parse refuses negative, huge and missing metrics; Budget pays probes from token buckets in messages and bytes per second, the same however many calls arrive, and divides each server's probe rate among the live gateways. Ruled out: taking from the message bucket before the byte bucket is known to allow it, which would lose messages on each refusal; trusting a clock set back, which would refill a bucket twice. After: a rapid property finds no window over budget for any arrival pattern.

--- /dev/null
+++ b/internal/choice/report/report_test.go
@@ -0,0 +1,156 @@
+package report_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var headers = []struct {
+	name, value, err string
+}{
+	{"whole", `JSON {"named_metrics":{"InFlight":3,"Slots":2,"Draining":1}}`, ""},
+	{"without prefix", `{"named_metrics":{"InFlight":3}}`, ""},
+	{"unknown metric", `{"named_metrics":{"InFlight":3,"Other":-1}}`, ""},
+	{"empty", ``, "unexpected end of JSON input"},
+	{"binary form", `BIN aGVsbG8=`, "invalid character 'B'"},
+	{"not a number", `{"named_metrics":{"InFlight":NaN}}`, "invalid character 'N'"},
+	{"negative", `{"named_metrics":{"InFlight":-1}}`, "got InFlight=-1, want 0 to 1048576"},
+	{"negative slots", `{"named_metrics":{"InFlight":1,"Slots":-2}}`, "got Slots=-2"},
+	{"huge", `{"named_metrics":{"InFlight":1e300}}`, "got InFlight=1e+300"},
+	{"beyond float", `{"named_metrics":{"InFlight":1e999}}`, "cannot unmarshal number 1e999"},
+	{"text", `{"named_metrics":{"InFlight":"3"}}`, "cannot unmarshal string"},
+	{"missing", `{"named_metrics":{"Slots":3}}`, "got no InFlight"},
+	{"null", `null`, "got no InFlight"},
+	{"two values", `{"named_metrics":{"InFlight":3}} {}`, "after top-level value"},
+	{"over-long", strings.Repeat(" ", 5000), "got 5000 bytes, want at most 4096"},
+}
+
+func TestParse(t *testing.T) {
+	convey.Convey("Given header values", t, func() {
+		for _, h := range headers {
+			convey.Convey("the value that is "+h.name, func() {
+				_, err := report.Parse(start, h.value)
+				if h.err == "" {
+					convey.So(err, convey.ShouldBeNil)
+					return
+				}
+				convey.So(err, convey.ShouldNotBeNil)
+				convey.So(err.Error(), convey.ShouldContainSubstring, h.err)
+				convey.So(code.Of(err), convey.ShouldEqual, code.ReportBad)
+			})
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	for _, h := range headers {
+		f.Add(h.value)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		got, err := report.Parse(start, value)
+		if err != nil {
+			return
+		}
+		if got.InFlight < 0 || got.Slots < 0 || got.InFlight > 1<<20 || got.Slots > 1<<20 {
+			t.Fatalf("parse %q: got %+v, want bounded counts", value, got)
+		}
+		again, err := report.Parse(start, report.Format(got.InFlight, got.Slots, got.Draining))
+		if err != nil || again != got {
+			t.Fatalf("parse formatted %+v: got %+v, %v", got, again, err)
+		}
+	})
+}
+
+// spending is one allowed payment.
+type spending struct {
+	at              time.Time
+	messages, bytes int
+}
+
+// checkWindows fails if any window between two payments holds more than the
+// rate allows with a bucket of the given depth.
+func checkWindows(t *rapid.T, what string, all []spending, size func(spending) int, perSecond, depth float64) {
+	for i := range all {
+		sum := 0
+		for j := i; j < len(all); j++ {
+			sum += size(all[j])
+			window := all[j].at.Sub(all[i].at).Seconds()
+			if limit := perSecond*window + depth; float64(sum) > limit+1e-3 {
+				t.Fatalf("%s: got %d in %gs, want at most %g", what, sum, window, limit)
+			}
+		}
+	}
+}
+
+func TestBudgetIsNeverOverInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0.5, 100).Draw(t, "messages")
+		bytesPerSecond := rapid.Float64Range(100, 40000).Draw(t, "bytes")
+		server := rapid.Float64Range(0.5, 50).Draw(t, "server")
+		fleet := rapid.IntRange(1, 20).Draw(t, "fleet")
+		b := report.NewBudget(report.BudgetConfig{
+			MessagesPerSecond: perSecond, BytesPerSecond: bytesPerSecond,
+			ServerMessagesPerSecond: server, Burst: 100 * time.Millisecond,
+		})
+		b.SetFleet(fleet)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var all, one []spending
+		now, latest := start, start
+		for range rapid.IntRange(1, 300).Draw(t, "arrivals") {
+			// Arrivals in bursts, after pauses, and with the clock set back.
+			now = now.Add(time.Duration((rng.ExpFloat64() - 0.1) * float64(10*time.Millisecond)))
+			if now.After(latest) {
+				latest = now
+			}
+			s := spending{at: latest, messages: 1 + rng.IntN(2), bytes: rng.IntN(900)}
+			toOne := rng.IntN(2) == 0
+			if toOne && b.TakeServer(now, "booking-01", s.messages, s.bytes) {
+				all, one = append(all, s), append(one, s)
+			}
+			if !toOne && b.Take(now, s.messages, s.bytes) {
+				all = append(all, s)
+			}
+		}
+		messages := func(s spending) int { return s.messages }
+		bytes := func(s spending) int { return s.bytes }
+		checkWindows(t, "messages", all, messages, perSecond, max(1, perSecond/10))
+		checkWindows(t, "bytes", all, bytes, bytesPerSecond, max(report.ProbeBytes, bytesPerSecond/10))
+		checkWindows(t, "server", one, messages, server/float64(fleet), 2)
+		var sum report.Cost
+		for _, s := range all {
+			sum.Messages += int64(s.messages)
+			sum.Bytes += int64(s.bytes)
+		}
+		if got := b.Stats().Spent; got != sum {
+			t.Fatalf("spent: got %+v, want %+v", got, sum)
+		}
+	})
+}
+
+func TestBudgetRefusal(t *testing.T) {
+	convey.Convey("Given a budget whose bytes are spent", t, func() {
+		b := report.NewBudget(report.BudgetConfig{MessagesPerSecond: 10, BytesPerSecond: 400})
+		convey.So(b.Take(start, 1, 400), convey.ShouldBeTrue)
+		convey.So(b.Take(start, 1, 400), convey.ShouldBeFalse)
+		convey.Convey("a refusal costs nothing, and time refills it", func() {
+			convey.So(b.Take(start.Add(time.Second), 1, 400), convey.ShouldBeTrue)
+			convey.So(b.Stats(), convey.ShouldResemble, report.Stats{
+				Spent: report.Cost{Messages: 2, Bytes: 800}, Refused: 1,
+				AgreedMessagesPerSecond: 10, AgreedBytesPerSecond: 400, Fleet: 1,
+			})
+		})
+	})
+	convey.Convey("Given a budget of nothing, nothing is allowed", t, func() {
+		convey.So(report.NewBudget(report.BudgetConfig{}).Take(start, 1, 1), convey.ShouldBeFalse)
+	})
+}
