--- a/choice.go
+++ b/choice.go
@@ -55,3 +55,11 @@
 	// Latency is the time from sending to the response header.
 	Latency time.Duration
 }
+
+// FleetSetter is a Chooser that divides the servers among the live gateways.
+type FleetSetter interface {
+	Chooser
+	// SetFleet tells the name of this gateway and all live gateways, itself
+	// included. Gateways with equal lists agree on the division.
+	SetFleet(now time.Time, self string, gateways []VM)
+}
