--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -9,7 +9,6 @@
 package server
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -31,6 +30,9 @@
 	NotRunHeader = "Endpoint-Not-Run"
 )
 
+// coldFactor multiplies working times during a cold start.
+const coldFactor = 3
+
 // Config configures a Server.
 type Config struct {
 	// Name identifies the server.
@@ -39,10 +41,13 @@
 	Slots int
 	// Queue is how many more requests wait; the rest are shed.
 	Queue int
-	// Work is the mean time that a request takes.
+	// Work is the mean time that a request takes. A request may state its own
+	// time in the Work query parameter.
 	Work time.Duration
 	// Cold is how long the server is slow after its start.
 	Cold time.Duration
+	// Neighbour is a noisy neighbour that slows the server down now and then.
+	Neighbour Neighbour
 	// Seed seeds the spread of working times.
 	Seed uint64
 }
@@ -57,15 +62,21 @@
 	FailFast bool
 	// ReportInFlight, if positive or zero, replaces the reported load.
 	ReportInFlight *int
+	// ReportEvery, if set, is how long a report is repeated before the load is
+	// read anew.
+	ReportEvery time.Duration
 }
 
 // Server is a stand-in endpoint server.
 type Server struct {
 	cfg   Config
 	slots chan struct{}
-	start time.Time
 
 	mu       sync.Mutex
+	start    time.Time
+	noise    noise
+	read     int
+	readAt   time.Time
 	rng      *rand.Rand
 	mode     Mode
 	inFlight int
@@ -82,10 +93,18 @@
 		slots: make(chan struct{}, cfg.Slots),
 		start: time.Now(),
 		rng:   rand.New(rand.NewPCG(cfg.Seed, 1)),
+		noise: newNoise(cfg.Neighbour, cfg.Seed),
 		runs:  make(map[string]int),
 	}
 }
 
+// Restart begins a new cold start.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.start = time.Now()
+}
+
 // SetMode replaces the mode.
 func (s *Server) SetMode(m Mode) {
 	s.mu.Lock()
@@ -150,14 +169,22 @@
 // report writes the load report header.
 func (s *Server) report(h http.Header) {
 	s.mu.Lock()
-	inFlight, draining := s.inFlight, s.mode.Draining
-	if s.mode.ReportInFlight != nil {
-		inFlight = *s.mode.ReportInFlight
-	}
+	inFlight, draining := s.readLoad(time.Now()), s.mode.Draining
 	s.mu.Unlock()
 	h.Set(report.Header, report.Format(inFlight, s.cfg.Slots, draining))
 }
 
+// readLoad returns the load to report. The caller holds mu.
+func (s *Server) readLoad(now time.Time) int {
+	if s.mode.ReportInFlight != nil {
+		return *s.mode.ReportInFlight
+	}
+	if now.Sub(s.readAt) >= s.mode.ReportEvery {
+		s.read, s.readAt = s.inFlight, now
+	}
+	return s.read
+}
+
 func (s *Server) work(w http.ResponseWriter, r *http.Request) {
 	if !s.enter() {
 		s.report(w.Header())
@@ -181,7 +208,7 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
-	if !s.sleep(r.Context()) {
+	if !s.sleep(r) {
 		return
 	}
 	s.answer(w, r)
@@ -215,24 +242,36 @@
 }
 
 // sleep takes the working time, and returns false if the request was canceled.
-func (s *Server) sleep(ctx context.Context) bool {
-	s.mu.Lock()
-	d := time.Duration(s.rng.ExpFloat64() * float64(s.cfg.Work))
-	if s.mode.Factor > 0 {
-		d = time.Duration(float64(d) * s.mode.Factor)
-	}
-	s.mu.Unlock()
-	if time.Since(s.start) < s.cfg.Cold {
-		d *= 3
-	}
+func (s *Server) sleep(r *http.Request) bool {
+	timer := time.NewTimer(s.duration(time.Now(), r.URL.Query().Get("Work")))
+	defer timer.Stop()
 	select {
-	case <-ctx.Done():
+	case <-r.Context().Done():
 		return false
-	case <-time.After(d):
+	case <-timer.C:
 		return true
 	}
 }
 
+// duration returns the working time of a request that begins now and states
+// the given time, if any.
+func (s *Server) duration(now time.Time, stated string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, err := time.ParseDuration(stated)
+	if err != nil {
+		d = time.Duration(s.rng.ExpFloat64() * float64(s.cfg.Work))
+	}
+	factor := s.noise.factor(now)
+	if s.mode.Factor > 0 {
+		factor *= s.mode.Factor
+	}
+	if now.Sub(s.start) < s.cfg.Cold {
+		factor *= coldFactor
+	}
+	return time.Duration(float64(d) * factor)
+}
+
 // answer echoes the body, or sends as many bytes as the Size parameter asks.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
 	s.report(w.Header())
