Compare policies of choice on whole systems over loopback

Cause: nothing measured one policy against another. Within99 counts refused calls as never answered, since a policy that refuses would look quick by P99.

--- a/internal/standin/load/result.go
+++ b/internal/standin/load/result.go
@@ -50,6 +50,10 @@
 	// P50, P90, P99, P999 and Max are latencies of the calls that ran, from the
 	// intended time, in milliseconds.
 	P50, P90, P99, P999, Max float64
+	// Within99 is the time in milliseconds within which 99 of 100 of all calls
+	// had run, whatever became of the others; 0 if fewer ran at all. Refusals
+	// don't flatter it.
+	Within99 float64
 }
 
 // Share returns the share of calls with the given end.
@@ -89,17 +93,26 @@
 type tally struct {
 	ends    [ends]int64
 	latency *hdrhistogram.Histogram
+	// all counts calls that did not run as maxLatency.
+	all *hdrhistogram.Histogram
 }
 
 func newTally() *tally {
-	return &tally{latency: hdrhistogram.New(1, maxLatency.Microseconds(), figures)}
+	return &tally{
+		latency: hdrhistogram.New(1, maxLatency.Microseconds(), figures),
+		all:     hdrhistogram.New(1, maxLatency.Microseconds(), figures),
+	}
 }
 
 func (t *tally) add(end End, latency time.Duration) {
 	t.ends[end]++
-	if end == Ran {
-		_ = t.latency.RecordValue(min(latency, maxLatency).Microseconds())
+	latency = min(latency, maxLatency)
+	if end != Ran {
+		_ = t.all.RecordValue(maxLatency.Microseconds())
+		return
 	}
+	_ = t.latency.RecordValue(latency.Microseconds())
+	_ = t.all.RecordValue(latency.Microseconds())
 }
 
 func (t *tally) stats(service string, seconds float64) Stats {
@@ -112,6 +125,9 @@
 		return float64(t.latency.ValueAtQuantile(quantile)) / 1000
 	}
 	s.P50, s.P90, s.P99, s.P999, s.Max = at(50), at(90), at(99), at(99.9), at(100)
+	if 100*t.ends[Ran] >= 99*s.Calls {
+		s.Within99 = float64(t.all.ValueAtQuantile(99)) / 1000
+	}
 	s.Goodput = float64(t.ends[Ran]) / seconds
 	return s
 }
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -98,10 +98,11 @@
 	}
 }
 
-// Restart begins a new cold start.
-func (s *Server) Restart() {
+// Restart begins a cold start of the given length.
+func (s *Server) Restart(cold time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.cfg.Cold = cold
 	s.start = time.Now()
 }
 
--- /dev/null
+++ b/internal/standin/trial/trial_test.go
@@ -0,0 +1,49 @@
+package trial_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/standin/trial"
+)
+
+func TestCompare(t *testing.T) {
+	convey.Convey("Given a short comparison of two candidates at low load", t, func() {
+		told := 0
+		report, err := trial.Compare(context.Background(), trial.CompareConfig{
+			Scenarios: []string{"steady50", "Drain"}, Candidates: []string{"CentralQueue", "PreferredSpill+Next"},
+			Duration: 900 * time.Millisecond, Repetitions: 1, Parallel: 2,
+			Progress: func(trial.Run) { told++ },
+		})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(told, convey.ShouldEqual, 4)
+		convey.So(report.Rows, convey.ShouldHaveLength, 4)
+		for _, row := range report.Rows {
+			convey.So(row.Median.Goodput, convey.ShouldBeGreaterThan, 0)
+			convey.So(row.Median.Unknown, convey.ShouldEqual, 0)
+		}
+		convey.So(report.Text(), convey.ShouldContainSubstring, "Steady50")
+		_, err = json.Marshal(report)
+		convey.So(err, convey.ShouldBeNil)
+	})
+	convey.Convey("Given an unknown name, it is refused with the known ones", t, func() {
+		_, err := trial.Compare(context.Background(), trial.CompareConfig{Scenarios: []string{"Calm"}})
+		convey.So(code.Of(err), convey.ShouldEqual, code.SettingsBadValue)
+		convey.So(err.Error(), convey.ShouldContainSubstring, `compare: got scenario "Calm", want one of Steady50, `)
+		_, err = trial.Compare(context.Background(), trial.CompareConfig{Candidates: []string{"Best"}})
+		convey.So(err.Error(), convey.ShouldContainSubstring, `got candidate "Best", want one of CentralQueue, `)
+	})
+	convey.Convey("Given a context that has ended, the report is partial", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		report, err := trial.Compare(ctx, trial.CompareConfig{Scenarios: []string{"Steady50"}})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(report.Runs, convey.ShouldBeEmpty)
+		convey.So(report.Planned, convey.ShouldBeGreaterThan, 0)
+	})
+}
