Check every setting at start, from one description

Cause: settings were mapped without a check, stopped at the first mistake and let a second key replace the first. Ruled out: the INI library's strict mapping, which reports one mistake and has no ranges; tags on the struct, which can't hold generated documentation. Change: list.go describes each setting once; defaults, check, example and the table of SETTINGS.md follow from it. Load returns every problem with line, section, key, got, want and code. Before: no tests of settings. Conclusion: a settings file is refused as a whole with all its mistakes.

--- a/cmd/mustardsaddle/main.go
+++ b/cmd/mustardsaddle/main.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/instance"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 )
@@ -21,9 +22,12 @@
 
 // Execute runs a gateway until SIGTERM or SIGINT.
 func (c *serveCommand) Execute([]string) error {
-	s, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
+	s, problems := settings.Load(c.Settings)
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
+	if len(problems) > 0 {
+		return code.Errorf(problems[0].Code, "settings have %d mistakes", len(problems))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/product/code/code_string.go
+++ b/internal/product/code/code_string.go
@@ -15,6 +15,10 @@
 	_ = x[SettingsUnknownKey-1003]
 	_ = x[SettingsBadValue-1004]
 	_ = x[SettingsMissing-1005]
+	_ = x[SettingsSyntax-1006]
+	_ = x[SettingsDuplicate-1007]
+	_ = x[SettingsTooLarge-1008]
+	_ = x[SettingsConflict-1009]
 	_ = x[RuleSyntax-2001]
 	_ = x[RuleUnknownField-2002]
 	_ = x[RuleBadValue-2003]
@@ -43,7 +47,7 @@
 
 const (
 	_Code_name_0 = "OKInternal"
-	_Code_name_1 = "SettingsUnreadableSettingsUnknownSectionSettingsUnknownKeySettingsBadValueSettingsMissing"
+	_Code_name_1 = "SettingsUnreadableSettingsUnknownSectionSettingsUnknownKeySettingsBadValueSettingsMissingSettingsSyntaxSettingsDuplicateSettingsTooLargeSettingsConflict"
 	_Code_name_2 = "RuleSyntaxRuleUnknownFieldRuleBadValueRuleMissingFieldRuleNoWhoRuleDuplicate"
 	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudget"
 	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceled"
@@ -53,7 +57,7 @@
 
 var (
 	_Code_index_0 = [...]uint8{0, 2, 10}
-	_Code_index_1 = [...]uint8{0, 18, 40, 58, 74, 89}
+	_Code_index_1 = [...]uint8{0, 18, 40, 58, 74, 89, 103, 120, 136, 152}
 	_Code_index_2 = [...]uint8{0, 10, 26, 38, 54, 63, 76}
 	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79}
 	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108}
@@ -64,7 +68,7 @@
 	switch {
 	case 0 <= i && i <= 1:
 		return _Code_name_0[_Code_index_0[i]:_Code_index_0[i+1]]
-	case 1001 <= i && i <= 1005:
+	case 1001 <= i && i <= 1009:
 		i -= 1001
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
 	case 2001 <= i && i <= 2006:
--- a/internal/product/code/list.go
+++ b/internal/product/code/list.go
@@ -19,6 +19,14 @@
 	SettingsBadValue
 	// SettingsMissing means a required key without a value.
 	SettingsMissing
+	// SettingsSyntax means text that is not an INI file.
+	SettingsSyntax
+	// SettingsDuplicate means a second section or key of the same name.
+	SettingsDuplicate
+	// SettingsTooLarge means a settings file above the limit.
+	SettingsTooLarge
+	// SettingsConflict means two settings that do not fit together.
+	SettingsConflict
 )
 
 // Rule codes.
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -1,20 +1,27 @@
-// Package settings reads and checks the INI settings of a gateway.
+// Package settings reads and checks the INI settings of a gateway. Every
+// setting is described once, in list.go; the defaults, the check, the annotated
+// example and the table in docs/SETTINGS.md all follow from that description.
+//
+// A settings file is refused as a whole if it has one mistake. Every mistake is
+// listed, each with its line, section, key, what was found, what is wanted and
+// a result code, so that an operator mends the file in one go. Unknown sections
+// and keys are mistakes: a misspelt key never silently leaves a default.
 //
 // # Usage
 //
 //	s, problems := settings.Load("gateway.ini")
-//	for _, p := range problems { fmt.Println(p) }
+//	for _, p := range problems {
+//		fmt.Println(p)
+//	}
 package settings
 
 import (
+	"slices"
 	"time"
-
-	"gopkg.in/ini.v1"
-
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
-// Settings are the settings of one gateway. A Settings is immutable.
+// Settings are the settings of one gateway. A Settings is immutable; the With
+// methods return changed copies.
 type Settings struct {
 	// Gateway identifies this gateway and its addresses.
 	Gateway Gateway
@@ -22,34 +29,55 @@
 	Platform Platform
 	// Measuring is the agreed budget of load probes.
 	Measuring Measuring
+	// Peers says how gateways keep links with each other.
+	Peers Peers
 	// Stop says how a graceful stop goes.
 	Stop Stop
 	// Limits bound what a caller may send and how long a call may take.
 	Limits Limits
+	// Retry bounds the attempts that the gateway adds to a call.
+	Retry Retry
+	// Choice says how a server is chosen for an attempt.
+	Choice Choice
 	// Log says what is logged.
 	Log Log
+
+	services []Service
 }
 
 // Gateway identifies this gateway and its addresses.
 type Gateway struct {
-	Name   string
-	Zone   string
-	Listen string
-	Admin  string
-	Peer   string
+	Name        string
+	Zone        string
+	Listen      string
+	Admin       string
+	Peer        string
+	Incarnation int64
 }
 
-// Platform says how to reach the platform.
+// Platform says how to reach the platform. The rates are those of the whole
+// fleet of gateways.
 type Platform struct {
-	URL     string
-	Timeout time.Duration
-	Poll    time.Duration
+	URL             string
+	Timeout         time.Duration
+	Poll            time.Duration
+	ReadsPerSecond  float64
+	WritesPerSecond float64
 }
 
 // Measuring is the agreed budget of load probes.
 type Measuring struct {
 	MessagesPerSecond float64
 	BytesPerSecond    float64
+	ServerPerSecond   float64
+	Path              string
+}
+
+// Peers says how gateways keep links with each other.
+type Peers struct {
+	Links     int
+	Heartbeat time.Duration
+	Silent    time.Duration
 }
 
 // Stop says how a graceful stop goes.
@@ -63,33 +91,98 @@
 	Progress    time.Duration
 	HeaderBytes int
 	BodyBytes   int64
+	QueueLength int
+}
+
+// Retry bounds the attempts that the gateway adds to a call, as shares of the
+// calls.
+type Retry struct {
+	RetryShare    float64
+	HedgeShare    float64
+	HedgeQuantile float64
+}
+
+// Choice says how a server is chosen for an attempt.
+type Choice struct {
+	Policy     string
+	EjectShare float64
+	SlowStart  time.Duration
+}
+
+// Service describes the endpoint servers of one service.
+type Service struct {
+	Name         string
+	NotRunStatus int
+	NotRunHeader string
+	Slots        int
+	Connections  int
 }
 
 // Log says what is logged.
 type Log struct {
-	Level string
+	Level      string
+	RouteLines string
 }
 
-// Default returns the settings that apply where a file says nothing.
+// Default returns the settings that apply where a file says nothing. Settings
+// without a default are empty.
 func Default() Settings {
-	return Settings{
-		Platform:  Platform{Timeout: 2 * time.Second, Poll: time.Second},
-		Measuring: Measuring{MessagesPerSecond: 20, BytesPerSecond: 8192},
-		Stop:      Stop{Lag: 2 * time.Second},
-		Limits:    Limits{Deadline: 10 * time.Second, Progress: 15 * time.Second, HeaderBytes: 64 << 10, BodyBytes: 1 << 30},
-		Log:       Log{Level: "info"},
+	var s Settings
+	for _, item := range gatewayList() {
+		if !item.Required {
+			item.set(&s, item.Default)
+		}
 	}
+	return s
 }
 
-// Load reads a settings file over the defaults.
-func Load(path string) (Settings, error) {
-	s := Default()
-	file, err := ini.Load(path)
-	if err != nil {
-		return s, code.Wrapf(code.SettingsUnreadable, err, "read settings")
+// defaultService returns the service settings that apply where a file says
+// nothing.
+func defaultService(name string) Service {
+	v := Service{Name: name}
+	for _, item := range serviceList() {
+		item.set(&v, item.Default)
 	}
-	if err := file.StrictMapTo(&s); err != nil {
-		return s, code.Wrapf(code.SettingsBadValue, err, "read settings %s", path)
+	return v
+}
+
+// Service returns the settings of a service: those of its section, or the
+// defaults if it has none.
+func (s Settings) Service(name string) Service {
+	for _, v := range s.services {
+		if v.Name == name {
+			return v
+		}
 	}
-	return s, nil
+	return defaultService(name)
+}
+
+// Services returns the services that have a section, in the file's order.
+func (s Settings) Services() []Service {
+	return slices.Clone(s.services)
+}
+
+// WithService returns a copy of s in which v replaces the service of its name.
+func (s Settings) WithService(v Service) Settings {
+	services := slices.Clone(s.services)
+	i := slices.IndexFunc(services, func(old Service) bool { return old.Name == v.Name })
+	if i < 0 {
+		services = append(services, v)
+	} else {
+		services[i] = v
+	}
+	s.services = services
+	return s
+}
+
+// WithGateway returns a copy of s with the given identity and addresses.
+func (s Settings) WithGateway(g Gateway) Settings {
+	s.Gateway = g
+	return s
+}
+
+// WithPlatform returns a copy of s with the given platform.
+func (s Settings) WithPlatform(p Platform) Settings {
+	s.Platform = p
+	return s
 }
--- /dev/null
+++ b/internal/product/settings/settings_test.go
@@ -0,0 +1,206 @@
+package settings_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+)
+
+const docs = "../../../docs/"
+
+// head is the shortest settings file without a mistake, up to its last section.
+const head = "[Platform]\nURL = http://127.0.0.1:7000\n[Gateway]\nName = g1\nZone = a\n"
+
+func TestExampleLoadsAndStatesEverySetting(t *testing.T) {
+	s, problems := settings.Load(docs + "gateway.example.ini")
+	if len(problems) > 0 {
+		t.Fatalf("example has problems: %v", problems)
+	}
+	text, err := os.ReadFile(docs + "gateway.example.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(text) != settings.Example() {
+		t.Error("docs/gateway.example.ini differs; run: go run ./cmd/mustardsaddle settings > docs/gateway.example.ini")
+	}
+	want := settings.Default().WithService(settings.Default().Service("Booking"))
+	want.Gateway.Name, want.Gateway.Zone, want.Platform.URL = "gateway-1", "zone-a", "http://127.0.0.1:7000"
+	if fmt.Sprint(s) != fmt.Sprint(want) {
+		t.Errorf("example gives\n%+v, want the defaults\n%+v", s, want)
+	}
+}
+
+func TestTableNamesEverySetting(t *testing.T) {
+	text, err := os.ReadFile(docs + "SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	section, missing := "", ""
+	for _, info := range settings.List() {
+		if info.Section != section {
+			section = info.Section
+			if !strings.Contains(string(text), "\n## ["+section+"]\n") {
+				t.Errorf("docs/SETTINGS.md has no heading ## [%s]", section)
+			}
+		}
+		def := "`" + info.Default + "`"
+		switch {
+		case info.Required:
+			def = "required"
+		case info.Default == "":
+			def = "nothing"
+		}
+		row := fmt.Sprintf("| `%s` | %s | %s | %s |", info.Key, def, info.Want, info.Meaning)
+		if !strings.Contains(string(text), row+"\n") {
+			missing += row + "\n"
+		}
+	}
+	if missing != "" {
+		t.Errorf("docs/SETTINGS.md lacks these rows:\n%s", missing)
+	}
+}
+
+func TestMistakes(t *testing.T) {
+	cases := []struct {
+		name, text string
+		code       code.Code
+		line       int
+		section    string
+		key        string
+	}{
+		{"no required key", "[Platform]\nURL = http://a:1\n[Gateway]\nName = g1\n", code.SettingsMissing, 3, "Gateway", "Zone"},
+		{"unknown section", head + "[Gatewy]\n", code.SettingsUnknownSection, 6, "Gatewy", ""},
+		{"default section", head + "[DEFAULT]\nA = 1\n", code.SettingsUnknownSection, 6, "DEFAULT", ""},
+		{"unknown key", head + "Nme = g2\n", code.SettingsUnknownKey, 6, "Gateway", "Nme"},
+		{"wrong case", head + "listen = 127.0.0.1:0\n", code.SettingsUnknownKey, 6, "Gateway", "listen"},
+		{"duplicate key", head + "Name = g2\n", code.SettingsDuplicate, 6, "Gateway", "Name"},
+		{"duplicate section", head + "[Platform]\n", code.SettingsDuplicate, 6, "Platform", ""},
+		{"no equals sign", head + "Listen\n", code.SettingsSyntax, 6, "Gateway", ""},
+		{"key before sections", "Name = g1\n" + head, code.SettingsSyntax, 1, "", "Name"},
+		{"open section", head + "[Log\n", code.SettingsSyntax, 6, "Log", ""},
+		{"several lines", head + "Listen = \"\"\"a\n", code.SettingsSyntax, 6, "Gateway", ""},
+		{"host name", head + "Listen = localhost:80\n", code.SettingsBadValue, 6, "Gateway", "Listen"},
+		{"no port", head + "Listen = 127.0.0.1\n", code.SettingsBadValue, 6, "Gateway", "Listen"},
+		{"one address twice", head + "Listen = 127.0.0.1:9\nAdmin = 127.0.0.1:9\n", code.SettingsConflict, 7, "Gateway", "Admin"},
+		{"no unit", head + "[Stop]\nLag = 2\n", code.SettingsBadValue, 7, "Stop", "Lag"},
+		{"below range", head + "[Limits]\nDeadline = 0s\n", code.SettingsBadValue, 7, "Limits", "Deadline"},
+		{"above range", head + "[Retry]\nHedgeShare = 1.5\n", code.SettingsBadValue, 7, "Retry", "HedgeShare"},
+		{"not a number", head + "[Retry]\nRetryShare = NaN\n", code.SettingsBadValue, 7, "Retry", "RetryShare"},
+		{"negative", head + "[Measuring]\nBytesPerSecond = -1\n", code.SettingsBadValue, 7, "Measuring", "BytesPerSecond"},
+		{"path", head + "[Measuring]\nPath = load\n", code.SettingsBadValue, 7, "Measuring", "Path"},
+		{"policy", head + "[Choice]\nPolicy = Best\n", code.SettingsBadValue, 7, "Choice", "Policy"},
+		{"silent link", head + "[Peers]\nHeartbeat = 2s\nSilent = 2s\n", code.SettingsConflict, 8, "Peers", "Silent"},
+		{"URL", "[Platform]\nURL = ftp://a\n[Gateway]\nName = g1\nZone = a\n", code.SettingsBadValue, 2, "Platform", "URL"},
+		{"service name", head + "[Service a b]\n", code.SettingsBadValue, 6, "Service a b", ""},
+		{"refusal status", head + "[Service A]\nNotRunStatus = 200\n", code.SettingsBadValue, 7, "Service A", "NotRunStatus"},
+		{"refusal header", head + "[Service A]\nNotRunHeader = X\n", code.SettingsConflict, 7, "Service A", "NotRunHeader"},
+		{"not text", head + "\xff", code.SettingsSyntax, 0, "", ""},
+		{"too large", strings.Repeat("#", settings.MaxFileBytes+1), code.SettingsTooLarge, 0, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, problems := settings.Parse(c.text)
+			if len(problems) != 1 {
+				t.Fatalf("got problems %v, want one", problems)
+			}
+			p := problems[0]
+			if p.Code != c.code || p.Line != c.line || p.Section != c.section || p.Key != c.key {
+				t.Errorf("got %v, want code %v at line %d [%s] %s", p, c.code, c.line, c.section, c.key)
+			}
+			if p.Got == "" || p.Want == "" {
+				t.Errorf("got %v, want both Got and Want", p)
+			}
+		})
+	}
+}
+
+func TestLoad(t *testing.T) {
+	convey.Convey("Given a file with values of its own", t, func() {
+		path := filepath.Join(t.TempDir(), "gateway.ini")
+		text := "\ufeff" + head + "Listen = 127.0.0.1:0 # free port\r\n[Limits]\nDeadline = 1m30s\n" +
+			"[Service Booking]\nNotRunStatus = 503\nNotRunHeader = Endpoint-Not-Run\nSlots = 4\n"
+		convey.So(os.WriteFile(path, []byte(text), 0o600), convey.ShouldBeNil)
+		s, problems := settings.Load(path)
+		convey.So(problems, convey.ShouldBeEmpty)
+		convey.Convey("They replace the defaults, and the others stay", func() {
+			convey.So(s.Gateway.Listen, convey.ShouldEqual, "127.0.0.1:0")
+			convey.So(s.Limits.Deadline, convey.ShouldEqual, 90*time.Second)
+			convey.So(s.Limits.Progress, convey.ShouldEqual, settings.Default().Limits.Progress)
+			booking := settings.Service{
+				Name: "Booking", NotRunStatus: 503, NotRunHeader: "Endpoint-Not-Run", Slots: 4, Connections: 200,
+			}
+			convey.So(s.Service("Booking"), convey.ShouldResemble, booking)
+			convey.So(s.Service("Plans").Slots, convey.ShouldEqual, 2)
+		})
+		convey.Convey("A changed copy leaves the original as it was", func() {
+			changed := s.WithService(settings.Service{Name: "Booking", Slots: 1})
+			convey.So(changed.Service("Booking").Slots, convey.ShouldEqual, 1)
+			convey.So(s.Service("Booking").Slots, convey.ShouldEqual, 4)
+		})
+	})
+	convey.Convey("A missing file and a directory are one readable problem each", t, func() {
+		for _, path := range []string{filepath.Join(t.TempDir(), "none.ini"), t.TempDir()} {
+			_, problems := settings.Load(path)
+			convey.So(problems, convey.ShouldHaveLength, 1)
+			convey.So(problems[0].Code, convey.ShouldEqual, code.SettingsUnreadable)
+			convey.So(problems[0].String(), convey.ShouldContainSubstring, "code 1001")
+		}
+	})
+}
+
+// TestEveryMistakeIsListed breaks any set of settings, and expects one problem
+// for each of them and none else.
+func TestEveryMistakeIsListed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var text strings.Builder
+		section, broken := "", make(map[string]bool)
+		for _, info := range settings.List() {
+			if info.Section != section {
+				section = info.Section
+				_, _ = fmt.Fprintf(&text, "[%s]\n", strings.Replace(section, "NAME", "Booking", 1))
+			}
+			value := info.Example
+			if rapid.Bool().Draw(t, info.Key) {
+				value = "not right"
+				broken[strings.Replace(section, "NAME", "Booking", 1)+"/"+info.Key] = true
+			}
+			_, _ = fmt.Fprintf(&text, "%s = %s\n", info.Key, value)
+		}
+		_, problems := settings.Parse(text.String())
+		for _, p := range problems {
+			if p.Code != code.SettingsBadValue || !broken[p.Section+"/"+p.Key] {
+				t.Fatalf("got %v, which isn't broken", p)
+			}
+		}
+		if len(problems) != len(broken) {
+			t.Fatalf("got %d problems, want %d: %v", len(problems), len(broken), problems)
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(settings.Example())
+	f.Add(head)
+	f.Add("[Gateway]\nName = \"g\n[DEFAULT]\n- = 1\n%(A)s = `x\n")
+	f.Add("[Service ]\n[Service A]\nSlots = 1e9\n= x\n[]\n[a]]\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, problems := settings.Parse(text)
+		for _, p := range problems {
+			if p.Code == code.OK || p.Want == "" {
+				t.Errorf("problem %v has no code or no wanted value", p)
+			}
+		}
+		if len(problems) == 0 && (s.Gateway.Name == "" || s.Platform.URL == "" || s.Limits.Deadline <= 0) {
+			t.Errorf("accepted %q without required settings", text)
+		}
+	})
+}
