Add check, explain, settings and version to the command line

Cause: only serve existed, and it could not be tested without a process. Ruled out: logic in main, and global names for zerolog's own fields, which would change another package's state. Change: internal/product/command runs each command with given writers and ends with a documented status (0 done, 1 failed, 2 usage, 3 mistakes, 4 no match). Before: no tests of the command line. Conclusion: an operator finds every mistake before a gateway starts.

--- /dev/null
+++ b/internal/product/command/command.go
@@ -0,0 +1,135 @@
+// Package command is the command line of the load balancer: it reads the
+// arguments, runs one command and turns its end into an exit status. Commands
+// write to the given writers only, so that each can be tested as a function.
+//
+// # Usage
+//
+//	status := command.Run(ctx, command.Config{Out: os.Stdout, Err: os.Stderr, Serve: serve}, os.Args[1:])
+//	os.Exit(int(status))
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Status -output=status_string.go
+
+// Status is the exit status of the process.
+type Status int
+
+const (
+	// Done means that the command did what was asked.
+	Done Status = iota
+	// Failed means that the command failed while it ran.
+	Failed
+	// Usage means a mistake in the arguments.
+	Usage
+	// Mistakes means that a settings or rules file has mistakes, all of which
+	// were listed.
+	Mistakes
+	// NoMatch means that explain found no rule.
+	NoMatch
+)
+
+const about = `mustardsaddle is a load balancer for servers whose load shifts in milliseconds.
+
+Examples:
+  mustardsaddle settings > gateway.ini
+  mustardsaddle check --settings gateway.ini --rules rules.txt
+  mustardsaddle explain GET http://gateway/rosters --rules rules.txt
+  mustardsaddle serve --settings gateway.ini
+
+Exit status:
+  0  done
+  1  failed while running
+  2  mistake in the arguments
+  3  mistakes in a settings or rules file, all listed
+  4  no rule matches (explain)`
+
+// Config configures a run of the command line.
+type Config struct {
+	// Out takes results.
+	Out io.Writer
+	// Err takes messages, and the log of serve.
+	Err io.Writer
+	// Serve runs a gateway until the context ends.
+	Serve func(ctx context.Context, s settings.Settings, logger zerolog.Logger) error
+}
+
+// statusError is an error that ends the process with its own status.
+type statusError struct {
+	status Status
+	error
+}
+
+func failf(status Status, format string, args ...any) error {
+	return statusError{status: status, error: errors.Errorf(format, args...)}
+}
+
+// Run runs the command that the arguments name.
+func Run(ctx context.Context, cfg Config, args []string) Status {
+	parser := flags.NewNamedParser("mustardsaddle", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = about
+	if err := addCommands(ctx, cfg, parser); err != nil {
+		_, _ = fmt.Fprintln(cfg.Err, err)
+		return Failed
+	}
+	_, err := parser.ParseArgs(args)
+	return report(cfg, err)
+}
+
+func addCommands(ctx context.Context, cfg Config, parser *flags.Parser) error {
+	commands := []struct {
+		name, short, long string
+		command           flags.Commander
+	}{
+		{"serve", "Run a gateway", serveAbout, &serve{ctx: ctx, cfg: cfg}},
+		{"check", "List every mistake in settings and rules", checkAbout, &check{cfg: cfg}},
+		{"explain", "Show which rule matches a request, and why", explainAbout, &explain{cfg: cfg}},
+		{"settings", "Print an annotated settings file", settingsAbout, &example{cfg: cfg}},
+		{"version", "Print the version", versionAbout, &version{cfg: cfg}},
+	}
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
+			return errors.Annotatef(err, "add command %s", c.name)
+		}
+	}
+	return nil
+}
+
+// report prints how a command ended, and returns the status.
+func report(cfg Config, err error) Status {
+	if err == nil {
+		return Done
+	}
+	if help, ok := err.(*flags.Error); ok { //nolint:errorlint // go-flags returns it bare
+		if help.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(cfg.Out, help.Message)
+			return Done
+		}
+		_, _ = fmt.Fprintf(cfg.Err, "mustardsaddle: %s; try mustardsaddle --help\n", help.Message)
+		return Usage
+	}
+	_, _ = fmt.Fprintf(cfg.Err, "mustardsaddle: %v\n", err)
+	var s statusError
+	if errors.As(err, &s) {
+		return s.status
+	}
+	return Failed
+}
+
+// noArguments refuses arguments that a command has no use for.
+func noArguments(args []string) error {
+	if len(args) > 0 {
+		return failf(Usage, "got argument %q, want none; try mustardsaddle --help", args[0])
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/product/command/command_test.go
@@ -0,0 +1,129 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/command"
+	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+)
+
+const (
+	goodSettings = "[Gateway]\nName = g1\nZone = a\n[Platform]\nURL = http://127.0.0.1:7000\n"
+	badSettings  = "[Gateway]\nName = g1\nZone = a\nListen = here\n[Platfrm]\n"
+	goodRules    = "# Generation 1\n" +
+		"Path=/rosters Service=Booking Deadline=2s # Mei Lin: members browse rosters\n" +
+		"Path=/bookings Method=POST Service=Booking Repeat=No # Tan: book a lathe\n" +
+		"Path=/plans/* Service=Plans # Ana: project plans\n"
+	badRules = "# Generation 1\nPath=/rosters Service=Booking\nPath=/a Service=A Color=Red # Tan: a colour\nPath=/b # Tan: no service\n"
+)
+
+// files writes the inputs of the tests, and returns their directory.
+func files(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"good.ini": goodSettings, "bad.ini": badSettings, "good.txt": goodRules, "bad.txt": badRules,
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+// run runs the command line; DIR in the arguments stands for the directory.
+func run(dir, line string, serve error) (status command.Status, stdout, stderr string) {
+	var out, err bytes.Buffer
+	cfg := command.Config{Out: &out, Err: &err, Serve: func(_ context.Context, s settings.Settings, l zerolog.Logger) error {
+		event.Info(l, event.Started).Str("Zone", s.Gateway.Zone).Send()
+		return serve
+	}}
+	status = command.Run(context.Background(), cfg, strings.Fields(strings.ReplaceAll(line, "DIR", dir)))
+	return status, out.String(), err.String()
+}
+
+func TestCommands(t *testing.T) {
+	dir := files(t)
+	cases := []struct {
+		line   string
+		status command.Status
+		stdout []string
+		stderr []string
+	}{
+		{"--help", command.Done, []string{"Examples:", "Exit status:", "serve", "check", "explain", "version"}, nil},
+		{"serve --help", command.Done, []string{"SIGTERM", "--settings"}, nil},
+		{"explain --help", command.Done, []string{"METHOD", "URL", "--rules"}, nil},
+		{"", command.Usage, nil, []string{"serve"}},
+		{"sevre", command.Usage, nil, []string{"sevre", "serve"}},
+		{"--colour", command.Usage, nil, []string{"unknown flag", "colour", "--help"}},
+		{"version", command.Done, []string{"mustardsaddle", "go1"}, nil},
+		{"version now", command.Usage, nil, []string{`got argument "now"`}},
+		{"settings", command.Done, []string{"[Gateway]", "Listen = 0.0.0.0:8080"}, nil},
+
+		{"serve", command.Usage, nil, []string{"--settings"}},
+		{"serve --settings", command.Usage, nil, []string{"expected argument"}},
+		{"serve --settings DIR/none.ini", command.Mistakes, nil, []string{"none.ini", "code 1001"}},
+		{"serve --settings DIR", command.Mistakes, nil, []string{"code 1001"}},
+		{"serve --settings DIR/bad.ini", command.Mistakes, nil, []string{"Listen", "code 1002", "code 1004", "code 1005", "3 in"}},
+		{"serve --settings DIR/good.ini", command.Done, nil, []string{`"Event":1001`, `"Level":"Info"`, `"Gateway":"g1"`, `"Zone":"a"`}},
+
+		{"check", command.Usage, nil, []string{"--settings FILE"}},
+		{"check --settings DIR/good.ini --rules DIR/good.txt", command.Done, []string{"good.ini: no mistakes", "good.txt: no mistakes"}, nil},
+		{"check --settings DIR/bad.ini", command.Mistakes, []string{"line 4: [Gateway] Listen", "[Platfrm]", "[Platform] URL"}, []string{"3 found"}},
+		{"check --rules DIR/bad.txt", command.Mistakes, []string{"line 2: ", "code 2005", "line 3: ", "code 2002", "line 4: ", "code 2004"}, []string{"3 found"}},
+		{"check --settings DIR/bad.ini --rules DIR/bad.txt", command.Mistakes, []string{"bad.ini", "bad.txt"}, []string{"6 found"}},
+		{"check --rules DIR/none.txt", command.Failed, nil, []string{"none.txt"}},
+		{"check --rules DIR", command.Failed, nil, []string{"can't read rules"}},
+
+		{"explain GET /rosters", command.Usage, nil, []string{"--rules"}},
+		{"explain GET --rules DIR/good.txt", command.Usage, nil, []string{"URL"}},
+		{"explain get /rosters --rules DIR/good.txt", command.Usage, nil, []string{`got method "get"`}},
+		{"explain GET rosters --rules DIR/good.txt", command.Usage, nil, []string{`got URL "rosters"`}},
+		{"explain GET ftp://a/rosters --rules DIR/good.txt", command.Usage, nil, []string{"ftp://a/rosters"}},
+		{"explain GET http://%zz/ --rules DIR/good.txt", command.Usage, nil, []string{"http://%zz/"}},
+		{"explain GET /rosters --rules DIR/none.txt", command.Failed, nil, []string{"none.txt"}},
+		{"explain GET /rosters --rules DIR/bad.txt", command.Mistakes, nil, []string{"code 2005", "3 in"}},
+		{"explain GET /rosters --rules DIR/good.txt", command.Done, []string{"matches line 2: Path=/rosters", "2s", "Yes, by default for GET", "Mei Lin"}, nil},
+		{"explain POST http://gw/bookings --rules DIR/good.txt", command.Done, []string{"line 3", "No, by the rule", "default, [Limits] Deadline"}, nil},
+		{"explain GET /plans/lathe/2 --rules DIR/good.txt", command.Done, []string{"line 4", "Service   Plans"}, nil},
+		{"explain GET /bookings --rules DIR/good.txt", command.NoMatch, []string{"with method POST it would match line 3"}, []string{"no rule matches GET /bookings"}},
+		{"explain GET /none --rules DIR/good.txt", command.NoMatch, nil, []string{"no rule matches GET /none"}},
+	}
+	for _, c := range cases {
+		t.Run(c.line, func(t *testing.T) {
+			status, stdout, stderr := run(dir, c.line, nil)
+			if status != c.status {
+				t.Errorf("got status %v, want %v; output %q %q", status, c.status, stdout, stderr)
+			}
+			for _, want := range c.stdout {
+				if !strings.Contains(stdout, want) {
+					t.Errorf("standard output %q lacks %q", stdout, want)
+				}
+			}
+			for _, want := range c.stderr {
+				if !strings.Contains(stderr, want) {
+					t.Errorf("standard error %q lacks %q", stderr, want)
+				}
+			}
+		})
+	}
+}
+
+func TestServeFails(t *testing.T) {
+	dir := files(t)
+	convey.Convey("A gateway that ends with an error gives its text and status 1", t, func() {
+		status, _, stderr := run(dir, "serve --settings DIR/good.ini", errors.New("open callers' address"))
+		convey.So(status, convey.ShouldEqual, command.Failed)
+		convey.So(stderr, convey.ShouldContainSubstring, "mustardsaddle: open callers' address")
+	})
+}
--- /dev/null
+++ b/internal/product/command/serve.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	"context"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+)
+
+const serveAbout = `Runs one gateway until SIGTERM or SIGINT, then stops gracefully: the gateway
+reports not ready, goes on taking calls for [Stop] Lag, and ends once every
+call in flight has finished. A second signal ends it at once.
+
+The log goes to standard error, one JSON object a line; docs/EVENTS.md lists
+the events.
+
+Example:
+  mustardsaddle serve --settings gateway.ini`
+
+type serve struct {
+	Settings string `long:"settings" short:"s" value-name:"FILE" description:"INI settings file" required:"true"`
+
+	ctx context.Context
+	cfg Config
+}
+
+// Execute runs a gateway until the context ends.
+func (c *serve) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	s, problems := settings.Load(c.Settings)
+	if len(problems) > 0 {
+		n := printSettings(c.cfg.Err, c.Settings, problems)
+		return failf(Mistakes, "%d in %s", n, c.Settings)
+	}
+	return c.cfg.Serve(c.ctx, s, event.NewLogger(c.cfg.Err, s.Log.Level, s.Gateway.Name))
+}
--- /dev/null
+++ b/internal/product/command/version.go
@@ -0,0 +1,52 @@
+package command
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+)
+
+const (
+	settingsAbout = `Prints an annotated settings file that states every setting: the required ones
+with an example, the others with their defaults.
+
+Example:
+  mustardsaddle settings > gateway.ini`
+	versionAbout = `Prints the version, the commit and the Go version of the program.`
+)
+
+type example struct {
+	cfg Config
+}
+
+// Execute prints the annotated settings file.
+func (c *example) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	_, err := fmt.Fprint(c.cfg.Out, settings.Example())
+	return err
+}
+
+type version struct {
+	cfg Config
+}
+
+// Execute prints what the build recorded about itself.
+func (c *version) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	number, commit, goVersion := "unknown", "unknown", "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		number, goVersion = info.Main.Version, info.GoVersion
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				commit = s.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintf(c.cfg.Out, "mustardsaddle %s commit %s %s\n", number, commit, goVersion)
+	return err
+}
