--- /dev/null
+++ b/internal/product/admin/admin.go
@@ -0,0 +1,177 @@
+// Package admin serves the operators' address of a gateway: health, readiness,
+// the rules in force, the servers as this gateway sees them, and metrics. Every
+// page is read-only; operators change what a gateway does by the rules file in
+// the platform's store alone.
+//
+// # Usage
+//
+//	m := admin.NewMetrics(admin.MetricsConfig{Interval: time.Second})
+//	defer m.Close()
+//	h := admin.New(admin.Config{Ready: ready, Rules: rules, Servers: servers, Metrics: m.Handler()})
+//	http.Serve(listener, h)
+package admin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+// Headers of the answers.
+const (
+	// CodeHeader carries the result code of a refusal.
+	CodeHeader = "Mustardsaddle-Code"
+	// GenerationHeader carries the generation of the rules in force.
+	GenerationHeader = "Mustardsaddle-Generation"
+)
+
+const textType = "text/plain; charset=utf-8"
+
+// Config configures the admin pages. Every function must be safe for concurrent
+// use and answer from memory, so that the pages work while the platform is down.
+type Config struct {
+	// Ready returns nil while the gateway takes calls, and otherwise an error
+	// with a code that says why it doesn't.
+	Ready func() error
+	// Rules returns the rules file in force.
+	Rules func() Rules
+	// Servers returns the endpoint servers as this gateway sees them.
+	Servers func() []Server
+	// Metrics answers the metrics page.
+	Metrics http.Handler
+}
+
+// Rules is the rules file in force.
+type Rules struct {
+	// Generation is the number of the file; 0 means that there is none yet.
+	Generation int64
+	// Text is the file.
+	Text string
+}
+
+// Server is what this gateway knows of one endpoint server.
+type Server struct {
+	mustardsaddle.Server
+	// InFlight is the number of this gateway's own attempts at the server.
+	InFlight int
+	// Report is the server's newest load report; its At is zero if none came.
+	Report mustardsaddle.Report
+	// Ejected is true while the server is left out for errors or slowness.
+	Ejected bool
+}
+
+// New returns the handler of the admin pages.
+func New(cfg Config) http.Handler {
+	p := pages{cfg: cfg}
+	r := mux.NewRouter()
+	r.HandleFunc("/", p.index)
+	r.HandleFunc("/healthz", p.health)
+	r.HandleFunc("/readyz", p.ready)
+	r.HandleFunc("/rules", p.rules)
+	r.HandleFunc("/servers", p.servers)
+	r.Handle("/metrics", cfg.Metrics)
+	r.Use(readOnly)
+	return r
+}
+
+type pages struct {
+	cfg Config
+}
+
+// readOnly refuses every method but GET and HEAD.
+func readOnly(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			w.Header().Set("Allow", "GET, HEAD")
+			http.Error(w, "got method "+r.Method+", want GET or HEAD", http.StatusMethodNotAllowed)
+			return
+		}
+		w.Header().Set("Cache-Control", "no-store")
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (pages) index(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", textType)
+	_, _ = fmt.Fprintln(w, "/healthz\n/readyz\n/rules\n/servers\n/metrics")
+}
+
+// health tells that the process runs and answers.
+func (pages) health(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", textType)
+	_, _ = fmt.Fprintln(w, "Healthy")
+}
+
+// ready tells the platform's balancer whether to send calls here.
+func (p pages) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := p.cfg.Ready(); err != nil {
+		refuse(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", textType)
+	_, _ = fmt.Fprintln(w, "Ready")
+}
+
+func (p pages) rules(w http.ResponseWriter, _ *http.Request) {
+	rules := p.cfg.Rules()
+	if rules.Generation == 0 {
+		refuse(w, code.Errorf(code.CallNotReady, "this gateway has no rules yet"))
+		return
+	}
+	w.Header().Set("Content-Type", textType)
+	w.Header().Set(GenerationHeader, strconv.FormatInt(rules.Generation, 10))
+	_, _ = fmt.Fprint(w, rules.Text)
+}
+
+// serverLine is one server of the servers page.
+type serverLine struct {
+	Service, Name, Address, Zone string
+	Incarnation                  int64
+	Slots, Connections           int
+	Leaving, Ejected             bool
+	InFlight                     int
+	Report                       *reportLine `json:",omitempty"`
+}
+
+// reportLine is the newest load report of a server.
+type reportLine struct {
+	InFlight, Slots int
+	Draining        bool
+	At              time.Time
+}
+
+func (p pages) servers(w http.ResponseWriter, _ *http.Request) {
+	lines := []serverLine{}
+	for _, s := range p.cfg.Servers() {
+		line := serverLine{
+			Service: s.Service, Name: s.Name, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation,
+			Slots: s.Slots, Connections: s.Connections, Leaving: s.Leaving, Ejected: s.Ejected, InFlight: s.InFlight,
+		}
+		if !s.Report.At.IsZero() {
+			line.Report = &reportLine{
+				InFlight: s.Report.InFlight, Slots: s.Report.Slots, Draining: s.Report.Draining, At: s.Report.At,
+			}
+		}
+		lines = append(lines, line)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(lines)
+}
+
+// refuse answers 503 with the code and the reason.
+func refuse(w http.ResponseWriter, err error) {
+	n := code.Of(err)
+	w.Header().Set("Content-Type", textType)
+	w.Header().Set(CodeHeader, strconv.Itoa(int(n)))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = fmt.Fprintf(w, "Code=%d Name=%s Reason=%q\n", int(n), n, err)
+}
--- /dev/null
+++ b/internal/product/admin/admin_test.go
@@ -0,0 +1,128 @@
+package admin_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/product/admin"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+// state is what the admin pages show.
+type state struct {
+	ready   error
+	rules   admin.Rules
+	servers []admin.Server
+}
+
+func handler(s *state) http.Handler {
+	return admin.New(admin.Config{
+		Ready:   func() error { return s.ready },
+		Rules:   func() admin.Rules { return s.rules },
+		Servers: func() []admin.Server { return s.servers },
+		Metrics: http.NotFoundHandler(),
+	})
+}
+
+func get(h http.Handler, method, path string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, path, nil))
+	return w
+}
+
+func TestPages(t *testing.T) {
+	convey.Convey("Given a gateway without rules", t, func() {
+		s := &state{ready: code.Errorf(code.CallNotReady, "no rules yet")}
+		h := handler(s)
+		convey.Convey("It is healthy but not ready, and says why", func() {
+			convey.So(get(h, http.MethodGet, "/healthz").Code, convey.ShouldEqual, http.StatusOK)
+			w := get(h, http.MethodGet, "/readyz")
+			convey.So(w.Code, convey.ShouldEqual, http.StatusServiceUnavailable)
+			convey.So(w.Header().Get(admin.CodeHeader), convey.ShouldEqual, "4006")
+			convey.So(w.Body.String(), convey.ShouldEqual, "Code=4006 Name=CallNotReady Reason=\"no rules yet (code 4006)\"\n")
+		})
+		convey.Convey("It has no rules file to show", func() {
+			w := get(h, http.MethodGet, "/rules")
+			convey.So(w.Code, convey.ShouldEqual, http.StatusServiceUnavailable)
+			convey.So(w.Header().Get(admin.CodeHeader), convey.ShouldEqual, "4006")
+		})
+		convey.Convey("Once rules are in force it is ready and shows them", func() {
+			s.ready, s.rules = nil, admin.Rules{Generation: 41, Text: "# Generation 41\n"}
+			convey.So(get(h, http.MethodGet, "/readyz").Code, convey.ShouldEqual, http.StatusOK)
+			w := get(h, http.MethodGet, "/rules")
+			convey.So(w.Code, convey.ShouldEqual, http.StatusOK)
+			convey.So(w.Header().Get(admin.GenerationHeader), convey.ShouldEqual, "41")
+			convey.So(w.Body.String(), convey.ShouldEqual, "# Generation 41\n")
+		})
+		convey.Convey("Pages can't be written, and other paths don't exist", func() {
+			w := get(h, http.MethodPut, "/rules")
+			convey.So(w.Code, convey.ShouldEqual, http.StatusMethodNotAllowed)
+			convey.So(w.Header().Get("Allow"), convey.ShouldEqual, "GET, HEAD")
+			convey.So(get(h, http.MethodGet, "/secrets").Code, convey.ShouldEqual, http.StatusNotFound)
+			convey.So(get(h, http.MethodGet, "/").Body.String(), convey.ShouldContainSubstring, "/metrics")
+		})
+	})
+}
+
+func TestServers(t *testing.T) {
+	convey.Convey("Given servers with and without a report", t, func() {
+		at := time.Date(2026, 12, 3, 20, 0, 0, 0, time.UTC)
+		s := &state{}
+		h := handler(s)
+		convey.Convey("No servers are an empty list", func() {
+			convey.So(get(h, http.MethodGet, "/servers").Body.String(), convey.ShouldEqual, "[]\n")
+		})
+		convey.Convey("Each is listed with its state", func() {
+			s.servers = []admin.Server{
+				{
+					Server:   mustardsaddle.Server{Name: "booking-01", Service: "Booking", Leaving: true},
+					InFlight: 2, Report: mustardsaddle.Report{InFlight: 3, Slots: 2, Draining: true, At: at},
+				},
+				{Server: mustardsaddle.Server{Name: "booking-02", Service: "Booking"}, Ejected: true},
+			}
+			var lines []struct {
+				Service, Name    string
+				Leaving, Ejected bool
+				InFlight         int
+				Report           *mustardsaddle.Report
+			}
+			body := get(h, http.MethodGet, "/servers").Body.Bytes()
+			convey.So(json.Unmarshal(body, &lines), convey.ShouldBeNil)
+			convey.So(lines, convey.ShouldHaveLength, 2)
+			convey.So(lines[0].Leaving, convey.ShouldBeTrue)
+			convey.So(lines[0].InFlight, convey.ShouldEqual, 2)
+			convey.So(*lines[0].Report, convey.ShouldResemble, s.servers[0].Report)
+			convey.So(lines[1].Ejected, convey.ShouldBeTrue)
+			convey.So(lines[1].Report, convey.ShouldBeNil)
+		})
+	})
+}
+
+func TestMetrics(t *testing.T) {
+	convey.Convey("Given the metrics of two gateways in one process", t, func() {
+		a := admin.NewMetrics(admin.MetricsConfig{Interval: time.Hour})
+		b := admin.NewMetrics(admin.MetricsConfig{Interval: time.Hour})
+		a.Scope().Tagged(map[string]string{"Server": "booking-01"}).Counter("Calls").Inc(3)
+		b.Scope().Gauge("Ready").Update(1)
+		convey.So(a.Close(), convey.ShouldBeNil)
+		convey.So(b.Close(), convey.ShouldBeNil)
+		pageA := get(a.Handler(), http.MethodGet, "/metrics").Body.String()
+		pageB := get(b.Handler(), http.MethodGet, "/metrics").Body.String()
+		convey.Convey("Each page shows its own, in the Prometheus format", func() {
+			convey.So(pageA, convey.ShouldContainSubstring, "# TYPE Mustardsaddle_Calls counter\nMustardsaddle_Calls{Server=\"booking-01\"} 3\n")
+			convey.So(pageA, convey.ShouldNotContainSubstring, "Mustardsaddle_Ready")
+			convey.So(pageB, convey.ShouldContainSubstring, "Mustardsaddle_Ready 1\n")
+			convey.So(pageB, convey.ShouldNotContainSubstring, "Mustardsaddle_Calls")
+		})
+		convey.Convey("The memory and processor time of the process are there", func() {
+			convey.So(pageA, convey.ShouldContainSubstring, "go_goroutines")
+			convey.So(pageA, convey.ShouldContainSubstring, "process_cpu_seconds_total")
+		})
+	})
+}
--- /dev/null
+++ b/internal/product/admin/metrics.go
@@ -0,0 +1,88 @@
+package admin
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	// metricPrefix begins the name of each metric of ours.
+	metricPrefix = "Mustardsaddle"
+	// separator joins the parts of a metric's name.
+	separator = "_"
+	// defaultInterval is the time between two updates of the metrics page.
+	defaultInterval = time.Second
+)
+
+// MetricsConfig configures Metrics.
+type MetricsConfig struct {
+	// Interval is the time between two updates of the page; 0 means 1 s.
+	Interval time.Duration
+	// OnError, if set, takes errors of metrics that clash, which are left out.
+	OnError func(err error)
+}
+
+// Metrics collects the metrics of one gateway. Each has a registry of its own,
+// so that several gateways in one process don't mix.
+type Metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+}
+
+var _ io.Closer = (*Metrics)(nil)
+
+// NewMetrics starts the collection. Its goroutine ends in Close.
+func NewMetrics(cfg MetricsConfig) *Metrics {
+	if cfg.Interval == 0 {
+		cfg.Interval = defaultInterval
+	}
+	if cfg.OnError == nil {
+		cfg.OnError = func(error) {}
+	}
+	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry, Gatherer: registry, OnRegisterError: cfg.OnError,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 metricPrefix,
+		Separator:              separator,
+		CachedReporter:         reporter,
+		SanitizeOptions:        sanitize(),
+		OmitCardinalityMetrics: true,
+	}, cfg.Interval)
+	return &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+}
+
+// Scope returns the scope in which the parts of a gateway make their metrics.
+func (m *Metrics) Scope() tally.Scope {
+	return m.scope
+}
+
+// Handler returns the metrics page in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return m.handler
+}
+
+// Close makes a last update of the page and ends the collection.
+func (m *Metrics) Close() error {
+	return m.closer.Close()
+}
+
+// sanitize keeps names to what Prometheus accepts, and lets values be the names
+// and addresses of VMs.
+func sanitize() *tally.SanitizeOptions {
+	name := tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: tally.UnderscoreCharacters}
+	value := tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: []rune{'_', '-', '.', ':', '/'}}
+	return &tally.SanitizeOptions{
+		NameCharacters: name, KeyCharacters: name, ValueCharacters: value,
+		ReplacementCharacter: tally.DefaultReplacementCharacter,
+	}
+}
--- a/internal/product/event/event.go
+++ b/internal/product/event/event.go
@@ -36,11 +36,12 @@
 
 // Run adds the time to a line.
 func (timeHook) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
-	e.Str("Time", time.Now().UTC().Format(timeFormat))
+	var buf [len(timeFormat)]byte
+	e.RawJSON("Time", time.Now().UTC().AppendFormat(buf[:0], timeFormat))
 }
 
-// timeFormat is RFC 3339 with microseconds.
-const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+// timeFormat is RFC 3339 with microseconds, in quotes.
+const timeFormat = `"2006-01-02T15:04:05.000000Z07:00"`
 
 // Info starts a routine log line.
 func Info(l zerolog.Logger, e Event) *zerolog.Event {
--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -167,7 +167,7 @@
 
 func choiceList() []setting[Settings] {
 	return []setting[Settings]{
-		oneOf(sectionChoice, "Policy", "PreferredSpill", policies(), "How a server is chosen; see docs/MEASUREMENTS.md.",
+		oneOf(sectionChoice, "Policy", "Default", policies(), "How a server is chosen; Default is the one that won the comparison in docs/MEASUREMENTS.md.",
 			func(s *Settings) *string { return &s.Choice.Policy }),
 		number(sectionChoice, "EjectShare", "0.3", 0, 0.9, "a share of the servers",
 			"Servers of one service that may be left out for errors or slowness at a time.",
@@ -184,16 +184,16 @@
 
 // policies names the policies of the choice of a server.
 func policies() []string {
-	return []string{"RoundRobin", "TwoChoices", "HotCold", "PreferredSpill", "PreferredShed"}
+	return []string{"Default", "RoundRobin", "TwoChoices", "HotCold", "PreferredSpill"}
 }
 
 // serviceList describes the settings of a service section.
 func serviceList() []setting[Service] {
 	return []setting[Service]{
 		notRunStatus("NotRunStatus",
-			"Status by which the service's servers declare that a request was not run; 0 means that they never do.",
+			"Status by which the service's servers declare, together with NotRunHeader, that a request was not run; 0 means that they never do.",
 			func(v *Service) *int { return &v.NotRunStatus }),
-		headerName(sectionService, "NotRunHeader", "", "Header that must come with NotRunStatus; empty means that the status alone declares it.",
+		headerName(sectionService, "NotRunHeader", "", "Header that must come with NotRunStatus to declare that a request was not run.",
 			func(v *Service) *string { return &v.NotRunHeader }),
 		integer(sectionService, "Slots", "2", 1, 1<<16, "requests",
 			"Requests that one server runs at a time, where the platform's list states none.",
--- a/internal/product/settings/load.go
+++ b/internal/product/settings/load.go
@@ -144,6 +144,10 @@
 		c.add(code.SettingsConflict, section.Name(), "NotRunHeader", "a header without NotRunStatus",
 			"a NotRunStatus that the header comes with")
 	}
+	if v.NotRunHeader == "" && v.NotRunStatus > 0 {
+		c.add(code.SettingsConflict, section.Name(), "NotRunStatus", "a status without NotRunHeader",
+			"a NotRunHeader, because other parties may send the status as well")
+	}
 	c.settings = c.settings.WithService(v)
 }
 
--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -103,6 +103,7 @@
 		{"service name", head + "[Service a b]\n", code.SettingsBadValue, 6, "Service a b", ""},
 		{"refusal status", head + "[Service A]\nNotRunStatus = 200\n", code.SettingsBadValue, 7, "Service A", "NotRunStatus"},
 		{"refusal header", head + "[Service A]\nNotRunHeader = X\n", code.SettingsConflict, 7, "Service A", "NotRunHeader"},
+		{"refusal without header", head + "[Service A]\nNotRunStatus = 503\n", code.SettingsConflict, 7, "Service A", "NotRunStatus"},
 		{"not text", head + "\xff", code.SettingsSyntax, 0, "", ""},
 		{"too large", strings.Repeat("#", settings.MaxFileBytes+1), code.SettingsTooLarge, 0, "", ""},
 	}
