Keep calls from waiting for the reader of the log

Cause: each log line was a write to standard error on the path of a call; a reader that stands still would have held every call back. Ruled out: sampling, since each decision gets its line; an unbounded buffer.

--- a/internal/product/command/serve.go
+++ b/internal/product/command/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"mustardsaddle.example/mustardsaddle/internal/product/event"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
@@ -17,6 +18,9 @@
 Example:
   mustardsaddle serve --settings gateway.ini`
 
+// maxLogWait bounds how long the end of the process waits for the log's reader.
+const maxLogWait = time.Second
+
 type serve struct {
 	Settings string `long:"settings" short:"s" value-name:"FILE" description:"INI settings file" required:"true"`
 
@@ -34,5 +38,13 @@
 		n := printSettings(c.cfg.Err, c.Settings, problems)
 		return failf(Mistakes, "%d in %s", n, c.Settings)
 	}
-	return c.cfg.Serve(c.ctx, s, event.NewLogger(c.cfg.Err, s.Log.Level, s.Gateway.Name))
+	ctx, cancel := context.WithCancel(context.WithoutCancel(c.ctx))
+	log := event.NewWriter(ctx, event.WriterConfig{Out: c.cfg.Err, Gateway: s.Gateway.Name})
+	err := c.cfg.Serve(c.ctx, s, event.NewLogger(log, s.Log.Level, s.Gateway.Name))
+	cancel()
+	select {
+	case <-log.Done():
+	case <-time.After(maxLogWait):
+	}
+	return err
 }
--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -11,6 +11,7 @@
 	_ = x[Started-1001]
 	_ = x[StopBegun-1002]
 	_ = x[StopEnded-1003]
+	_ = x[LinesLost-1004]
 	_ = x[RulesInForce-2001]
 	_ = x[RulesRefused-2002]
 	_ = x[StoreFailed-3001]
@@ -21,7 +22,7 @@
 }
 
 const (
-	_Event_name_0 = "StartedStopBegunStopEnded"
+	_Event_name_0 = "StartedStopBegunStopEndedLinesLost"
 	_Event_name_1 = "RulesInForceRulesRefused"
 	_Event_name_2 = "StoreFailed"
 	_Event_name_3 = "RouteChosenCallRefused"
@@ -29,7 +30,7 @@
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 7, 16, 25}
+	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34}
 	_Event_index_1 = [...]uint8{0, 12, 24}
 	_Event_index_3 = [...]uint8{0, 11, 22}
 	_Event_index_4 = [...]uint8{0, 6, 14}
@@ -37,7 +38,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 1001 <= i && i <= 1003:
+	case 1001 <= i && i <= 1004:
 		i -= 1001
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 2001 <= i && i <= 2002:
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -8,6 +8,8 @@
 	StopBegun
 	// StopEnded is logged when the process ends, with the number of calls cut.
 	StopEnded
+	// LinesLost is logged when log lines were lost because the log was not read.
+	LinesLost
 )
 
 // Rule events.
