Merge every input about leaving VMs in the roster

Cause: the roster was a copy of the platform's list, which lags, so a server that drained or a gateway that stopped stayed in use until the list showed it, and a list that came back short or empty took every server away. Ruled out: spreading removals from the list as marks (a wrong list of one gateway would then need an undo everywhere); letting any report undo any mark (a server that the platform is about to stop still reports that it serves).

Before: none of this was decided. Conclusion: leaving is decided in one place, and its cost is flat in fleet size.

--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -1,63 +1,445 @@
 // Package roster knows which endpoint servers and which gateway VMs are live or
-// leaving.
+// leaving. A Roster is an immutable snapshot; each input gives a new one, and
+// nothing in the package performs I/O or reads a clock.
+//
+// No input is trusted alone, because each can be late or wrong:
+//
+//   - The platform's list names the VMs. It lags, so a "live" in it never undoes
+//     a mark. A "leaving" in it is final for that incarnation of the VM.
+//   - Marks from peers and from the gateway's own observation are merged by
+//     mustardsaddle.Mark.Newer, so that their order and number do not matter.
+//   - A report that says Draining makes a mark at once. Because reports can
+//     mislead, first-hand reports to the contrary undo it after some seconds.
+//   - A gateway VM whose link died is silent: it is not counted as live here.
+//
+// A VM that is missing from a list counts as leaving, unless the list lost more
+// than half of a service's servers (or of the gateway VMs) at once. Such a list
+// is doubted: what it lacks stays live until the VMs have been missing for
+// Config.Doubt. A list without any entry is ignored, and a list that cannot be
+// read is simply not given to the roster, so that an outage freezes the roster
+// and never empties it.
 //
 // # Usage
 //
-//	r := roster.New()
-//	r = r.WithMachines(now, machines)
+//	r := roster.New(roster.Config{})
+//	next := r.WithMachines(now, machines)
+//	spread(next.MarksSince(r))
+//	r = next
 //	servers := r.Servers("Booking")
+//
+//	next, mark, ok := r.Observe(now, "booking-07", report)
+//	if ok {
+//		spread([]mustardsaddle.Mark{mark})
+//	}
 package roster
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
 )
 
-// Roster is an immutable snapshot of the known VMs.
+// FinalSeq is the Seq of a leaving mark that no report undoes: the platform, or
+// the VM itself, said that the VM leaves. Only a higher incarnation is live again.
+const FinalSeq int64 = 1<<31 - 1
+
+const (
+	defaultDoubt       = 30 * time.Second
+	defaultRetain      = time.Minute
+	defaultMarkRetain  = 10 * time.Minute
+	defaultUndoReports = 5
+	defaultUndoSpan    = 3 * time.Second
+	// maxUnknownMarks bounds the marks about VMs that no list has named yet.
+	maxUnknownMarks = 4096
+)
+
+// Config configures a Roster. Zero values take the defaults.
+type Config struct {
+	// Doubt is how long a list that lost more than half of a group is doubted.
+	Doubt time.Duration
+	// Retain is how long a VM that is believed gone is still shown as leaving.
+	Retain time.Duration
+	// MarkRetain is how long a mark about a VM that no list names is kept.
+	MarkRetain time.Duration
+	// UndoReports is how many consecutive reports without Draining undo a mark.
+	UndoReports int
+	// UndoSpan is the time that those reports span at least.
+	UndoSpan time.Duration
+}
+
+// Roster is an immutable snapshot of the known VMs. Its zero value is an empty
+// roster with the default configuration.
 type Roster struct {
+	cfg     Config
+	listAt  time.Time
+	list    []mustardsaddle.Machine
+	entries map[string]entry
+	marks   map[string]heldMark
+	silent  map[string]int64
+	proofs  map[string]proof
+
 	servers map[string][]mustardsaddle.Server
 	vms     []mustardsaddle.VM
 }
 
+// entry is what the lists, or a peer's introduction, say of one VM.
+type entry struct {
+	mustardsaddle.Machine
+	// listed is false for a gateway VM known only by its own introduction.
+	listed bool
+	// missing is the time of the first list that lacks the VM; zero if the
+	// newest list names it.
+	missing time.Time
+	// gone is true once the VM's absence is believed.
+	gone bool
+}
+
+// heldMark is a mark with the local time at which it became known.
+type heldMark struct {
+	mustardsaddle.Mark
+	at time.Time
+}
+
+// proof counts first-hand reports against one leaving mark.
+type proof struct {
+	mark  mustardsaddle.Mark
+	first time.Time
+	count int
+}
+
 // New returns an empty roster.
-func New() Roster {
-	return Roster{}
+func New(cfg Config) Roster {
+	return Roster{cfg: cfg.withDefaults()}
+}
+
+func (c Config) withDefaults() Config {
+	c.Doubt = cmp.Or(c.Doubt, defaultDoubt)
+	c.Retain = cmp.Or(c.Retain, defaultRetain)
+	c.MarkRetain = cmp.Or(c.MarkRetain, defaultMarkRetain)
+	c.UndoReports = cmp.Or(c.UndoReports, defaultUndoReports)
+	c.UndoSpan = cmp.Or(c.UndoSpan, defaultUndoSpan)
+	return c
+}
+
+// clone returns a copy of r whose maps may be changed.
+func (r Roster) clone() Roster {
+	r.cfg = r.cfg.withDefaults()
+	r.entries = cloneMap(r.entries)
+	r.marks = cloneMap(r.marks)
+	r.silent = cloneMap(r.silent)
+	r.proofs = cloneMap(r.proofs)
+	return r
+}
+
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return make(map[string]V)
+	}
+	return maps.Clone(m)
+}
+
+// WithMachines returns the roster after the platform's list came in at now. A
+// list that was read before the newest known one adds leaving marks and higher
+// incarnations, and brings no VM back.
+func (r Roster) WithMachines(now time.Time, machines []mustardsaddle.Machine) Roster {
+	if len(machines) == 0 {
+		return r
+	}
+	if r.settled() && slices.Equal(machines, r.list) {
+		r.listAt = later(r.listAt, now)
+		return r
+	}
+	next := r.clone()
+	for _, m := range machines {
+		if m.Leaving {
+			next.setMark(now, mustardsaddle.Mark{Name: m.Name, Incarnation: m.Incarnation, Seq: FinalSeq, Leaving: true})
+		}
+	}
+	if now.Before(r.listAt) {
+		next.takeOldList(machines)
+	} else {
+		next.listAt, next.list = now, slices.Clone(machines)
+		next.takeList(now, machines)
+		next.dropOld(now)
+	}
+	next.build()
+	return next
+}
+
+// settled reports whether an equal list would change nothing: no VM is missing
+// and no mark waits to be dropped.
+func (r Roster) settled() bool {
+	if len(r.entries) != len(r.list) {
+		return false
+	}
+	for name := range r.marks {
+		if _, ok := r.entries[name]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// takeOldList adds what a list older than the newest one still tells.
+func (r *Roster) takeOldList(machines []mustardsaddle.Machine) {
+	for _, m := range machines {
+		e, known := r.entries[m.Name]
+		if !known {
+			r.entries[m.Name] = entry{Machine: m, listed: true, missing: r.listAt, gone: true}
+			continue
+		}
+		if m.Incarnation > e.Incarnation {
+			e.Machine = m
+			r.entries[m.Name] = e
+		}
+	}
 }
 
-// WithMachines returns the roster after the platform's list came in.
-func (Roster) WithMachines(_ time.Time, machines []mustardsaddle.Machine) Roster {
-	next := Roster{servers: make(map[string][]mustardsaddle.Server)}
+// takeList replaces the listed entries, and decides which missing VMs are gone.
+func (r *Roster) takeList(now time.Time, machines []mustardsaddle.Machine) {
+	named := make(map[string]bool, len(machines))
 	for _, m := range machines {
-		if m.Service == "" {
-			next.vms = append(next.vms, mustardsaddle.VM{
-				Name: m.Name, Incarnation: m.Incarnation, Zone: m.Zone, Peer: m.Address, Leaving: m.Leaving,
-			})
+		named[m.Name] = true
+		if old, ok := r.entries[m.Name]; ok && old.Incarnation > m.Incarnation {
+			m = old.Machine
+		}
+		r.entries[m.Name] = entry{Machine: m, listed: true}
+	}
+	lost, known := make(map[string]int), make(map[string]int)
+	for name, e := range r.entries {
+		if !e.listed || e.gone {
+			continue
+		}
+		known[e.Service]++
+		if named[name] {
+			continue
+		}
+		lost[e.Service]++
+		if e.missing.IsZero() {
+			e.missing = now
+			r.entries[name] = e
+		}
+	}
+	for name, e := range r.entries {
+		if e.missing.IsZero() || e.gone {
+			continue
+		}
+		doubted := 2*lost[e.Service] > known[e.Service]
+		e.gone = !doubted || now.Sub(e.missing) >= r.cfg.Doubt
+		r.entries[name] = e
+	}
+}
+
+// dropOld forgets VMs that are gone for long, and marks about unknown VMs.
+func (r *Roster) dropOld(now time.Time) {
+	for name, e := range r.entries {
+		if e.gone && now.Sub(e.missing) >= r.cfg.Retain {
+			delete(r.entries, name)
+		}
+	}
+	for name, m := range r.marks {
+		if _, known := r.entries[name]; !known && now.Sub(m.at) >= r.cfg.MarkRetain {
+			delete(r.marks, name)
+		}
+	}
+	for name := range r.proofs {
+		if _, known := r.entries[name]; !known {
+			delete(r.proofs, name)
+		}
+	}
+	for name := range r.silent {
+		if _, known := r.entries[name]; !known {
+			delete(r.silent, name)
+		}
+	}
+}
+
+// WithMarks returns the roster after marks became known at now, from a peer or
+// from the gateway itself. Marks that are not newer than the known ones change
+// nothing.
+func (r Roster) WithMarks(now time.Time, marks []mustardsaddle.Mark) Roster {
+	next := r
+	var changed []string
+	for _, m := range marks {
+		if !next.accepts(m) {
 			continue
 		}
-		next.servers[m.Service] = append(next.servers[m.Service], mustardsaddle.Server{
-			Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Zone: m.Zone,
-			Slots: m.Slots, Connections: m.Connections, Leaving: m.Leaving,
-		})
+		if changed == nil {
+			next.marks = cloneMap(r.marks)
+		}
+		next.setMark(now, m)
+		changed = append(changed, m.Name)
+	}
+	if changed != nil {
+		next.rebuild(changed)
+	}
+	return next
+}
+
+// WithMark is WithMarks for one mark.
+func (r Roster) WithMark(now time.Time, mark mustardsaddle.Mark) Roster {
+	return r.WithMarks(now, []mustardsaddle.Mark{mark})
+}
+
+// accepts reports whether a mark is newer than what is known, and has room.
+func (r Roster) accepts(m mustardsaddle.Mark) bool {
+	old, marked := r.marks[m.Name]
+	if marked {
+		return m.Newer(old.Mark)
+	}
+	_, known := r.entries[m.Name]
+	return known || len(r.marks) < len(r.entries)+maxUnknownMarks
+}
+
+// setMark keeps the newer of the known mark and m.
+func (r *Roster) setMark(now time.Time, m mustardsaddle.Mark) {
+	if r.accepts(m) {
+		r.marks[m.Name] = heldMark{Mark: m, at: now}
+	}
+}
+
+// WithVM returns the roster after a gateway VM introduced itself over a link,
+// which also ends its silence. The list need not name it yet.
+func (r Roster) WithVM(vm mustardsaddle.VM) Roster {
+	old, known := r.entries[vm.Name]
+	if known && old.Incarnation >= vm.Incarnation && !old.gone && r.silent[vm.Name] == 0 {
+		return r
+	}
+	if known && old.Incarnation > vm.Incarnation {
+		return r
+	}
+	next := r.clone()
+	delete(next.silent, vm.Name)
+	if !known || old.Incarnation < vm.Incarnation || old.gone {
+		next.entries[vm.Name] = entry{Machine: mustardsaddle.Machine{
+			Name: vm.Name, Incarnation: vm.Incarnation, Zone: vm.Zone, Address: vm.Peer,
+		}}
+	}
+	next.build()
+	return next
+}
+
+// WithSilent returns the roster after a gateway VM stopped answering on its
+// link. Silence is this gateway's own view: it is not spread, and WithVM ends it.
+// A VM that no list names is forgotten.
+func (r Roster) WithSilent(name string) Roster {
+	e, known := r.entries[name]
+	if !known || e.Service != "" || r.silent[name] == e.Incarnation+1 {
+		return r
 	}
+	next := r.clone()
+	if e.listed {
+		next.silent[name] = e.Incarnation + 1
+	} else {
+		delete(next.entries, name)
+	}
+	next.build()
 	return next
 }
 
+// build computes what readers see from the inputs.
+func (r *Roster) build() {
+	r.servers = make(map[string][]mustardsaddle.Server)
+	r.vms = nil
+	for _, name := range slices.Sorted(maps.Keys(r.entries)) {
+		e := r.entries[name]
+		if e.Service != "" {
+			r.servers[e.Service] = append(r.servers[e.Service], r.serverOf(e))
+			continue
+		}
+		r.vms = append(r.vms, r.vmOf(e))
+	}
+}
+
+// rebuild computes what readers see of the named VMs, whose marks changed. Its
+// cost depends on the size of their services, not of the fleet.
+func (r *Roster) rebuild(names []string) {
+	servers, vms := maps.Clone(r.servers), slices.Clone(r.vms)
+	for _, name := range names {
+		e, known := r.entries[name]
+		if !known {
+			continue
+		}
+		if e.Service == "" {
+			at := slices.IndexFunc(vms, func(vm mustardsaddle.VM) bool { return vm.Name == name })
+			vms[at] = r.vmOf(e)
+			continue
+		}
+		group := slices.Clone(servers[e.Service])
+		at := slices.IndexFunc(group, func(s mustardsaddle.Server) bool { return s.Name == name })
+		group[at] = r.serverOf(e)
+		servers[e.Service] = group
+	}
+	r.servers, r.vms = servers, vms
+}
+
+func (r Roster) serverOf(e entry) mustardsaddle.Server {
+	return mustardsaddle.Server{
+		Name: e.Name, Incarnation: e.Incarnation, Address: e.Address, Service: e.Service, Zone: e.Zone,
+		Slots: e.Slots, Connections: e.Connections, Leaving: r.leaving(e),
+	}
+}
+
+func (r Roster) vmOf(e entry) mustardsaddle.VM {
+	silent := r.silent[e.Name] == e.Incarnation+1
+	return mustardsaddle.VM{
+		Name: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Peer: e.Address, Leaving: r.leaving(e) || silent,
+	}
+}
+
+// leaving reports whether any input shows that a VM leaves. A leaving mark about
+// a life that the list does not show yet holds for the listed life too.
+func (r Roster) leaving(e entry) bool {
+	m, marked := r.marks[e.Name]
+	return e.gone || marked && m.Incarnation >= e.Incarnation && m.Leaving
+}
+
 // Services returns the names of the services with at least one server.
 func (r Roster) Services() []string {
-	names := make([]string, 0, len(r.servers))
-	for name := range r.servers {
-		names = append(names, name)
-	}
-	return names
+	return slices.Sorted(maps.Keys(r.servers))
 }
 
-// Servers returns the servers of a service.
+// Servers returns the servers of a service, ordered by name. Leaving servers
+// are included and say so. The slice must not be changed.
 func (r Roster) Servers(service string) []mustardsaddle.Server {
 	return r.servers[service]
 }
 
-// VMs returns the gateway VMs.
+// VMs returns the gateway VMs ordered by name. Leaving says that a VM leaves,
+// or is silent as this gateway sees it. The slice must not be changed.
 func (r Roster) VMs() []mustardsaddle.VM {
 	return r.vms
 }
+
+// GatewaysByZone returns the number of live gateway VMs in each availability
+// zone. Shares of budgets and connections divide by it.
+func (r Roster) GatewaysByZone() map[string]int {
+	counts := make(map[string]int)
+	for _, vm := range r.vms {
+		if !vm.Leaving {
+			counts[vm.Zone]++
+		}
+	}
+	return counts
+}
+
+// Gateways returns the number of live gateway VMs, at least 1: the caller.
+func (r Roster) Gateways() int {
+	n := 0
+	for _, vm := range r.vms {
+		if !vm.Leaving {
+			n++
+		}
+	}
+	return max(n, 1)
+}
--- /dev/null
+++ b/internal/control/roster/roster_test.go
@@ -0,0 +1,239 @@
+package roster_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func server(n int, incarnation int64) mustardsaddle.Machine {
+	return mustardsaddle.Machine{
+		Name: fmt.Sprintf("booking-%02d", n), Incarnation: incarnation, Service: "Booking", Zone: "a", Slots: 2,
+		Address: fmt.Sprintf("127.0.0.1:%d", 7100+n),
+	}
+}
+
+func servers(n int) []mustardsaddle.Machine {
+	var machines []mustardsaddle.Machine
+	for i := range n {
+		machines = append(machines, server(i, 1))
+	}
+	return machines
+}
+
+// live returns the names of the servers that may take requests.
+func live(r roster.Roster) []string {
+	var names []string
+	for _, s := range r.Servers("Booking") {
+		if !s.Leaving {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+func leaving(seq, incarnation int64) mustardsaddle.Mark {
+	return mustardsaddle.Mark{Name: "booking-00", Incarnation: incarnation, Seq: seq, Leaving: true}
+}
+
+func TestLeavingStays(t *testing.T) {
+	listed := server(0, 1)
+	listed.Leaving = true
+	for _, c := range []struct {
+		name string
+		mark func(roster.Roster) roster.Roster
+	}{
+		{"the list", func(r roster.Roster) roster.Roster {
+			return r.WithMachines(start.Add(time.Second), []mustardsaddle.Machine{listed, server(1, 1), server(2, 1)})
+		}},
+		{"a peer", func(r roster.Roster) roster.Roster { return r.WithMark(start, leaving(0, 1)) }},
+		{"a report", func(r roster.Roster) roster.Roster {
+			r, _, _ = r.Observe(start, "booking-00", mustardsaddle.Report{Draining: true})
+			return r
+		}},
+	} {
+		convey.Convey("Given a server that "+c.name+" shows as leaving", t, func() {
+			r := c.mark(roster.New(roster.Config{}).WithMachines(start, servers(3)))
+			convey.So(live(r), convey.ShouldResemble, []string{"booking-01", "booking-02"})
+			convey.Convey("Later lists and older marks that call it live change nothing", func() {
+				r = r.WithMark(start, mustardsaddle.Mark{Name: "booking-00", Incarnation: 1})
+				for i := range 100 {
+					r = r.WithMachines(start.Add(time.Duration(i)*time.Minute), servers(3))
+				}
+				convey.So(live(r), convey.ShouldResemble, []string{"booking-01", "booking-02"})
+			})
+			convey.Convey("A restart of the VM makes it live", func() {
+				r = r.WithMachines(start.Add(time.Minute), append(servers(3)[1:], server(0, 2)))
+				convey.So(live(r), convey.ShouldHaveLength, 3)
+			})
+		})
+	}
+}
+
+func TestMisleadingDrainingReport(t *testing.T) {
+	convey.Convey("Given a server marked for one Draining report", t, func() {
+		r := roster.New(roster.Config{}).WithMachines(start, servers(3))
+		r, mark, spread := r.Observe(start, "booking-00", mustardsaddle.Report{Draining: true})
+		convey.So(spread, convey.ShouldBeTrue)
+		convey.So(mark, convey.ShouldResemble, leaving(0, 1))
+		observe := func(d time.Duration, draining bool) bool {
+			r, mark, spread = r.Observe(start.Add(d), "booking-00", mustardsaddle.Report{Draining: draining})
+			return spread
+		}
+		convey.Convey("Five later reports over three seconds undo it with the next Seq", func() {
+			for i := range 4 {
+				convey.So(observe(time.Duration(i+1)*time.Second, false), convey.ShouldBeFalse)
+			}
+			convey.So(observe(5*time.Second, false), convey.ShouldBeTrue)
+			convey.So(mark, convey.ShouldResemble, mustardsaddle.Mark{Name: "booking-00", Incarnation: 1, Seq: 1})
+			convey.So(live(r), convey.ShouldHaveLength, 3)
+			convey.So(observe(6*time.Second, true), convey.ShouldBeTrue)
+			convey.So(mark, convey.ShouldResemble, leaving(1, 1))
+		})
+		convey.Convey("Many reports within a moment do not", func() {
+			for i := range 100 {
+				convey.So(observe(time.Duration(i)*10*time.Millisecond, false), convey.ShouldBeFalse)
+			}
+		})
+		convey.Convey("Reports that a Draining one interrupts do not", func() {
+			for i := range 100 {
+				convey.So(observe(time.Duration(i)*time.Second, i%4 == 3), convey.ShouldBeFalse)
+			}
+		})
+		convey.Convey("No number of reports undoes the platform's word", func() {
+			r = r.WithMark(start, leaving(roster.FinalSeq, 1))
+			for i := range 100 {
+				convey.So(observe(time.Duration(i)*time.Second, false), convey.ShouldBeFalse)
+			}
+			convey.So(live(r), convey.ShouldHaveLength, 2)
+		})
+	})
+}
+
+func TestShrinkingList(t *testing.T) {
+	convey.Convey("Given ten listed servers", t, func() {
+		r := roster.New(roster.Config{}).WithMachines(start, servers(10))
+		convey.Convey("An empty list is ignored for good", func() {
+			convey.So(live(r.WithMachines(start.Add(time.Hour), nil)), convey.ShouldHaveLength, 10)
+		})
+		convey.Convey("A list without one of them shows it as leaving, and drops it later", func() {
+			r = r.WithMachines(start.Add(time.Second), servers(9))
+			convey.So(live(r), convey.ShouldHaveLength, 9)
+			convey.So(r.Servers("Booking"), convey.ShouldHaveLength, 10)
+			r = r.WithMachines(start.Add(2*time.Minute), servers(9))
+			convey.So(r.Servers("Booking"), convey.ShouldHaveLength, 9)
+			convey.So(live(r.WithMachines(start.Add(3*time.Minute), servers(10))), convey.ShouldHaveLength, 10)
+		})
+		convey.Convey("A list without most of them is doubted for thirty seconds", func() {
+			for i := 1; i <= 30; i++ {
+				r = r.WithMachines(start.Add(time.Duration(i)*time.Second), servers(2))
+				convey.So(live(r), convey.ShouldHaveLength, 10)
+			}
+			convey.So(live(r.WithMachines(start.Add(31*time.Second), servers(2))), convey.ShouldHaveLength, 2)
+		})
+		convey.Convey("An outage of the list before it does not shorten the doubt", func() {
+			r = r.WithMachines(start.Add(time.Hour), servers(2))
+			convey.So(live(r), convey.ShouldHaveLength, 10)
+		})
+	})
+}
+
+func TestGatewayVMs(t *testing.T) {
+	convey.Convey("Given two listed gateway VMs and one that introduced itself", t, func() {
+		list := []mustardsaddle.Machine{
+			{Name: "gateway-1", Incarnation: 1, Zone: "a"}, {Name: "gateway-2", Incarnation: 1, Zone: "a"},
+		}
+		r := roster.New(roster.Config{}).WithMachines(start, list)
+		r = r.WithVM(mustardsaddle.VM{Name: "gateway-3", Incarnation: 1, Zone: "b"}).WithMachines(start.Add(time.Minute), list)
+		convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 2, "b": 1})
+		convey.Convey("Silent ones are not live until they speak", func() {
+			r = r.WithSilent("gateway-3").WithSilent("gateway-2").WithMachines(start.Add(2*time.Minute), list)
+			convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 1})
+			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"})
+			convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 2})
+		})
+		convey.Convey("A stopping one stays leaving when it is heard or listed again", func() {
+			r = r.WithMark(start, mustardsaddle.Mark{Name: "gateway-2", Incarnation: 1, Seq: roster.FinalSeq, Leaving: true})
+			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"}).WithMachines(start.Add(time.Hour), list)
+			convey.So(r.GatewaysByZone()["a"], convey.ShouldEqual, 1)
+			convey.So(r.Gateways(), convey.ShouldEqual, 2)
+		})
+	})
+}
+
+// input is a list or a mark.
+type input struct {
+	at   time.Time
+	list []mustardsaddle.Machine
+	mark mustardsaddle.Mark
+}
+
+func (in input) apply(r roster.Roster) roster.Roster {
+	if in.list != nil {
+		return r.WithMachines(in.at, in.list)
+	}
+	return r.WithMark(in.at, in.mark)
+}
+
+// Marks and lists in any order, and any of them twice, give the same roster, as
+// long as the newest list comes last; a VM with a leaving mark is never live.
+func TestOrderAndRepetitionDoNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		final := servers(4)
+		var inputs []input
+		for i := range rapid.IntRange(0, 12).Draw(t, "Inputs") {
+			at := start.Add(time.Duration(i) * time.Second)
+			m := server(rapid.IntRange(0, 5).Draw(t, "Server"), rapid.Int64Range(1, 2).Draw(t, "Incarnation"))
+			m.Leaving = rapid.Bool().Draw(t, "Leaving")
+			if rapid.Bool().Draw(t, "List") {
+				inputs = append(inputs, input{at: at, list: append(servers(4)[1:], m)})
+				continue
+			}
+			mark := mustardsaddle.Mark{
+				Name: m.Name, Incarnation: m.Incarnation, Leaving: m.Leaving, Seq: rapid.Int64Range(0, 2).Draw(t, "Seq"),
+			}
+			inputs = append(inputs, input{at: at, mark: mark})
+		}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "Seed"), 1))
+		run := func() roster.Roster {
+			r := roster.New(roster.Config{})
+			for _, i := range rng.Perm(len(inputs)) {
+				r = inputs[i].apply(r)
+				if rng.IntN(2) == 0 {
+					r = inputs[rng.IntN(len(inputs))].apply(r)
+				}
+			}
+			for _, in := range inputs {
+				r = in.apply(r)
+			}
+			for i := range 3 {
+				r = r.WithMachines(start.Add(time.Duration(i+1)*time.Hour), final)
+			}
+			return r
+		}
+		a, b := run(), run()
+		if !reflect.DeepEqual(a.Marks(), b.Marks()) || a.MarksDigest() != b.MarksDigest() {
+			t.Fatalf("marks differ by order: %v and %v", a.Marks(), b.Marks())
+		}
+		if !reflect.DeepEqual(live(a), live(b)) {
+			t.Fatalf("live servers differ by order: %v and %v", live(a), live(b))
+		}
+		for _, m := range a.Marks() {
+			for _, s := range a.Servers("Booking") {
+				if s.Name == m.Name && m.Incarnation >= s.Incarnation && m.Leaving && !s.Leaving {
+					t.Fatalf("server %s is live under mark %v", s.Name, m)
+				}
+			}
+		}
+	})
+}
