Add the messages between gateways

Cause: gateways had no way to tell each other about leaving VMs and rules. Ruled out: integer CBOR keys (they would save some 40 bytes a message, about 0.6 KB/s of 23 KB/s at seven links and a heartbeat a second; a Pascal-case trace reads better); a floor on the highest generation seen to end a flood (one bogus message from far ahead would stop every later change).

--- a/internal/control/roster/mark.go
+++ b/internal/control/roster/mark.go
@@ -76,9 +76,18 @@
 	return r.WithMark(now, mark), mark, true
 }
 
-// Marks returns all known marks ordered by name.
+// Marks returns the marks about known VMs ordered by name. Marks about VMs that
+// are unknown here are left out: each gateway forgets them after a time, and
+// would otherwise learn them again from the others for ever.
 func (r Roster) Marks() []mustardsaddle.Mark {
-	return r.MarksSince(Roster{})
+	var marks []mustardsaddle.Mark
+	for name, m := range r.marks {
+		if _, known := r.entries[name]; known {
+			marks = append(marks, m.Mark)
+		}
+	}
+	sortMarks(marks)
+	return marks
 }
 
 // MarksSince returns the marks of r that are newer than those of an older
@@ -91,16 +100,22 @@
 			marks = append(marks, m.Mark)
 		}
 	}
-	slices.SortFunc(marks, func(a, b mustardsaddle.Mark) int { return cmp.Compare(a.Name, b.Name) })
+	sortMarks(marks)
 	return marks
 }
 
-// MarksDigest returns a number that is equal for equal sets of marks, whatever
-// their order. Peers compare it to learn whether they miss a mark.
+func sortMarks(marks []mustardsaddle.Mark) {
+	slices.SortFunc(marks, func(a, b mustardsaddle.Mark) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// MarksDigest returns a number that is equal for equal results of Marks. Peers
+// compare it to learn whether they miss a mark.
 func (r Roster) MarksDigest() uint64 {
 	var sum uint64
-	for _, m := range r.marks {
-		sum += digest(m.Mark)
+	for name, m := range r.marks {
+		if _, known := r.entries[name]; known {
+			sum += digest(m.Mark)
+		}
 	}
 	return sum
 }
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -248,7 +248,8 @@
 		}
 	}
 	for name, m := range r.marks {
-		if _, known := r.entries[name]; !known && now.Sub(m.at) >= r.cfg.MarkRetain {
+		e, known := r.entries[name]
+		if known && m.Incarnation < e.Incarnation || !known && now.Sub(m.at) >= r.cfg.MarkRetain {
 			delete(r.marks, name)
 		}
 	}
@@ -291,13 +292,16 @@
 	return r.WithMarks(now, []mustardsaddle.Mark{mark})
 }
 
-// accepts reports whether a mark is newer than what is known, and has room.
+// accepts reports whether a mark is newer than what is known, not about a life
+// that is over, and has room.
 func (r Roster) accepts(m mustardsaddle.Mark) bool {
-	old, marked := r.marks[m.Name]
-	if marked {
+	e, known := r.entries[m.Name]
+	if known && m.Incarnation < e.Incarnation {
+		return false
+	}
+	if old, marked := r.marks[m.Name]; marked {
 		return m.Newer(old.Mark)
 	}
-	_, known := r.entries[m.Name]
 	return known || len(r.marks) < len(r.entries)+maxUnknownMarks
 }
 
--- /dev/null
+++ b/internal/peer/news/codec.go
@@ -0,0 +1,228 @@
+package news
+
+import (
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+// maxNesting bounds how deep arrays and maps of a message nest.
+const maxNesting = 8
+
+// Codec encodes and decodes messages. It is safe for concurrent use.
+type Codec struct {
+	enc cbor.EncMode
+	dec cbor.DecMode
+}
+
+// envelope is what travels.
+type envelope struct {
+	Format int
+	Type   string
+	Body   cbor.RawMessage
+}
+
+// header is the part of an envelope that every format has.
+type header struct {
+	Format int
+}
+
+// NewCodec returns a Codec.
+func NewCodec() *Codec {
+	enc, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic("news: the encoding options are invalid: " + err.Error())
+	}
+	dec, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxNestedLevels:   maxNesting,
+		MaxArrayElements:  maxLines,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+	}.DecMode()
+	if err != nil {
+		panic("news: the decoding options are invalid: " + err.Error())
+	}
+	return &Codec{enc: enc, dec: dec}
+}
+
+// Encode returns the encoded message. It refuses, with code.PeerBadMessage, what
+// Decode would refuse.
+func (c *Codec) Encode(msg Message) ([]byte, error) {
+	if err := check(msg); err != nil {
+		return nil, err
+	}
+	body, err := c.enc.Marshal(msg)
+	if err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "encode message %s", name(msg.Type()))
+	}
+	b, err := c.enc.Marshal(envelope{Format: Format, Type: name(msg.Type()), Body: body})
+	if err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "encode message %s", name(msg.Type()))
+	}
+	return b, nil
+}
+
+// Decode returns the message in b. The error has code.PeerNewerFormat for a
+// message of a newer format and code.PeerBadMessage for any other that cannot
+// be read or breaks a limit. A type of a later version decodes as Unknown.
+func (c *Codec) Decode(b []byte) (Message, error) {
+	if len(b) > MaxBytes {
+		return nil, code.Errorf(code.PeerBadMessage, "decode message: got %d bytes, want at most %d", len(b), MaxBytes)
+	}
+	var h header
+	if err := c.dec.Unmarshal(b, &h); err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message")
+	}
+	if h.Format > Format {
+		return nil, code.Errorf(code.PeerNewerFormat, "decode message: got format %d, want at most %d", h.Format, Format)
+	}
+	if h.Format < 1 {
+		return nil, code.Errorf(code.PeerBadMessage, "decode message: got format %d, want at least 1", h.Format)
+	}
+	var e envelope
+	if err := c.dec.Unmarshal(b, &e); err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message")
+	}
+	return c.body(e)
+}
+
+// body decodes the message in an envelope.
+func (c *Codec) body(e envelope) (Message, error) {
+	switch e.Type {
+	case name(TypeHello):
+		return decode[Hello](c, e)
+	case name(TypeHeartbeat):
+		return decode[Heartbeat](c, e)
+	case name(TypeMarks):
+		return decode[Marks](c, e)
+	case name(TypeRuleChange):
+		return decode[RuleChange](c, e)
+	case name(TypeAskRules):
+		return decode[AskRules](c, e)
+	case name(TypeWholeRules):
+		return decode[WholeRules](c, e)
+	case "":
+		return nil, code.Errorf(code.PeerBadMessage, "decode message: got no type")
+	default:
+		return Unknown{Name: e.Type[:min(len(e.Type), maxNameBytes)]}, nil
+	}
+}
+
+func decode[M Message](c *Codec, e envelope) (Message, error) {
+	var msg M
+	if err := c.dec.Unmarshal(e.Body, &msg); err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message %s", e.Type)
+	}
+	if err := check(msg); err != nil {
+		return nil, err
+	}
+	return msg, nil
+}
+
+// name returns the name of a type as it travels.
+func name(t Type) string {
+	return strings.TrimPrefix(t.String(), "Type")
+}
+
+// check returns an error if a message breaks a limit.
+func check(msg Message) error {
+	switch m := msg.(type) {
+	case Hello:
+		return checkHello(m)
+	case Heartbeat:
+		return checkNumber(m, "Generation", m.Summary.Generation)
+	case Marks:
+		return checkMarks(m)
+	case RuleChange:
+		return checkRuleChange(m)
+	case AskRules:
+		return checkNumber(m, "Have", m.Have)
+	case WholeRules:
+		return checkWholeRules(m)
+	default:
+		return code.Errorf(code.PeerBadMessage, "message %s cannot be sent", name(msg.Type()))
+	}
+}
+
+func checkHello(m Hello) error {
+	if m.VM.Name == "" {
+		return code.Errorf(code.PeerBadMessage, "message Hello: got no name of a VM")
+	}
+	for _, s := range []string{m.VM.Name, m.VM.Zone, m.VM.Peer} {
+		if err := checkName(m, s); err != nil {
+			return err
+		}
+	}
+	return checkNumber(m, "Generation", m.Summary.Generation)
+}
+
+func checkMarks(m Marks) error {
+	if len(m.Marks) > MaxMarks {
+		return code.Errorf(code.PeerBadMessage, "message Marks: got %d marks, want at most %d", len(m.Marks), MaxMarks)
+	}
+	for _, mark := range m.Marks {
+		if err := checkMark(m, mark); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkMark(m Marks, mark mustardsaddle.Mark) error {
+	if mark.Name == "" {
+		return code.Errorf(code.PeerBadMessage, "message Marks: got a mark without the name of a VM")
+	}
+	if mark.Seq < 0 || mark.Seq > roster.FinalSeq {
+		return code.Errorf(code.PeerBadMessage, "message Marks: got Seq=%d, want 0 to %d", mark.Seq, roster.FinalSeq)
+	}
+	return checkName(m, mark.Name)
+}
+
+func checkRuleChange(m RuleChange) error {
+	if m.From < 0 || m.To <= m.From {
+		return code.Errorf(code.PeerBadMessage, "message RuleChange: got From=%d To=%d, want 0 <= From < To", m.From, m.To)
+	}
+	bytes := 0
+	for _, lines := range [][]string{m.Out, m.In} {
+		if len(lines) > maxLines {
+			return code.Errorf(code.PeerBadMessage, "message RuleChange: got %d lines, want at most %d", len(lines), maxLines)
+		}
+		for _, line := range lines {
+			bytes += len(line)
+		}
+	}
+	if bytes > MaxRulesBytes {
+		return code.Errorf(code.PeerBadMessage, "message RuleChange: got %d bytes, want at most %d", bytes, MaxRulesBytes)
+	}
+	return checkName(m, m.Digest)
+}
+
+func checkWholeRules(m WholeRules) error {
+	if len(m.Text) > MaxRulesBytes {
+		return code.Errorf(code.PeerBadMessage, "message WholeRules: got %d bytes, want at most %d", len(m.Text), MaxRulesBytes)
+	}
+	if err := checkName(m, m.Digest); err != nil {
+		return err
+	}
+	return checkNumber(m, "Generation", m.Generation)
+}
+
+func checkName(m Message, s string) error {
+	if len(s) > maxNameBytes {
+		return code.Errorf(code.PeerBadMessage, "message %s: got a name of %d bytes, want at most %d", name(m.Type()), len(s), maxNameBytes)
+	}
+	return nil
+}
+
+func checkNumber(m Message, field string, n int64) error {
+	if n < 0 {
+		return code.Errorf(code.PeerBadMessage, "message %s: got %s=%d, want at least 0", name(m.Type()), field, n)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/news/news.go
@@ -0,0 +1,184 @@
+// Package news defines the messages that gateways exchange over their links, how
+// they are encoded, and which of them a gateway passes on.
+//
+// A message is a CBOR map {"Format", "Type", "Body"}. Format is the version of
+// the whole set of messages: a message of a newer format is refused with
+// code.PeerNewerFormat and nothing of it is used. Within a format, types and
+// fields may be added: an unknown type decodes as Unknown, which receivers log
+// and ignore, and an unknown field is skipped. Keys are the fields' own names in
+// Pascal case: at the size of docs/CAPACITY.md integer keys would save some
+// hundred bytes a second of a budget of 23 KB, which is not worth a format that
+// cannot be read in a trace.
+//
+// Two ways carry news. Flooding brings a change to every gateway in a few
+// hops: Relay decides to whom a message goes on. Heartbeats carry a summary of
+// the sender's state, so that a gateway which missed a message, for whatever
+// reason, learns within a heartbeat that it lacks something and asks.
+//
+// # Usage
+//
+//	codec := news.NewCodec()
+//	b, err := codec.Encode(news.Marks{Marks: marks})
+//	...
+//	msg, err := codec.Decode(b)
+//	switch m := msg.(type) {
+//	case news.Marks:
+//		next := roster.WithMarks(now, m.Marks)
+//		fresh := news.Marks{Marks: next.MarksSince(roster)}
+//		send(relay.Targets(from, fresh, generation, links), fresh)
+//	case news.Heartbeat:
+//		gap := relay.Compare(now, from, own, m.Summary)
+//	}
+package news
+
+import "mustardsaddle.example/mustardsaddle"
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Type -output=type_string.go
+
+// Format is the version of the messages that this package encodes.
+const Format = 1
+
+const (
+	// MaxBytes is the largest encoded message.
+	MaxBytes = MaxRulesBytes + 4096
+	// MaxRulesBytes is the largest rules text, or change, in one message.
+	MaxRulesBytes = 1 << 20
+	// MaxMarks is the largest number of marks in one message.
+	MaxMarks = 4096
+	// maxNameBytes bounds names, addresses and digests.
+	maxNameBytes = 255
+	// maxLines bounds the lines of a rule change.
+	maxLines = 1 << 15
+)
+
+// Type is the kind of a message. Its name is what travels.
+type Type int
+
+const (
+	// TypeUnknown is a type of a later version.
+	TypeUnknown Type = iota
+	// TypeHello is the type of Hello.
+	TypeHello
+	// TypeHeartbeat is the type of Heartbeat.
+	TypeHeartbeat
+	// TypeMarks is the type of Marks.
+	TypeMarks
+	// TypeRuleChange is the type of RuleChange.
+	TypeRuleChange
+	// TypeAskRules is the type of AskRules.
+	TypeAskRules
+	// TypeWholeRules is the type of WholeRules.
+	TypeWholeRules
+)
+
+// Message is one of the message types of this package. A Message is immutable.
+type Message interface {
+	// Type returns the kind of the message.
+	Type() Type
+}
+
+// Summary says what a gateway knows, in a few bytes.
+type Summary struct {
+	// Generation is the generation of the rules in force; 0 for none.
+	Generation int64
+	// MarksDigest is equal for gateways that know the same marks.
+	MarksDigest uint64
+}
+
+// Hello is the first message in each direction of a link.
+type Hello struct {
+	// VM is the sender.
+	VM mustardsaddle.VM
+	// Summary is what the sender knows.
+	Summary Summary
+}
+
+// Heartbeat shows that the link and the sender's process are alive.
+type Heartbeat struct {
+	// Summary is what the sender knows.
+	Summary Summary
+}
+
+// Marks tells of VMs that leave, or that serve again.
+type Marks struct {
+	// Marks are at most MaxMarks marks.
+	Marks []mustardsaddle.Mark
+}
+
+// RuleChange turns one generation of the rules into a later one.
+type RuleChange struct {
+	// From is the generation that the change applies to.
+	From int64
+	// To is the generation that it gives.
+	To int64
+	// Out are the lines that go.
+	Out []string
+	// In are the lines that come.
+	In []string
+	// Digest is the digest of the rules text of generation To.
+	Digest string
+}
+
+// AskRules asks for the rules after generation Have, as changes or whole.
+type AskRules struct {
+	// Have is the asker's generation; 0 for none.
+	Have int64
+}
+
+// WholeRules is a rules file.
+type WholeRules struct {
+	// Generation is the generation of the file.
+	Generation int64
+	// Text is the file, at most MaxRulesBytes.
+	Text string
+	// Digest is the digest of Text.
+	Digest string
+}
+
+// Unknown stands for a message of a type that this version does not know.
+type Unknown struct {
+	// Name is the name of the type.
+	Name string
+}
+
+var (
+	_ Message = Hello{}
+	_ Message = Heartbeat{}
+	_ Message = Marks{}
+	_ Message = RuleChange{}
+	_ Message = AskRules{}
+	_ Message = WholeRules{}
+	_ Message = Unknown{}
+)
+
+// Type returns TypeHello.
+func (Hello) Type() Type { return TypeHello }
+
+// Type returns TypeHeartbeat.
+func (Heartbeat) Type() Type { return TypeHeartbeat }
+
+// Type returns TypeMarks.
+func (Marks) Type() Type { return TypeMarks }
+
+// Type returns TypeRuleChange.
+func (RuleChange) Type() Type { return TypeRuleChange }
+
+// Type returns TypeAskRules.
+func (AskRules) Type() Type { return TypeAskRules }
+
+// Type returns TypeWholeRules.
+func (WholeRules) Type() Type { return TypeWholeRules }
+
+// Type returns TypeUnknown.
+func (Unknown) Type() Type { return TypeUnknown }
+
+// SplitMarks returns messages that together hold all marks.
+func SplitMarks(marks []mustardsaddle.Mark) []Marks {
+	var messages []Marks
+	for len(marks) > 0 {
+		n := min(len(marks), MaxMarks)
+		messages = append(messages, Marks{Marks: marks[:n]})
+		marks = marks[n:]
+	}
+	return messages
+}
