Let a gateway start from a peer's list of VMs

Ruled out: one message with the whole list (9,200 VMs pass the 1 MB limit); treating a peer's list like the platform's (its absence of a VM proves nothing). Change: AskMachines and Machines in parts; WithPeerList adds and never removes; Peers shows silent VMs as live, so that Neighbors keeps trying them. Conclusion: a start needs either the platform or one peer.

--- a/internal/control/roster/neighbor.go
+++ b/internal/control/roster/neighbor.go
@@ -91,7 +91,8 @@
 	return name < otherName
 }
 
-// Neighbors returns the VMs to which self keeps links, ordered by name. The
+// Neighbors returns the VMs, of Roster.Peers, to which self keeps links, ordered
+// by name. The
 // relation is symmetric, and the graph of all links stays connected when any
 // one VM or any one availability zone is lost:
 //
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -83,6 +83,7 @@
 
 	servers map[string][]mustardsaddle.Server
 	vms     []mustardsaddle.VM
+	peers   []mustardsaddle.VM
 }
 
 // entry is what the lists, or a peer's introduction, say of one VM.
@@ -190,6 +191,23 @@
 	return b
 }
 
+// WithPeerList returns the roster after a peer told what its list names. It adds
+// VMs, and lives of VMs, that are unknown here, and removes none: it serves a
+// gateway that starts while the platform's list cannot be read.
+func (r Roster) WithPeerList(machines []mustardsaddle.Machine) Roster {
+	next := r.clone()
+	for _, m := range machines {
+		if e, known := next.entries[m.Name]; !known || m.Incarnation > e.Incarnation {
+			next.entries[m.Name] = entry{Machine: m, listed: true}
+		}
+		if m.Leaving {
+			next.setMark(r.listAt, mustardsaddle.Mark{Name: m.Name, Incarnation: m.Incarnation, Seq: FinalSeq, Leaving: true})
+		}
+	}
+	next.build()
+	return next
+}
+
 // takeOldList adds what a list older than the newest one still tells.
 func (r *Roster) takeOldList(machines []mustardsaddle.Machine) {
 	for _, m := range machines {
@@ -338,7 +356,7 @@
 // A VM that no list names is forgotten.
 func (r Roster) WithSilent(name string) Roster {
 	e, known := r.entries[name]
-	if !known || e.Service != "" || r.silent[name] == e.Incarnation+1 {
+	if !known || e.Service != "" || r.isSilent(e) {
 		return r
 	}
 	next := r.clone()
@@ -354,29 +372,32 @@
 // build computes what readers see from the inputs.
 func (r *Roster) build() {
 	r.servers = make(map[string][]mustardsaddle.Server)
-	r.vms = nil
+	r.vms, r.peers = nil, nil
 	for _, name := range slices.Sorted(maps.Keys(r.entries)) {
 		e := r.entries[name]
 		if e.Service != "" {
 			r.servers[e.Service] = append(r.servers[e.Service], r.serverOf(e))
 			continue
 		}
-		r.vms = append(r.vms, r.vmOf(e))
+		vm := r.vmOf(e)
+		r.peers = append(r.peers, vm)
+		r.vms = append(r.vms, vm.WithLeaving(vm.Leaving || r.isSilent(e)))
 	}
 }
 
 // rebuild computes what readers see of the named VMs, whose marks changed. Its
 // cost depends on the size of their services, not of the fleet.
 func (r *Roster) rebuild(names []string) {
-	servers, vms := maps.Clone(r.servers), slices.Clone(r.vms)
+	servers, vms, peers := maps.Clone(r.servers), slices.Clone(r.vms), slices.Clone(r.peers)
 	for _, name := range names {
 		e, known := r.entries[name]
 		if !known {
 			continue
 		}
 		if e.Service == "" {
-			at := slices.IndexFunc(vms, func(vm mustardsaddle.VM) bool { return vm.Name == name })
-			vms[at] = r.vmOf(e)
+			at := slices.IndexFunc(peers, func(vm mustardsaddle.VM) bool { return vm.Name == name })
+			peers[at] = r.vmOf(e)
+			vms[at] = peers[at].WithLeaving(peers[at].Leaving || r.isSilent(e))
 			continue
 		}
 		group := slices.Clone(servers[e.Service])
@@ -384,7 +405,7 @@
 		group[at] = r.serverOf(e)
 		servers[e.Service] = group
 	}
-	r.servers, r.vms = servers, vms
+	r.servers, r.vms, r.peers = servers, vms, peers
 }
 
 func (r Roster) serverOf(e entry) mustardsaddle.Server {
@@ -395,12 +416,15 @@
 }
 
 func (r Roster) vmOf(e entry) mustardsaddle.VM {
-	silent := r.silent[e.Name] == e.Incarnation+1
 	return mustardsaddle.VM{
-		Name: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Peer: e.Address, Leaving: r.leaving(e) || silent,
+		Name: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Peer: e.Address, Leaving: r.leaving(e),
 	}
 }
 
+func (r Roster) isSilent(e entry) bool {
+	return r.silent[e.Name] == e.Incarnation+1
+}
+
 // leaving reports whether any input shows that a VM leaves. A leaving mark about
 // a life that the list does not show yet holds for the listed life too.
 func (r Roster) leaving(e entry) bool {
@@ -425,6 +449,19 @@
 	return r.vms
 }
 
+// Peers returns the gateway VMs ordered by name, as VMs does, but does not show
+// silent ones as leaving: links to them are still tried, so that a cut network
+// joins again. It is what Neighbors takes. The slice must not be changed.
+func (r Roster) Peers() []mustardsaddle.VM {
+	return r.peers
+}
+
+// List returns the newest list and when it was read, for a peer that cannot read
+// the platform's. The slice must not be changed.
+func (r Roster) List() (time.Time, []mustardsaddle.Machine) {
+	return r.listAt, r.list
+}
+
 // GatewaysByZone returns the number of live gateway VMs in each availability
 // zone. Shares of budgets and connections divide by it.
 func (r Roster) GatewaysByZone() map[string]int {
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -148,6 +148,19 @@
 	})
 }
 
+func TestStartFromAPeersList(t *testing.T) {
+	convey.Convey("Given an empty roster and the list of a peer in two parts", t, func() {
+		gone := server(4, 1)
+		gone.Leaving = true
+		r := roster.New(roster.Config{}).WithPeerList(servers(2)).WithPeerList([]mustardsaddle.Machine{server(2, 1), gone})
+		convey.So(live(r), convey.ShouldHaveLength, 3)
+		convey.Convey("The platform's list takes over when it can be read", func() {
+			r = r.WithMachines(start, append(servers(2), server(3, 1)))
+			convey.So(live(r), convey.ShouldResemble, []string{"booking-00", "booking-01", "booking-03"})
+		})
+	})
+}
+
 func TestGatewayVMs(t *testing.T) {
 	convey.Convey("Given two listed gateway VMs and one that introduced itself", t, func() {
 		list := []mustardsaddle.Machine{
@@ -159,6 +172,7 @@
 		convey.Convey("Silent ones are not live until they speak", func() {
 			r = r.WithSilent("gateway-3").WithSilent("gateway-2").WithMachines(start.Add(2*time.Minute), list)
 			convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 1})
+			convey.So(roster.Neighbors(r.Peers(), "gateway-1", roster.NeighborConfig{}), convey.ShouldHaveLength, 1)
 			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"})
 			convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 2})
 		})
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -107,6 +107,10 @@
 		return decode[AskRules](c, e)
 	case name(TypeWholeRules):
 		return decode[WholeRules](c, e)
+	case name(TypeAskMachines):
+		return decode[AskMachines](c, e)
+	case name(TypeMachines):
+		return decode[Machines](c, e)
 	case "":
 		return nil, code.Errorf(code.PeerBadMessage, "decode message: got no type")
 	default:
@@ -145,6 +149,10 @@
 		return checkNumber(m, "Have", m.Have)
 	case WholeRules:
 		return checkWholeRules(m)
+	case AskMachines:
+		return nil
+	case Machines:
+		return checkMachines(m)
 	default:
 		return code.Errorf(code.PeerBadMessage, "message %s cannot be sent", name(msg.Type()))
 	}
@@ -213,6 +221,23 @@
 	return checkNumber(m, "Generation", m.Generation)
 }
 
+func checkMachines(m Machines) error {
+	if len(m.Machines) > MaxMachines {
+		return code.Errorf(code.PeerBadMessage, "message Machines: got %d VMs, want at most %d", len(m.Machines), MaxMachines)
+	}
+	for _, machine := range m.Machines {
+		if machine.Name == "" {
+			return code.Errorf(code.PeerBadMessage, "message Machines: got a VM without a name")
+		}
+		for _, s := range []string{machine.Name, machine.Zone, machine.Service, machine.Address} {
+			if err := checkName(m, s); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func checkName(m Message, s string) error {
 	if len(s) > maxNameBytes {
 		return code.Errorf(code.PeerBadMessage, "message %s: got a name of %d bytes, want at most %d", name(m.Type()), len(s), maxNameBytes)
--- a/internal/peer/news/codec_test.go
+++ b/internal/peer/news/codec_test.go
@@ -32,6 +32,10 @@
 	return []news.Message{
 		hello, news.Heartbeat{Summary: summary}, news.Marks{Marks: []mustardsaddle.Mark{mark}}, change,
 		news.AskRules{Have: 40_000}, news.WholeRules{Generation: 1, Text: "# Generation 1\n", Digest: "d"},
+		news.AskMachines{}, news.Machines{Machines: []mustardsaddle.Machine{{
+			Name: "booking-07", Incarnation: 1_800_000_000, Zone: "perth-1", Service: "Booking",
+			Address: "10.0.0.7:8080", Slots: 2, Connections: 200,
+		}}},
 	}
 }
 
@@ -76,6 +80,7 @@
 		{"a mark beyond the last Seq", marks(mustardsaddle.Mark{Name: "x", Seq: 1 << 31}), code.PeerBadMessage},
 		{"a change back", raw(t, envelope{1, "RuleChange", news.RuleChange{From: 3, To: 3}}), code.PeerBadMessage},
 		{"a hello of no VM", raw(t, envelope{1, "Hello", news.Hello{}}), code.PeerBadMessage},
+		{"a VM without a name", raw(t, envelope{1, "Machines", news.Machines{Machines: make([]mustardsaddle.Machine, 1)}}), code.PeerBadMessage},
 		{"a negative generation", raw(t, envelope{1, "AskRules", news.AskRules{Have: -1}}), code.PeerBadMessage},
 		{"a field of a later version", raw(t, envelope{1, "AskRules", map[string]any{"Have": 1, "Why": "x"}}), code.OK},
 		{"a type of a later version", raw(t, envelope{1, "Weather", 7}), code.OK},
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -31,7 +31,11 @@
 //	}
 package news
 
-import "mustardsaddle.example/mustardsaddle"
+import (
+	"slices"
+
+	"mustardsaddle.example/mustardsaddle"
+)
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Type -output=type_string.go
 
@@ -45,6 +49,8 @@
 	MaxRulesBytes = 1 << 20
 	// MaxMarks is the largest number of marks in one message.
 	MaxMarks = 4096
+	// MaxMachines is the largest number of VMs in one message.
+	MaxMachines = 1024
 	// maxNameBytes bounds names, addresses and digests.
 	maxNameBytes = 255
 	// maxLines bounds the lines of a rule change.
@@ -69,6 +75,10 @@
 	TypeAskRules
 	// TypeWholeRules is the type of WholeRules.
 	TypeWholeRules
+	// TypeAskMachines is the type of AskMachines.
+	TypeAskMachines
+	// TypeMachines is the type of Machines.
+	TypeMachines
 )
 
 // Message is one of the message types of this package. A Message is immutable.
@@ -135,6 +145,17 @@
 	Digest string
 }
 
+// AskMachines asks for the newest list of VMs that the peer has read. A gateway
+// sends it that starts while the platform cannot be reached.
+type AskMachines struct{}
+
+// Machines is a part of the platform's list of VMs, as the sender knows it. Each
+// part can be used alone.
+type Machines struct {
+	// Machines are at most MaxMachines VMs.
+	Machines []mustardsaddle.Machine
+}
+
 // Unknown stands for a message of a type that this version does not know.
 type Unknown struct {
 	// Name is the name of the type.
@@ -148,6 +169,8 @@
 	_ Message = RuleChange{}
 	_ Message = AskRules{}
 	_ Message = WholeRules{}
+	_ Message = AskMachines{}
+	_ Message = Machines{}
 	_ Message = Unknown{}
 )
 
@@ -169,16 +192,29 @@
 // Type returns TypeWholeRules.
 func (WholeRules) Type() Type { return TypeWholeRules }
 
+// Type returns TypeAskMachines.
+func (AskMachines) Type() Type { return TypeAskMachines }
+
+// Type returns TypeMachines.
+func (Machines) Type() Type { return TypeMachines }
+
 // Type returns TypeUnknown.
 func (Unknown) Type() Type { return TypeUnknown }
 
 // SplitMarks returns messages that together hold all marks.
 func SplitMarks(marks []mustardsaddle.Mark) []Marks {
 	var messages []Marks
-	for len(marks) > 0 {
-		n := min(len(marks), MaxMarks)
-		messages = append(messages, Marks{Marks: marks[:n]})
-		marks = marks[n:]
+	for part := range slices.Chunk(marks, MaxMarks) {
+		messages = append(messages, Marks{Marks: part})
+	}
+	return messages
+}
+
+// SplitMachines returns messages that together hold all VMs of a list.
+func SplitMachines(machines []mustardsaddle.Machine) []Machines {
+	var messages []Machines
+	for part := range slices.Chunk(machines, MaxMachines) {
+		messages = append(messages, Machines{Machines: part})
 	}
 	return messages
 }
--- a/internal/peer/news/type_string.go
+++ b/internal/peer/news/type_string.go
@@ -15,11 +15,13 @@
 	_ = x[TypeRuleChange-4]
 	_ = x[TypeAskRules-5]
 	_ = x[TypeWholeRules-6]
+	_ = x[TypeAskMachines-7]
+	_ = x[TypeMachines-8]
 }
 
-const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRules"
+const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRulesTypeAskMachinesTypeMachines"
 
-var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82}
+var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82, 97, 109}
 
 func (i Type) String() string {
 	idx := int(i) - 0
--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -18,6 +18,11 @@
 	_ = x[CallRefused-4002]
 	_ = x[LinkUp-5001]
 	_ = x[LinkDown-5002]
+	_ = x[LinkSilent-5003]
+	_ = x[LinkFailed-5004]
+	_ = x[PeerMessageRefused-5005]
+	_ = x[PeerMessageUnknown-5006]
+	_ = x[PeerNewsDropped-5007]
 }
 
 const (
@@ -25,14 +30,14 @@
 	_Event_name_1 = "RulesInForceRulesRefused"
 	_Event_name_2 = "StoreFailed"
 	_Event_name_3 = "RouteChosenCallRefused"
-	_Event_name_4 = "LinkUpLinkDown"
+	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDropped"
 )
 
 var (
 	_Event_index_0 = [...]uint8{0, 7, 16, 25}
 	_Event_index_1 = [...]uint8{0, 12, 24}
 	_Event_index_3 = [...]uint8{0, 11, 22}
-	_Event_index_4 = [...]uint8{0, 6, 14}
+	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85}
 )
 
 func (i Event) String() string {
@@ -48,7 +53,7 @@
 	case 4001 <= i && i <= 4002:
 		i -= 4001
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 5001 <= i && i <= 5002:
+	case 5001 <= i && i <= 5007:
 		i -= 5001
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	default:
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -38,4 +38,14 @@
 	LinkUp Event = iota + 5001
 	// LinkDown is logged when a peer link ends.
 	LinkDown
+	// LinkSilent is logged when a peer link is closed because nothing came on it.
+	LinkSilent
+	// LinkFailed is logged when a peer link cannot be established.
+	LinkFailed
+	// PeerMessageRefused is logged when a message of a peer is not used.
+	PeerMessageRefused
+	// PeerMessageUnknown is logged when a message has a type of a later version.
+	PeerMessageUnknown
+	// PeerNewsDropped is logged when a link is too slow for the news on it.
+	PeerNewsDropped
 )
