--- /dev/null
+++ b/internal/request/slot/slot_test.go
@@ -0,0 +1,103 @@
+package slot_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"mustardsaddle.example/mustardsaddle/internal/request/slot"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestEveryWaiterIsAnsweredByItsDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := slot.New(slot.Config{MaxWaiting: rapid.IntRange(0, 8).Draw(t, "MaxWaiting")})
+		now, id := start, uint64(0)
+		deadlines := make(map[uint64]time.Time)
+		for range rapid.IntRange(1, 60).Draw(t, "Steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "Millis")) * time.Millisecond)
+			for _, gone := range q.Expired(now) {
+				delete(deadlines, gone)
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "Step") {
+			case 0:
+				id++
+				deadline := now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "Deadline")) * time.Millisecond)
+				if v := q.Join(now, id, deadline); v.Waits {
+					deadlines[id] = deadline
+					if v.Until.After(deadline) {
+						t.Fatalf("call waits until %v, want at most its deadline %v", v.Until, deadline)
+					}
+				} else if v.RetryAfter < time.Second || v.RetryAfter > time.Minute {
+					t.Fatalf("got Retry-After %v, want between 1s and 1m", v.RetryAfter)
+				}
+			case 1:
+				q.Released(now, time.Duration(rapid.IntRange(1, 50).Draw(t, "Latency"))*time.Millisecond)
+			case 2:
+				if first, ok := q.First(); ok && q.Leave(first) {
+					delete(deadlines, first)
+				}
+			}
+			if q.Len() != len(deadlines) {
+				t.Fatalf("got %d waiting, want %d", q.Len(), len(deadlines))
+			}
+			for id, deadline := range deadlines {
+				if !now.Before(deadline) {
+					t.Fatalf("call %d still waits at %v, deadline %v", id, now, deadline)
+				}
+			}
+		}
+	})
+}
+
+func TestAdmittedNeverExceedsCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := slot.NewLimits()
+		limit, open := rapid.IntRange(1, 5).Draw(t, "Cap"), 0
+		for range rapid.IntRange(1, 60).Draw(t, "Steps") {
+			if open > 0 && rapid.Bool().Draw(t, "Release") {
+				l.Release("booking-01")
+				open--
+			} else if l.Admit("booking-01", limit) {
+				open++
+			}
+			if open > limit || l.Open("booking-01") != open {
+				t.Fatalf("got %d admitted, want at most %d and %d counted", open, limit, l.Open("booking-01"))
+			}
+		}
+	})
+}
+
+func TestConnectionsLeaveRoomForReplacedVMs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := rapid.IntRange(1, 300).Draw(t, "Gateways")
+		accepted := rapid.IntRange(2*gateways, 100000).Draw(t, "Accepted")
+		n := slot.Connections(accepted, gateways)
+		if n < 1 || n*(gateways+gateways/10) > accepted {
+			t.Fatalf("got %d connections each of %d gateways, server accepts %d", n, gateways, accepted)
+		}
+	})
+}
+
+func TestRefusalIsDecidedAtJoin(t *testing.T) {
+	convey.Convey("Given a backlog of 10 calls that is served at 100 ms each", t, func() {
+		q := slot.New(slot.Config{MaxWaiting: 100})
+		for id := range uint64(10) {
+			convey.So(q.Join(start, id, start.Add(time.Minute)).Waits, convey.ShouldBeTrue)
+		}
+		q.Released(start, 50*time.Millisecond)
+		q.Released(start.Add(100*time.Millisecond), 50*time.Millisecond)
+		now := start.Add(100 * time.Millisecond)
+		convey.Convey("A call with half a second is refused at once and told when to come back", func() {
+			v := q.Join(now, 99, now.Add(500*time.Millisecond))
+			convey.So(v.Waits, convey.ShouldBeFalse)
+			convey.So(slot.Seconds(v.RetryAfter), convey.ShouldEqual, 2)
+		})
+		convey.Convey("A call with two seconds waits", func() {
+			convey.So(q.Join(now, 99, now.Add(2*time.Second)).Waits, convey.ShouldBeTrue)
+		})
+	})
+}
