Split the gateway into filters with typed outcomes

Cause: the thin gateway sent through one http.Transport that resends by itself, had no retry, queue, hedge or limits, and told Unknown for everything. Change: match, admit, choose, attempt and relay are separate, each with one typed result; two transports, with and without reuse; outcomes come from the bytes written and the header read; hedges go by a new connection.

--- a/internal/product/code/code_string.go
+++ b/internal/product/code/code_string.go
@@ -36,6 +36,9 @@
 	_ = x[CallBadRequest-4007]
 	_ = x[CallTooLarge-4008]
 	_ = x[CallCanceled-4009]
+	_ = x[CallUpgrade-4010]
+	_ = x[CallMismatch-4011]
+	_ = x[CallClaimed-4012]
 	_ = x[PeerBadMessage-5001]
 	_ = x[PeerNewerFormat-5002]
 	_ = x[ReportBad-6001]
@@ -46,7 +49,7 @@
 	_Code_name_1 = "SettingsUnreadableSettingsUnknownSectionSettingsUnknownKeySettingsBadValueSettingsMissing"
 	_Code_name_2 = "RuleSyntaxRuleUnknownFieldRuleBadValueRuleMissingFieldRuleNoWhoRuleDuplicate"
 	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudget"
-	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceled"
+	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceledCallUpgradeCallMismatchCallClaimed"
 	_Code_name_5 = "PeerBadMessagePeerNewerFormat"
 	_Code_name_6 = "ReportBad"
 )
@@ -56,7 +59,7 @@
 	_Code_index_1 = [...]uint8{0, 18, 40, 58, 74, 89}
 	_Code_index_2 = [...]uint8{0, 10, 26, 38, 54, 63, 76}
 	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79}
-	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108}
+	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108, 119, 131, 142}
 	_Code_index_5 = [...]uint8{0, 14, 29}
 )
 
@@ -73,7 +76,7 @@
 	case 3001 <= i && i <= 3006:
 		i -= 3001
 		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
-	case 4001 <= i && i <= 4009:
+	case 4001 <= i && i <= 4012:
 		i -= 4001
 		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
 	case 5001 <= i && i <= 5002:
--- a/internal/product/code/list.go
+++ b/internal/product/code/list.go
@@ -73,6 +73,12 @@
 	CallTooLarge
 	// CallCanceled means that the caller went away.
 	CallCanceled
+	// CallUpgrade means a request for another protocol, which is not supported.
+	CallUpgrade
+	// CallMismatch means an answer that belongs to another attempt.
+	CallMismatch
+	// CallClaimed means that the request's Idempotency-Key is claimed already.
+	CallClaimed
 )
 
 // Peer message codes.
--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -16,6 +16,10 @@
 	_ = x[StoreFailed-3001]
 	_ = x[RouteChosen-4001]
 	_ = x[CallRefused-4002]
+	_ = x[CallEnded-4003]
+	_ = x[CallCut-4004]
+	_ = x[CallResumed-4005]
+	_ = x[ConnectionSilent-4006]
 	_ = x[LinkUp-5001]
 	_ = x[LinkDown-5002]
 }
@@ -24,14 +28,14 @@
 	_Event_name_0 = "StartedStopBegunStopEnded"
 	_Event_name_1 = "RulesInForceRulesRefused"
 	_Event_name_2 = "StoreFailed"
-	_Event_name_3 = "RouteChosenCallRefused"
+	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilent"
 	_Event_name_4 = "LinkUpLinkDown"
 )
 
 var (
 	_Event_index_0 = [...]uint8{0, 7, 16, 25}
 	_Event_index_1 = [...]uint8{0, 12, 24}
-	_Event_index_3 = [...]uint8{0, 11, 22}
+	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65}
 	_Event_index_4 = [...]uint8{0, 6, 14}
 )
 
@@ -45,7 +49,7 @@
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case i == 3001:
 		return _Event_name_2
-	case 4001 <= i && i <= 4002:
+	case 4001 <= i && i <= 4006:
 		i -= 4001
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 5001 <= i && i <= 5002:
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -30,6 +30,16 @@
 	RouteChosen Event = iota + 4001
 	// CallRefused is logged when a call ends without a server's answer.
 	CallRefused
+	// CallEnded is logged when a server's answer was relayed.
+	CallEnded
+	// CallCut is logged when an answer broke and the caller's connection was
+	// aborted.
+	CallCut
+	// CallResumed is logged when a broken download goes on from another server.
+	CallResumed
+	// ConnectionSilent is logged when a connection that was reused carried no
+	// answer and is closed.
+	ConnectionSilent
 )
 
 // Peer events.
--- /dev/null
+++ b/internal/request/gateway/answer.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/request/slot"
+)
+
+// refusal is the end of a call without a server's answer.
+type refusal struct {
+	code       code.Code
+	outcome    mustardsaddle.Outcome
+	retryAfter time.Duration
+}
+
+// notRun returns the refusal of a request of which no byte was sent.
+func notRun(c code.Code) *refusal {
+	return &refusal{code: c, outcome: mustardsaddle.NotRun}
+}
+
+// status returns the HTTP status that goes with the refusal.
+func (n *refusal) status() int {
+	if n.outcome != mustardsaddle.NotRun {
+		if n.code == code.CallDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch n.code {
+	case code.CallNoRule:
+		return http.StatusNotFound
+	case code.CallBadRequest:
+		return http.StatusBadRequest
+	case code.CallTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case code.CallUpgrade:
+		return http.StatusNotImplemented
+	case code.CallClaimed:
+		return http.StatusConflict
+	case code.CallOverloaded:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// refuse answers at once with what is known and when to come back.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, attempt string, n *refusal) {
+	status := n.status()
+	event.Warn(g.cfg.Logger, event.CallRefused).Str("Method", r.Method).Str("Path", r.URL.Path).
+		Str("Attempt", attempt).Int("Code", int(n.code)).Str("Outcome", n.outcome.String()).Send()
+	h := w.Header()
+	h.Set(OutcomeHeader, n.outcome.String())
+	h.Set(CodeHeader, strconv.Itoa(int(n.code)))
+	if attempt != "" {
+		h.Set(AttemptHeader, attempt)
+	}
+	if status == http.StatusTooManyRequests || status >= http.StatusInternalServerError {
+		h.Set("Retry-After", strconv.Itoa(slot.Seconds(max(n.retryAfter, time.Second))))
+	}
+	body := fmt.Sprintf("Code=%d Outcome=%s\n", int(n.code), n.outcome)
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	g.extend(w)
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(body))
+}
+
+// extend gives the caller's connection time to take what is written next. The
+// error is that of a writer that has no deadlines.
+func (g *Gateway) extend(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(g.cfg.Progress))
+}
--- /dev/null
+++ b/internal/request/gateway/attempt.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/product/event"
+)
+
+var (
+	errDeadline = errors.New("wait for response header: deadline passed")
+	errProgress = errors.New("read response body: no progress")
+	errLost     = errors.New("wait for response header: another attempt answered first")
+	errOver     = errors.New("call is over")
+)
+
+// attempt is one sending of a call's request to one server, and what became of
+// it.
+type attempt struct {
+	c         *call
+	id        string
+	placement placement
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	reuse     bool
+
+	body       io.Closer
+	conn       *conn
+	baseWrites int64
+	baseReads  int64
+	reused     bool
+	sent       time.Time
+
+	resp     *http.Response
+	err      error
+	outcome  mustardsaddle.Outcome
+	shed     bool
+	mismatch bool
+	latency  time.Duration
+}
+
+// newAttempt prepares an attempt and logs the routing decision. An idempotent
+// request may reuse a connection, unless it is a hedge, which is there to get
+// around a silent one.
+func (c *call) newAttempt(p placement, reuse bool) *attempt {
+	a := &attempt{c: c, id: c.g.nextAttempt(), placement: p, reuse: reuse}
+	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
+	c.mu.Lock()
+	c.tried = append(c.tried, p.choice.Server.Name)
+	c.lastID = a.id
+	c.mu.Unlock()
+	event.Info(c.g.cfg.Logger, event.RouteChosen).Str("Attempt", a.id).Str("Service", c.m.lane.service).
+		Str("Server", p.choice.Server.Name).Str("Reason", p.choice.Reason).Str("Kind", p.kind.String()).
+		Dur("Queued", p.queued).Send()
+	return a
+}
+
+// send sends the request once and classifies the outcome.
+func (a *attempt) send(extra func(http.Header)) {
+	out := a.request()
+	if extra != nil {
+		extra(out.Header)
+	}
+	transport := a.c.g.fresh
+	if a.reuse {
+		transport = a.c.g.reuse
+	}
+	a.sent = time.Now()
+	a.resp, a.err = transport.RoundTrip(out) //nolint:bodyclose // finish closes it
+	a.latency = time.Since(a.sent)
+	a.c.m.lane.metrics.attempts.Inc(1)
+	a.body = out.Body
+	a.classify()
+}
+
+// request builds the outgoing request.
+func (a *attempt) request() *http.Request {
+	c := a.c
+	out := c.r.WithContext(httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{
+		GotConn:        a.gotConn,
+		Got1xxResponse: a.informational(),
+	}))
+	url := *c.r.URL
+	url.Scheme, url.Host = "http", a.placement.choice.Server.Address
+	out.URL = &url
+	out.Host = c.r.Host
+	out.RequestURI = ""
+	out.Close = false
+	out.Header = c.g.forwardHeader(c.r)
+	out.Header[AttemptHeader] = []string{a.id}
+	if !c.body.streamed() {
+		left := max(time.Until(c.deadline).Milliseconds(), 1)
+		out.Header[DeadlineHeader] = []string{strconv.FormatInt(left, 10)}
+	}
+	if c.body.empty {
+		delete(out.Header, "Expect")
+	}
+	c.body.put(out, a.reuse)
+	return out
+}
+
+// gotConn notes the connection that carries the attempt. A second one would be a
+// silent resend of http.Transport: nothing may leave by it.
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	cn, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	if a.conn != nil {
+		cn.seal()
+		return
+	}
+	a.conn, a.reused = cn, info.Reused
+	a.baseWrites, a.baseReads = cn.writes.Load(), cn.reads.Load()
+}
+
+// informational returns the function that relays 1xx answers of the first attempt.
+func (a *attempt) informational() func(int, textproto.MIMEHeader) error {
+	if a.placement.kind != 0 {
+		return nil
+	}
+	return a.c.relayInformational
+}
+
+// classify decides the outcome from what was written and what came back.
+func (a *attempt) classify() {
+	if a.err != nil {
+		a.outcome = mustardsaddle.Unknown
+		if a.conn == nil || a.conn.seal() == a.baseWrites {
+			a.outcome = mustardsaddle.NotRun
+		}
+		return
+	}
+	declared := a.c.g.cfg.Services[a.c.m.lane.service]
+	h := a.resp.Header
+	switch echoed := h.Get(AttemptHeader); {
+	case echoed != "" && echoed != a.id:
+		a.mismatch = true
+		a.outcome = mustardsaddle.Unknown
+	case declared.NotRunStatus != 0 && a.resp.StatusCode == declared.NotRunStatus && h.Get(declared.NotRunHeader) != "":
+		a.shed = true
+		a.outcome = mustardsaddle.NotRun
+	default:
+		a.outcome = mustardsaddle.Ran
+	}
+}
+
+// observe passes on the load report of the answer.
+func (a *attempt) observe() {
+	if a.resp == nil || a.mismatch {
+		return
+	}
+	text := a.resp.Header.Get(report.Header)
+	if text == "" {
+		return
+	}
+	now := time.Now()
+	rep, err := report.Parse(now, text)
+	if err != nil {
+		return
+	}
+	a.c.m.lane.observe(now, a.placement.choice.Server.Name, rep)
+}
+
+// silent reports whether a connection that had served before carried nothing back.
+func (a *attempt) silent() bool {
+	return a.err != nil && a.reused && a.ctx.Err() != nil && a.c.r.Context().Err() == nil &&
+		a.conn.reads.Load() == a.baseReads
+}
+
+// finish ends the attempt: its connection is closed unless the answer was read to
+// its end, and its place is passed on.
+func (a *attempt) finish() {
+	_ = a.body.Close()
+	if a.resp != nil {
+		_ = a.resp.Body.Close()
+	}
+	canceled := a.ctx.Err() != nil
+	a.cancel(errOver)
+	l := a.c.m.lane
+	if a.silent() {
+		l.metrics.silent.Inc(1)
+		event.Info(a.c.g.cfg.Logger, event.ConnectionSilent).Str("Attempt", a.id).
+			Str("Server", a.placement.choice.Server.Name).Dur("Waited", a.latency).Send()
+	}
+	cause := context.Cause(a.ctx)
+	timedOut := errors.Is(cause, errDeadline) || errors.Is(cause, errProgress)
+	l.finish(time.Now(), mustardsaddle.Result{
+		Server:   a.placement.choice.Server.Name,
+		Outcome:  a.outcome,
+		Shed:     a.shed,
+		Failed:   a.failed() && (!canceled || timedOut),
+		Canceled: canceled && !timedOut,
+		Latency:  a.latency,
+	})
+}
+
+// failed reports whether the attempt speaks against the server.
+func (a *attempt) failed() bool {
+	if a.err != nil || a.mismatch {
+		return true
+	}
+	return !a.shed && a.resp != nil && a.resp.StatusCode >= http.StatusInternalServerError
+}
+
+// code returns the result code that says why the attempt brought no answer.
+func (a *attempt) code() code.Code {
+	_, tooLarge := a.c.body.state()
+	switch {
+	case errors.Is(context.Cause(a.c.ctx), errDeadline):
+		return code.CallDeadline
+	case a.c.r.Context().Err() != nil:
+		return code.CallCanceled
+	case tooLarge:
+		return code.CallTooLarge
+	case a.mismatch:
+		return code.CallMismatch
+	case a.shed:
+		return code.CallOverloaded
+	case a.outcome == mustardsaddle.NotRun:
+		return code.CallNoServer
+	default:
+		return code.CallBroken
+	}
+}
--- /dev/null
+++ b/internal/request/gateway/call.go
@@ -0,0 +1,319 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/textproto"
+	"sync"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/request/booking"
+)
+
+// call is one caller's request on its way through the filters.
+type call struct {
+	g        *Gateway
+	w        http.ResponseWriter
+	r        *http.Request
+	m        matched
+	start    time.Time
+	deadline time.Time
+	body     requestBody
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+
+	mu       sync.Mutex
+	state    booking.Call
+	tried    []string
+	lastID   string
+	hedge    *attempt
+	winner   *attempt
+	answered bool
+}
+
+func newCall(g *Gateway, now time.Time, w http.ResponseWriter, r *http.Request, m matched) *call {
+	c := &call{g: g, w: w, r: r, m: m, start: now, deadline: now.Add(m.deadline)}
+	c.body.c = c
+	c.state = booking.New(booking.Config{Repeat: m.repeat, Deadline: c.deadline, MaxAttempts: g.cfg.MaxAttempts})
+	c.ctx, c.cancel = context.WithCancelCause(r.Context())
+	c.timer = time.AfterFunc(m.deadline, func() { c.cancel(errDeadline) })
+	return c
+}
+
+// close ends everything that the call still has open.
+func (c *call) close() {
+	c.timer.Stop()
+	c.cancel(errOver)
+}
+
+// serve passes the call through admit, choose, attempt and relay.
+func (c *call) serve() {
+	if no := c.body.load(); no != nil {
+		c.refuse(no)
+		return
+	}
+	if c.m.repeat == mustardsaddle.RepeatClaim {
+		if no := c.claim(); no != nil {
+			c.refuse(no)
+			return
+		}
+	}
+	a, no := c.run()
+	if no != nil {
+		c.refuse(no)
+		return
+	}
+	c.relay(a)
+}
+
+// run sends attempts until one is answered or no further one is permitted.
+func (c *call) run() (*attempt, *refusal) {
+	var last *refusal
+	for {
+		p, no := c.place()
+		if no != nil && last != nil {
+			return nil, c.giveUp(last)
+		}
+		if no != nil {
+			return nil, c.giveUp(no)
+		}
+		a := c.race(c.newAttempt(p, c.reuse()))
+		if a.outcome == mustardsaddle.Ran {
+			return a, nil
+		}
+		last = &refusal{code: a.code()}
+	}
+}
+
+// place asks for one more attempt and for a server to take it.
+func (c *call) place() (placement, *refusal) {
+	p, no := c.m.lane.place(c.ctx, time.Now(), c)
+	if no != nil {
+		if no.code != code.OK {
+			c.end(mustardsaddle.NotRun)
+		}
+		return p, no
+	}
+	if p.queued > 0 {
+		c.m.lane.metrics.queued.RecordDuration(p.queued)
+	}
+	switch p.kind {
+	case booking.Retry:
+		c.m.lane.metrics.retries.Inc(1)
+	case booking.Hedge:
+		c.m.lane.metrics.hedges.Inc(1)
+	case booking.First:
+	}
+	return p, nil
+}
+
+// begin asks the call's state for one more attempt, and returns the servers that
+// were tried. The lane calls it with its own mutex held.
+func (c *call) begin(now time.Time, b *booking.Budgets) (booking.Kind, []string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if spent, _ := c.body.state(); spent {
+		c.state.SpendBody()
+	}
+	kind, ok := c.state.Begin(now, b)
+	return kind, c.tried, ok && c.winner == nil
+}
+
+// end tells the call's state what became of an attempt.
+func (c *call) end(outcome mustardsaddle.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.End(outcome)
+}
+
+// giveUp returns the final answer of a call: what is known, and why it ended.
+func (c *call) giveUp(no *refusal) *refusal {
+	c.mu.Lock()
+	outcome := c.state.Outcome()
+	c.mu.Unlock()
+	if no.code == code.OK {
+		no = &refusal{code: code.CallDeadline}
+	}
+	return &refusal{code: no.code, outcome: outcome, retryAfter: max(no.retryAfter, c.m.lane.retryAfter())}
+}
+
+// reuse reports whether a first attempt or a retry may take a connection that has
+// served before. Methods that announce an empty body by its length take a new one,
+// since the guard against resending hides that length.
+func (c *call) reuse() bool {
+	if c.m.repeat != mustardsaddle.RepeatYes {
+		return false
+	}
+	if !c.body.empty {
+		return true
+	}
+	switch c.r.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return false
+	default:
+		return true
+	}
+}
+
+// race sends an attempt, and beside it a hedge if the answer is late. It returns
+// the attempt that was answered, or else one that was not.
+func (c *call) race(a *attempt) *attempt {
+	delay, ok := c.hedgeDelay()
+	if !ok {
+		c.send(a)
+		return a
+	}
+	ended := make(chan *attempt, 1)
+	timer := time.AfterFunc(delay, func() { ended <- c.sendHedge(a) })
+	c.send(a)
+	if timer.Stop() {
+		return a
+	}
+	if h := <-ended; h != nil && (h.outcome == mustardsaddle.Ran || a.outcome == mustardsaddle.NotRun) {
+		return h
+	}
+	return a
+}
+
+// hedgeDelay returns when a hedge would be sent, if at all.
+func (c *call) hedgeDelay() (time.Duration, bool) {
+	if c.m.repeat != mustardsaddle.RepeatYes || c.body.streamed() {
+		return 0, false
+	}
+	return c.m.lane.hedgeDelay()
+}
+
+// sendHedge sends a second attempt on a new connection to another server. It
+// returns nil if none was permitted.
+func (c *call) sendHedge(first *attempt) *attempt {
+	p, no := c.place()
+	if no != nil {
+		return nil
+	}
+	h := c.newAttempt(p, false)
+	c.mu.Lock()
+	c.hedge = h
+	late := c.winner != nil
+	c.mu.Unlock()
+	if late {
+		h.cancel(errLost)
+	}
+	c.send(h)
+	if h.outcome == mustardsaddle.Ran {
+		first.cancel(errLost)
+	}
+	return h
+}
+
+// send sends an attempt. It ends the attempt unless the attempt is the first to be
+// answered; that one is ended by the relay.
+func (c *call) send(a *attempt) {
+	a.send(nil)
+	if c.wins(a) {
+		c.m.lane.answered(a.latency)
+		a.observe()
+		return
+	}
+	a.observe()
+	outcome := a.outcome
+	if outcome == mustardsaddle.Ran {
+		a.outcome = mustardsaddle.Unknown
+		a.cancel(errLost)
+	}
+	c.end(outcome)
+	if errors.Is(context.Cause(a.ctx), errLost) {
+		c.m.lane.answered(a.latency) // its true latency is longer still
+	}
+	a.finish()
+}
+
+// wins reports whether the attempt is the first to be answered, and then cancels
+// the hedge beside it.
+func (c *call) wins(a *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.outcome != mustardsaddle.Ran || c.winner != nil {
+		return false
+	}
+	c.winner = a
+	c.state.End(mustardsaddle.Ran)
+	if c.hedge != nil && c.hedge != a {
+		c.hedge.cancel(errLost)
+	}
+	return true
+}
+
+// refuse ends the call without a server's answer.
+func (c *call) refuse(no *refusal) {
+	c.settle()
+	c.m.lane.metrics.outcomes[no.outcome].Inc(1)
+	c.mu.Lock()
+	id := c.lastID
+	c.mu.Unlock()
+	c.g.refuse(c.w, c.r, id, no)
+}
+
+// settle stops the deadline and the informational answers: from here on the
+// response writer belongs to the relay.
+func (c *call) settle() {
+	c.timer.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
+	if c.body.streamed() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	}
+}
+
+// uploading bounds how long the caller's body may stand still. While it moves, the
+// deadline does not run.
+func (c *call) uploading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answered {
+		return
+	}
+	c.timer.Reset(c.g.cfg.Progress)
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(c.g.cfg.Progress))
+}
+
+// uploaded starts the deadline for the response header.
+func (c *call) uploaded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answered {
+		return
+	}
+	c.timer.Reset(c.m.deadline)
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+}
+
+// relayInformational passes a 1xx answer on. 100 is left out: reading the caller's
+// body makes net/http send it.
+func (c *call) relayInformational(status int, header textproto.MIMEHeader) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answered || status == http.StatusContinue || !c.r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	h := c.w.Header()
+	copyEndToEnd(h, http.Header(header))
+	c.w.WriteHeader(status)
+	for name := range header {
+		delete(h, name)
+	}
+	return nil
+}
+
+// logEnd writes the result line of a call that was answered.
+func (c *call) logEnd(a *attempt, bytes int64) {
+	c.m.lane.metrics.outcomes[mustardsaddle.Ran].Inc(1)
+	event.Info(c.g.cfg.Logger, event.CallEnded).Str("Attempt", a.id).Str("Service", c.m.lane.service).
+		Str("Server", a.placement.choice.Server.Name).Int("Status", a.resp.StatusCode).
+		Str("Outcome", mustardsaddle.Ran.String()).Int64("Bytes", bytes).Dur("Took", time.Since(c.start)).Send()
+}
--- /dev/null
+++ b/internal/request/gateway/connection.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+const (
+	// maxResponseHeaderBytes bounds the header of a server's answer.
+	maxResponseHeaderBytes = 256 << 10
+	// continueTimeout is how long a request with Expect waits for the server's
+	// go-ahead before it sends its body.
+	continueTimeout = time.Second
+	// keepAliveInterval is the time between probes of an idle TCP connection.
+	keepAliveInterval = 5 * time.Second
+)
+
+// newTransport returns the connection library in one of two manners. With reuse,
+// connections serve many requests, one after another. Without, each request has a
+// new connection, and so none can meet one that is stale or silent.
+func newTransport(cfg Config, reuse bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: keepAliveInterval}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		DisableCompression:     true,
+		DisableKeepAlives:      !reuse,
+		MaxIdleConnsPerHost:    defaultIdlePerHost,
+		IdleConnTimeout:        cfg.IdleTimeout,
+		ExpectContinueTimeout:  continueTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
+}
+
+// conn is a connection to a server that counts its reads and writes, and that can
+// be sealed so that nothing more leaves by it.
+type conn struct {
+	net.Conn
+	writes atomic.Int64
+	reads  atomic.Int64
+	sealed atomic.Bool
+}
+
+// Write counts the write before it looks at the seal: a write that seal did not
+// count finds the seal and is refused.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	if c.sealed.Load() {
+		return 0, code.Errorf(code.Internal, "write to %v: connection is sealed", c.RemoteAddr())
+	}
+	return c.Conn.Write(p)
+}
+
+// Read counts the reads that bring bytes.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.reads.Add(1)
+	}
+	return n, err
+}
+
+// seal refuses all later writes and returns the number of writes until now.
+func (c *conn) seal() int64 {
+	c.sealed.Store(true)
+	return c.writes.Load()
+}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -1,20 +1,38 @@
-// Package gateway serves callers: it matches a rule, chooses an endpoint
-// server, sends the request and relays the answer.
+// Package gateway serves callers: it passes each request through a pipe of
+// filters, each with one job and one typed result.
+//
+//	match    finds the rule, and refuses what could not be forwarded faithfully
+//	admit    waits for a server, bounded by the caller's deadline, or refuses now
+//	choose   picks the server of one attempt
+//	attempt  sends the request once, and classifies the outcome
+//	relay    passes the answer on whole, or visibly cuts it
+//
+// What a caller is told follows from the outcome alone. NotRun: no byte of the
+// request was written, or the server declared that it did not run it. Ran: a full
+// response header came. Unknown: anything else.
+//
+// # Sending once
+//
+// A request leaves only by a decision of package booking. http.Transport resends
+// a request without a body, or with an Idempotency-Key, by itself when a reused
+// connection breaks. Two things prevent that: a request that runs at most once
+// takes a new connection, and an idempotent one has a body without GetBody. A
+// second connection within one attempt refuses to write.
 //
 // # Usage
 //
 //	g := gateway.New(gateway.Config{Name: "gateway-1", Logger: logger})
 //	g.SetRules(table)
 //	g.SetServers(now, "Booking", servers)
-//	http.Serve(listener, g)
+//	g.SetGateways(15)
+//	srv := gateway.NewServer(gateway.ServerConfig{Handler: g})
+//	srv.Serve(listener)
+//	...
+//	g.SetStopping()
+//	srv.Shutdown(ctx)
 package gateway
 
 import (
-	"context"
-	"fmt"
-	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,59 +40,150 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
-	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
-// Headers that tell a caller what became of the request.
+// Defaults of a Config.
 const (
-	OutcomeHeader = "Mustardsaddle-Outcome"
-	CodeHeader    = "Mustardsaddle-Code"
-	AttemptHeader = "Mustardsaddle-Attempt"
+	defaultDeadline     = 10 * time.Second
+	defaultProgress     = 15 * time.Second
+	defaultBodyBytes    = 1 << 30
+	defaultReplayBytes  = 64 << 10
+	defaultMaxWaiting   = 1024
+	defaultMaxAttempts  = 3
+	defaultRetryShare   = 0.1
+	defaultHedgeShare   = 0.05
+	defaultQuantile     = 0.95
+	defaultMinHedge     = 5 * time.Millisecond
+	defaultDialTimeout  = time.Second
+	defaultIdleTimeout  = 15 * time.Second
+	defaultIdlePerHost  = 4
+	defaultProbeTimeout = 500 * time.Millisecond
+	defaultLoadPath     = "/load"
 )
 
-// Config configures a Gateway.
+// Service holds what a service's operators declare about its servers.
+type Service struct {
+	// NotRunStatus is the status by which a server says, together with
+	// NotRunHeader, that it did not run a request; 0 if it never says so.
+	NotRunStatus int
+	// NotRunHeader is the header that must be present with NotRunStatus.
+	NotRunHeader string
+}
+
+// Config configures a Gateway. Zero values of limits mean the default.
 type Config struct {
-	// Name identifies this gateway in attempt ids.
+	// Name identifies this gateway in attempt ids and in Via.
 	Name string
 	// Zone is this gateway's availability zone.
 	Zone string
-	// Deadline bounds a call whose rule states none.
+	// Deadline bounds the time to the response header where a rule states none.
 	Deadline time.Duration
+	// Progress bounds how long a body, in either direction, may stand still.
+	Progress time.Duration
+	// BodyBytes bounds a caller's body.
+	BodyBytes int64
+	// ReplayBytes bounds the body that is kept so that it can be sent again.
+	ReplayBytes int64
+	// MaxWaiting bounds the calls of one service that wait for a server.
+	MaxWaiting int
+	// MaxAttempts bounds the attempts of one call.
+	MaxAttempts int
+	// RetryShare is the number of retries that one call earns; below 0 for none.
+	RetryShare float64
+	// HedgeShare is the number of hedges that one call earns; below 0 for none.
+	HedgeShare float64
+	// HedgeQuantile is the quantile of latencies after which a hedge is sent.
+	HedgeQuantile float64
+	// MinHedge is the shortest time after which a hedge is sent.
+	MinHedge time.Duration
+	// DialTimeout bounds the opening of a connection to a server.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection to a server is kept.
+	IdleTimeout time.Duration
+	// Services holds the declarations by service.
+	Services map[string]Service
+	// NewChooser returns the chooser of a service; nil means package bench.
+	NewChooser func(service string) mustardsaddle.Chooser
+	// OnReport, if set, is told each load report. It must not block.
+	OnReport func(now time.Time, service, server string, rep mustardsaddle.Report)
+	// Claims, if set, keeps the claims of rules with Repeat=Claim; otherwise
+	// such requests are refused.
+	Claims Claims
+	// Metrics takes counters and histograms; nil means none.
+	Metrics tally.Scope
 	// Logger takes the log events.
 	Logger zerolog.Logger
 	// Seed seeds the random choices.
 	Seed uint64
 }
 
+// withDefaults fills in the zero values.
+func (cfg Config) withDefaults() Config {
+	setDefault(&cfg.Deadline, defaultDeadline)
+	setDefault(&cfg.Progress, defaultProgress)
+	setDefault(&cfg.BodyBytes, defaultBodyBytes)
+	setDefault(&cfg.ReplayBytes, defaultReplayBytes)
+	setDefault(&cfg.MaxWaiting, defaultMaxWaiting)
+	setDefault(&cfg.MaxAttempts, defaultMaxAttempts)
+	setDefault(&cfg.RetryShare, defaultRetryShare)
+	setDefault(&cfg.HedgeShare, defaultHedgeShare)
+	setDefault(&cfg.HedgeQuantile, defaultQuantile)
+	setDefault(&cfg.MinHedge, defaultMinHedge)
+	setDefault(&cfg.DialTimeout, defaultDialTimeout)
+	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
+	if cfg.NewChooser == nil {
+		cfg.NewChooser = func(string) mustardsaddle.Chooser { return bench.New(bench.Config{}) }
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	return cfg
+}
+
+// setDefault replaces a zero value.
+func setDefault[T comparable](p *T, value T) {
+	var zero T
+	if *p == zero {
+		*p = value
+	}
+}
+
 // Gateway is the handler of callers' requests. It is safe for concurrent use.
 type Gateway struct {
 	cfg      Config
 	rules    atomic.Pointer[rule.Table]
-	client   *http.Transport
-	attempts atomic.Int64
+	reuse    *http.Transport
+	fresh    *http.Transport
+	prefix   string
+	attempts atomic.Uint64
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	gateways atomic.Int64
+	buffers  sync.Pool
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	benches map[string]*bench.Bench
+	mu    sync.RWMutex
+	lanes map[string]*lane
 }
 
+var _ http.Handler = (*Gateway)(nil)
+
 // New returns a Gateway without rules.
 func New(cfg Config) *Gateway {
-	return &Gateway{
-		cfg: cfg,
-		client: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
-			DisableCompression: true,
-		},
-		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
-		benches: make(map[string]*bench.Bench),
+	cfg = cfg.withDefaults()
+	g := &Gateway{
+		cfg:    cfg,
+		reuse:  newTransport(cfg, true),
+		fresh:  newTransport(cfg, false),
+		prefix: cfg.Name + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
+		lanes:  make(map[string]*lane),
 	}
+	g.buffers.New = func() any { return new([copyBufferBytes]byte) }
+	return g
 }
 
 // SetRules puts a rules table in force.
@@ -90,106 +199,70 @@
 // SetServers replaces the known servers of a service.
 func (g *Gateway) SetServers(now time.Time, service string, servers []mustardsaddle.Server) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	b := g.benches[service]
-	if b == nil {
-		b = bench.New(bench.Config{})
-		g.benches[service] = b
+	l := g.lanes[service]
+	if l == nil {
+		l = newLane(g, service)
+		g.lanes[service] = l
 	}
-	b.SetServers(now, servers)
+	g.mu.Unlock()
+	l.setServers(now, servers)
 }
 
-// ServeHTTP answers one caller's request.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	table := g.rules.Load()
-	if table == nil {
-		g.refuse(w, r, http.StatusServiceUnavailable, mustardsaddle.NotRun, code.CallNotReady)
-		return
-	}
-	found, ok := table.Match(r)
-	if !ok {
-		g.refuse(w, r, http.StatusNotFound, mustardsaddle.NotRun, code.CallNoRule)
-		return
-	}
-	deadline := found.Deadline
-	if deadline == 0 {
-		deadline = g.cfg.Deadline
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), deadline)
-	defer cancel()
-	g.forward(ctx, w, r, found)
+// SetGateways tells how many gateways are live or leaving; they share the
+// connections of each server.
+func (g *Gateway) SetGateways(n int) {
+	g.gateways.Store(int64(n))
 }
 
-func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, found rule.Rule) {
-	choice, ok := g.choose(found.Service)
-	if !ok {
-		g.refuse(w, r, http.StatusServiceUnavailable, mustardsaddle.NotRun, code.CallNoServer)
-		return
-	}
-	id := fmt.Sprintf("%s-%d", g.cfg.Name, g.attempts.Add(1))
-	event.Info(g.cfg.Logger, event.RouteChosen).Str("Attempt", id).Str("Service", found.Service).
-		Str("Server", choice.Server.Name).Str("Reason", choice.Reason).Send()
-	out := r.Clone(ctx)
-	out.URL.Scheme = "http"
-	out.URL.Host = choice.Server.Address
-	out.RequestURI = ""
-	out.Header.Set(AttemptHeader, id)
-	start := time.Now()
-	resp, err := g.client.RoundTrip(out)
-	result := mustardsaddle.Result{Server: choice.Server.Name, Latency: time.Since(start)}
-	if err != nil {
-		result.Failed = true
-		g.finish(found.Service, result)
-		g.refuse(w, r, http.StatusBadGateway, mustardsaddle.Unknown, code.CallBroken)
-		return
-	}
-	defer func() { _ = resp.Body.Close() }()
-	result.Outcome = mustardsaddle.Ran
-	g.observe(found.Service, choice.Server.Name, resp.Header)
-	defer g.finish(found.Service, result)
-	for name, values := range resp.Header {
-		w.Header()[name] = values
-	}
-	w.Header().Set(OutcomeHeader, mustardsaddle.Ran.String())
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
+// Observe passes on a load report that came another way than with an answer.
+func (g *Gateway) Observe(now time.Time, service, server string, rep mustardsaddle.Report) {
+	if l := g.lane(service); l != nil {
+		l.observe(now, server, rep)
 	}
 }
 
-func (g *Gateway) choose(service string) (mustardsaddle.Choice, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b := g.benches[service]
-	if b == nil {
-		return mustardsaddle.Choice{}, false
-	}
-	return b.Choose(time.Now(), g.rng, mustardsaddle.Need{Zone: g.cfg.Zone})
+// InFlight returns how many calls are being served.
+func (g *Gateway) InFlight() int {
+	return int(g.inFlight.Load())
 }
 
-func (g *Gateway) finish(service string, result mustardsaddle.Result) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.benches[service].Finish(time.Now(), result)
+// SetStopping ends each caller's connection after its present call. Calls in
+// flight and new ones are served as before.
+func (g *Gateway) SetStopping() {
+	g.stopping.Store(true)
 }
 
-func (g *Gateway) observe(service, name string, h http.Header) {
-	rep, err := report.Parse(time.Now(), h.Get(report.Header))
-	if err != nil {
+// Close closes the idle connections to servers.
+func (g *Gateway) Close() {
+	g.reuse.CloseIdleConnections()
+	g.fresh.CloseIdleConnections()
+}
+
+// ServeHTTP answers one caller's request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	now := time.Now()
+	m, no := g.match(r)
+	if no != nil {
+		g.refuse(w, r, "", no)
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.benches[service].Observe(time.Now(), name, rep)
-}
-
-// refuse answers at once with what is known and when to come back.
-func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, status int, outcome mustardsaddle.Outcome, c code.Code) {
-	event.Warn(g.cfg.Logger, event.CallRefused).Str("Method", r.Method).Str("Path", r.URL.Path).
-		Int("Code", int(c)).Str("Outcome", outcome.String()).Send()
-	w.Header().Set(OutcomeHeader, outcome.String())
-	w.Header().Set(CodeHeader, strconv.Itoa(int(c)))
-	w.Header().Set("Retry-After", "1")
-	w.WriteHeader(status)
-	_, _ = fmt.Fprintf(w, "Code=%d Outcome=%s\n", int(c), outcome)
+	c := newCall(g, now, w, r, m)
+	defer c.close()
+	c.serve()
+}
+
+func (g *Gateway) lane(service string) *lane {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.lanes[service]
+}
+
+// nextAttempt returns a new attempt id, unique over gateways and restarts.
+func (g *Gateway) nextAttempt() string {
+	return g.prefix + strconv.FormatUint(g.attempts.Add(1), 36)
 }
--- /dev/null
+++ b/internal/request/gateway/lane.go
@@ -0,0 +1,283 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/request/booking"
+	"mustardsaddle.example/mustardsaddle/internal/request/slot"
+)
+
+const (
+	// extraBurst is the number of retries, and of hedges, that can be saved up.
+	extraBurst = 10
+	// pollInterval is how often the first waiting call asks again, since a
+	// chooser may admit a server by the passing of time alone.
+	pollInterval = 20 * time.Millisecond
+	// unmeasuredHedge is the hedge delay while too few latencies are known.
+	unmeasuredHedge = 100 * time.Millisecond
+)
+
+// lane is the state that the calls of one service share: the chooser, the queue
+// and the budgets. One mutex guards it all.
+type lane struct {
+	g       *Gateway
+	service string
+	metrics *laneMetrics
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	chooser mustardsaddle.Chooser
+	budgets booking.Budgets
+	latency booking.Latency
+	limits  *slot.Limits
+	queue   *slot.Queue
+	waiting map[uint64]chan mustardsaddle.Choice
+	lastID  uint64
+	usable  int
+}
+
+// placement is the result of the admit filter: a chosen server, counted in.
+type placement struct {
+	kind   booking.Kind
+	choice mustardsaddle.Choice
+	queued time.Duration
+}
+
+func newLane(g *Gateway, service string) *lane {
+	cfg := g.cfg
+	return &lane{
+		g:       g,
+		service: service,
+		metrics: newLaneMetrics(cfg.Metrics, service),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(len(service)))),
+		chooser: cfg.NewChooser(service),
+		budgets: booking.Budgets{
+			Retry: newBudget(cfg.RetryShare),
+			Hedge: newBudget(cfg.HedgeShare),
+		},
+		latency: booking.Latency{Quantile: cfg.HedgeQuantile},
+		limits:  slot.NewLimits(),
+		queue:   slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting}),
+		waiting: make(map[uint64]chan mustardsaddle.Choice),
+	}
+}
+
+// newBudget returns a budget of a share of calls; a share below 0 grants none.
+func newBudget(share float64) booking.Budget {
+	if share < 0 {
+		return booking.Budget{}
+	}
+	return booking.NewBudget(share, extraBurst)
+}
+
+func (l *lane) setServers(now time.Time, servers []mustardsaddle.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chooser.SetServers(now, servers)
+	l.usable = 0
+	for _, s := range servers {
+		if !s.Leaving {
+			l.usable++
+		}
+	}
+	l.serveWaiting(now)
+}
+
+// place begins an attempt of the call and chooses its server. Only a first attempt
+// waits for one; later attempts take another server now, or none.
+func (l *lane) place(ctx context.Context, now time.Time, c *call) (placement, *refusal) {
+	l.mu.Lock()
+	kind, tried, ok := c.begin(now, &l.budgets)
+	if !ok {
+		l.mu.Unlock()
+		return placement{}, &refusal{code: code.OK}
+	}
+	if kind != booking.First || l.queue.Len() == 0 {
+		choice, ok := l.choose(now, tried)
+		if ok {
+			l.mu.Unlock()
+			return placement{kind: kind, choice: choice}, nil
+		}
+	}
+	if kind != booking.First || l.usable == 0 {
+		defer l.mu.Unlock()
+		return placement{}, &refusal{code: code.CallNoServer, outcome: mustardsaddle.NotRun, retryAfter: l.queue.RetryAfter()}
+	}
+	l.lastID++
+	id := l.lastID
+	verdict := l.queue.Join(now, id, c.deadline)
+	if !verdict.Waits {
+		l.mu.Unlock()
+		return placement{}, &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: verdict.RetryAfter}
+	}
+	given := make(chan mustardsaddle.Choice, 1)
+	l.waiting[id] = given
+	l.mu.Unlock()
+	return l.wait(ctx, now, id, verdict.Until, given)
+}
+
+// wait returns when a server is given to the waiting call, or when its useful time
+// is over or its caller has gone.
+func (l *lane) wait(ctx context.Context, since time.Time, id uint64, until time.Time, given chan mustardsaddle.Choice) (placement, *refusal) {
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	over := time.NewTimer(time.Until(until))
+	defer over.Stop()
+	for {
+		select {
+		case choice := <-given:
+			return placement{choice: choice, queued: time.Since(since)}, nil
+		case <-poll.C:
+			l.poll(id)
+			continue
+		case <-over.C:
+		case <-ctx.Done():
+		}
+		no, left := l.leave(id)
+		if left {
+			return placement{}, no
+		}
+		return placement{choice: <-given, queued: time.Since(since)}, nil
+	}
+}
+
+// poll asks the chooser again on behalf of the first waiting call.
+func (l *lane) poll(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if first, ok := l.queue.First(); ok && first == id {
+		l.serveWaiting(time.Now())
+	}
+}
+
+// leave gives up waiting. It returns false if a server was given meanwhile.
+func (l *lane) leave(id uint64) (*refusal, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.queue.Leave(id) {
+		return nil, false
+	}
+	delete(l.waiting, id)
+	return &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: l.queue.RetryAfter()}, true
+}
+
+// choose picks a server below its cap of connections, and counts the attempt in.
+func (l *lane) choose(now time.Time, tried []string) (mustardsaddle.Choice, bool) {
+	need := mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone}
+	for {
+		choice, ok := l.chooser.Choose(now, l.rng, need)
+		if !ok || l.limits.Admit(choice.Server.Name, l.limit(choice.Server)) {
+			return choice, ok
+		}
+		l.chooser.Finish(now, mustardsaddle.Result{Server: choice.Server.Name, Outcome: mustardsaddle.NotRun, Canceled: true})
+		need.Exclude = append(slices.Clip(need.Exclude), choice.Server.Name)
+	}
+}
+
+// limit returns how many attempts this gateway may have open at a server: its
+// share of the connections, less those that may be idle.
+func (l *lane) limit(s mustardsaddle.Server) int {
+	if s.Connections == 0 {
+		return l.g.cfg.MaxWaiting
+	}
+	return max(slot.Connections(s.Connections, int(l.g.gateways.Load()))-defaultIdlePerHost, 1)
+}
+
+// serveWaiting gives servers to waiting calls, in order, while there are any.
+func (l *lane) serveWaiting(now time.Time) {
+	for {
+		id, ok := l.queue.First()
+		if !ok {
+			return
+		}
+		choice, ok := l.choose(now, nil)
+		if !ok {
+			return
+		}
+		l.queue.Leave(id)
+		l.waiting[id] <- choice
+		delete(l.waiting, id)
+	}
+}
+
+// answered takes the time that a server needed to its response header.
+func (l *lane) answered(latency time.Duration) {
+	l.metrics.header.RecordDuration(latency)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latency.Add(latency)
+}
+
+// finish tells how an attempt ended, and passes its place on.
+func (l *lane) finish(now time.Time, result mustardsaddle.Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chooser.Finish(now, result)
+	l.limits.Release(result.Server)
+	latency := result.Latency
+	if result.Outcome != mustardsaddle.Ran {
+		latency = 0
+	}
+	l.queue.Released(now, latency)
+	l.serveWaiting(now)
+}
+
+// observe takes a load report, which may make a server usable again.
+func (l *lane) observe(now time.Time, server string, rep mustardsaddle.Report) {
+	l.mu.Lock()
+	l.chooser.Observe(now, server, rep)
+	l.serveWaiting(now)
+	l.mu.Unlock()
+	if l.g.cfg.OnReport != nil {
+		l.g.cfg.OnReport(now, l.service, server, rep)
+	}
+}
+
+// hedgeDelay returns how long an attempt may be without an answer before it gets
+// a hedge, or false if a hedge would have no other server.
+func (l *lane) hedgeDelay() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delay, known := l.latency.Value()
+	if !known {
+		delay = unmeasuredHedge
+	}
+	return max(delay, l.g.cfg.MinHedge), l.usable > 1 && l.g.cfg.HedgeShare > 0
+}
+
+// retryAfter returns when a refused caller should come back.
+func (l *lane) retryAfter() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.RetryAfter()
+}
+
+// takeRetry pays for an extra request that is not an attempt of a call.
+func (l *lane) takeRetry() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budgets.Retry.Take()
+}
+
+// probe picks the server whose load is most worth asking for.
+func (l *lane) probe(now time.Time) (mustardsaddle.Server, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chooser.Probe(now, l.rng)
+}
+
+// takeOther picks a server other than the named one, or else that one.
+func (l *lane) takeOther(now time.Time, server string) (mustardsaddle.Choice, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if choice, ok := l.choose(now, []string{server}); ok {
+		return choice, true
+	}
+	return l.choose(now, nil)
+}
--- /dev/null
+++ b/internal/request/gateway/server.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"log"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Defaults of a ServerConfig.
+const (
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultCallerIdle    = 60 * time.Second
+	maxStreams           = 250
+)
+
+// ServerConfig configures the HTTP server towards callers. Zero values mean the
+// default.
+type ServerConfig struct {
+	// Handler answers the requests.
+	Handler http.Handler
+	// HeaderBytes bounds a request header.
+	HeaderBytes int
+	// HeaderTimeout bounds the reading of a request header.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept.
+	IdleTimeout time.Duration
+	// Logger takes what net/http reports.
+	Logger zerolog.Logger
+}
+
+// NewServer returns a server for HTTP/1.1 and unencrypted HTTP/2. It has no bound
+// on the whole time of a request: bodies are bounded by their progress.
+func NewServer(cfg ServerConfig) *http.Server {
+	setDefault(&cfg.HeaderBytes, defaultHeaderBytes)
+	setDefault(&cfg.HeaderTimeout, defaultHeaderTimeout)
+	setDefault(&cfg.IdleTimeout, defaultCallerIdle)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           cfg.Handler,
+		MaxHeaderBytes:    cfg.HeaderBytes,
+		ReadHeaderTimeout: cfg.HeaderTimeout,
+		IdleTimeout:       cfg.IdleTimeout,
+		Protocols:         protocols,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ErrorLog:          log.New(cfg.Logger, "", 0),
+	}
+}
