Share the command line between the two programs

Cause: the stand-ins parsed arguments on their own, took any leftover word and could not be tested without a process. Ruled out: a second copy of the parsing and of the exit statuses. Change: command.Parser turns the end of a command into a status for both programs; internal/standin/command runs platform and server, and prints the address that it opened. Before: no tests of the stand-ins' command line. Conclusion: bad input of either program ends with a text and status 1 or 2.

--- a/internal/product/command/check.go
+++ b/internal/product/command/check.go
@@ -27,11 +27,11 @@
 
 // Execute lists the mistakes of the files.
 func (c *check) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := NoArguments(args); err != nil {
 		return err
 	}
 	if c.Settings == "" && c.Rules == "" {
-		return failf(Usage, "check wants --settings FILE, --rules FILE or both")
+		return Failf(Usage, "check wants --settings FILE, --rules FILE or both")
 	}
 	n := 0
 	if c.Settings != "" {
@@ -46,7 +46,7 @@
 		n += printRules(c.cfg.Out, c.Rules, problems)
 	}
 	if n > 0 {
-		return failf(Mistakes, "%d found", n)
+		return Failf(Mistakes, "%d found", n)
 	}
 	return nil
 }
@@ -80,12 +80,12 @@
 func readRules(path string) (string, []rule.Problem, error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return "", nil, failf(Failed, "can't read rules: %v", err)
+		return "", nil, Failf(Failed, "can't read rules: %v", err)
 	}
 	defer func() { _ = f.Close() }()
 	text, err := io.ReadAll(io.LimitReader(f, store.MaxValueBytes+1))
 	if err != nil {
-		return "", nil, failf(Failed, "can't read rules: %v", err)
+		return "", nil, Failf(Failed, "can't read rules: %v", err)
 	}
 	_, problems := rule.Parse(string(text))
 	return string(text), problems, nil
--- a/internal/product/command/command.go
+++ b/internal/product/command/command.go
@@ -10,11 +10,9 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
@@ -64,29 +62,9 @@
 	Serve func(ctx context.Context, s settings.Settings, logger zerolog.Logger) error
 }
 
-// statusError is an error that ends the process with its own status.
-type statusError struct {
-	status Status
-	error
-}
-
-func failf(status Status, format string, args ...any) error {
-	return statusError{status: status, error: errors.Errorf(format, args...)}
-}
-
 // Run runs the command that the arguments name.
 func Run(ctx context.Context, cfg Config, args []string) Status {
-	parser := flags.NewNamedParser("mustardsaddle", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = about
-	if err := addCommands(ctx, cfg, parser); err != nil {
-		_, _ = fmt.Fprintln(cfg.Err, err)
-		return Failed
-	}
-	_, err := parser.ParseArgs(args)
-	return report(cfg, err)
-}
-
-func addCommands(ctx context.Context, cfg Config, parser *flags.Parser) error {
+	parser := NewParser("mustardsaddle", about)
 	commands := []struct {
 		name, short, long string
 		command           flags.Commander
@@ -98,38 +76,7 @@
 		{"version", "Print the version", versionAbout, &version{cfg: cfg}},
 	}
 	for _, c := range commands {
-		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
-			return errors.Annotatef(err, "add command %s", c.name)
-		}
-	}
-	return nil
-}
-
-// report prints how a command ended, and returns the status.
-func report(cfg Config, err error) Status {
-	if err == nil {
-		return Done
-	}
-	if help, ok := err.(*flags.Error); ok { //nolint:errorlint // go-flags returns it bare
-		if help.Type == flags.ErrHelp {
-			_, _ = fmt.Fprintln(cfg.Out, help.Message)
-			return Done
-		}
-		_, _ = fmt.Fprintf(cfg.Err, "mustardsaddle: %s; try mustardsaddle --help\n", help.Message)
-		return Usage
-	}
-	_, _ = fmt.Fprintf(cfg.Err, "mustardsaddle: %v\n", err)
-	var s statusError
-	if errors.As(err, &s) {
-		return s.status
-	}
-	return Failed
-}
-
-// noArguments refuses arguments that a command has no use for.
-func noArguments(args []string) error {
-	if len(args) > 0 {
-		return failf(Usage, "got argument %q, want none; try mustardsaddle --help", args[0])
+		parser.Add(c.name, c.short, c.long, c.command)
 	}
-	return nil
+	return parser.Run(cfg.Out, cfg.Err, args)
 }
--- a/internal/product/command/explain.go
+++ b/internal/product/command/explain.go
@@ -34,7 +34,7 @@
 
 // Execute prints the rule that matches the request.
 func (c *explain) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := NoArguments(args); err != nil {
 		return err
 	}
 	r, err := newRequest(c.Args.Method, c.Args.URL)
@@ -47,7 +47,7 @@
 	}
 	if len(problems) > 0 {
 		n := printRules(c.cfg.Err, c.Rules, problems)
-		return failf(Mistakes, "%d in %s", n, c.Rules)
+		return Failf(Mistakes, "%d in %s", n, c.Rules)
 	}
 	file, _ := rule.Parse(text)
 	found, ok := rule.Compile(file).Match(r)
@@ -61,16 +61,16 @@
 // newRequest returns the request that a caller would send.
 func newRequest(method, address string) (*http.Request, error) {
 	if !httpguts.ValidHeaderFieldName(method) || strings.ToUpper(method) != method {
-		return nil, failf(Usage, "got method %q, want one such as GET or POST", method)
+		return nil, Failf(Usage, "got method %q, want one such as GET or POST", method)
 	}
 	u, err := url.Parse(address)
 	if err != nil {
-		return nil, failf(Usage, "got URL %q, want a path or an http URL: %v", address, err)
+		return nil, Failf(Usage, "got URL %q, want a path or an http URL: %v", address, err)
 	}
 	path := u.Scheme == "" && u.Host == ""
 	absolute := (u.Scheme == "http" || u.Scheme == "https") && u.Hostname() != ""
 	if !path && !absolute || !strings.HasPrefix(u.Path, "/") {
-		return nil, failf(Usage, "got URL %q, want a path such as /rosters or a URL such as http://sheds.example/rosters", address)
+		return nil, Failf(Usage, "got URL %q, want a path such as /rosters or a URL such as http://sheds.example/rosters", address)
 	}
 	return &http.Request{Method: method, URL: u, Host: u.Host, Header: http.Header{}}, nil
 }
@@ -156,7 +156,7 @@
 			c.print("with method %s it would match %v\n", method, line)
 		}
 	}
-	return failf(NoMatch, "no rule matches %s %s", r.Method, r.URL)
+	return Failf(NoMatch, "no rule matches %s %s", r.Method, r.URL)
 }
 
 func (c *explain) print(format string, args ...any) {
--- a/internal/product/command/serve.go
+++ b/internal/product/command/serve.go
@@ -30,13 +30,13 @@
 
 // Execute runs a gateway until the context ends.
 func (c *serve) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := NoArguments(args); err != nil {
 		return err
 	}
 	s, problems := settings.Load(c.Settings)
 	if len(problems) > 0 {
 		n := printSettings(c.cfg.Err, c.Settings, problems)
-		return failf(Mistakes, "%d in %s", n, c.Settings)
+		return Failf(Mistakes, "%d in %s", n, c.Settings)
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(c.ctx))
 	log := event.NewWriter(ctx, event.WriterConfig{Out: c.cfg.Err, Gateway: s.Gateway.Name})
--- a/internal/product/command/version.go
+++ b/internal/product/command/version.go
@@ -22,7 +22,7 @@
 
 // Execute prints the annotated settings file.
 func (c *example) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := NoArguments(args); err != nil {
 		return err
 	}
 	_, err := fmt.Fprint(c.cfg.Out, settings.Example())
@@ -35,7 +35,7 @@
 
 // Execute prints what the build recorded about itself.
 func (c *version) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := NoArguments(args); err != nil {
 		return err
 	}
 	number, commit, goVersion := "unknown", "unknown", "unknown"
--- /dev/null
+++ b/internal/standin/command/command_test.go
@@ -0,0 +1,67 @@
+package command_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	product "mustardsaddle.example/mustardsaddle/internal/product/command"
+	"mustardsaddle.example/mustardsaddle/internal/standin/command"
+)
+
+func TestMistakes(t *testing.T) {
+	cases := []struct {
+		line   string
+		status product.Status
+		want   string
+	}{
+		{"--help", product.Done, "standin platform --listen"},
+		{"server --help", product.Done, "/count"},
+		{"", product.Usage, "platform"},
+		{"cloud", product.Usage, "cloud"},
+		{"platform --colour", product.Usage, "colour"},
+		{"platform now", product.Usage, `got argument "now"`},
+		{"platform --lag soon", product.Usage, "soon"},
+		{"platform --lag=-1s", product.Usage, "--lag -1s"},
+		{"platform --listen nowhere", product.Failed, "open address nowhere"},
+		{"server --slots 0", product.Usage, "--slots 0"},
+		{"server --slots two", product.Usage, "two"},
+	}
+	for _, c := range cases {
+		t.Run(c.line, func(t *testing.T) {
+			var out bytes.Buffer
+			status := command.Run(context.Background(), command.Config{Out: &out, Err: &out}, strings.Fields(c.line))
+			if status != c.status || !strings.Contains(out.String(), c.want) {
+				t.Errorf("got status %v and output %q, want %v and %q", status, out.String(), c.status, c.want)
+			}
+		})
+	}
+}
+
+func TestServe(t *testing.T) {
+	for _, line := range []string{"platform --listen 127.0.0.1:0", "server --listen 127.0.0.1:0 --name booking-01"} {
+		convey.Convey("Given "+line, t, func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			r, w := io.Pipe()
+			ended := make(chan product.Status, 1)
+			go func() { ended <- command.Run(ctx, command.Config{Out: w, Err: w}, strings.Fields(line)) }()
+			first, err := bufio.NewReader(r).ReadString('\n')
+			convey.So(err, convey.ShouldBeNil)
+			_, address, _ := strings.Cut(strings.TrimSpace(first), " listens on ")
+			convey.Convey("It answers, and ends with its context", func() {
+				resp, err := http.Get("http://" + address + "/machines")
+				convey.So(err, convey.ShouldBeNil)
+				_ = resp.Body.Close()
+				convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusOK)
+				cancel()
+				convey.So(<-ended, convey.ShouldEqual, product.Done)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/command/serve.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"time"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/command"
+	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
+	"mustardsaddle.example/mustardsaddle/internal/standin/server"
+)
+
+const (
+	platformAbout = `Runs an object store with versions, conditional updates and watches, and a list
+of VMs that lags. All is in memory.
+
+  GET, PUT /objects/KEY           an object; ETag holds its version
+  GET      /objects/KEY?version=N an old version
+  GET      /objects/KEY?after=N&wait=20s  a watch
+  GET      /objects?prefix=P      the keys
+  GET      /machines              the list of VMs
+  PUT, DELETE /machines/NAME      a VM, as JSON
+  PUT      /faults                {"Down": true}, {"Delay": 1000000000},
+                                  {"LoseAnswers": true}, {"HoldWatches": true}`
+	serverAbout = `Runs an endpoint server with a few slots. It reports its load on each answer.
+
+  any path   work; ?Size=N answers with N bytes
+  /load      the load report alone
+  /mode      PUT {"Draining": true}, {"Factor": 10}, {"FailFast": true}
+  /count     executions by attempt, as JSON`
+)
+
+type platformCommand struct {
+	Listen string        `long:"listen" value-name:"ADDRESS" description:"address to listen on" default:"127.0.0.1:7000"`
+	Lag    time.Duration `long:"lag" value-name:"TIME" description:"how late the list of VMs shows a change" default:"1s"`
+
+	env env
+}
+
+// Execute runs the platform stand-in.
+func (c *platformCommand) Execute(args []string) error {
+	if err := command.NoArguments(args); err != nil {
+		return err
+	}
+	if c.Lag < 0 {
+		return command.Failf(command.Usage, "got --lag %v, want 0 or more", c.Lag)
+	}
+	return c.env.serve("platform", c.Listen, platform.New(platform.Config{Lag: c.Lag}).Handler())
+}
+
+type serverCommand struct {
+	Listen string        `long:"listen" value-name:"ADDRESS" description:"address to listen on" default:"127.0.0.1:7101"`
+	Name   string        `long:"name" value-name:"NAME" description:"name of the server" default:"server-01"`
+	Slots  int           `long:"slots" value-name:"N" description:"requests that run at a time" default:"2"`
+	Queue  int           `long:"queue" value-name:"N" description:"requests that wait; more are shed" default:"2"`
+	Work   time.Duration `long:"work" value-name:"TIME" description:"mean working time of a request" default:"10ms"`
+	Cold   time.Duration `long:"cold" value-name:"TIME" description:"how long the server is slow after its start"`
+	Seed   uint64        `long:"seed" value-name:"N" description:"seed of the working times" default:"1"`
+
+	env env
+}
+
+// Execute runs the server stand-in.
+func (c *serverCommand) Execute(args []string) error {
+	if err := command.NoArguments(args); err != nil {
+		return err
+	}
+	if c.Slots < 1 || c.Queue < 0 || c.Work < 0 || c.Cold < 0 {
+		return command.Failf(command.Usage, "got --slots %d --queue %d --work %v --cold %v, want at least 1 slot and nothing below 0",
+			c.Slots, c.Queue, c.Work, c.Cold)
+	}
+	s := server.New(server.Config{
+		Name: c.Name, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Cold: c.Cold, Seed: c.Seed,
+	})
+	return c.env.serve(c.Name, c.Listen, s.Handler())
+}
