Keep the roster behind one owner that tells of each change

Cause: list, marks, links and reports all change the roster, from several goroutines. Change: membership applies each input under one lock and tells what is new; reports of servers that stay take no lock.

--- /dev/null
+++ b/internal/product/instance/membership.go
@@ -0,0 +1,93 @@
+package instance
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+)
+
+// membership owns the roster. Every input passes through change, so that the
+// rest of the instance learns of each new roster exactly once and in order.
+type membership struct {
+	// changed is told each new roster with the marks that are new in it. It runs
+	// under the lock, and must not block.
+	changed func(now time.Time, next roster.Roster, fresh []mustardsaddle.Mark)
+
+	mu     sync.Mutex
+	roster roster.Roster
+
+	// leaving holds the names of the servers that are known to leave. It lets the
+	// reports of all other servers pass without taking the lock.
+	leaving atomic.Pointer[map[string]bool]
+}
+
+func newMembership(changed func(time.Time, roster.Roster, []mustardsaddle.Mark)) *membership {
+	m := &membership{changed: changed, roster: roster.New(roster.Config{})}
+	m.leaving.Store(&map[string]bool{})
+	return m
+}
+
+// Roster returns the present roster.
+func (m *membership) Roster() roster.Roster {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster
+}
+
+// change replaces the roster by what next makes of it.
+func (m *membership) change(now time.Time, next func(roster.Roster) roster.Roster) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.roster
+	m.roster = next(old)
+	leaving := make(map[string]bool)
+	for _, service := range m.roster.Services() {
+		for _, s := range m.roster.Servers(service) {
+			if s.Leaving {
+				leaving[s.Name] = true
+			}
+		}
+	}
+	m.leaving.Store(&leaving)
+	m.changed(now, m.roster, m.roster.MarksSince(old))
+}
+
+// observe takes a first-hand load report. In the common case, a server that
+// stays and says so, it takes no lock.
+func (m *membership) observe(now time.Time, server string, rep mustardsaddle.Report) {
+	if !rep.Draining && !(*m.leaving.Load())[server] {
+		return
+	}
+	m.change(now, func(r roster.Roster) roster.Roster {
+		next, _, _ := r.Observe(now, server, rep)
+		return next
+	})
+}
+
+// machines takes the platform's list, as read at now.
+func (m *membership) machines(now time.Time, list []mustardsaddle.Machine) {
+	m.change(now, func(r roster.Roster) roster.Roster { return r.WithMachines(now, list) })
+}
+
+// peerMachines takes a part of a peer's list.
+func (m *membership) peerMachines(now time.Time, list []mustardsaddle.Machine) {
+	m.change(now, func(r roster.Roster) roster.Roster { return r.WithPeerList(list) })
+}
+
+// marks takes marks from a peer or from this gateway.
+func (m *membership) marks(now time.Time, marks []mustardsaddle.Mark) {
+	m.change(now, func(r roster.Roster) roster.Roster { return r.WithMarks(now, marks) })
+}
+
+// vm takes the introduction of a gateway VM.
+func (m *membership) vm(now time.Time, vm mustardsaddle.VM) {
+	m.change(now, func(r roster.Roster) roster.Roster { return r.WithVM(vm) })
+}
+
+// silent notes that a gateway VM does not answer.
+func (m *membership) silent(now time.Time, name string) {
+	m.change(now, func(r roster.Roster) roster.Roster { return r.WithSilent(name) })
+}
