Compare with the gateways of the product; pace probes per server in the bench

Cause: the trial drove a thin gateway of its own, and the prober knows no rate per server. Change: the trial runs gateway.Gateway with its prober; the bench, which knows the live gateways, divides a server's probe rate among them. Ruled out: Budget.TakeServer, which held a second list of servers beside the bench and which the prober would have had to know. After: a rapid property finds no server probed above its rate for 1 to 20 gateways.

--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -66,7 +66,9 @@
 	ReportHalfLife time.Duration
 	// ReportUses is how many choices one report serves.
 	ReportUses int
-	// ProbeInterval is the least time between two probes of one server.
+	// ProbeInterval is the least time between two probes of one server by the
+	// whole fleet. Each gateway keeps as many times that time as there are live
+	// gateways, so that a growing fleet does not raise a server's probe rate.
 	ProbeInterval time.Duration
 	// Subset is about how many servers a gateway knows of a larger service.
 	Subset int
@@ -292,10 +294,11 @@
 func (b *Bench) Probe(now time.Time, rng *rand.Rand) (mustardsaddle.Server, bool) {
 	reads := b.cfg.Policy == HotCold || b.cfg.Policy == PreferredSpill
 	p := newPick(rng, "")
+	gap := b.cfg.ProbeInterval * time.Duration(b.fleet)
 	for _, s := range b.servers {
 		returning := s.report.Draining || (s.ejection.active && !now.Before(s.ejection.until))
 		waits := s.ejection.active && !returning
-		if s.Leaving || waits || now.Sub(s.probed) < b.cfg.ProbeInterval || (!reads && !returning) {
+		if s.Leaving || waits || now.Sub(s.probed) < gap || (!reads && !returning) {
 			continue
 		}
 		last := s.report.At
--- a/internal/choice/bench/bench_test.go
+++ b/internal/choice/bench/bench_test.go
@@ -166,6 +166,33 @@
 	})
 }
 
+func TestProbesOfAServerAreDividedAmongGateways(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := rapid.IntRange(1, 20).Draw(t, "gateways")
+		gateways := gatewaysOf(fleet)
+		interval := time.Duration(rapid.IntRange(1, 200).Draw(t, "interval")) * time.Millisecond
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		probes := make(map[string]int)
+		const seconds = 20
+		for _, g := range gateways {
+			b := bench.New(bench.Config{Policy: bench.HotCold, ProbeInterval: interval})
+			b.SetServers(start, serversOf(3))
+			b.SetFleet(start, g.Name, gateways)
+			for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(time.Duration(rng.IntN(50)) * time.Millisecond) {
+				if s, ok := b.Probe(now, rng); ok {
+					probes[s.Name]++
+				}
+			}
+		}
+		most := int(seconds*time.Second/interval) + fleet
+		for name, n := range probes {
+			if n > most {
+				t.Fatalf("probes of %s: got %d in %d s, want at most %d", name, n, seconds, most)
+			}
+		}
+	})
+}
+
 func TestHealth(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	tell := func(b *bench.Bench, now time.Time, failing string, latency time.Duration, n int) {
--- a/internal/choice/report/budget.go
+++ b/internal/choice/report/budget.go
@@ -20,9 +20,6 @@
 	MessagesPerSecond float64
 	// BytesPerSecond bounds the bytes of the probes of this gateway.
 	BytesPerSecond float64
-	// ServerMessagesPerSecond bounds the probes that one server gets from the
-	// whole fleet of gateways. Zero means no bound per server.
-	ServerMessagesPerSecond float64
 	// Burst is the time for which unspent tokens are kept. A bucket holds at
 	// least one message.
 	Burst time.Duration
@@ -44,15 +41,15 @@
 	AgreedMessagesPerSecond float64
 	// AgreedBytesPerSecond is the agreed rate of bytes.
 	AgreedBytesPerSecond float64
-	// Fleet is the number of live gateways that share each server.
-	Fleet int
 }
 
-// Budget bounds the cost of probing by token buckets: messages and bytes per
-// second of this gateway, and messages per second of each server. It depends on
-// time alone, never on the number of calls that arrive. In any window of length
-// w it allows at most rate × (w + Burst) messages, and at least one. It is safe
-// for concurrent use.
+// Budget bounds the cost of probing of this gateway by token buckets in messages
+// and in bytes per second. It depends on time alone, never on the number of
+// calls that arrive. In any window of length w it allows at most rate × (w +
+// Burst) messages, or one. It is safe for concurrent use.
+//
+// The rate at which one server is probed is bounded by package bench, which
+// knows the live gateways that share it.
 type Budget struct {
 	cfg BudgetConfig
 
@@ -60,14 +57,11 @@
 	latest   time.Time
 	messages *rate.Limiter
 	bytes    *rate.Limiter
-	fleet    int
-	next     map[string]time.Time
-	swept    time.Time
 	spent    Cost
 	refused  int64
 }
 
-// NewBudget returns a Budget with full buckets and a fleet of one gateway.
+// NewBudget returns a Budget with full buckets.
 func NewBudget(cfg BudgetConfig) *Budget {
 	if cfg.Burst <= 0 {
 		cfg.Burst = 250 * time.Millisecond
@@ -76,8 +70,6 @@
 		cfg:      cfg,
 		messages: newLimiter(cfg.MessagesPerSecond, cfg.Burst, minBurst),
 		bytes:    newLimiter(cfg.BytesPerSecond, cfg.Burst, ProbeBytes),
-		fleet:    1,
-		next:     make(map[string]time.Time),
 	}
 }
 
@@ -90,14 +82,6 @@
 	return rate.NewLimiter(rate.Limit(perSecond), depth)
 }
 
-// SetFleet sets the number of live gateways among which each server's probe
-// rate is divided, so that a growing fleet does not raise it.
-func (b *Budget) SetFleet(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.fleet = max(n, 1)
-}
-
 // Take pays for messages of the given total size, or returns false and pays
 // nothing.
 func (b *Budget) Take(now time.Time, messages, bytes int) bool {
@@ -106,27 +90,6 @@
 	return b.take(b.advance(now), messages, bytes)
 }
 
-// TakeServer pays for messages to one server, or returns false and pays
-// nothing. Each server has its own rate besides that of the gateway.
-func (b *Budget) TakeServer(now time.Time, server string, messages, bytes int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now = b.advance(now)
-	if now.Before(b.next[server]) {
-		b.refused++
-		return false
-	}
-	if !b.take(now, messages, bytes) {
-		return false
-	}
-	if b.cfg.ServerMessagesPerSecond > 0 {
-		b.sweep(now)
-		share := b.cfg.ServerMessagesPerSecond / float64(b.fleet)
-		b.next[server] = now.Add(time.Duration(float64(messages) / share * float64(time.Second)))
-	}
-	return true
-}
-
 // Stats returns what was spent and agreed so far.
 func (b *Budget) Stats() Stats {
 	b.mu.Lock()
@@ -136,7 +99,6 @@
 		Refused:                 b.refused,
 		AgreedMessagesPerSecond: b.cfg.MessagesPerSecond,
 		AgreedBytesPerSecond:    b.cfg.BytesPerSecond,
-		Fleet:                   b.fleet,
 	}
 }
 
@@ -164,17 +126,3 @@
 	b.spent.Bytes += int64(bytes)
 	return true
 }
-
-// sweep forgets servers whose time has come, once a minute, so that replaced
-// servers leave no state behind.
-func (b *Budget) sweep(now time.Time) {
-	if now.Sub(b.swept) < time.Minute {
-		return
-	}
-	b.swept = now
-	for name, next := range b.next {
-		if !now.Before(next) {
-			delete(b.next, name)
-		}
-	}
-}
--- a/internal/choice/report/report.go
+++ b/internal/choice/report/report.go
@@ -10,12 +10,9 @@
 //
 //	rep, err := report.Parse(now, resp.Header.Get(report.Header))
 //
-//	budget := report.NewBudget(report.BudgetConfig{
-//		MessagesPerSecond: 20, BytesPerSecond: 8192, ServerMessagesPerSecond: 20,
-//	})
-//	budget.SetFleet(15)
-//	if budget.TakeServer(now, server.Name, 1, report.ProbeBytes) {
-//		// send one probe to the server
+//	budget := report.NewBudget(report.BudgetConfig{MessagesPerSecond: 20, BytesPerSecond: 8192})
+//	if budget.Take(now, 1, report.ProbeBytes) {
+//		// send one probe
 //	}
 package report
 
--- a/internal/choice/report/report_test.go
+++ b/internal/choice/report/report_test.go
@@ -96,15 +96,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		perSecond := rapid.Float64Range(0.5, 100).Draw(t, "messages")
 		bytesPerSecond := rapid.Float64Range(100, 40000).Draw(t, "bytes")
-		server := rapid.Float64Range(0.5, 50).Draw(t, "server")
-		fleet := rapid.IntRange(1, 20).Draw(t, "fleet")
 		b := report.NewBudget(report.BudgetConfig{
 			MessagesPerSecond: perSecond, BytesPerSecond: bytesPerSecond,
-			ServerMessagesPerSecond: server, Burst: 100 * time.Millisecond,
+			Burst: 100 * time.Millisecond,
 		})
-		b.SetFleet(fleet)
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		var all, one []spending
+		var all []spending
 		now, latest := start, start
 		for range rapid.IntRange(1, 300).Draw(t, "arrivals") {
 			// Arrivals in bursts, after pauses, and with the clock set back.
@@ -113,11 +110,7 @@
 				latest = now
 			}
 			s := spending{at: latest, messages: 1 + rng.IntN(2), bytes: rng.IntN(900)}
-			toOne := rng.IntN(2) == 0
-			if toOne && b.TakeServer(now, "booking-01", s.messages, s.bytes) {
-				all, one = append(all, s), append(one, s)
-			}
-			if !toOne && b.Take(now, s.messages, s.bytes) {
+			if b.Take(now, s.messages, s.bytes) {
 				all = append(all, s)
 			}
 		}
@@ -125,7 +118,6 @@
 		bytes := func(s spending) int { return s.bytes }
 		checkWindows(t, "messages", all, messages, perSecond, max(1, perSecond/10))
 		checkWindows(t, "bytes", all, bytes, bytesPerSecond, max(report.ProbeBytes, bytesPerSecond/10))
-		checkWindows(t, "server", one, messages, server/float64(fleet), 2)
 		var sum report.Cost
 		for _, s := range all {
 			sum.Messages += int64(s.messages)
@@ -146,7 +138,7 @@
 			convey.So(b.Take(start.Add(time.Second), 1, 400), convey.ShouldBeTrue)
 			convey.So(b.Stats(), convey.ShouldResemble, report.Stats{
 				Spent: report.Cost{Messages: 2, Bytes: 800}, Refused: 1,
-				AgreedMessagesPerSecond: 10, AgreedBytesPerSecond: 400, Fleet: 1,
+				AgreedMessagesPerSecond: 10, AgreedBytesPerSecond: 400,
 			})
 		})
 	})
--- a/internal/standin/trial/candidate.go
+++ b/internal/standin/trial/candidate.go
@@ -14,6 +14,15 @@
 	central bool
 }
 
+// retryShare returns the retries that a call earns; candidates without the next
+// server have none.
+func (c candidate) retryShare() float64 {
+	if c.next {
+		return 0
+	}
+	return -1
+}
+
 // centralQueue names the best known placement.
 const centralQueue = "CentralQueue"
 
--- a/internal/standin/trial/system.go
+++ b/internal/standin/trial/system.go
@@ -10,6 +10,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 	"mustardsaddle.example/mustardsaddle/internal/standin/load"
 	"mustardsaddle.example/mustardsaddle/internal/standin/server"
 )
@@ -125,9 +126,8 @@
 
 // node is a gateway with its address.
 type node struct {
-	name  string
 	zone  int
-	front front
+	front *front
 	url   string
 	http  *http.Server
 	ended chan error
@@ -139,10 +139,13 @@
 	if err != nil {
 		return nil, err
 	}
-	f := newDriver(ctx, cfg)
+	f, err := newFront(ctx, cfg)
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
 	n := &node{
-		name: cfg.name, zone: zone, front: f, url: "http://" + l.Addr().String(),
-		http: &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout}, ended: make(chan error, 1),
+		zone: zone, front: f, url: "http://" + l.Addr().String(),
+		http: gateway.NewServer(gateway.ServerConfig{Handler: f.gateway}), ended: make(chan error, 1),
 	}
 	go func() { n.ended <- n.http.Serve(l) }()
 	return n, nil
@@ -183,14 +186,11 @@
 			sys.endpoints = append(sys.endpoints, e)
 		}
 	}
-	n := gateways
-	if j.candidate.central {
-		n = 1
-	}
-	for i := range n {
+	fleet := fleetOf(j.candidate)
+	for i, vm := range fleet {
 		node, err := newNode(ctx, frontConfig{
-			name: fmt.Sprintf("gateway-%02d", i), zone: zoneName(i % zones), candidate: j.candidate,
-			services: sys.services, seed: cfg.Seed<<8 + uint64(i),
+			name: vm.Name, zone: vm.Zone, candidate: j.candidate,
+			services: sys.services, fleet: fleet, seed: cfg.Seed<<8 + uint64(i),
 		}, i%zones)
 		if err != nil {
 			return nil, errors.Join(err, sys.close())
@@ -201,12 +201,21 @@
 	return sys, nil
 }
 
-// announce tells the gateways the servers and each other.
-func (sys *system) announce(now time.Time) {
-	var vms []mustardsaddle.VM
-	for _, n := range sys.nodes {
-		vms = append(vms, mustardsaddle.VM{Name: n.name, Zone: zoneName(n.zone)})
+// fleetOf returns the gateways of a candidate.
+func fleetOf(c candidate) []mustardsaddle.VM {
+	n := gateways
+	if c.central {
+		n = 1
+	}
+	fleet := make([]mustardsaddle.VM, n)
+	for i := range fleet {
+		fleet[i] = mustardsaddle.VM{Name: fmt.Sprintf("gateway-%02d", i), Incarnation: 1, Zone: zoneName(i % zones)}
 	}
+	return fleet
+}
+
+// announce tells the gateways the servers.
+func (sys *system) announce(now time.Time) {
 	for _, n := range sys.nodes {
 		for _, svc := range sys.services {
 			var servers []mustardsaddle.Server
@@ -215,9 +224,8 @@
 					servers = append(servers, e.entry(n.zone))
 				}
 			}
-			n.front.setServers(now, svc.name, servers)
+			n.front.gateway.SetServers(now, svc.name, servers)
 		}
-		n.front.setFleet(now, n.name, vms)
 	}
 }
 
@@ -314,7 +322,7 @@
 func (sys *system) figures(cfg CompareConfig, r load.Result, cpu time.Duration, seconds float64) Figures {
 	var cost report.Cost
 	for _, n := range sys.nodes {
-		c := n.front.cost()
+		c := n.front.budget.Stats().Spent
 		cost.Messages += c.Messages
 		cost.Bytes += c.Bytes
 	}
