--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -11,6 +11,7 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 )
@@ -69,6 +70,20 @@
 	}
 }
 
+// TestPolicies compares the accepted policies with those of package bench.
+func TestPolicies(t *testing.T) {
+	var names []string
+	for p := bench.Default; !strings.HasPrefix(p.String(), "Policy("); p++ {
+		names = append(names, p.String())
+	}
+	want := "one of " + strings.Join(names, ", ")
+	for _, info := range settings.List() {
+		if info.Key == "Policy" && info.Want != want {
+			t.Errorf("[Choice] Policy accepts %s, want %s as in package bench", info.Want, want)
+		}
+	}
+}
+
 func TestMistakes(t *testing.T) {
 	cases := []struct {
 		name, text string
--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -32,6 +33,13 @@
 		{"platform --listen nowhere", product.Failed, "open address nowhere"},
 		{"server --slots 0", product.Usage, "--slots 0"},
 		{"server --slots two", product.Usage, "two"},
+		{"load", product.Usage, "--target"},
+		{"load --target here", product.Usage, `--target "here"`},
+		{"load --target http://a --stream Booking", product.Usage, `--stream "Booking"`},
+		{"load --target http://a --stream A:GET:/a:none", product.Usage, "share above 0"},
+		{"load --target http://a --rate 0", product.Usage, "rate 0"},
+		{"load --target http://a --duration 1s --warmup 2s", product.Usage, "warmup 2s"},
+		{"load --target http://a --timeout 0s", product.Usage, "--timeout 0s"},
 	}
 	for _, c := range cases {
 		t.Run(c.line, func(t *testing.T) {
@@ -65,3 +73,17 @@
 		})
 	}
 }
+
+func TestLoad(t *testing.T) {
+	convey.Convey("Given a server, load makes calls and prints the figures", t, func() {
+		srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		defer srv.Close()
+		line := "load --target " + srv.URL + " --stream Plans:GET:/plans:1 --rate 200 --duration 300ms --warmup 0s"
+		for _, format := range []string{"", " --json"} {
+			var out bytes.Buffer
+			status := command.Run(context.Background(), command.Config{Out: &out, Err: &out}, strings.Fields(line+format))
+			convey.So(status, convey.ShouldEqual, product.Done)
+			convey.So(out.String(), convey.ShouldContainSubstring, "Plans")
+		}
+	})
+}
