--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -14,9 +14,16 @@
 	_ = x[LinesLost-1004]
 	_ = x[RulesInForce-2001]
 	_ = x[RulesRefused-2002]
+	_ = x[RulesAccepted-2003]
+	_ = x[RulesIgnored-2004]
+	_ = x[RulesStatusFailed-2005]
 	_ = x[StoreFailed-3001]
 	_ = x[RouteChosen-4001]
 	_ = x[CallRefused-4002]
+	_ = x[CallEnded-4003]
+	_ = x[CallCut-4004]
+	_ = x[CallResumed-4005]
+	_ = x[ConnectionSilent-4006]
 	_ = x[LinkUp-5001]
 	_ = x[LinkDown-5002]
 	_ = x[LinkSilent-5003]
@@ -28,16 +35,16 @@
 
 const (
 	_Event_name_0 = "StartedStopBegunStopEndedLinesLost"
-	_Event_name_1 = "RulesInForceRulesRefused"
+	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailed"
 	_Event_name_2 = "StoreFailed"
-	_Event_name_3 = "RouteChosenCallRefused"
+	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilent"
 	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDropped"
 )
 
 var (
 	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34}
-	_Event_index_1 = [...]uint8{0, 12, 24}
-	_Event_index_3 = [...]uint8{0, 11, 22}
+	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66}
+	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65}
 	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85}
 )
 
@@ -46,12 +53,12 @@
 	case 1001 <= i && i <= 1004:
 		i -= 1001
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
-	case 2001 <= i && i <= 2002:
+	case 2001 <= i && i <= 2005:
 		i -= 2001
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case i == 3001:
 		return _Event_name_2
-	case 4001 <= i && i <= 4002:
+	case 4001 <= i && i <= 4006:
 		i -= 4001
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 5001 <= i && i <= 5007:
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -18,6 +18,12 @@
 	RulesInForce Event = iota + 2001
 	// RulesRefused is logged when a submission is refused.
 	RulesRefused
+	// RulesAccepted is logged when this gateway has handled a submission.
+	RulesAccepted
+	// RulesIgnored is logged when rules from the store or a peer are not taken.
+	RulesIgnored
+	// RulesStatusFailed is logged when Rules/InForce could not be written.
+	RulesStatusFailed
 )
 
 // Store events.
@@ -32,6 +38,16 @@
 	RouteChosen Event = iota + 4001
 	// CallRefused is logged when a call ends without a server's answer.
 	CallRefused
+	// CallEnded is logged when a server's answer was relayed.
+	CallEnded
+	// CallCut is logged when an answer broke and the caller's connection was
+	// aborted.
+	CallCut
+	// CallResumed is logged when a broken download goes on from another server.
+	CallResumed
+	// ConnectionSilent is logged when a connection that was reused carried no
+	// answer and is closed.
+	ConnectionSilent
 )
 
 // Peer events.
