--- a/internal/product/command/command_test.go
+++ b/internal/product/command/command_test.go
@@ -23,7 +23,8 @@
 	goodRules    = "# Generation 1\n" +
 		"Path=/rosters Service=Booking Deadline=2s # Mei Lin: members browse rosters\n" +
 		"Path=/bookings Method=POST Service=Booking Repeat=No # Tan: book a lathe\n" +
-		"Path=/plans/* Service=Plans # Ana: project plans\n"
+		"Path=/plans/* Service=Plans # Ana: project plans\n" +
+		"Path=/plans/all Method=GET Service=Plans # Ana: list of plans\n"
 	badRules = "# Generation 1\nPath=/rosters Service=Booking\nPath=/a Service=A Color=Red # Tan: a colour\nPath=/b # Tan: no service\n"
 )
 
@@ -96,6 +97,9 @@
 		{"explain GET /rosters --rules DIR/good.txt", command.Done, []string{"matches line 2: Path=/rosters", "2s", "Yes, by default for GET", "Mei Lin"}, nil},
 		{"explain POST http://gw/bookings --rules DIR/good.txt", command.Done, []string{"line 3", "No, by the rule", "default, [Limits] Deadline"}, nil},
 		{"explain GET /plans/lathe/2 --rules DIR/good.txt", command.Done, []string{"line 4", "Service   Plans"}, nil},
+		{"explain GET /plans/all --rules DIR/good.txt", command.Done, []string{"matches line 5", "less specific: line 4"}, nil},
+		{"explain HEAD /plans/all --rules DIR/good.txt", command.Done, []string{"matches line 5", "GET. It covers", "Yes, by default for HEAD"}, nil},
+		{"explain GET /plans/../rosters --rules DIR/good.txt", command.NoMatch, nil, []string{"no rule matches"}},
 		{"explain GET /bookings --rules DIR/good.txt", command.NoMatch, []string{"with method POST it would match line 3"}, []string{"no rule matches GET /bookings"}},
 		{"explain GET /none --rules DIR/good.txt", command.NoMatch, nil, []string{"no rule matches GET /none"}},
 	}
--- a/internal/product/command/explain.go
+++ b/internal/product/command/explain.go
@@ -14,9 +14,9 @@
 )
 
 const explainAbout = `Shows the rule that matches a request, and why: the line, each field, and
-whether the request may be sent again. Other rules that match as well are
-listed; they are passed over. If none matches, the methods under which the
-path would match are listed.
+whether the request may be sent again. Less specific rules that match as well
+are listed below it. If none matches, rules that match but for their method are
+listed. A path with a . or .. segment matches none.
 
 Examples:
   mustardsaddle explain GET /rosters --rules rules.txt
@@ -50,11 +50,11 @@
 		return Failf(Mistakes, "%d in %s", n, c.Rules)
 	}
 	file, _ := rule.Parse(text)
-	found, ok := rule.Compile(file).Match(r)
-	if !ok {
-		return c.noMatch(r, text)
+	steps := rule.Compile(file).Explain(r)
+	if !slices.ContainsFunc(steps, func(s rule.Step) bool { return s.Verdict == rule.Chosen }) {
+		return c.noMatch(r, steps, linesOf(text))
 	}
-	c.match(r, found, text)
+	c.match(r, steps, linesOf(text))
 	return nil
 }
 
@@ -75,38 +75,39 @@
 	return &http.Request{Method: method, URL: u, Host: u.Host, Header: http.Header{}}, nil
 }
 
-// ruleLine is a line of the rules file with the rule that it states.
-type ruleLine struct {
-	number int
-	text   string
-	rule   rule.Rule
-}
-
-func (l ruleLine) String() string {
-	return fmt.Sprintf("line %d: %s", l.number, l.text)
-}
+// lines finds the line of each rule in the text as the operator wrote it.
+type lines map[rule.ID]string
 
-// matching returns the lines whose rule on its own matches the request.
-func matching(r *http.Request, text string) []ruleLine {
-	var lines []ruleLine
+func linesOf(text string) lines {
+	byID := make(lines)
 	for i, line := range strings.Split(text, "\n") {
 		file, _ := rule.Parse(line)
-		if found, ok := rule.Compile(file).Match(r); ok {
-			lines = append(lines, ruleLine{number: i + 1, text: strings.TrimSpace(line), rule: found})
+		for _, found := range file.Rules() {
+			byID[found.ID()] = fmt.Sprintf("line %d: %s", i+1, strings.TrimSpace(line))
 		}
 	}
-	return lines
+	return byID
 }
 
-func (c *explain) match(r *http.Request, found rule.Rule, text string) {
-	lines := matching(r, text)
-	i := slices.IndexFunc(lines, func(l ruleLine) bool { return l.rule == found })
-	if i >= 0 {
-		c.print("%s %s matches %v\n", r.Method, r.URL, lines[i])
+// match prints the chosen rule, and the rules that match as well.
+func (c *explain) match(r *http.Request, steps []rule.Step, at lines) {
+	for _, step := range steps {
+		switch step.Verdict {
+		case rule.Chosen:
+			c.print("%s %s matches %s\n", r.Method, r.URL, at[step.Rule.ID()])
+			c.fields(r, step.Rule)
+		case rule.LessSpecific:
+			c.print("less specific: %s\n", at[step.Rule.ID()])
+		default:
+			// The rule doesn't match.
+		}
 	}
+}
+
+func (c *explain) fields(r *http.Request, found rule.Rule) {
 	c.print("  Host      %s\n", because(found.Host, "Any host", "The request names this host"))
 	c.print("  Path      %s, which matches %s\n", found.Path, r.URL.Path)
-	c.print("  Method    %s\n", because(found.Method, "Any method", "The request has this method"))
+	c.print("  Method    %s\n", because(found.Method, "Any method", "It covers the request's method"))
 	c.print("  Service   %s\n", found.Service)
 	deadline := "the gateway's default, [Limits] Deadline"
 	if found.Deadline > 0 {
@@ -115,11 +116,6 @@
 	c.print("  Deadline  %s\n", deadline)
 	c.print("  Repeat    %s\n", repeatText(found, r.Method))
 	c.print("  Who       %s\n", found.Who)
-	for j, line := range lines {
-		if j != i {
-			c.print("passed over: %v\n", line)
-		}
-	}
 }
 
 func because(value, none, some string) string {
@@ -144,16 +140,11 @@
 	}
 }
 
-// noMatch says which other methods would match.
-func (c *explain) noMatch(r *http.Request, text string) error {
-	methods := []string{
-		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions,
-	}
-	for _, method := range methods {
-		other := *r
-		other.Method = method
-		for _, line := range matching(&other, text) {
-			c.print("with method %s it would match %v\n", method, line)
+// noMatch prints the rules that match but for their method.
+func (c *explain) noMatch(r *http.Request, steps []rule.Step, at lines) error {
+	for _, step := range steps {
+		if step.Verdict == rule.OtherMethod {
+			c.print("with method %s it would match %s\n", step.Rule.Method, at[step.Rule.ID()])
 		}
 	}
 	return Failf(NoMatch, "no rule matches %s %s", r.Method, r.URL)
