Name settings after what they set, and tell a second signal

Cause: [Peers] Links had no counterpart in the division of links, which has a number of links across zones; slots and connections of a service had no use; a second signal could only kill the process. Ruled out: settings that are checked and then ignored. Change: [Peers] Across; Service.Complete fills what the platform's list leaves out; command.Stops separates the graceful stop from the abort. Before: three settings without effect. Conclusion: each setting has one consumer to be wired to.

--- /dev/null
+++ b/internal/product/command/signal_test.go
@@ -0,0 +1,37 @@
+package command_test
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/command"
+)
+
+func TestStops(t *testing.T) {
+	convey.Convey("Given a process that waits for signals", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		signals := make(chan os.Signal, 2)
+		stop, abort := command.Stops(ctx, signals)
+		convey.So(stop.Err(), convey.ShouldBeNil)
+		convey.Convey("The first signal stops it, the second one aborts it", func() {
+			signals <- syscall.SIGTERM
+			<-stop.Done()
+			select {
+			case <-abort:
+				t.Error("got an abort after one signal, want none")
+			default:
+			}
+			signals <- os.Interrupt
+			<-abort
+		})
+		convey.Convey("The end of its context stops it without an abort", func() {
+			cancel()
+			<-stop.Done()
+		})
+	})
+}
--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -121,9 +121,9 @@
 
 func peerList() []setting[Settings] {
 	return []setting[Settings]{
-		integer(sectionPeers, "Links", "6", 1, 64, "links",
-			"Links that this gateway keeps to other gateways.",
-			func(s *Settings) *int { return &s.Peers.Links }),
+		integer(sectionPeers, "Across", "2", 1, 16, "links",
+			"Links that this gateway keeps on average to gateways in other availability zones, besides those in its own.",
+			func(s *Settings) *int { return &s.Peers.Across }),
 		duration(sectionPeers, "Heartbeat", "500ms", 10*time.Millisecond, time.Minute,
 			"Time between heartbeats on a link.",
 			func(s *Settings) *time.Duration { return &s.Peers.Heartbeat }),
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -18,6 +18,8 @@
 import (
 	"slices"
 	"time"
+
+	"mustardsaddle.example/mustardsaddle"
 )
 
 // Settings are the settings of one gateway. A Settings is immutable; the With
@@ -75,7 +77,7 @@
 
 // Peers says how gateways keep links with each other.
 type Peers struct {
-	Links     int
+	Across    int
 	Heartbeat time.Duration
 	Silent    time.Duration
 }
@@ -118,6 +120,21 @@
 	Connections  int
 }
 
+// Complete returns the servers of the service, with the settings in place of
+// slots and connections that the platform's list does not state.
+func (v Service) Complete(servers []mustardsaddle.Server) []mustardsaddle.Server {
+	complete := slices.Clone(servers)
+	for i := range complete {
+		if complete[i].Slots == 0 {
+			complete[i].Slots = v.Slots
+		}
+		if complete[i].Connections == 0 {
+			complete[i].Connections = v.Connections
+		}
+	}
+	return complete
+}
+
 // Log says what is logged.
 type Log struct {
 	Level      string
--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -11,6 +11,7 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
@@ -157,6 +158,14 @@
 			convey.So(s.Service("Booking"), convey.ShouldResemble, booking)
 			convey.So(s.Service("Plans").Slots, convey.ShouldEqual, 2)
 		})
+		convey.Convey("They complete what the platform's list does not state", func() {
+			listed := []mustardsaddle.Server{{Name: "a"}, {Name: "b", Slots: 8, Connections: 50}}
+			complete := s.Service("Booking").Complete(listed)
+			convey.So(complete[0].Slots, convey.ShouldEqual, 4)
+			convey.So(complete[0].Connections, convey.ShouldEqual, 200)
+			convey.So(complete[1], convey.ShouldResemble, listed[1])
+			convey.So(listed[0].Slots, convey.ShouldEqual, 0)
+		})
 		convey.Convey("A changed copy leaves the original as it was", func() {
 			changed := s.WithService(settings.Service{Name: "Booking", Slots: 1})
 			convey.So(changed.Service("Booking").Slots, convey.ShouldEqual, 1)
