--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -11,6 +11,8 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 )
@@ -69,6 +71,20 @@
 	}
 }
 
+// TestPolicies compares the accepted policies with those of package bench.
+func TestPolicies(t *testing.T) {
+	var names []string
+	for p := bench.Default; !strings.HasPrefix(p.String(), "Policy("); p++ {
+		names = append(names, p.String())
+	}
+	want := "one of " + strings.Join(names, ", ")
+	for _, info := range settings.List() {
+		if info.Key == "Policy" && info.Want != want {
+			t.Errorf("[Choice] Policy accepts %s, want %s as in package bench", info.Want, want)
+		}
+	}
+}
+
 func TestMistakes(t *testing.T) {
 	cases := []struct {
 		name, text string
@@ -142,6 +158,14 @@
 			convey.So(s.Service("Booking"), convey.ShouldResemble, booking)
 			convey.So(s.Service("Plans").Slots, convey.ShouldEqual, 2)
 		})
+		convey.Convey("They complete what the platform's list does not state", func() {
+			listed := []mustardsaddle.Server{{Name: "a"}, {Name: "b", Slots: 8, Connections: 50}}
+			complete := s.Service("Booking").Complete(listed)
+			convey.So(complete[0].Slots, convey.ShouldEqual, 4)
+			convey.So(complete[0].Connections, convey.ShouldEqual, 200)
+			convey.So(complete[1], convey.ShouldResemble, listed[1])
+			convey.So(listed[0].Slots, convey.ShouldEqual, 0)
+		})
 		convey.Convey("A changed copy leaves the original as it was", func() {
 			changed := s.WithService(settings.Service{Name: "Booking", Slots: 1})
 			convey.So(changed.Service("Booking").Slots, convey.ShouldEqual, 1)
