--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -26,6 +26,9 @@
 //		next := roster.WithMarks(now, m.Marks)
 //		fresh := news.Marks{Marks: next.MarksSince(roster)}
 //		send(relay.Targets(from, fresh, generation, links), fresh)
+//	case news.Hello:
+//		relay.Forget(from)
+//		gap := relay.Compare(now, from, own, m.Summary)
 //	case news.Heartbeat:
 //		gap := relay.Compare(now, from, own, m.Summary)
 //	}
--- a/internal/peer/news/relay.go
+++ b/internal/peer/news/relay.go
@@ -126,8 +126,8 @@
 	return gap
 }
 
-// Forget drops what is remembered of a peer whose link ended, so that it is
-// asked at once when it is back.
+// Forget drops what is remembered of a peer. It is called for each Hello, so that
+// a peer is asked at once over a new link.
 func (r *Relay) Forget(peer string) {
 	delete(r.peers, peer)
 }
--- a/internal/product/code/code_string.go
+++ b/internal/product/code/code_string.go
@@ -38,6 +38,7 @@
 	_ = x[CallCanceled-4009]
 	_ = x[PeerBadMessage-5001]
 	_ = x[PeerNewerFormat-5002]
+	_ = x[PeerUnavailable-5003]
 	_ = x[ReportBad-6001]
 }
 
@@ -47,7 +48,7 @@
 	_Code_name_2 = "RuleSyntaxRuleUnknownFieldRuleBadValueRuleMissingFieldRuleNoWhoRuleDuplicate"
 	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudget"
 	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceled"
-	_Code_name_5 = "PeerBadMessagePeerNewerFormat"
+	_Code_name_5 = "PeerBadMessagePeerNewerFormatPeerUnavailable"
 	_Code_name_6 = "ReportBad"
 )
 
@@ -57,7 +58,7 @@
 	_Code_index_2 = [...]uint8{0, 10, 26, 38, 54, 63, 76}
 	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79}
 	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108}
-	_Code_index_5 = [...]uint8{0, 14, 29}
+	_Code_index_5 = [...]uint8{0, 14, 29, 44}
 )
 
 func (i Code) String() string {
@@ -76,7 +77,7 @@
 	case 4001 <= i && i <= 4009:
 		i -= 4001
 		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
-	case 5001 <= i && i <= 5002:
+	case 5001 <= i && i <= 5003:
 		i -= 5001
 		return _Code_name_5[_Code_index_5[i]:_Code_index_5[i+1]]
 	case i == 6001:
--- a/internal/product/code/list.go
+++ b/internal/product/code/list.go
@@ -81,6 +81,8 @@
 	PeerBadMessage Code = iota + 5001
 	// PeerNewerFormat means a message of a newer format.
 	PeerNewerFormat
+	// PeerUnavailable means that a peer cannot be reached, or its link ended.
+	PeerUnavailable
 )
 
 // Report codes.
