--- a/cmd/mustardsaddle/main.go
+++ b/cmd/mustardsaddle/main.go
@@ -22,12 +22,15 @@
 func run() command.Status {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	// After the first signal the next one has its default effect: it ends the
-	// process at once.
-	context.AfterFunc(ctx, stop)
+	abort := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		second := make(chan os.Signal, 1)
+		signal.Notify(second, syscall.SIGTERM, os.Interrupt)
+		<-second
+		close(abort)
+	})
+	serve := func(ctx context.Context, s settings.Settings, logger zerolog.Logger) error {
+		return instance.Run(ctx, instance.Config{Settings: s, Logger: logger, Abort: abort})
+	}
 	return command.Run(ctx, command.Config{Out: os.Stdout, Err: os.Stderr, Serve: serve}, os.Args[1:])
 }
-
-func serve(ctx context.Context, s settings.Settings, logger zerolog.Logger) error {
-	return instance.Run(ctx, instance.Config{Settings: s, Logger: logger})
-}
--- /dev/null
+++ b/internal/control/registry/core.go
@@ -0,0 +1,329 @@
+package registry
+
+import (
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Action -output=action_string.go
+
+// Keys of the objects in the platform's store.
+const (
+	SubmittedKey = "Rules/Submitted"
+	AcceptedKey  = "Rules/Accepted"
+	InForceKey   = "Rules/InForce"
+	prefix       = "Rules/"
+)
+
+const (
+	// maxRecent is how many accepted files are kept as bases of submissions.
+	maxRecent = 8
+	// maxPending is how many changes are kept until an earlier one has come.
+	maxPending = 16
+)
+
+// Action is what a Core wants done next.
+type Action int
+
+const (
+	// Idle means that there is nothing to do.
+	Idle Action = iota
+	// ReadAccepted means to read Rules/Accepted and hand it to TakeAccepted.
+	ReadAccepted
+	// ReadSubmission means to read a version of Rules/Submitted and hand it to
+	// TakeSubmission.
+	ReadSubmission
+	// ReadBase means to read a version of Rules/Accepted and hand it to TakeBase.
+	ReadBase
+	// Write means to write Rules/Accepted on the condition of a version, and to
+	// hand the answer to Wrote.
+	Write
+)
+
+// Step is one action with its details.
+type Step struct {
+	// Action is what to do.
+	Action Action
+	// Version is the version to read, or the condition of the write.
+	Version int64
+	// Value is what to write.
+	Value []byte
+	// Decision is what the write makes known.
+	Decision rule.Decision
+}
+
+// Core is the state of one gateway's rules: which file is in force, what the
+// store is known to hold, and how far the present submission has got. It performs
+// no I/O: Next says what to do, and the results are handed back. Its generation
+// never falls. A Core is not safe for concurrent use.
+type Core struct {
+	// inForce is the newest accepted file known.
+	inForce rule.File
+	// seen is the highest version of Rules/Accepted that inForce covers.
+	seen int64
+	// stored is Rules/Accepted at version; known is false when it must be read
+	// before the next write.
+	stored  rule.Accepted
+	version int64
+	known   bool
+	// handled is the last submission that a peer said is handled.
+	handled int64
+	// newest is the newest version of Rules/Submitted known.
+	newest int64
+
+	recent  []rule.File
+	pending map[int64]rule.Change
+	work    *work
+}
+
+// work is a submission on its way to a decision.
+type work struct {
+	submission rule.Submission
+	// low and high bound the search for the base among versions of Rules/Accepted.
+	low, high int64
+}
+
+// NewCore returns a Core without rules.
+func NewCore() *Core {
+	return &Core{pending: make(map[int64]rule.Change)}
+}
+
+// File returns the file in force; its generation is 0 before there is one.
+func (c *Core) File() rule.File {
+	return c.inForce
+}
+
+// Seen returns the highest version of Rules/Accepted that File covers.
+func (c *Core) Seen() int64 {
+	return c.seen
+}
+
+// Accepted returns the newest accepted state if the store's copy of it is known.
+func (c *Core) Accepted() (rule.Accepted, bool) {
+	return c.stored, c.known && c.stored.File.Generation >= c.inForce.Generation
+}
+
+// Forget makes the next write read Rules/Accepted first.
+func (c *Core) Forget() {
+	c.known = false
+}
+
+// Notice takes a version of Rules/Submitted that exists. It reports whether there
+// are submissions to handle.
+func (c *Core) Notice(newest int64) bool {
+	c.newest = max(c.newest, newest)
+	return c.newest > max(c.stored.Submission, c.handled)
+}
+
+// Next says what to do about the submissions noticed.
+func (c *Core) Next(now time.Time) Step {
+	if !c.Notice(0) {
+		c.work = nil
+		return Step{Action: Idle}
+	}
+	if _, ok := c.Accepted(); !ok {
+		return Step{Action: ReadAccepted}
+	}
+	version := c.stored.Submission + 1
+	if c.work == nil || c.work.submission.Version != version {
+		return Step{Action: ReadSubmission, Version: version}
+	}
+	if step, ok := c.base(); ok {
+		return step
+	}
+	d := rule.Accept(now, c.stored, c.work.submission)
+	return Step{Action: Write, Version: c.version, Value: []byte(d.Next.Format()), Decision: d}
+}
+
+// base looks for the file that the present submission edited. It returns the
+// read that the search needs next, if any.
+func (c *Core) base() (Step, bool) {
+	w := c.work
+	if w.submission.HasBase || !w.submission.File.HasGeneration || len(w.submission.Problems) > 0 {
+		return Step{}, false
+	}
+	generation := w.submission.File.Generation
+	if generation == 0 {
+		w.submission = w.submission.WithBase(rule.File{})
+		return Step{}, false
+	}
+	if generation > c.stored.File.Generation {
+		return Step{}, false
+	}
+	for _, f := range c.recent {
+		if f.Generation == generation {
+			w.submission = w.submission.WithBase(f)
+			return Step{}, false
+		}
+	}
+	if w.low > w.high {
+		return Step{}, false
+	}
+	return Step{Action: ReadBase, Version: w.middle()}, true
+}
+
+func (w *work) middle() int64 {
+	return w.low + (w.high-w.low)/2
+}
+
+// TakeSubmission takes the present submission. The object has version 0 if the
+// store no longer has it; err is that of the read, of which only
+// code.StoreTooLarge is final.
+func (c *Core) TakeSubmission(version int64, o mustardsaddle.Object, err error) error {
+	var s rule.Submission
+	switch {
+	case code.Of(err) == code.StoreTooLarge:
+		s = rule.LargeSubmission(version)
+	case err != nil:
+		return err
+	case o.Version == 0 && version == c.newest:
+		return code.Errorf(code.StoreBadObject, "read %s: the newest version %d is missing", SubmittedKey, version)
+	case o.Version == 0:
+		s = rule.LostSubmission(version)
+	default:
+		s = rule.ParseSubmission(version, string(o.Value))
+	}
+	c.work = &work{submission: s, low: 1, high: c.version}
+	return nil
+}
+
+// TakeBase takes an old version of Rules/Accepted, and narrows the search for the
+// base: generations never fall from one version to the next. A version that the
+// store no longer has counts as too old.
+func (c *Core) TakeBase(version int64, o mustardsaddle.Object) {
+	if c.work == nil {
+		return
+	}
+	a, err := rule.ParseAccepted(string(o.Value))
+	want := c.work.submission.File.Generation
+	switch {
+	case o.Version == 0 || err != nil || a.File.Generation < want:
+		c.work.low = version + 1
+	case a.File.Generation > want:
+		c.work.high = version - 1
+	default:
+		c.work.submission = c.work.submission.WithBase(a.File)
+	}
+}
+
+// Wrote takes the answer to a Write. Where the answer leaves it open whether the
+// write took effect, and after a conflict, Rules/Accepted is read back: if its
+// submission number has grown, the submission is handled, by whomever. The
+// returned change is that of TakeAccepted.
+func (c *Core) Wrote(step Step, version int64, err error) (rule.Change, bool, error) {
+	switch code.Of(err) {
+	case code.OK:
+		return c.TakeAccepted(mustardsaddle.Object{Key: AcceptedKey, Version: version, Value: step.Value})
+	case code.StoreBudget, code.StoreBackoff, code.StoreTooLarge:
+		return rule.Change{}, false, err
+	case code.StoreConflict:
+		c.known = false
+		return rule.Change{}, false, nil
+	default:
+		c.known = false
+		return rule.Change{}, false, err
+	}
+}
+
+// TakeAccepted takes a version of Rules/Accepted. It returns the change that it
+// brought to the file in force, and whether there is one. An object that can't be
+// read, or that would lead back to an older generation, changes nothing.
+func (c *Core) TakeAccepted(o mustardsaddle.Object) (rule.Change, bool, error) {
+	if o.Version < c.version {
+		return rule.Change{}, false, c.tooOld(o)
+	}
+	var a rule.Accepted
+	if o.Version > 0 {
+		var err error
+		if a, err = rule.ParseAccepted(string(o.Value)); err != nil {
+			return rule.Change{}, false, err
+		}
+	}
+	if err := c.check(a); err != nil {
+		return rule.Change{}, false, err
+	}
+	c.stored, c.version, c.known = a, o.Version, true
+	c.seen = max(c.seen, o.Version)
+	if a.File.Generation == c.inForce.Generation {
+		return rule.Change{}, false, nil
+	}
+	change := rule.Diff(c.inForce, a.File)
+	change.Submission, change.Version = a.Submission, o.Version
+	c.put(a.File)
+	return change, true, nil
+}
+
+// tooOld returns an error for an old version where the newest was to be read. A
+// late answer of a watch is no error.
+func (c *Core) tooOld(o mustardsaddle.Object) error {
+	if c.known {
+		return nil
+	}
+	return code.Errorf(code.StoreBadObject, "read %s: got version %d, want at least %d", AcceptedKey, o.Version, c.version)
+}
+
+// check refuses a state that does not follow from the file in force.
+func (c *Core) check(a rule.Accepted) error {
+	if a.File.Generation < c.inForce.Generation {
+		return code.Errorf(code.StoreBadObject, "read %s: got generation %d, want at least %d, which is in force", AcceptedKey, a.File.Generation, c.inForce.Generation)
+	}
+	if a.File.Generation == c.inForce.Generation && a.File.Digest() != c.inForce.Digest() {
+		return code.Errorf(code.StoreBadObject, "read %s: other rules than those in force as generation %d", AcceptedKey, a.File.Generation)
+	}
+	return nil
+}
+
+// put puts a file of a higher generation in force.
+func (c *Core) put(f rule.File) {
+	c.inForce = f
+	c.recent = append(c.recent, f)
+	c.recent = c.recent[max(0, len(c.recent)-maxRecent):]
+	for from := range c.pending {
+		if from < f.Generation {
+			delete(c.pending, from)
+		}
+	}
+}
+
+// Receive takes a change from a peer. It returns the changes that it brought,
+// since an early change is kept until the ones before it have come.
+func (c *Core) Receive(change rule.Change) ([]rule.Change, rule.Result) {
+	f, result := change.Apply(c.inForce)
+	switch result {
+	case rule.Gap:
+		if len(c.pending) < maxPending {
+			c.pending[change.From] = change
+		}
+		return nil, result
+	case rule.Applied:
+	default:
+		return nil, result
+	}
+	var brought []rule.Change
+	for result == rule.Applied {
+		c.seen = max(c.seen, change.Version)
+		c.handled = max(c.handled, change.Submission)
+		brought = append(brought, change)
+		next := c.pending[change.To]
+		c.put(f)
+		change = next
+		f, result = change.Apply(c.inForce)
+	}
+	return brought, rule.Applied
+}
+
+// ReceiveWhole takes the whole state from a peer.
+func (c *Core) ReceiveWhole(text string) (rule.Result, error) {
+	a, err := rule.ParseAccepted(text)
+	if err != nil {
+		return rule.BadDigest, err
+	}
+	if a.File.Generation <= c.inForce.Generation {
+		return rule.Stale, nil
+	}
+	c.put(a.File)
+	return rule.Applied, nil
+}
--- /dev/null
+++ b/internal/control/registry/follow.go
@@ -0,0 +1,242 @@
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/product/event"
+)
+
+// watch holds a watch on an object while Config.Watch says so, and hands each new
+// version to follow.
+func (g *Registry) watch(ctx context.Context, key string) {
+	version := int64(0)
+	failures := 0
+	for ctx.Err() == nil {
+		if !g.cfg.Watch() {
+			if !sleep(ctx, g.random(g.pollDelay)) {
+				return
+			}
+			continue
+		}
+		o, err := g.cfg.Store.Watch(ctx, key, max(version, g.seen(key)))
+		if err != nil || o.Version == 0 {
+			failures++
+			if !sleep(ctx, g.retryDelay(failures)) {
+				return
+			}
+			continue
+		}
+		failures = 0
+		if o.Version <= version || o.Value == nil {
+			continue
+		}
+		version = o.Version
+		select {
+		case g.objects <- o:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// seen returns the version from which a watch need bring nothing.
+func (g *Registry) seen(key string) int64 {
+	if key != AcceptedKey {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Seen()
+}
+
+func (g *Registry) pollDelay(rng *rand.Rand) time.Duration {
+	return PollDelay(rng, g.cfg.Poll, g.cfg.Fleet())
+}
+
+func (g *Registry) retryDelay(failures int) time.Duration {
+	return g.random(func(rng *rand.Rand) time.Duration { return g.retry.Delay(rng, failures) })
+}
+
+// follower is the state of the loop that acts on what the store shows.
+type follower struct {
+	*Registry
+	// pollFailures and acceptFailures count failures in a row.
+	pollFailures, acceptFailures int
+	poll, accept                 *time.Timer
+	// waiting is true while accept runs.
+	waiting bool
+}
+
+// follow acts on watches and slow reads until the context ends.
+func (g *Registry) follow(ctx context.Context) {
+	f := &follower{Registry: g, poll: time.NewTimer(g.random(func(rng *rand.Rand) time.Duration {
+		return StartDelay(rng, g.cfg.Fleet())
+	})), accept: time.NewTimer(time.Hour)}
+	f.accept.Stop()
+	defer f.poll.Stop()
+	defer f.accept.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-g.objects:
+			f.object(o)
+		case <-f.poll.C:
+			f.list(ctx)
+		case <-f.accept.C:
+			f.waiting = false
+			f.handle(ctx)
+		}
+	}
+}
+
+// object acts on an object that a watch has brought.
+func (f *follower) object(o mustardsaddle.Object) {
+	if o.Key == SubmittedKey {
+		f.notice(o.Version)
+		return
+	}
+	f.ignored(f.take(o))
+}
+
+func (f *follower) ignored(err error) {
+	if err != nil {
+		event.Warn(f.cfg.Logger, event.RulesIgnored).Err(err).Int("Code", int(code.Of(err))).Send()
+	}
+}
+
+// notice learns of a version of Rules/Submitted, and leaves it for a while to the
+// gateways that try first.
+func (f *follower) notice(version int64) {
+	rank := f.cfg.Rank()
+	f.mu.Lock()
+	open := f.core.Notice(version)
+	if open && rank > 0 {
+		f.core.Forget()
+	}
+	f.mu.Unlock()
+	if open && !f.waiting {
+		f.schedule(f.random(func(rng *rand.Rand) time.Duration { return AcceptDelay(rng, rank) }))
+	}
+}
+
+func (f *follower) schedule(d time.Duration) {
+	f.waiting = true
+	f.accept.Reset(d)
+}
+
+// list makes one slow read: the versions of the rules' objects, and then the
+// value of Rules/Accepted if it is new.
+func (f *follower) list(ctx context.Context) {
+	err := f.refresh(ctx)
+	if err == nil {
+		f.pollFailures = 0
+		f.poll.Reset(f.random(f.pollDelay))
+		return
+	}
+	f.pollFailures++
+	f.failed(ctx, err, f.pollFailures)
+	f.poll.Reset(f.retryDelay(f.pollFailures))
+}
+
+// failed logs the first of several failures.
+func (f *follower) failed(ctx context.Context, err error, failures int) {
+	if failures == 1 && ctx.Err() == nil {
+		event.Warn(f.cfg.Logger, event.StoreFailed).Err(err).Int("Code", int(code.Of(err))).Send()
+	}
+}
+
+func (f *follower) refresh(ctx context.Context) error {
+	objects, err := f.cfg.Store.List(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	for _, o := range objects {
+		switch {
+		case o.Key == SubmittedKey:
+			f.notice(o.Version)
+		case o.Key == AcceptedKey && o.Version > f.seen(AcceptedKey):
+			o, err := f.cfg.Store.Get(ctx, AcceptedKey)
+			if err != nil {
+				return err
+			}
+			f.ignored(f.take(o))
+		}
+	}
+	return nil
+}
+
+// handle handles the submissions known, one after another.
+func (f *follower) handle(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		step := f.core.Next(time.Now())
+		f.mu.Unlock()
+		if step.Action == Idle {
+			f.acceptFailures = 0
+			return
+		}
+		if err := f.perform(ctx, step); err != nil {
+			f.acceptFailures++
+			f.failed(ctx, err, f.acceptFailures)
+			f.schedule(f.retryDelay(f.acceptFailures))
+			return
+		}
+	}
+}
+
+// perform does one step and hands its result to the core.
+func (f *follower) perform(ctx context.Context, step Step) error {
+	switch step.Action {
+	case ReadAccepted:
+		o, err := f.cfg.Store.Get(ctx, AcceptedKey)
+		if err != nil {
+			return err
+		}
+		return f.take(o)
+	case ReadSubmission:
+		o, err := f.cfg.Store.GetVersion(ctx, SubmittedKey, step.Version)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.core.TakeSubmission(step.Version, o, err)
+	case ReadBase:
+		o, err := f.cfg.Store.GetVersion(ctx, AcceptedKey, step.Version)
+		if err != nil {
+			return err
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.core.TakeBase(step.Version, o)
+		return nil
+	default:
+		return f.write(ctx, step)
+	}
+}
+
+// write makes the write that accepts.
+func (f *follower) write(ctx context.Context, step Step) error {
+	version, err := f.cfg.Store.Put(ctx, AcceptedKey, step.Value, step.Version)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change, brought, failure := f.core.Wrote(step, version, err)
+	f.taken(change, brought)
+	if err == nil {
+		f.accepted(step.Decision)
+	}
+	return failure
+}
+
+// accepted logs what became of a submission.
+func (f *follower) accepted(d rule.Decision) {
+	event.Info(f.cfg.Logger, event.RulesAccepted).Int64("Submission", d.Next.Submission).
+		Int64("Generation", d.Next.File.Generation).Bool("Changed", d.Changed).Int("Refused", len(d.Refused)).Send()
+	for _, p := range d.Refused {
+		event.Warn(f.cfg.Logger, event.RulesRefused).Int64("Submission", d.Next.Submission).
+			Int("Line", p.Line).Int("Code", int(p.Code)).Str("Text", p.Text).Send()
+	}
+}
--- a/internal/control/roster/neighbor.go
+++ b/internal/control/roster/neighbor.go
@@ -92,9 +92,9 @@
 }
 
 // Neighbors returns the VMs, of Roster.Peers, to which self keeps links, ordered
-// by name. The
-// relation is symmetric, and the graph of all links stays connected when any
-// one VM or any one availability zone is lost:
+// by name. A self that is not among the VMs has none. The relation is symmetric,
+// and the graph of all links stays connected when any one VM or any one
+// availability zone is lost:
 //
 //   - In its zone, a VM is linked to the next and the previous VM of a ring in
 //     rendezvous order, and to those a square root of the zone's size away, which
@@ -114,6 +114,9 @@
 			zones[vm.Zone] = append(zones[vm.Zone], vm)
 		}
 	}
+	if len(zones[home]) == 0 {
+		return nil
+	}
 	found := make(map[string]mustardsaddle.VM)
 	addRing(found, order(zones[home], home), self)
 	across := cmp.Or(cfg.Across, defaultAcross)
--- a/internal/control/roster/neighbor_test.go
+++ b/internal/control/roster/neighbor_test.go
@@ -204,3 +204,12 @@
 		}
 	})
 }
+
+func TestNeighborsOfAnUnknownVM(t *testing.T) {
+	convey.Convey("Given a list that does not name this VM yet", t, func() {
+		vms := []mustardsaddle.VM{{Name: "gateway-1", Zone: "perth-1"}}
+		convey.Convey("It has no neighbors", func() {
+			convey.So(roster.Neighbors(vms, "gateway-2", roster.NeighborConfig{}), convey.ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/peer/link/bench_test.go
+++ b/internal/peer/link/bench_test.go
@@ -78,7 +78,7 @@
 	const links = 7
 	line := "Path=/rosters Service=Booking Deadline=2s # Mei Lin: members browse rosters"
 	for _, msg := range []news.Message{
-		news.RuleChange{From: 41_000, To: 41_001, Out: []string{line}, In: []string{line}, Digest: strings.Repeat("0", 16)},
+		news.RuleChange{From: 41_000, To: 41_001, Out: []news.RuleEdit{{At: 3, Text: line}}, In: []news.RuleEdit{{At: 3, Text: line}}, Digest: 1 << 60},
 		news.Marks{Marks: []mustardsaddle.Mark{{Name: "booking-07", Incarnation: 1_800_000_000, Leaving: true}}},
 	} {
 		b.Run(strings.TrimPrefix(msg.Type().String(), "Type"), func(b *testing.B) {
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -241,7 +241,7 @@
 		convey.Convey("Sending does not block, the queue stays bounded, and the newest rules arrive in the end", func() {
 			text := strings.Repeat("x", 64<<10)
 			for range 2000 {
-				a.links.Broadcast(news.RuleChange{From: 0, To: 1, In: []string{text}})
+				a.links.Broadcast(news.RuleChange{From: 0, To: 1, In: []news.RuleEdit{{Text: text}}})
 			}
 			convey.So(a.links.Stats().Dropped, convey.ShouldBeGreaterThan, 0)
 			a.change()
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -197,27 +197,24 @@
 		return code.Errorf(code.PeerBadMessage, "message RuleChange: got From=%d To=%d, want 0 <= From < To", m.From, m.To)
 	}
 	bytes := 0
-	for _, lines := range [][]string{m.Out, m.In} {
+	for _, lines := range [][]RuleEdit{m.Out, m.In} {
 		if len(lines) > maxLines {
 			return code.Errorf(code.PeerBadMessage, "message RuleChange: got %d lines, want at most %d", len(lines), maxLines)
 		}
 		for _, line := range lines {
-			bytes += len(line)
+			bytes += len(line.Text)
 		}
 	}
 	if bytes > MaxRulesBytes {
 		return code.Errorf(code.PeerBadMessage, "message RuleChange: got %d bytes, want at most %d", bytes, MaxRulesBytes)
 	}
-	return checkName(m, m.Digest)
+	return nil
 }
 
 func checkWholeRules(m WholeRules) error {
 	if len(m.Text) > MaxRulesBytes {
 		return code.Errorf(code.PeerBadMessage, "message WholeRules: got %d bytes, want at most %d", len(m.Text), MaxRulesBytes)
 	}
-	if err := checkName(m, m.Digest); err != nil {
-		return err
-	}
 	return checkNumber(m, "Generation", m.Generation)
 }
 
--- a/internal/peer/news/codec_test.go
+++ b/internal/peer/news/codec_test.go
@@ -18,9 +18,9 @@
 	summary = news.Summary{Generation: 41_000, MarksDigest: 0xfedcba9876543210}
 	mark    = mustardsaddle.Mark{Name: "booking-07", Incarnation: 1_800_000_000, Leaving: true}
 	change  = news.RuleChange{
-		From: 41_000, To: 41_001, Digest: "0123456789abcdef",
-		Out: []string{"Path=/rosters Service=Booking Deadline=2s # Mei Lin: members browse rosters"},
-		In:  []string{"Path=/rosters Service=Booking Deadline=3s # Mei Lin: members browse rosters"},
+		From: 41_000, To: 41_001, Digest: 0x0123456789abcdef,
+		Out: []news.RuleEdit{{At: 3, Text: "Path=/rosters Service=Booking Deadline=2s # Mei Lin: members browse rosters"}},
+		In:  []news.RuleEdit{{At: 3, Text: "Path=/rosters Service=Booking Deadline=3s # Mei Lin: members browse rosters"}},
 	}
 	hello = news.Hello{
 		VM:      mustardsaddle.VM{Name: "gateway-1", Incarnation: 1_800_000_000, Zone: "perth-1", Peer: "10.0.0.1:7200"},
@@ -31,7 +31,7 @@
 func samples() []news.Message {
 	return []news.Message{
 		hello, news.Heartbeat{Summary: summary}, news.Marks{Marks: []mustardsaddle.Mark{mark}}, change,
-		news.AskRules{Have: 40_000}, news.WholeRules{Generation: 1, Text: "# Generation 1\n", Digest: "d"},
+		news.AskRules{Have: 40_000}, news.WholeRules{Generation: 1, Text: "# Generation 1\n"},
 		news.AskMachines{}, news.Machines{Machines: []mustardsaddle.Machine{{
 			Name: "booking-07", Incarnation: 1_800_000_000, Zone: "perth-1", Service: "Booking",
 			Address: "10.0.0.7:8080", Slots: 2, Connections: 200,
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -118,18 +118,28 @@
 	Marks []mustardsaddle.Mark
 }
 
+// RuleEdit is one line of a rules file at a position, counted from 0.
+type RuleEdit struct {
+	// At is the position.
+	At int
+	// Text is the line.
+	Text string
+}
+
 // RuleChange turns one generation of the rules into a later one.
 type RuleChange struct {
 	// From is the generation that the change applies to.
 	From int64
 	// To is the generation that it gives.
 	To int64
-	// Out are the lines that go.
-	Out []string
-	// In are the lines that come.
-	In []string
+	// Submission is the submission that led to it.
+	Submission int64
+	// Out are the lines that go, with their positions in generation From.
+	Out []RuleEdit
+	// In are the lines that come, with their positions in generation To.
+	In []RuleEdit
 	// Digest is the digest of the rules text of generation To.
-	Digest string
+	Digest uint64
 }
 
 // AskRules asks for the rules after generation Have, as changes or whole.
@@ -144,8 +154,6 @@
 	Generation int64
 	// Text is the file, at most MaxRulesBytes.
 	Text string
-	// Digest is the digest of Text.
-	Digest string
 }
 
 // AskMachines asks for the newest list of VMs that the peer has read. A gateway
--- a/internal/peer/news/relay.go
+++ b/internal/peer/news/relay.go
@@ -35,7 +35,7 @@
 // changeID identifies a rule change.
 type changeID struct {
 	from, to int64
-	digest   string
+	digest   uint64
 }
 
 // exchange holds when a peer was last asked and last sent all marks.
--- a/internal/product/code/code_string.go
+++ b/internal/product/code/code_string.go
@@ -55,6 +55,8 @@
 	_ = x[CallUpgrade-4010]
 	_ = x[CallMismatch-4011]
 	_ = x[CallClaimed-4012]
+	_ = x[CallStopping-4013]
+	_ = x[StopCut-7001]
 	_ = x[PeerBadMessage-5001]
 	_ = x[PeerNewerFormat-5002]
 	_ = x[PeerUnavailable-5003]
@@ -66,9 +68,10 @@
 	_Code_name_1 = "SettingsUnreadableSettingsUnknownSectionSettingsUnknownKeySettingsBadValueSettingsMissingSettingsSyntaxSettingsDuplicateSettingsTooLargeSettingsConflict"
 	_Code_name_2 = "RuleSyntaxRuleUnknownFieldRuleBadValueRuleMissingFieldRuleNoWhoRuleDuplicateRuleBadEncodingRuleTooLargeRuleLineTooLongRuleRepeatedFieldRuleBadPatternRuleBadGenerationRuleUnknownBaseRuleConflictChangeRuleConflictRemovalRuleSubmissionLost"
 	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudgetStoreNewerFormatStoreBackoff"
-	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceledCallUpgradeCallMismatchCallClaimed"
+	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceledCallUpgradeCallMismatchCallClaimedCallStopping"
 	_Code_name_5 = "PeerBadMessagePeerNewerFormatPeerUnavailable"
 	_Code_name_6 = "ReportBad"
+	_Code_name_7 = "StopCut"
 )
 
 var (
@@ -76,7 +79,7 @@
 	_Code_index_1 = [...]uint8{0, 18, 40, 58, 74, 89, 103, 120, 136, 152}
 	_Code_index_2 = [...]uint8{0, 10, 26, 38, 54, 63, 76, 91, 103, 118, 135, 149, 166, 181, 199, 218, 236}
 	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79, 95, 107}
-	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108, 119, 131, 142}
+	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108, 119, 131, 142, 154}
 	_Code_index_5 = [...]uint8{0, 14, 29, 44}
 )
 
@@ -93,7 +96,7 @@
 	case 3001 <= i && i <= 3008:
 		i -= 3001
 		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
-	case 4001 <= i && i <= 4012:
+	case 4001 <= i && i <= 4013:
 		i -= 4001
 		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
 	case 5001 <= i && i <= 5003:
@@ -101,6 +104,8 @@
 		return _Code_name_5[_Code_index_5[i]:_Code_index_5[i+1]]
 	case i == 6001:
 		return _Code_name_6
+	case i == 7001:
+		return _Code_name_7
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/internal/product/code/list.go
+++ b/internal/product/code/list.go
@@ -118,6 +118,14 @@
 	CallMismatch
 	// CallClaimed means that the request's Idempotency-Key is claimed already.
 	CallClaimed
+	// CallStopping means that the gateway stops and takes no new callers.
+	CallStopping
+)
+
+// Process codes.
+const (
+	// StopCut means that a stop cut calls, because it was aborted.
+	StopCut Code = iota + 7001
 )
 
 // Peer message codes.
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -1,26 +1,34 @@
-// Package instance runs one gateway: it opens the addresses, keeps rules and
-// roster fresh from the platform, and stops gracefully.
+// Package instance runs one gateway: it opens the addresses, joins the parts of
+// the request path with those of the control side, and stops gracefully.
+//
+// The control side only swaps snapshots that the request path reads. While the
+// platform is down the last rules and the last list of VMs stay in use.
 //
 // # Usage
 //
-//	err := instance.Run(ctx, instance.Config{Settings: s, Logger: logger})
+//	err := instance.Run(ctx, instance.Config{Settings: s, Logger: logger, Abort: second})
 package instance
 
 import (
 	"context"
-	"errors"
-	"net"
+	"math/rand/v2"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
+	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/control/registry"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
-	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
+	"mustardsaddle.example/mustardsaddle/internal/peer/link"
+	"mustardsaddle.example/mustardsaddle/internal/peer/news"
+	"mustardsaddle.example/mustardsaddle/internal/product/admin"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
@@ -31,120 +39,164 @@
 	Settings settings.Settings
 	// Logger takes the log events.
 	Logger zerolog.Logger
+	// Abort, if set, ends a graceful stop at once when it is closed.
+	Abort <-chan struct{}
 }
 
+// instance is one running gateway.
 type instance struct {
-	cfg     Config
-	store   *store.Client
-	gateway *gateway.Gateway
-	roster  roster.Roster
-	version int64
+	cfg        Config
+	self       mustardsaddle.VM
+	store      *store.Client
+	gateway    *gateway.Gateway
+	front      *http.Server
+	back       *http.Server
+	side       *http.Server
+	budget     *report.Budget
+	prober     *gateway.Prober
+	membership *membership
+	links      *link.Links
+	registry   *registry.Registry
+	generation atomic.Int64
+	metrics    *admin.Metrics
+	stopping   atomic.Bool
+
+	// rng is used only by the goroutine that follows the list of VMs.
+	rng *rand.Rand
+
+	mu    sync.Mutex
+	relay *news.Relay
+	// told holds the generations that peers have told of, by name.
+	told map[string]int64
 }
 
-// Run serves until the context ends, then stops gracefully.
+// Run serves until the context ends, then stops gracefully. It returns an error
+// with code.StopCut if calls were cut.
 func Run(ctx context.Context, cfg Config) error {
-	s := cfg.Settings
-	in := &instance{
-		cfg:   cfg,
-		store: store.New(store.Config{URL: s.Platform.URL, Timeout: s.Platform.Timeout}),
-		gateway: gateway.New(gateway.Config{
-			Name: s.Gateway.Name, Zone: s.Gateway.Zone, Deadline: s.Limits.Deadline, Logger: cfg.Logger,
-		}),
-	}
-	lc := net.ListenConfig{}
-	callers, err := lc.Listen(ctx, "tcp", s.Gateway.Listen)
+	l, err := listen(ctx, cfg.Settings.Gateway)
 	if err != nil {
-		return code.Wrapf(code.SettingsBadValue, err, "open callers' address")
+		return err
 	}
-	admin, err := lc.Listen(ctx, "tcp", s.Gateway.Admin)
-	if err != nil {
-		return code.Wrapf(code.SettingsBadValue, err, "open admin address")
-	}
-	return in.serve(ctx, callers, admin)
+	return newInstance(time.Now(), cfg).run(ctx, l)
 }
 
-func (in *instance) serve(ctx context.Context, callers, admin net.Listener) error {
-	front := &http.Server{Handler: in.gateway, ReadHeaderTimeout: in.cfg.Settings.Limits.Progress}
-	back := &http.Server{Handler: in.admin(), ReadHeaderTimeout: in.cfg.Settings.Limits.Progress}
-	served := make(chan error, 2)
-	go func() { served <- front.Serve(callers) }()
-	go func() { served <- back.Serve(admin) }()
-	refreshed := make(chan struct{})
-	go in.refresh(ctx, refreshed)
-	event.Info(in.cfg.Logger, event.Started).Str("Listen", callers.Addr().String()).Send()
-	var err error
-	select {
-	case <-ctx.Done():
-	case err = <-served:
+func newInstance(now time.Time, cfg Config) *instance {
+	s := cfg.Settings
+	incarnation := s.Gateway.Incarnation
+	if incarnation == 0 {
+		incarnation = now.UnixMilli()
 	}
-	event.Info(in.cfg.Logger, event.StopBegun).Send()
-	<-refreshed
-	stop := context.WithoutCancel(ctx)
-	err = errors.Join(err, front.Shutdown(stop), back.Shutdown(stop))
-	event.Info(in.cfg.Logger, event.StopEnded).Send()
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	seed := uint64(now.UnixNano())
+	in := &instance{
+		cfg:     cfg,
+		self:    mustardsaddle.VM{Name: s.Gateway.Name, Incarnation: incarnation, Zone: s.Gateway.Zone, Peer: s.Gateway.Peer},
+		metrics: admin.NewMetrics(admin.MetricsConfig{}),
+		relay:   news.NewRelay(news.RelayConfig{}),
+		told:    make(map[string]int64),
+		rng:     rand.New(rand.NewPCG(seed, 1)),
 	}
-	return err
+	in.store = store.New(store.Config{
+		URL:     s.Platform.URL,
+		Timeout: s.Platform.Timeout,
+		Rates:   store.Rates{Reads: s.Platform.ReadsPerSecond, Writes: s.Platform.WritesPerSecond},
+		Seed:    seed,
+	})
+	in.budget = report.NewBudget(report.BudgetConfig{
+		MessagesPerSecond: s.Measuring.MessagesPerSecond,
+		BytesPerSecond:    s.Measuring.BytesPerSecond,
+	})
+	in.gateway = in.newGateway(seed)
+	in.prober = gateway.NewProber(gateway.ProberConfig{Gateway: in.gateway, Budget: in.budget, Path: s.Measuring.Path})
+	in.membership = newMembership(in.rosterChanged)
+	in.links = in.newLinks(seed)
+	in.registry = in.newRegistry(seed)
+	in.membership.vm(now, in.self)
+	return in
 }
 
-func (in *instance) admin() http.Handler {
-	r := mux.NewRouter()
-	r.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
-	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if in.gateway.Rules() == nil {
-			http.Error(w, "no rules", http.StatusServiceUnavailable)
-		}
+func (in *instance) newGateway(seed uint64) *gateway.Gateway {
+	s := in.cfg.Settings
+	services := make(map[string]gateway.Service)
+	for _, v := range s.Services() {
+		services[v.Name] = gateway.Service{NotRunStatus: v.NotRunStatus, NotRunHeader: v.NotRunHeader}
+	}
+	return gateway.New(gateway.Config{
+		Name:          s.Gateway.Name,
+		Zone:          s.Gateway.Zone,
+		Deadline:      s.Limits.Deadline,
+		Progress:      s.Limits.Progress,
+		BodyBytes:     s.Limits.BodyBytes,
+		MaxWaiting:    s.Limits.QueueLength,
+		RetryShare:    share(s.Retry.RetryShare),
+		HedgeShare:    share(s.Retry.HedgeShare),
+		HedgeQuantile: s.Retry.HedgeQuantile,
+		Services:      services,
+		NewChooser: func(string) mustardsaddle.Chooser {
+			return bench.New(bench.Config{
+				Policy:        policy(s.Choice.Policy),
+				SlowStart:     s.Choice.SlowStart,
+				MaxEjected:    s.Choice.EjectShare,
+				ProbeInterval: interval(s.Measuring.ServerPerSecond),
+			})
+		},
+		OnReport: in.reported,
+		Metrics:  in.metrics.Scope(),
+		Logger:   in.cfg.Logger,
+		Seed:     seed,
 	})
-	return r
 }
 
-// refresh polls the platform until the context ends, then closes done.
-func (in *instance) refresh(ctx context.Context, done chan<- struct{}) {
-	defer close(done)
-	ticker := time.NewTicker(in.cfg.Settings.Platform.Poll)
-	defer ticker.Stop()
-	for {
-		in.refreshRoster(ctx)
-		in.refreshRules(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+// share maps the setting 0, which means none, to what the gateway takes as none.
+func share(v float64) float64 {
+	if v == 0 {
+		return -1
 	}
+	return v
 }
 
-func (in *instance) refreshRoster(ctx context.Context) {
-	machines, err := in.store.Machines(ctx)
-	if err != nil {
-		event.Warn(in.cfg.Logger, event.StoreFailed).Err(err).Send()
-		return
+// interval returns the time between two events of a rate.
+func interval(perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return time.Hour
 	}
-	now := time.Now()
-	in.roster = in.roster.WithMachines(now, machines)
-	for _, service := range in.roster.Services() {
-		in.gateway.SetServers(now, service, in.roster.Servers(service))
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
+// policy returns the policy of a checked name.
+func policy(name string) bench.Policy {
+	for p := bench.Default; p <= bench.PreferredSpill; p++ {
+		if p.String() == name {
+			return p
+		}
 	}
+	return bench.Default
 }
 
-func (in *instance) refreshRules(ctx context.Context) {
-	o, err := in.store.Get(ctx, "Rules/Submitted")
-	if err != nil {
-		event.Warn(in.cfg.Logger, event.StoreFailed).Err(err).Send()
-		return
+// reported takes each load report that the gateway sees.
+func (in *instance) reported(now time.Time, _, server string, rep mustardsaddle.Report) {
+	in.spreadMarks("", in.membership.observe(now, server, rep))
+}
+
+// ready returns nil while the gateway takes calls.
+func (in *instance) ready() error {
+	if in.stopping.Load() {
+		return code.Errorf(code.CallStopping, "gateway %s is stopping", in.self.Name)
 	}
-	if o.Version <= in.version {
-		return
+	if in.gateway.Rules() == nil {
+		return code.Errorf(code.CallNotReady, "gateway %s has no rules yet", in.self.Name)
 	}
-	in.version = o.Version
-	file, problems := rule.Parse(string(o.Value))
-	for _, p := range problems {
-		event.Warn(in.cfg.Logger, event.RulesRefused).Int("Line", p.Line).Int("Code", int(p.Code)).Str("Text", p.Text).Send()
+	if len(in.membership.Roster().Services()) == 0 {
+		return code.Errorf(code.CallNotReady, "gateway %s knows no endpoint server yet", in.self.Name)
 	}
-	if len(problems) > 0 {
-		return
+	return nil
+}
+
+// rosterChanged passes a new roster on to all that depend on it.
+func (in *instance) rosterChanged(now time.Time, r roster.Roster) {
+	for _, service := range r.Services() {
+		in.gateway.SetServers(now, service, r.Servers(service))
 	}
-	in.gateway.SetRules(rule.Compile(file))
-	event.Info(in.cfg.Logger, event.RulesInForce).Int64("Generation", file.Generation).Send()
+	in.gateway.SetFleet(now, r.VMs())
+	in.store.SetFleet(r.Gateways())
+	in.links.SetNeighbors(roster.Neighbors(r.Peers(), in.self.Name, roster.NeighborConfig{}))
 }
--- a/internal/product/instance/membership.go
+++ b/internal/product/instance/membership.go
@@ -10,11 +10,12 @@
 )
 
 // membership owns the roster. Every input passes through change, so that the
-// rest of the instance learns of each new roster exactly once and in order.
+// rest of the instance learns of each new roster exactly once and in order. The
+// methods that take an input return the marks that it made new, for the caller
+// to spread.
 type membership struct {
-	// changed is told each new roster with the marks that are new in it. It runs
-	// under the lock, and must not block.
-	changed func(now time.Time, next roster.Roster, fresh []mustardsaddle.Mark)
+	// changed is told each new roster. It runs under the lock, and must not block.
+	changed func(now time.Time, next roster.Roster)
 
 	mu     sync.Mutex
 	roster roster.Roster
@@ -24,7 +25,7 @@
 	leaving atomic.Pointer[map[string]bool]
 }
 
-func newMembership(changed func(time.Time, roster.Roster, []mustardsaddle.Mark)) *membership {
+func newMembership(changed func(time.Time, roster.Roster)) *membership {
 	m := &membership{changed: changed, roster: roster.New(roster.Config{})}
 	m.leaving.Store(&map[string]bool{})
 	return m
@@ -38,7 +39,7 @@
 }
 
 // change replaces the roster by what next makes of it.
-func (m *membership) change(now time.Time, next func(roster.Roster) roster.Roster) {
+func (m *membership) change(now time.Time, next func(roster.Roster) roster.Roster) []mustardsaddle.Mark {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.roster
@@ -52,24 +53,25 @@
 		}
 	}
 	m.leaving.Store(&leaving)
-	m.changed(now, m.roster, m.roster.MarksSince(old))
+	m.changed(now, m.roster)
+	return m.roster.MarksSince(old)
 }
 
 // observe takes a first-hand load report. In the common case, a server that
 // stays and says so, it takes no lock.
-func (m *membership) observe(now time.Time, server string, rep mustardsaddle.Report) {
+func (m *membership) observe(now time.Time, server string, rep mustardsaddle.Report) []mustardsaddle.Mark {
 	if !rep.Draining && !(*m.leaving.Load())[server] {
-		return
+		return nil
 	}
-	m.change(now, func(r roster.Roster) roster.Roster {
+	return m.change(now, func(r roster.Roster) roster.Roster {
 		next, _, _ := r.Observe(now, server, rep)
 		return next
 	})
 }
 
 // machines takes the platform's list, as read at now.
-func (m *membership) machines(now time.Time, list []mustardsaddle.Machine) {
-	m.change(now, func(r roster.Roster) roster.Roster { return r.WithMachines(now, list) })
+func (m *membership) machines(now time.Time, list []mustardsaddle.Machine) []mustardsaddle.Mark {
+	return m.change(now, func(r roster.Roster) roster.Roster { return r.WithMachines(now, list) })
 }
 
 // peerMachines takes a part of a peer's list.
@@ -78,8 +80,8 @@
 }
 
 // marks takes marks from a peer or from this gateway.
-func (m *membership) marks(now time.Time, marks []mustardsaddle.Mark) {
-	m.change(now, func(r roster.Roster) roster.Roster { return r.WithMarks(now, marks) })
+func (m *membership) marks(now time.Time, marks []mustardsaddle.Mark) []mustardsaddle.Mark {
+	return m.change(now, func(r roster.Roster) roster.Roster { return r.WithMarks(now, marks) })
 }
 
 // vm takes the introduction of a gateway VM.
--- /dev/null
+++ b/internal/product/instance/peers.go
@@ -0,0 +1,99 @@
+package instance
+
+import (
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/peer/link"
+	"mustardsaddle.example/mustardsaddle/internal/peer/news"
+)
+
+func (in *instance) newLinks(seed uint64) *link.Links {
+	s := in.cfg.Settings
+	return link.New(link.Config{
+		Self:    in.self,
+		Summary: in.summary,
+		Receive: in.receive,
+		Lost:    in.membership.silent,
+		Timing:  link.Timing{Heartbeat: s.Peers.Heartbeat, Silence: s.Peers.Silent},
+		Seed:    seed,
+		Logger:  in.cfg.Logger,
+	})
+}
+
+// summary says what this gateway knows.
+func (in *instance) summary() news.Summary {
+	return news.Summary{
+		Generation:  in.generation.Load(),
+		MarksDigest: in.membership.Roster().MarksDigest(),
+	}
+}
+
+// receive takes one message of a peer.
+func (in *instance) receive(now time.Time, from string, msg news.Message) {
+	switch m := msg.(type) {
+	case news.Hello:
+		in.mu.Lock()
+		in.relay.Forget(from)
+		in.mu.Unlock()
+		in.membership.vm(now, m.VM)
+		in.compare(now, from, m.Summary)
+		if len(in.membership.Roster().Services()) == 0 {
+			in.links.Send(from, news.AskMachines{})
+		}
+	case news.Heartbeat:
+		in.compare(now, from, m.Summary)
+	case news.Marks:
+		in.spreadMarks(from, in.membership.marks(now, m.Marks))
+	case news.AskMachines:
+		_, list := in.membership.Roster().List()
+		for _, part := range news.SplitMachines(list) {
+			in.links.Send(from, part)
+		}
+	case news.Machines:
+		in.membership.peerMachines(now, m.Machines)
+	case news.RuleChange:
+		in.receiveChange(now, from, m)
+	case news.AskRules:
+		in.sendRules(from, m.Have)
+	case news.WholeRules:
+		in.receiveRules(now, m)
+	}
+}
+
+// compare asks for what the peer knows and this gateway lacks, and sends what
+// the peer lacks.
+func (in *instance) compare(now time.Time, from string, theirs news.Summary) {
+	own := in.summary()
+	in.mu.Lock()
+	in.told[from] = theirs.Generation
+	gap := in.relay.Compare(now, from, own, theirs)
+	in.mu.Unlock()
+	if gap.AskRules {
+		in.links.Send(from, news.AskRules{Have: own.Generation})
+	}
+	if gap.SendMarks {
+		for _, part := range news.SplitMarks(in.membership.Roster().Marks()) {
+			in.links.Send(from, part)
+		}
+	}
+}
+
+// spreadMarks floods marks that were new to this gateway.
+func (in *instance) spreadMarks(from string, fresh []mustardsaddle.Mark) {
+	if len(fresh) == 0 {
+		return
+	}
+	for _, part := range news.SplitMarks(fresh) {
+		in.spread(from, in.generation.Load(), part)
+	}
+}
+
+// spread passes a message on to the peers that the relay names; generation is the
+// one in force before the message is applied.
+func (in *instance) spread(from string, generation int64, msg news.Message) {
+	in.mu.Lock()
+	targets := in.relay.Targets(from, msg, generation, in.links.Peers())
+	in.mu.Unlock()
+	in.links.SendAll(targets, msg)
+}
--- /dev/null
+++ b/internal/product/instance/rules.go
@@ -0,0 +1,89 @@
+package instance
+
+import (
+	"time"
+
+	"mustardsaddle.example/mustardsaddle/internal/control/registry"
+	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/peer/news"
+	"mustardsaddle.example/mustardsaddle/internal/product/admin"
+)
+
+// watchersPerZone is how many gateways of each availability zone hold watches.
+const watchersPerZone = 2
+
+func (in *instance) newRegistry(seed uint64) *registry.Registry {
+	return registry.New(registry.Config{
+		Name:        in.self.Name,
+		Store:       in.store,
+		StatusStore: in.store.Status(),
+		InForce:     in.inForce,
+		Spread:      in.spreadChange,
+		Rank: func() int {
+			return roster.Rank(in.membership.Roster().VMs(), in.self.Name, registry.SubmittedKey)
+		},
+		Fleet: func() int { return in.membership.Roster().Gateways() },
+		Watch: func() bool {
+			return roster.ZoneRank(in.membership.Roster().VMs(), in.self.Name, registry.AcceptedKey) < watchersPerZone
+		},
+		Live:   in.live,
+		Logger: in.cfg.Logger,
+		Seed:   seed,
+	})
+}
+
+// inForce puts a table in force on the request path.
+func (in *instance) inForce(t *rule.Table) {
+	in.gateway.SetRules(t)
+	in.generation.Store(t.File.Generation)
+}
+
+// live returns the live gateway VMs with the generations that they told of.
+func (in *instance) live() []rule.VM {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var vms []rule.VM
+	for _, vm := range in.membership.Roster().VMs() {
+		if !vm.Leaving {
+			vms = append(vms, rule.VM{Name: vm.Name, Generation: in.told[vm.Name]})
+		}
+	}
+	return vms
+}
+
+// rules returns the file in force for the admin page.
+func (in *instance) rules() admin.Rules {
+	text, generation := in.registry.Snapshot()
+	return admin.Rules{Generation: generation, Text: text}
+}
+
+// spreadChange floods a change that took force here.
+func (in *instance) spreadChange(c rule.Change) {
+	in.spread("", c.From, newsOf(c))
+}
+
+// receiveChange passes a change of a peer on, and applies it. A change that does
+// not fit shows that this gateway lacks something: it asks for the whole file.
+func (in *instance) receiveChange(now time.Time, from string, m news.RuleChange) {
+	in.spread(from, in.generation.Load(), m)
+	switch in.registry.Receive(now, changeOf(m)) {
+	case rule.Gap, rule.BadDigest:
+		in.links.Send(from, news.AskRules{Have: in.generation.Load()})
+	case rule.Applied, rule.Stale:
+	}
+}
+
+// sendRules answers a peer that lacks rules.
+func (in *instance) sendRules(to string, have int64) {
+	text, generation := in.registry.Snapshot()
+	if generation > have {
+		in.links.Send(to, news.WholeRules{Generation: generation, Text: text})
+	}
+}
+
+// receiveRules takes a whole file from a peer. The registry logs one that it
+// refuses.
+func (in *instance) receiveRules(now time.Time, m news.WholeRules) {
+	_, _ = in.registry.ReceiveWhole(now, m.Text)
+}
--- /dev/null
+++ b/internal/product/instance/serve.go
@@ -0,0 +1,182 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+	"mustardsaddle.example/mustardsaddle/internal/product/admin"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
+)
+
+// listeners are the open addresses of an instance.
+type listeners struct {
+	callers, admin, peer net.Listener
+}
+
+// listen opens all addresses, or none.
+func listen(ctx context.Context, g settings.Gateway) (listeners, error) {
+	var l listeners
+	opens := []struct {
+		name, address string
+		listener      *net.Listener
+	}{
+		{"callers'", g.Listen, &l.callers},
+		{"admin", g.Admin, &l.admin},
+		{"peer", g.Peer, &l.peer},
+	}
+	for _, o := range opens {
+		opened, err := (&net.ListenConfig{}).Listen(ctx, "tcp", o.address)
+		if err != nil {
+			l.close()
+			return listeners{}, code.Wrapf(code.SettingsBadValue, err, "open %s address %s", o.name, o.address)
+		}
+		*o.listener = opened
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, open := range []net.Listener{l.callers, l.admin, l.peer} {
+		if open != nil {
+			_ = open.Close()
+		}
+	}
+}
+
+// run serves until the context ends, then stops.
+func (in *instance) run(ctx context.Context, l listeners) error {
+	// The control side works on until the last call has finished.
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	served := in.serve(l)
+	parts := in.start(work)
+	event.Info(in.cfg.Logger, event.Started).Str("Listen", l.callers.Addr().String()).
+		Str("Admin", l.admin.Addr().String()).Str("Peer", l.peer.Addr().String()).Send()
+	var failed error
+	select {
+	case <-ctx.Done():
+	case failed = <-served:
+	}
+	cut := in.stop()
+	end()
+	for _, done := range parts {
+		<-done
+	}
+	in.close()
+	event.Info(in.cfg.Logger, event.StopEnded).Int("Cut", cut).Send()
+	if cut > 0 {
+		failed = errors.Join(failed, code.Errorf(code.StopCut, "stop gateway %s: %d calls were cut", in.self.Name, cut))
+	}
+	return failed
+}
+
+// serve answers on all addresses. The channel takes the error of an address that
+// ends before the instance stops.
+func (in *instance) serve(l listeners) <-chan error {
+	s := in.cfg.Settings
+	in.front = gateway.NewServer(gateway.ServerConfig{
+		Handler:       in.gateway,
+		HeaderBytes:   s.Limits.HeaderBytes,
+		HeaderTimeout: s.Limits.Progress,
+		Logger:        in.cfg.Logger,
+	})
+	in.back = &http.Server{Handler: in.admin(), ReadHeaderTimeout: s.Limits.Progress}
+	peers := mux.NewRouter()
+	in.links.Mount(peers)
+	in.side = &http.Server{Handler: peers, ReadHeaderTimeout: s.Limits.Progress}
+	served := make(chan error, 3)
+	go func() { served <- in.front.Serve(l.callers) }()
+	go func() { served <- in.back.Serve(l.admin) }()
+	go func() { served <- in.side.Serve(l.peer) }()
+	return served
+}
+
+// start begins the control side. Each channel is closed when its part has ended.
+func (in *instance) start(ctx context.Context) []<-chan struct{} {
+	return []<-chan struct{}{
+		begin(ctx, func(ctx context.Context, done chan<- struct{}) {
+			defer close(done)
+			_ = in.links.Run(ctx)
+		}),
+		begin(ctx, in.registry.Run),
+		begin(ctx, in.followList),
+		begin(ctx, in.prober.Run),
+	}
+}
+
+// begin starts a part and returns the channel on which it reports its end.
+func begin(ctx context.Context, part func(context.Context, chan<- struct{})) <-chan struct{} {
+	done := make(chan struct{})
+	go part(ctx, done)
+	return done
+}
+
+func (in *instance) admin() http.Handler {
+	return admin.New(admin.Config{
+		Ready:   in.ready,
+		Rules:   in.rules,
+		Servers: in.servers,
+		Metrics: in.metrics.Handler(),
+	})
+}
+
+// servers returns the endpoint servers as this gateway sees them.
+func (in *instance) servers() []admin.Server {
+	r := in.membership.Roster()
+	var servers []admin.Server
+	for _, service := range r.Services() {
+		for _, s := range r.Servers(service) {
+			servers = append(servers, admin.Server{Server: s})
+		}
+	}
+	return servers
+}
+
+// stop ends the calls gracefully and returns how many were cut, which only an
+// abort does.
+func (in *instance) stop() int {
+	event.Info(in.cfg.Logger, event.StopBegun).Int("InFlight", in.gateway.InFlight()).Send()
+	in.stopping.Store(true)
+	leaving := mustardsaddle.Mark{Name: in.self.Name, Incarnation: in.self.Incarnation, Seq: roster.FinalSeq, Leaving: true}
+	in.spreadMarks("", in.membership.marks(time.Now(), []mustardsaddle.Mark{leaving}))
+	in.gateway.SetStopping()
+	select {
+	case <-time.After(in.cfg.Settings.Stop.Lag):
+	case <-in.cfg.Abort:
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = in.front.Shutdown(ctx) // it fails only by the abort
+	}()
+	select {
+	case <-stopped:
+		return 0
+	case <-in.cfg.Abort:
+		cut := in.gateway.InFlight()
+		cancel()
+		<-stopped
+		_ = in.front.Close()
+		return cut
+	}
+}
+
+// close ends what is left after the last call.
+func (in *instance) close() {
+	_ = in.side.Close()
+	_ = in.back.Close()
+	in.gateway.Close()
+	_ = in.metrics.Close()
+}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -168,6 +168,8 @@
 
 	mu    sync.RWMutex
 	lanes map[string]*lane
+	// fleet are the live gateway VMs.
+	fleet []mustardsaddle.VM
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -200,11 +202,16 @@
 func (g *Gateway) SetServers(now time.Time, service string, servers []mustardsaddle.Server) {
 	g.mu.Lock()
 	l := g.lanes[service]
-	if l == nil {
+	added := l == nil
+	if added {
 		l = newLane(g, service)
 		g.lanes[service] = l
 	}
+	fleet := g.fleet
 	g.mu.Unlock()
+	if added {
+		l.setFleet(now, fleet)
+	}
 	l.setServers(now, servers)
 }
 
