Ask for the address that other gateways dial

Cause: [Gateway] Peer had the default 0.0.0.0, which a gateway would have told others as its own address. Ruled out: guessing the address of an interface; a process learns its addresses from its settings. Change: Peer is required, and 0.0.0.0 is refused. Conclusion: a wrong peer address is found at start.

--- a/internal/product/command/command_test.go
+++ b/internal/product/command/command_test.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	goodSettings = "[Gateway]\nName = g1\nZone = a\n[Platform]\nURL = http://127.0.0.1:7000\n"
-	badSettings  = "[Gateway]\nName = g1\nZone = a\nListen = here\n[Platfrm]\n"
+	goodSettings = "[Gateway]\nName = g1\nZone = a\nPeer = 127.0.0.1:0\n[Platform]\nURL = http://127.0.0.1:7000\n"
+	badSettings  = "[Gateway]\nName = g1\nZone = a\nPeer = 127.0.0.1:0\nListen = here\n[Platfrm]\n"
 	goodRules    = "# Generation 1\n" +
 		"Path=/rosters Service=Booking Deadline=2s # Mei Lin: members browse rosters\n" +
 		"Path=/bookings Method=POST Service=Booking Repeat=No # Tan: book a lathe\n" +
@@ -80,7 +80,7 @@
 
 		{"check", command.Usage, nil, []string{"--settings FILE"}},
 		{"check --settings DIR/good.ini --rules DIR/good.txt", command.Done, []string{"good.ini: no mistakes", "good.txt: no mistakes"}, nil},
-		{"check --settings DIR/bad.ini", command.Mistakes, []string{"line 4: [Gateway] Listen", "[Platfrm]", "[Platform] URL"}, []string{"3 found"}},
+		{"check --settings DIR/bad.ini", command.Mistakes, []string{"line 5: [Gateway] Listen", "[Platfrm]", "[Platform] URL"}, []string{"3 found"}},
 		{"check --rules DIR/bad.txt", command.Mistakes, []string{"line 2: ", "code 2005", "line 3: ", "code 2002", "line 4: ", "code 2004"}, []string{"3 found"}},
 		{"check --settings DIR/bad.ini --rules DIR/bad.txt", command.Mistakes, []string{"bad.ini", "bad.txt"}, []string{"6 found"}},
 		{"check --rules DIR/none.txt", command.Failed, nil, []string{"none.txt"}},
--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -20,7 +20,7 @@
 const docs = "../../../docs/"
 
 // head is the shortest settings file without a mistake, up to its last section.
-const head = "[Platform]\nURL = http://127.0.0.1:7000\n[Gateway]\nName = g1\nZone = a\n"
+const head = "[Platform]\nURL = http://127.0.0.1:7000\n[Gateway]\nName = g1\nZone = a\nPeer = 127.0.0.1:0\n"
 
 func TestExampleLoadsAndStatesEverySetting(t *testing.T) {
 	s, problems := settings.Load(docs + "gateway.example.ini")
@@ -36,6 +36,7 @@
 	}
 	want := settings.Default().WithService(settings.Default().Service("Booking"))
 	want.Gateway.Name, want.Gateway.Zone, want.Platform.URL = "gateway-1", "zone-a", "http://127.0.0.1:7000"
+	want.Gateway.Peer = "10.0.0.7:8082"
 	if fmt.Sprint(s) != fmt.Sprint(want) {
 		t.Errorf("example gives\n%+v, want the defaults\n%+v", s, want)
 	}
@@ -93,33 +94,34 @@
 		section    string
 		key        string
 	}{
-		{"no required key", "[Platform]\nURL = http://a:1\n[Gateway]\nName = g1\n", code.SettingsMissing, 3, "Gateway", "Zone"},
-		{"unknown section", head + "[Gatewy]\n", code.SettingsUnknownSection, 6, "Gatewy", ""},
-		{"default section", head + "[DEFAULT]\nA = 1\n", code.SettingsUnknownSection, 6, "DEFAULT", ""},
-		{"unknown key", head + "Nme = g2\n", code.SettingsUnknownKey, 6, "Gateway", "Nme"},
-		{"wrong case", head + "listen = 127.0.0.1:0\n", code.SettingsUnknownKey, 6, "Gateway", "listen"},
-		{"duplicate key", head + "Name = g2\n", code.SettingsDuplicate, 6, "Gateway", "Name"},
-		{"duplicate section", head + "[Platform]\n", code.SettingsDuplicate, 6, "Platform", ""},
-		{"no equals sign", head + "Listen\n", code.SettingsSyntax, 6, "Gateway", ""},
+		{"no required key", "[Platform]\nURL = http://a:1\n[Gateway]\nName = g1\nPeer = 127.0.0.1:0\n", code.SettingsMissing, 3, "Gateway", "Zone"},
+		{"unknown section", head + "[Gatewy]\n", code.SettingsUnknownSection, 7, "Gatewy", ""},
+		{"default section", head + "[DEFAULT]\nA = 1\n", code.SettingsUnknownSection, 7, "DEFAULT", ""},
+		{"unknown key", head + "Nme = g2\n", code.SettingsUnknownKey, 7, "Gateway", "Nme"},
+		{"wrong case", head + "listen = 127.0.0.1:0\n", code.SettingsUnknownKey, 7, "Gateway", "listen"},
+		{"duplicate key", head + "Name = g2\n", code.SettingsDuplicate, 7, "Gateway", "Name"},
+		{"duplicate section", head + "[Platform]\n", code.SettingsDuplicate, 7, "Platform", ""},
+		{"no equals sign", head + "Listen\n", code.SettingsSyntax, 7, "Gateway", ""},
 		{"key before sections", "Name = g1\n" + head, code.SettingsSyntax, 1, "", "Name"},
-		{"open section", head + "[Log\n", code.SettingsSyntax, 6, "Log", ""},
-		{"several lines", head + "Listen = \"\"\"a\n", code.SettingsSyntax, 6, "Gateway", ""},
-		{"host name", head + "Listen = localhost:80\n", code.SettingsBadValue, 6, "Gateway", "Listen"},
-		{"no port", head + "Listen = 127.0.0.1\n", code.SettingsBadValue, 6, "Gateway", "Listen"},
-		{"one address twice", head + "Listen = 127.0.0.1:9\nAdmin = 127.0.0.1:9\n", code.SettingsConflict, 7, "Gateway", "Admin"},
-		{"no unit", head + "[Stop]\nLag = 2\n", code.SettingsBadValue, 7, "Stop", "Lag"},
-		{"below range", head + "[Limits]\nDeadline = 0s\n", code.SettingsBadValue, 7, "Limits", "Deadline"},
-		{"above range", head + "[Retry]\nHedgeShare = 1.5\n", code.SettingsBadValue, 7, "Retry", "HedgeShare"},
-		{"not a number", head + "[Retry]\nRetryShare = NaN\n", code.SettingsBadValue, 7, "Retry", "RetryShare"},
-		{"negative", head + "[Measuring]\nBytesPerSecond = -1\n", code.SettingsBadValue, 7, "Measuring", "BytesPerSecond"},
-		{"path", head + "[Measuring]\nPath = load\n", code.SettingsBadValue, 7, "Measuring", "Path"},
-		{"policy", head + "[Choice]\nPolicy = Best\n", code.SettingsBadValue, 7, "Choice", "Policy"},
-		{"silent link", head + "[Peers]\nHeartbeat = 2s\nSilent = 2s\n", code.SettingsConflict, 8, "Peers", "Silent"},
-		{"URL", "[Platform]\nURL = ftp://a\n[Gateway]\nName = g1\nZone = a\n", code.SettingsBadValue, 2, "Platform", "URL"},
-		{"service name", head + "[Service a b]\n", code.SettingsBadValue, 6, "Service a b", ""},
-		{"refusal status", head + "[Service A]\nNotRunStatus = 200\n", code.SettingsBadValue, 7, "Service A", "NotRunStatus"},
-		{"refusal header", head + "[Service A]\nNotRunHeader = X\n", code.SettingsConflict, 7, "Service A", "NotRunHeader"},
-		{"refusal without header", head + "[Service A]\nNotRunStatus = 503\n", code.SettingsConflict, 7, "Service A", "NotRunStatus"},
+		{"open section", head + "[Log\n", code.SettingsSyntax, 7, "Log", ""},
+		{"several lines", head + "Listen = \"\"\"a\n", code.SettingsSyntax, 7, "Gateway", ""},
+		{"host name", head + "Listen = localhost:80\n", code.SettingsBadValue, 7, "Gateway", "Listen"},
+		{"no port", head + "Listen = 127.0.0.1\n", code.SettingsBadValue, 7, "Gateway", "Listen"},
+		{"own address", "[Platform]\nURL = http://a:1\n[Gateway]\nName = g1\nZone = a\nPeer = 0.0.0.0:1\n", code.SettingsBadValue, 6, "Gateway", "Peer"},
+		{"one address twice", head + "Listen = 127.0.0.1:9\nAdmin = 127.0.0.1:9\n", code.SettingsConflict, 8, "Gateway", "Admin"},
+		{"no unit", head + "[Stop]\nLag = 2\n", code.SettingsBadValue, 8, "Stop", "Lag"},
+		{"below range", head + "[Limits]\nDeadline = 0s\n", code.SettingsBadValue, 8, "Limits", "Deadline"},
+		{"above range", head + "[Retry]\nHedgeShare = 1.5\n", code.SettingsBadValue, 8, "Retry", "HedgeShare"},
+		{"not a number", head + "[Retry]\nRetryShare = NaN\n", code.SettingsBadValue, 8, "Retry", "RetryShare"},
+		{"negative", head + "[Measuring]\nBytesPerSecond = -1\n", code.SettingsBadValue, 8, "Measuring", "BytesPerSecond"},
+		{"path", head + "[Measuring]\nPath = load\n", code.SettingsBadValue, 8, "Measuring", "Path"},
+		{"policy", head + "[Choice]\nPolicy = Best\n", code.SettingsBadValue, 8, "Choice", "Policy"},
+		{"silent link", head + "[Peers]\nHeartbeat = 2s\nSilent = 2s\n", code.SettingsConflict, 9, "Peers", "Silent"},
+		{"URL", "[Platform]\nURL = ftp://a\n[Gateway]\nName = g1\nZone = a\nPeer = 127.0.0.1:0\n", code.SettingsBadValue, 2, "Platform", "URL"},
+		{"service name", head + "[Service a b]\n", code.SettingsBadValue, 7, "Service a b", ""},
+		{"refusal status", head + "[Service A]\nNotRunStatus = 200\n", code.SettingsBadValue, 8, "Service A", "NotRunStatus"},
+		{"refusal header", head + "[Service A]\nNotRunHeader = X\n", code.SettingsConflict, 8, "Service A", "NotRunHeader"},
+		{"refusal without header", head + "[Service A]\nNotRunStatus = 503\n", code.SettingsConflict, 8, "Service A", "NotRunStatus"},
 		{"not text", head + "\xff", code.SettingsSyntax, 0, "", ""},
 		{"too large", strings.Repeat("#", settings.MaxFileBytes+1), code.SettingsTooLarge, 0, "", ""},
 	}
--- a/internal/product/settings/value.go
+++ b/internal/product/settings/value.go
@@ -66,6 +66,16 @@
 	return text(Info{Section: section, Key: key, Default: def, Want: want, Meaning: meaning}, ok, field)
 }
 
+// ownAddress is a setting that holds an address by which others reach this VM.
+func ownAddress[T any](section, key, meaning string, field func(*T) *string) setting[T] {
+	ok := func(value string) bool {
+		a, err := netip.ParseAddrPort(value)
+		return err == nil && !a.Addr().IsUnspecified()
+	}
+	want := "an IP number of this VM and a port such as 10.0.0.7:8082, not 0.0.0.0"
+	return text(Info{Section: section, Key: key, Want: want, Meaning: meaning}, ok, field)
+}
+
 // httpURL is a setting that holds the address of an HTTP service.
 func httpURL[T any](section, key, meaning string, field func(*T) *string) setting[T] {
 	want := "an http or https URL such as http://10.0.0.1:7000, without a query or final slash"
