--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -40,6 +40,10 @@
 		{"load --target http://a --rate 0", product.Usage, "rate 0"},
 		{"load --target http://a --duration 1s --warmup 2s", product.Usage, "warmup 2s"},
 		{"load --target http://a --timeout 0s", product.Usage, "--timeout 0s"},
+		{"trial --scenario Storm", product.Usage, "Storm"},
+		{"trial --scenario Steady50 --candidate Best", product.Usage, "Best"},
+		{"trial --scenario Steady50 --network Moon", product.Usage, "Moon"},
+		{"trial --scenario Steady50 --repetitions 0", product.Usage, "--repetitions 0"},
 	}
 	for _, c := range cases {
 		t.Run(c.line, func(t *testing.T) {
--- /dev/null
+++ b/internal/standin/command/trial.go
@@ -0,0 +1,85 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/product/command"
+	"mustardsaddle.example/mustardsaddle/internal/standin/trial"
+)
+
+const trialAbout = `Compares the policies of choice on whole small systems over loopback sockets, with
+the same calls for each, and prints a table of latencies, ends and costs.
+
+Examples:
+  standin trial --scenario Steady70 --candidate TwoChoices --candidate PreferredSpill
+  standin trial --scenario all --repetitions 3 --limit 9m`
+
+type trialCommand struct {
+	Scenario    []string      `long:"scenario" value-name:"NAME" description:"scenario to run, or all; repeat for more" required:"true"`
+	Candidate   []string      `long:"candidate" value-name:"NAME" description:"candidate to run; repeat for more; none means all"`
+	Network     string        `long:"network" value-name:"NAME" description:"ShedNetwork or Bureau, whose sizes and delays apply" default:"ShedNetwork"`
+	Duration    time.Duration `long:"duration" value-name:"TIME" description:"time during which calls arrive in one run" default:"4s"`
+	Repetitions int           `long:"repetitions" value-name:"N" description:"runs of each scenario with each candidate" default:"3"`
+	Parallel    int           `long:"parallel" value-name:"N" description:"systems that run at a time; 0 means a quarter of the processors" default:"0"`
+	Limit       time.Duration `long:"limit" value-name:"TIME" description:"bound on the whole comparison; fewer repetitions are made to fit" default:"9m"`
+	Work        time.Duration `long:"work" value-name:"TIME" description:"mean working time of a call" default:"20ms"`
+	Queue       int           `long:"queue" value-name:"N" description:"calls that wait at a server beyond its slots" default:"2"`
+	Seed        uint64        `long:"seed" value-name:"N" description:"seed of arrivals, targets and working times" default:"1"`
+	JSON        bool          `long:"json" description:"print the report as JSON"`
+
+	env env
+}
+
+// Execute runs the comparison and prints its report.
+func (c *trialCommand) Execute(args []string) error {
+	if err := command.NoArguments(args); err != nil {
+		return err
+	}
+	if c.Duration <= 0 || c.Repetitions < 1 || c.Parallel < 0 || c.Limit <= 0 || c.Work <= 0 || c.Queue < 1 {
+		return command.Failf(command.Usage, "got --duration %v --repetitions %d --parallel %d --limit %v --work %v --queue %d, want them above 0",
+			c.Duration, c.Repetitions, c.Parallel, c.Limit, c.Work, c.Queue)
+	}
+	cfg, err := c.config()
+	if err != nil {
+		return err
+	}
+	report, err := trial.Compare(c.env.ctx, cfg)
+	if code.Of(err) == code.SettingsBadValue {
+		return command.Failf(command.Usage, "%v", err)
+	}
+	if len(report.Runs) > 0 {
+		c.print(report)
+	}
+	return err
+}
+
+func (c *trialCommand) config() (trial.CompareConfig, error) {
+	network := trial.ShedNetwork
+	switch c.Network {
+	case trial.ShedNetwork.String():
+	case trial.Bureau.String():
+		network = trial.Bureau
+	default:
+		return trial.CompareConfig{}, command.Failf(command.Usage, "got --network %q, want %v or %v", c.Network, trial.ShedNetwork, trial.Bureau)
+	}
+	return trial.CompareConfig{
+		Scenarios: c.Scenario, Candidates: c.Candidate, Network: network, Duration: c.Duration,
+		Repetitions: c.Repetitions, Parallel: c.Parallel, Limit: c.Limit, Work: c.Work, Queue: c.Queue, Seed: c.Seed,
+		Progress: func(r trial.Run) {
+			_, _ = fmt.Fprintf(c.env.cfg.Err, "ran %s with %s, repetition %d\n", r.Scenario, r.Candidate, r.Repetition+1)
+		},
+	}, nil
+}
+
+func (c *trialCommand) print(report trial.Report) {
+	if !c.JSON {
+		_, _ = fmt.Fprint(c.env.cfg.Out, report.Text())
+		return
+	}
+	enc := json.NewEncoder(c.env.cfg.Out)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(report)
+}
