Let a gateway start from its peers while the store is down

Cause: the addresses of peers came from the platform's list alone, so that a new VM knew nobody while the platform was down. Ruled out: asking the balancer for peers, which passes calls, not links. Change: the setting [Peers] Seeds; an instance tells its open addresses.

--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -41,6 +41,18 @@
 	Logger zerolog.Logger
 	// Abort, if set, ends a graceful stop at once when it is closed.
 	Abort <-chan struct{}
+	// Started, if set, is told the open addresses before the first call.
+	Started func(Addresses)
+}
+
+// Addresses are the addresses that an instance has opened.
+type Addresses struct {
+	// Callers is where callers are served.
+	Callers string
+	// Admin is where operators are served.
+	Admin string
+	// Peer is where other gateways link.
+	Peer string
 }
 
 // instance is one running gateway.
@@ -77,10 +89,11 @@
 	if err != nil {
 		return err
 	}
-	return newInstance(time.Now(), cfg).run(ctx, l)
+	return newInstance(time.Now(), cfg, l.peer.Addr().String()).run(ctx, l)
 }
 
-func newInstance(now time.Time, cfg Config) *instance {
+// newInstance joins the parts of a gateway that accepts links on the peer address.
+func newInstance(now time.Time, cfg Config, peer string) *instance {
 	s := cfg.Settings
 	incarnation := s.Gateway.Incarnation
 	if incarnation == 0 {
@@ -89,7 +102,7 @@
 	seed := uint64(now.UnixNano())
 	in := &instance{
 		cfg:     cfg,
-		self:    mustardsaddle.VM{Name: s.Gateway.Name, Incarnation: incarnation, Zone: s.Gateway.Zone, Peer: s.Gateway.Peer},
+		self:    mustardsaddle.VM{Name: s.Gateway.Name, Incarnation: incarnation, Zone: s.Gateway.Zone, Peer: peer},
 		metrics: admin.NewMetrics(admin.MetricsConfig{}),
 		relay:   news.NewRelay(news.RelayConfig{}),
 		told:    make(map[string]int64),
@@ -198,5 +211,19 @@
 	}
 	in.gateway.SetFleet(now, r.VMs())
 	in.store.SetFleet(r.Gateways())
-	in.links.SetNeighbors(roster.Neighbors(r.Peers(), in.self.Name, roster.NeighborConfig{}))
+	in.links.SetNeighbors(in.neighbors(r))
+}
+
+// neighbors returns the VMs to which links are kept: those that the roster gives,
+// or the addresses of the settings while it knows no other gateway.
+func (in *instance) neighbors(r roster.Roster) []mustardsaddle.VM {
+	peers := in.cfg.Settings.Peers
+	vms := roster.Neighbors(r.Peers(), in.self.Name, roster.NeighborConfig{Across: peers.Across})
+	if len(vms) > 0 {
+		return vms
+	}
+	for _, address := range peers.Seeds {
+		vms = append(vms, mustardsaddle.VM{Peer: address})
+	}
+	return vms
 }
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -45,6 +45,10 @@
 	return l, nil
 }
 
+func (l listeners) addresses() Addresses {
+	return Addresses{Callers: l.callers.Addr().String(), Admin: l.admin.Addr().String(), Peer: l.peer.Addr().String()}
+}
+
 func (l listeners) close() {
 	for _, open := range []net.Listener{l.callers, l.admin, l.peer} {
 		if open != nil {
@@ -60,8 +64,11 @@
 	defer end()
 	served := in.serve(l)
 	parts := in.start(work)
-	event.Info(in.cfg.Logger, event.Started).Str("Listen", l.callers.Addr().String()).
-		Str("Admin", l.admin.Addr().String()).Str("Peer", l.peer.Addr().String()).Send()
+	a := l.addresses()
+	event.Info(in.cfg.Logger, event.Started).Str("Listen", a.Callers).Str("Admin", a.Admin).Str("Peer", a.Peer).Send()
+	if in.cfg.Started != nil {
+		in.cfg.Started(a)
+	}
 	var failed error
 	select {
 	case <-ctx.Done():
--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -121,6 +121,8 @@
 
 func peerList() []setting[Settings] {
 	return []setting[Settings]{
+		addresses(sectionPeers, "Seeds", "Peer addresses that this gateway dials while it knows no other gateway, so that it can start while the store is down.",
+			func(s *Settings) *[]string { return &s.Peers.Seeds }),
 		integer(sectionPeers, "Across", "2", 1, 16, "links",
 			"Links that this gateway keeps on average to gateways in other availability zones, besides those in its own.",
 			func(s *Settings) *int { return &s.Peers.Across }),
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -77,6 +77,7 @@
 
 // Peers says how gateways keep links with each other.
 type Peers struct {
+	Seeds     []string
 	Across    int
 	Heartbeat time.Duration
 	Silent    time.Duration
--- a/internal/product/settings/value.go
+++ b/internal/product/settings/value.go
@@ -76,6 +76,27 @@
 	return text(Info{Section: section, Key: key, Want: want, Meaning: meaning}, ok, field)
 }
 
+// addresses is a setting that holds addresses of other VMs, or none.
+func addresses[T any](section, key, meaning string, field func(*T) *[]string) setting[T] {
+	info := Info{Section: section, Key: key, Want: "IP numbers and ports such as 10.0.0.7:8082, separated by commas, or nothing", Meaning: meaning}
+	return setting[T]{Info: info, set: func(t *T, value string) bool {
+		var list []string
+		for part := range strings.SplitSeq(value, ",") {
+			part = strings.TrimSpace(part)
+			if part == "" {
+				continue
+			}
+			a, err := netip.ParseAddrPort(part)
+			if err != nil || a.Addr().IsUnspecified() {
+				return false
+			}
+			list = append(list, part)
+		}
+		*field(t) = list
+		return true
+	}}
+}
+
 // httpURL is a setting that holds the address of an HTTP service.
 func httpURL[T any](section, key, meaning string, field func(*T) *string) setting[T] {
 	want := "an http or https URL such as http://10.0.0.1:7000, without a query or final slash"
