--- a/internal/product/code/code_string.go
+++ b/internal/product/code/code_string.go
@@ -15,6 +15,10 @@
 	_ = x[SettingsUnknownKey-1003]
 	_ = x[SettingsBadValue-1004]
 	_ = x[SettingsMissing-1005]
+	_ = x[SettingsSyntax-1006]
+	_ = x[SettingsDuplicate-1007]
+	_ = x[SettingsTooLarge-1008]
+	_ = x[SettingsConflict-1009]
 	_ = x[RuleSyntax-2001]
 	_ = x[RuleUnknownField-2002]
 	_ = x[RuleBadValue-2003]
@@ -48,35 +52,42 @@
 	_ = x[CallBadRequest-4007]
 	_ = x[CallTooLarge-4008]
 	_ = x[CallCanceled-4009]
+	_ = x[CallUpgrade-4010]
+	_ = x[CallMismatch-4011]
+	_ = x[CallClaimed-4012]
+	_ = x[CallStopping-4013]
+	_ = x[StopCut-7001]
 	_ = x[PeerBadMessage-5001]
 	_ = x[PeerNewerFormat-5002]
+	_ = x[PeerUnavailable-5003]
 	_ = x[ReportBad-6001]
 }
 
 const (
 	_Code_name_0 = "OKInternal"
-	_Code_name_1 = "SettingsUnreadableSettingsUnknownSectionSettingsUnknownKeySettingsBadValueSettingsMissing"
+	_Code_name_1 = "SettingsUnreadableSettingsUnknownSectionSettingsUnknownKeySettingsBadValueSettingsMissingSettingsSyntaxSettingsDuplicateSettingsTooLargeSettingsConflict"
 	_Code_name_2 = "RuleSyntaxRuleUnknownFieldRuleBadValueRuleMissingFieldRuleNoWhoRuleDuplicateRuleBadEncodingRuleTooLargeRuleLineTooLongRuleRepeatedFieldRuleBadPatternRuleBadGenerationRuleUnknownBaseRuleConflictChangeRuleConflictRemovalRuleSubmissionLost"
 	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudgetStoreNewerFormatStoreBackoff"
-	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceled"
-	_Code_name_5 = "PeerBadMessagePeerNewerFormat"
+	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceledCallUpgradeCallMismatchCallClaimedCallStopping"
+	_Code_name_5 = "PeerBadMessagePeerNewerFormatPeerUnavailable"
 	_Code_name_6 = "ReportBad"
+	_Code_name_7 = "StopCut"
 )
 
 var (
 	_Code_index_0 = [...]uint8{0, 2, 10}
-	_Code_index_1 = [...]uint8{0, 18, 40, 58, 74, 89}
+	_Code_index_1 = [...]uint8{0, 18, 40, 58, 74, 89, 103, 120, 136, 152}
 	_Code_index_2 = [...]uint8{0, 10, 26, 38, 54, 63, 76, 91, 103, 118, 135, 149, 166, 181, 199, 218, 236}
 	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79, 95, 107}
-	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108}
-	_Code_index_5 = [...]uint8{0, 14, 29}
+	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108, 119, 131, 142, 154}
+	_Code_index_5 = [...]uint8{0, 14, 29, 44}
 )
 
 func (i Code) String() string {
 	switch {
 	case 0 <= i && i <= 1:
 		return _Code_name_0[_Code_index_0[i]:_Code_index_0[i+1]]
-	case 1001 <= i && i <= 1005:
+	case 1001 <= i && i <= 1009:
 		i -= 1001
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
 	case 2001 <= i && i <= 2016:
@@ -85,14 +96,16 @@
 	case 3001 <= i && i <= 3008:
 		i -= 3001
 		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
-	case 4001 <= i && i <= 4009:
+	case 4001 <= i && i <= 4013:
 		i -= 4001
 		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
-	case 5001 <= i && i <= 5002:
+	case 5001 <= i && i <= 5003:
 		i -= 5001
 		return _Code_name_5[_Code_index_5[i]:_Code_index_5[i+1]]
 	case i == 6001:
 		return _Code_name_6
+	case i == 7001:
+		return _Code_name_7
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/internal/product/code/list.go
+++ b/internal/product/code/list.go
@@ -19,6 +19,14 @@
 	SettingsBadValue
 	// SettingsMissing means a required key without a value.
 	SettingsMissing
+	// SettingsSyntax means text that is not an INI file.
+	SettingsSyntax
+	// SettingsDuplicate means a second section or key of the same name.
+	SettingsDuplicate
+	// SettingsTooLarge means a settings file above the limit.
+	SettingsTooLarge
+	// SettingsConflict means two settings that do not fit together.
+	SettingsConflict
 )
 
 // Rule codes.
@@ -104,6 +112,20 @@
 	CallTooLarge
 	// CallCanceled means that the caller went away.
 	CallCanceled
+	// CallUpgrade means a request for another protocol, which is not supported.
+	CallUpgrade
+	// CallMismatch means an answer that belongs to another attempt.
+	CallMismatch
+	// CallClaimed means that the request's Idempotency-Key is claimed already.
+	CallClaimed
+	// CallStopping means that the gateway stops and takes no new callers.
+	CallStopping
+)
+
+// Process codes.
+const (
+	// StopCut means that a stop cut calls, because it was aborted.
+	StopCut Code = iota + 7001
 )
 
 // Peer message codes.
@@ -112,6 +134,8 @@
 	PeerBadMessage Code = iota + 5001
 	// PeerNewerFormat means a message of a newer format.
 	PeerNewerFormat
+	// PeerUnavailable means that a peer cannot be reached, or its link ended.
+	PeerUnavailable
 )
 
 // Report codes.
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -8,6 +8,8 @@
 	StopBegun
 	// StopEnded is logged when the process ends, with the number of calls cut.
 	StopEnded
+	// LinesLost is logged when log lines were lost because the log was not read.
+	LinesLost
 )
 
 // Rule events.
@@ -36,6 +38,16 @@
 	RouteChosen Event = iota + 4001
 	// CallRefused is logged when a call ends without a server's answer.
 	CallRefused
+	// CallEnded is logged when a server's answer was relayed.
+	CallEnded
+	// CallCut is logged when an answer broke and the caller's connection was
+	// aborted.
+	CallCut
+	// CallResumed is logged when a broken download goes on from another server.
+	CallResumed
+	// ConnectionSilent is logged when a connection that was reused carried no
+	// answer and is closed.
+	ConnectionSilent
 )
 
 // Peer events.
@@ -44,4 +56,14 @@
 	LinkUp Event = iota + 5001
 	// LinkDown is logged when a peer link ends.
 	LinkDown
+	// LinkSilent is logged when a peer link is closed because nothing came on it.
+	LinkSilent
+	// LinkFailed is logged when a peer link cannot be established.
+	LinkFailed
+	// PeerMessageRefused is logged when a message of a peer is not used.
+	PeerMessageRefused
+	// PeerMessageUnknown is logged when a message has a type of a later version.
+	PeerMessageUnknown
+	// PeerNewsDropped is logged when a link is too slow for the news on it.
+	PeerNewsDropped
 )
