--- a/internal/control/registry/core_bench_test.go
+++ b/internal/control/registry/core_bench_test.go
@@ -33,8 +33,8 @@
 					b.Fatal(err)
 				}
 			}
-			lines = nil
 			b.ReportMetric(float64(heap()-before)/float64(n), "held-bytes/rule")
+			runtime.KeepAlive(lines)
 			runtime.KeepAlive(c)
 		})
 	}
--- a/internal/control/registry/follow.go
+++ b/internal/control/registry/follow.go
@@ -113,7 +113,7 @@
 // notice learns of a version of Rules/Submitted, and leaves it for a while to the
 // gateways that try first.
 func (f *follower) notice(version int64) {
-	rank := f.cfg.Rank(version)
+	rank := f.cfg.Rank()
 	f.mu.Lock()
 	open := f.core.Notice(version)
 	if open && rank > 0 {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -63,11 +63,9 @@
 	InForce func(*rule.Table)
 	// Spread sends a change to the peers.
 	Spread func(rule.Change)
-	// Rank returns this gateway's place, from 0, in the order in which the
-	// watching gateways try to do a piece of work, such as to accept a submission
-	// of the given version. The order should differ from version to version, so
-	// that the work is spread; nil means 0.
-	Rank func(version int64) int
+	// Rank returns this gateway's place, from 0, in the order in which gateways
+	// try to accept; nil means 0.
+	Rank func() int
 	// Fleet returns the number of gateways; nil means 1.
 	Fleet func() int
 	// Watch reports whether this gateway holds store watches; nil means that it
@@ -98,7 +96,7 @@
 		cfg.Spread = func(rule.Change) {}
 	}
 	if cfg.Rank == nil {
-		cfg.Rank = func(int64) int { return 0 }
+		cfg.Rank = func() int { return 0 }
 	}
 	if cfg.Fleet == nil {
 		cfg.Fleet = func() int { return 1 }
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -97,7 +97,7 @@
 		}
 		m.Registry = registry.New(registry.Config{
 			Name: fmt.Sprintf("gateway-%02d", i), Store: objects, StatusStore: m.client.Status(), Seed: uint64(i),
-			Rank:  func(int64) int { return i },
+			Rank:  func() int { return i },
 			Fleet: func() int { return s.size },
 			Watch: func() bool { return i < s.watchers },
 			InForce: func(table *rule.Table) {
--- a/internal/control/registry/status.go
+++ b/internal/control/registry/status.go
@@ -49,7 +49,7 @@
 }
 
 func (g *Registry) statusDelay(failures int) time.Duration {
-	rank, fleet := g.cfg.Rank(g.Generation()), g.cfg.Fleet()
+	rank, fleet := g.cfg.Rank(), g.cfg.Fleet()
 	d := g.random(func(rng *rand.Rand) time.Duration { return StatusDelay(rng, g.cfg.Status, rank, fleet) })
 	return min(d<<min(failures, 5), max(d, maxStatusDelay))
 }
