Watch submissions only, and list versions where the file is large

Ruled out: fewer watches alone (each watcher still passes 23 KB/s); watches of versions without values (the platform does not promise them). Change: gateways watch Rules/Submitted only and use what the watch brought; above 64 KB they list versions each second instead; slow reads come every 1.5 s, so that two in a row fit into 5 s. Conclusion: bytes of a watching gateway no longer grow above 64 KB of rules.

--- a/internal/control/registry/delay.go
+++ b/internal/control/registry/delay.go
@@ -13,9 +13,9 @@
 	maxRankDelay = time.Second
 	// rankJitter keeps gateways of one rank apart.
 	rankJitter = 50 * time.Millisecond
-	// pollShare is the interval that each gateway of a fleet adds to the polls of
-	// all: a large fleet makes 100 polls a second together.
-	pollShare = 10 * time.Millisecond
+	// pollShare is the interval that each gateway of a fleet adds to the slow reads
+	// of all: a large fleet makes 200 a second together.
+	pollShare = 5 * time.Millisecond
 	// startShare is the time that each gateway of a fleet adds to the start.
 	startShare = time.Millisecond
 	// statusShare is the interval that each gateway adds to the status reports.
--- a/internal/control/registry/follow.go
+++ b/internal/control/registry/follow.go
@@ -11,19 +11,19 @@
 	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
-// watch holds a watch on an object while Config.Watch says so, and hands each new
-// version to follow.
-func (g *Registry) watch(ctx context.Context, key string) {
+// watch holds a watch on Rules/Submitted while this gateway is one of those that
+// do, and hands each new version to follow.
+func (g *Registry) watch(ctx context.Context) {
 	version := int64(0)
 	failures := 0
 	for ctx.Err() == nil {
-		if !g.cfg.Watch() {
+		if !g.cfg.Watch() || g.large() {
 			if !sleep(ctx, g.random(g.pollDelay)) {
 				return
 			}
 			continue
 		}
-		o, err := g.cfg.Store.Watch(ctx, key, max(version, g.seen(key)))
+		o, err := g.cfg.Store.Watch(ctx, SubmittedKey, version)
 		if err != nil || o.Version == 0 {
 			failures++
 			if !sleep(ctx, g.retryDelay(failures)) {
@@ -37,24 +37,32 @@
 		}
 		version = o.Version
 		select {
-		case g.objects <- o:
+		case g.submitted <- o:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// seen returns the version from which a watch need bring nothing.
-func (g *Registry) seen(key string) int64 {
-	if key != AcceptedKey {
-		return 0
-	}
+// large reports whether the rules are too large for a watch.
+func (g *Registry) large() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.size > maxWatchedBytes
+}
+
+// seen returns the highest version of Rules/Accepted that is in force.
+func (g *Registry) seen() int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.core.Seen()
 }
 
+// pollDelay returns the time to the next list. The caller holds mu.
 func (g *Registry) pollDelay(rng *rand.Rand) time.Duration {
+	if g.size > maxWatchedBytes && g.cfg.Watch() {
+		return jittered(rng, min(listInterval, g.cfg.Poll))
+	}
 	return PollDelay(rng, g.cfg.Poll, g.cfg.Fleet())
 }
 
@@ -65,6 +73,8 @@
 // follower is the state of the loop that acts on what the store shows.
 type follower struct {
 	*Registry
+	// watched is the last submission that the watch has brought.
+	watched mustardsaddle.Object
 	// pollFailures and acceptFailures count failures in a row.
 	pollFailures, acceptFailures int
 	poll, accept                 *time.Timer
@@ -84,8 +94,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case o := <-g.objects:
-			f.object(o)
+		case f.watched = <-g.submitted:
+			f.notice(f.watched.Version)
 		case <-f.poll.C:
 			f.list(ctx)
 		case <-f.accept.C:
@@ -95,15 +105,6 @@
 	}
 }
 
-// object acts on an object that a watch has brought.
-func (f *follower) object(o mustardsaddle.Object) {
-	if o.Key == SubmittedKey {
-		f.notice(o.Version)
-		return
-	}
-	f.ignored(f.take(o))
-}
-
 func (f *follower) ignored(err error) {
 	if err != nil {
 		event.Warn(f.cfg.Logger, event.RulesIgnored).Err(err).Int("Code", int(code.Of(err))).Send()
@@ -160,7 +161,7 @@
 		switch {
 		case o.Key == SubmittedKey:
 			f.notice(o.Version)
-		case o.Key == AcceptedKey && o.Version > f.seen(AcceptedKey):
+		case o.Key == AcceptedKey && o.Version > f.seen():
 			o, err := f.cfg.Store.Get(ctx, AcceptedKey)
 			if err != nil {
 				return err
@@ -200,7 +201,7 @@
 		}
 		return f.take(o)
 	case ReadSubmission:
-		o, err := f.cfg.Store.GetVersion(ctx, SubmittedKey, step.Version)
+		o, err := f.submission(ctx, step.Version)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return f.core.TakeSubmission(step.Version, o, err)
@@ -218,6 +219,14 @@
 	}
 }
 
+// submission returns a version of Rules/Submitted.
+func (f *follower) submission(ctx context.Context, version int64) (mustardsaddle.Object, error) {
+	if f.watched.Version == version {
+		return f.watched, nil
+	}
+	return f.cfg.Store.GetVersion(ctx, SubmittedKey, version)
+}
+
 // write makes the write that accepts.
 func (f *follower) write(ctx context.Context, step Step) error {
 	version, err := f.cfg.Store.Put(ctx, AcceptedKey, step.Value, step.Version)
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -21,9 +21,11 @@
 //
 // A gateway takes a generation only if it is higher than its own, from the store
 // or from a peer, so that its rules never revert. Changes travel from peer to
-// peer; a few gateways of each zone hold watches; and every gateway lists the
-// versions at a slow, jittered interval, which bounds its age even when every
-// watch and link has gone silent.
+// peer; a few gateways of each zone watch for submissions; and every gateway lists
+// the versions at a slow, jittered interval, which bounds its age even when every
+// watch and link has gone silent. A list costs a few hundred bytes whatever the
+// size of the rules. Since a watch brings the whole file, the gateways that hold
+// watches list more often instead once the file is large.
 //
 // The decisions are in Core, which performs no I/O.
 package registry
@@ -43,8 +45,14 @@
 )
 
 const (
-	// defaultPoll is the interval of the slow reads of a small fleet.
-	defaultPoll = 2500 * time.Millisecond
+	// defaultPoll is the interval of the slow reads of a small fleet. Two in a row
+	// fit into the time in which a change is in force.
+	defaultPoll = 1500 * time.Millisecond
+	// maxWatchedBytes is the size of the rules above which no watch is held, since
+	// each one brings the whole file.
+	maxWatchedBytes = 64 << 10
+	// listInterval is the interval of the reads that take a watch's place.
+	listInterval = time.Second
 	// defaultStatus is how long changes are gathered for one status report.
 	defaultStatus = time.Second
 )
@@ -68,13 +76,13 @@
 	Rank func() int
 	// Fleet returns the number of gateways; nil means 1.
 	Fleet func() int
-	// Watch reports whether this gateway holds store watches; nil means that it
+	// Watch reports whether this gateway watches for submissions; nil means that it
 	// does.
 	Watch func() bool
 	// Live returns the live gateway VMs with the generations that they told of, 0
 	// if unknown; nil means that the others are not known.
 	Live func() []rule.VM
-	// Poll is the interval of slow reads; 0 means 2.5 s.
+	// Poll is the interval of slow reads; 0 means 1.5 s.
 	Poll time.Duration
 	// Status is how long changes are gathered for one status report; 0 means 1 s.
 	Status time.Duration
@@ -116,8 +124,8 @@
 // Registry follows the rules for one gateway. It is safe for concurrent use.
 type Registry struct {
 	cfg Config
-	// objects are the objects that the watches have brought.
-	objects chan mustardsaddle.Object
+	// submitted are the submissions that the watch has brought.
+	submitted chan mustardsaddle.Object
 	// changed tells the status reports that there is something new.
 	changed chan struct{}
 	// retry is the pause after a failed call.
@@ -127,19 +135,21 @@
 	rng   *rand.Rand
 	core  *Core
 	table *rule.Table
+	// size is the size of the file in force.
+	size int
 }
 
 // New returns a Registry without rules.
 func New(cfg Config) *Registry {
 	cfg = cfg.withDefaults()
 	return &Registry{
-		cfg:     cfg,
-		objects: make(chan mustardsaddle.Object),
-		changed: make(chan struct{}, 1),
-		retry:   store.Backoff{Base: cfg.Poll / 10, Max: cfg.Poll / 2},
-		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
-		core:    NewCore(),
-		table:   rule.Compile(rule.File{}),
+		cfg:       cfg,
+		submitted: make(chan mustardsaddle.Object),
+		changed:   make(chan struct{}, 1),
+		retry:     store.Backoff{Base: cfg.Poll / 10, Max: cfg.Poll / 2},
+		rng:       rand.New(rand.NewPCG(cfg.Seed, 2)),
+		core:      NewCore(),
+		table:     rule.Compile(rule.File{}),
 	}
 }
 
@@ -147,12 +157,7 @@
 func (g *Registry) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	ended := make(chan struct{})
-	parts := []func(context.Context){
-		func(ctx context.Context) { g.watch(ctx, AcceptedKey) },
-		func(ctx context.Context) { g.watch(ctx, SubmittedKey) },
-		g.report,
-		g.follow,
-	}
+	parts := []func(context.Context){g.watch, g.report, g.follow}
 	for _, part := range parts {
 		go func() {
 			part(ctx)
@@ -236,6 +241,7 @@
 // force hands out the table of the file in force. The caller holds mu.
 func (g *Registry) force(source string) {
 	g.table = g.table.Next(g.core.File())
+	g.size = g.table.File.Size()
 	g.cfg.InForce(g.table)
 	g.touch()
 	event.Info(g.cfg.Logger, event.RulesInForce).Int64("Generation", g.core.File().Generation).Str("Source", source).Send()
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -64,6 +64,8 @@
 	// deaf says which members hold watches that never end.
 	deaf  func(i int) bool
 	fault platform.Fault
+	// sameRank makes all members try to accept at once.
+	sameRank bool
 	// snapshot is handed to each member at its start, as by a peer.
 	snapshot string
 }
@@ -97,7 +99,12 @@
 		}
 		m.Registry = registry.New(registry.Config{
 			Name: fmt.Sprintf("gateway-%02d", i), Store: objects, StatusStore: m.client.Status(), Seed: uint64(i),
-			Rank:  func() int { return i },
+			Rank: func() int {
+				if s.sameRank {
+					return 0
+				}
+				return i
+			},
 			Fleet: func() int { return s.size },
 			Watch: func() bool { return i < s.watchers },
 			InForce: func(table *rule.Table) {
@@ -325,3 +332,42 @@
 		convey.So(rules(status.Accepted.File), convey.ShouldResemble, map[string]string{"/r1": "T", "/r2": "S"})
 	})
 }
+
+func TestRacingOperatorsThroughFaults(t *testing.T) {
+	convey.Convey("Given operators who race while the store loses answers and goes down", t, func() {
+		const operators, changes = 3, 8
+		g := startGroup(t, shape{size: 5, watchers: 5, sameRank: true})
+		g.submit("Path=/start Service=S # Tan: start")
+		await(patience, g.everywhere(1))
+		ended := make(chan struct{})
+		for operator := range operators {
+			go func() {
+				for n := range changes {
+					g.submit(line(operator*changes + n))
+					time.Sleep(20 * time.Millisecond)
+				}
+				ended <- struct{}{}
+			}()
+		}
+		faults := []platform.Fault{{LoseAnswers: true}, {Down: true}, {Delay: 30 * time.Millisecond, LoseAnswers: true}, {}}
+		for _, fault := range faults {
+			g.platform.SetFault(fault)
+			time.Sleep(80 * time.Millisecond)
+		}
+		for range operators {
+			<-ended
+		}
+		await(patience, g.everywhere(1+operators*changes))
+		convey.Convey("Every line is in force on every gateway, and no gateway fell back", func() {
+			convey.So(g.everywhere(1+operators*changes)(), convey.ShouldBeTrue)
+			text, _ := g.members[0].Snapshot()
+			a, err := rule.ParseAccepted(text)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(len(a.File.Rules()), convey.ShouldEqual, 1+operators*changes)
+			for _, m := range g.members {
+				other, _ := m.Snapshot()
+				convey.So(other, convey.ShouldEqual, text)
+			}
+		})
+	})
+}
--- a/internal/control/rule/file.go
+++ b/internal/control/rule/file.go
@@ -45,6 +45,15 @@
 	return len(f.lines)
 }
 
+// Size returns the number of bytes of the lines below the header.
+func (f File) Size() int {
+	size := 0
+	for _, l := range f.lines {
+		size += len(l.text) + 1
+	}
+	return size
+}
+
 // Format returns the text of the file, with its Generation line. Parse of that
 // text gives an equal file.
 func (f File) Format() string {
