Spread the work of acceptance, and report from one gateway for all

Cause: each gateway read the whole Rules/InForce after each change, and each one that heard of a change from a peer read the whole Rules/Accepted at its next list, because it could not tell which version it had. Ruled out: the store's version in each change (peers need not carry it: each write of Rules/Accepted handles one submission, so the version has grown by at least as much). Change: a Core counts submissions to know which version it covers, never too high; the order of gateways begins with another one at each version; the first gateway reports for all, within 8 KB/s; a change is kept until the ones before it have come.

--- a/internal/control/registry/core.go
+++ b/internal/control/registry/core.go
@@ -62,15 +62,14 @@
 type Core struct {
 	// inForce is the newest accepted file known.
 	inForce rule.File
-	// seen is the highest version of Rules/Accepted that inForce covers.
-	seen int64
+	// seen is the highest version of Rules/Accepted known to hold nothing newer,
+	// and handled the last submission known to be handled.
+	seen, handled int64
 	// stored is Rules/Accepted at version; known is false when it must be read
 	// before the next write.
 	stored  rule.Accepted
 	version int64
 	known   bool
-	// handled is the last submission that a peer said is handled.
-	handled int64
 	// newest is the newest version of Rules/Submitted known.
 	newest int64
 
@@ -91,12 +90,18 @@
 	return &Core{pending: make(map[int64]rule.Change)}
 }
 
+// Handled returns the last submission known to be handled.
+func (c *Core) Handled() int64 {
+	return c.handled
+}
+
 // File returns the file in force; its generation is 0 before there is one.
 func (c *Core) File() rule.File {
 	return c.inForce
 }
 
-// Seen returns the highest version of Rules/Accepted that File covers.
+// Seen returns a version of Rules/Accepted up to which File is the newest. It is
+// never too high.
 func (c *Core) Seen() int64 {
 	return c.seen
 }
@@ -106,6 +111,12 @@
 	return c.stored, c.known && c.stored.File.Generation >= c.inForce.Generation
 }
 
+// Latest returns the accepted state as last read, and whether nothing newer is
+// known.
+func (c *Core) Latest() (rule.Accepted, bool) {
+	return c.stored, c.stored.File.Generation == c.inForce.Generation && c.stored.Submission >= c.handled
+}
+
 // Forget makes the next write read Rules/Accepted first.
 func (c *Core) Forget() {
 	c.known = false
@@ -246,12 +257,14 @@
 		return rule.Change{}, false, err
 	}
 	c.stored, c.version, c.known = a, o.Version, true
-	c.seen = max(c.seen, o.Version)
+	if o.Version > c.seen {
+		c.seen, c.handled = o.Version, a.Submission
+	}
 	if a.File.Generation == c.inForce.Generation {
 		return rule.Change{}, false, nil
 	}
 	change := rule.Diff(c.inForce, a.File)
-	change.Submission, change.Version = a.Submission, o.Version
+	change.Submission = a.Submission
 	if shared, result := change.Apply(c.inForce); result == rule.Applied {
 		// The rules that stay are then held once for all generations.
 		c.stored.File = shared
@@ -308,8 +321,7 @@
 	}
 	var brought []rule.Change
 	for result == rule.Applied {
-		c.seen = max(c.seen, change.Version)
-		c.handled = max(c.handled, change.Submission)
+		c.pass(change.Submission)
 		brought = append(brought, change)
 		next := c.pending[change.To]
 		c.put(f)
@@ -319,6 +331,18 @@
 	return brought, rule.Applied
 }
 
+// pass notes that a submission is handled. Each write of Rules/Accepted handles
+// one, and raises the version by at least one.
+func (c *Core) pass(submission int64) {
+	if submission <= c.handled {
+		return
+	}
+	if c.seen > 0 {
+		c.seen += submission - c.handled
+	}
+	c.handled = submission
+}
+
 // ReceiveWhole takes the whole state from a peer.
 func (c *Core) ReceiveWhole(text string) (rule.Result, error) {
 	a, err := rule.ParseAccepted(text)
@@ -328,6 +352,7 @@
 	if a.File.Generation <= c.inForce.Generation {
 		return rule.Stale, nil
 	}
+	c.pass(a.Submission)
 	c.put(a.File)
 	return rule.Applied, nil
 }
--- a/internal/control/registry/core_test.go
+++ b/internal/control/registry/core_test.go
@@ -178,6 +178,9 @@
 			t.Fatalf("gateway %d fell from generation %d to %d", i, m.highest[i], f.Generation)
 		}
 		m.highest[i] = f.Generation
+		if seen := c.Seen(); seen > 0 && m.accepted(t, seen).File.Generation > f.Generation {
+			t.Fatalf("gateway %d takes version %d as seen, want less with generation %d", i, seen, f.Generation)
+		}
 		if want, ok := files[f.Generation]; !ok || want.Digest() != f.Digest() {
 			t.Fatalf("gateway %d has in force as generation %d what was never accepted: %q", i, f.Generation, f.Format())
 		}
@@ -296,6 +299,36 @@
 	})
 }
 
+func TestChangesOfPeersSaveReads(t *testing.T) {
+	convey.Convey("Given a gateway that read a version, and changes of a peer that read the next two", t, func() {
+		object := func(generation, submission, version int64) mustardsaddle.Object {
+			a := rule.Accepted{File: fileOf(generation, fmt.Sprintf("Path=/a Service=S%d # Tan: a", generation)), Submission: submission}
+			return mustardsaddle.Object{Version: version, Value: []byte(a.Format())}
+		}
+		peer, c := registry.NewCore(), registry.NewCore()
+		_, _, _ = peer.TakeAccepted(object(1, 4, 20))
+		_, _, _ = c.TakeAccepted(object(1, 4, 20))
+		first, _, _ := peer.TakeAccepted(object(2, 5, 21))
+		second, _, _ := peer.TakeAccepted(object(3, 7, 23))
+		convey.Convey("In order, it has seen the version and has nothing to handle", func() {
+			c.Receive(first)
+			c.Receive(second)
+			convey.So(c.Seen(), convey.ShouldEqual, 23)
+			convey.So(c.Notice(7), convey.ShouldBeFalse)
+			convey.So(c.Notice(8), convey.ShouldBeTrue)
+		})
+		convey.Convey("In disorder, the early one is kept until the other has come", func() {
+			_, result := c.Receive(second)
+			convey.So(result, convey.ShouldEqual, rule.Gap)
+			brought, result := c.Receive(first)
+			convey.So(result, convey.ShouldEqual, rule.Applied)
+			convey.So(brought, convey.ShouldResemble, []rule.Change{first, second})
+			convey.So(c.File().Generation, convey.ShouldEqual, 3)
+			convey.So(c.Seen(), convey.ShouldEqual, 23)
+		})
+	})
+}
+
 func TestCoreKeepsTheLastGoodState(t *testing.T) {
 	good := rule.Accepted{File: fileOf(3, "Path=/a Service=A # Tan: a"), Submission: 3}.Format()
 	for _, test := range []struct {
--- a/internal/control/registry/delay.go
+++ b/internal/control/registry/delay.go
@@ -6,28 +6,30 @@
 )
 
 const (
-	// rankStep is how much later each rank tries to accept a submission.
-	rankStep = 100 * time.Millisecond
-	// maxRankDelay bounds that, so that a submission does not wait for a gateway
-	// that is down.
-	maxRankDelay = time.Second
-	// rankJitter keeps gateways of one rank apart.
-	rankJitter = 50 * time.Millisecond
+	// acceptWindow is the time over which the gateways of a fleet try to accept,
+	// one after another.
+	acceptWindow = time.Second
+	// maxAcceptStep is the time between two of them in a small fleet.
+	maxAcceptStep = 100 * time.Millisecond
 	// pollShare is the interval that each gateway of a fleet adds to the slow reads
 	// of all: a large fleet makes 200 a second together.
 	pollShare = 5 * time.Millisecond
 	// startShare is the time that each gateway of a fleet adds to the start.
 	startShare = time.Millisecond
-	// statusShare is the interval that each gateway adds to the status reports.
-	statusShare = 100 * time.Millisecond
 )
 
-// AcceptDelay returns how long a gateway of the given rank, from 0, leaves a new
-// submission to the ranks before it. It saves calls; correctness rests on the
-// conditional write alone.
-func AcceptDelay(rng *rand.Rand, rank int) time.Duration {
-	delay := min(time.Duration(max(rank, 0))*rankStep, maxRankDelay)
-	return delay + time.Duration(rng.Int64N(int64(rankJitter)))
+// AcceptPlace returns a gateway's place, from 0, among those that try to accept a
+// submission. The order begins with another gateway at each version, so that the
+// work is spread.
+func AcceptPlace(rank, fleet int, version int64) int {
+	return int((int64(rank) + version) % int64(max(fleet, 1)))
+}
+
+// AcceptDelay returns how long the gateway at a place leaves a submission to the
+// ones before it. It saves calls; correctness rests on the conditional write alone.
+func AcceptDelay(rng *rand.Rand, place, fleet int) time.Duration {
+	step := min(acceptWindow/time.Duration(max(fleet, 1)), maxAcceptStep)
+	return time.Duration(place)*step + time.Duration(rng.Int64N(int64(step/2)+1))
 }
 
 // PollDelay returns the time to the next slow read: the base, or more in a large
@@ -42,17 +44,6 @@
 	return time.Duration(rng.Int64N(int64(time.Duration(max(fleet, 1)) * startShare)))
 }
 
-// StatusDelay returns the time from a change to a status report. The first rank
-// reports for all whose state it knows; the others look later whether that was
-// enough.
-func StatusDelay(rng *rand.Rand, base time.Duration, rank, fleet int) time.Duration {
-	if rank == 0 {
-		return jittered(rng, base)
-	}
-	window := max(base, time.Duration(fleet)*statusShare)
-	return jittered(rng, base) + base/2 + time.Duration(rng.Int64N(int64(window)))
-}
-
 func jittered(rng *rand.Rand, d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(rng.Int64N(int64(d/2)+1))
 }
--- a/internal/control/registry/follow.go
+++ b/internal/control/registry/follow.go
@@ -114,16 +114,18 @@
 // notice learns of a version of Rules/Submitted, and leaves it for a while to the
 // gateways that try first.
 func (f *follower) notice(version int64) {
-	rank := f.cfg.Rank()
+	fleet := f.cfg.Fleet()
+	place := AcceptPlace(f.cfg.Rank(), fleet, version)
 	f.mu.Lock()
-	open := f.core.Notice(version)
-	if open && rank > 0 {
-		f.core.Forget()
+	defer f.mu.Unlock()
+	if !f.core.Notice(version) || f.waiting {
+		return
 	}
-	f.mu.Unlock()
-	if open && !f.waiting {
-		f.schedule(f.random(func(rng *rand.Rand) time.Duration { return AcceptDelay(rng, rank) }))
+	if place > 0 {
+		// Another one has probably written: a read costs less than a conflict.
+		f.core.Forget()
 	}
+	f.schedule(AcceptDelay(f.rng, place, fleet))
 }
 
 func (f *follower) schedule(d time.Duration) {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -71,8 +71,9 @@
 	InForce func(*rule.Table)
 	// Spread sends a change to the peers.
 	Spread func(rule.Change)
-	// Rank returns this gateway's place, from 0, in the order in which gateways
-	// try to accept; nil means 0.
+	// Rank returns this gateway's place, from 0, among the gateways of the fleet.
+	// It decides who tries first to accept a submission, and the first one reports
+	// for all; nil means 0.
 	Rank func() int
 	// Fleet returns the number of gateways; nil means 1.
 	Fleet func() int
@@ -126,8 +127,6 @@
 	cfg Config
 	// submitted are the submissions that the watch has brought.
 	submitted chan mustardsaddle.Object
-	// changed tells the status reports that there is something new.
-	changed chan struct{}
 	// retry is the pause after a failed call.
 	retry store.Backoff
 
@@ -145,7 +144,6 @@
 	return &Registry{
 		cfg:       cfg,
 		submitted: make(chan mustardsaddle.Object),
-		changed:   make(chan struct{}, 1),
 		retry:     store.Backoff{Base: cfg.Poll / 10, Max: cfg.Poll / 2},
 		rng:       rand.New(rand.NewPCG(cfg.Seed, 2)),
 		core:      NewCore(),
@@ -180,9 +178,9 @@
 // generation, 0 before there are any.
 func (g *Registry) Snapshot() (text string, generation int64) {
 	g.mu.Lock()
-	f := g.core.File()
+	a := rule.Accepted{File: g.core.File(), Submission: g.core.Handled()}
 	g.mu.Unlock()
-	return rule.Accepted{File: f}.Format(), f.Generation
+	return a.Format(), a.File.Generation
 }
 
 // Receive takes a change from a peer and, if it is new, passes it on. On Gap the
@@ -228,7 +226,6 @@
 // taken acts on what a version of Rules/Accepted brought. The caller holds mu. A
 // whole file is not spread: a peer without rules asks for them.
 func (g *Registry) taken(change rule.Change, brought bool) {
-	g.touch()
 	if !brought {
 		return
 	}
@@ -243,18 +240,9 @@
 	g.table = g.table.Next(g.core.File())
 	g.size = g.table.File.Size()
 	g.cfg.InForce(g.table)
-	g.touch()
 	event.Info(g.cfg.Logger, event.RulesInForce).Int64("Generation", g.core.File().Generation).Str("Source", source).Send()
 }
 
-// touch tells the status reports to look.
-func (g *Registry) touch() {
-	select {
-	case g.changed <- struct{}{}:
-	default:
-	}
-}
-
 // random calls f with the random source.
 func (g *Registry) random(f func(*rand.Rand) time.Duration) time.Duration {
 	g.mu.Lock()
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -113,6 +113,7 @@
 				m.generations = append(m.generations, table.File.Generation)
 			},
 			Spread: g.spread(i),
+			Live:   g.live,
 		})
 		g.members = append(g.members, m)
 	}
@@ -138,6 +139,15 @@
 	return g
 }
 
+// live returns all members with their generations, as heard on the links.
+func (g *group) live() []rule.VM {
+	var vms []rule.VM
+	for i, m := range g.members {
+		vms = append(vms, rule.VM{Name: fmt.Sprintf("gateway-%02d", i), Generation: m.generation()})
+	}
+	return vms
+}
+
 // spread sends a change to the next three members.
 func (g *group) spread(from int) func(rule.Change) {
 	return func(c rule.Change) {
--- a/internal/control/registry/status.go
+++ b/internal/control/registry/status.go
@@ -6,104 +6,161 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/control/store"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
-// maxStatusDelay is the longest pause between tries to report while the store
-// fails or refuses.
-const maxStatusDelay = 30 * time.Second
+const (
+	// statusBytesPerSecond bounds the reports, which hold the whole file.
+	statusBytesPerSecond = 8 << 10
+	// maxStatusPause is the longest pause between tries while the store fails.
+	maxStatusPause = 30 * time.Second
+)
+
+// reporter keeps Rules/InForce up to date. Reports are gathered, sent from the
+// first gateway for all, and give way to everything else: one that fails is not
+// sent again but made anew later.
+type reporter struct {
+	*Registry
+	limiter *rate.Limiter
+	backoff store.Backoff
+	// written is the report as last read or written, at version; version is -1
+	// when it must be read.
+	written  rule.InForce
+	version  int64
+	failures int
+}
 
-// report keeps Rules/InForce up to date until the context ends. It gathers
-// changes, and gives way to everything else: a report that fails is not sent
-// again but made anew later.
+// report reports until the context ends.
 func (g *Registry) report(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.changed:
+	r := &reporter{
+		Registry: g,
+		limiter:  rate.NewLimiter(statusBytesPerSecond, rule.MaxFileBytes),
+		backoff:  store.Backoff{Base: g.cfg.Status, Max: maxStatusPause},
+		version:  -1,
+	}
+	for sleep(ctx, r.pause()) {
+		err := r.once(ctx)
+		if err == nil {
+			r.failures = 0
+			continue
+		}
+		r.version = -1
+		r.failures++
+		if r.failures == 1 && ctx.Err() == nil {
+			event.Warn(g.cfg.Logger, event.RulesStatusFailed).Err(err).Int("Code", int(code.Of(err))).Send()
 		}
-		failures := 0
-		for done := false; !done; {
-			if !sleep(ctx, g.statusDelay(failures)) {
-				return
-			}
-			// Changes up to here are in this report.
-			select {
-			case <-g.changed:
-			default:
-			}
-			var err error
-			done, err = g.reportOnce(ctx)
-			if err == nil {
-				continue
-			}
-			failures++
-			if failures == 1 && ctx.Err() == nil {
-				event.Warn(g.cfg.Logger, event.RulesStatusFailed).Err(err).Int("Code", int(code.Of(err))).Send()
-			}
+	}
+}
+
+func (r *reporter) pause() time.Duration {
+	return r.random(func(rng *rand.Rand) time.Duration {
+		if r.failures > 0 {
+			return r.backoff.Delay(rng, r.failures)
+		}
+		return jittered(rng, r.cfg.Status)
+	})
+}
+
+// once brings Rules/InForce up to date by one conditional write, unless it is or
+// another gateway does it.
+func (r *reporter) once(ctx context.Context) error {
+	if r.cfg.Live != nil && r.cfg.Rank() > 0 {
+		r.version = -1
+		return nil
+	}
+	a, vms, latest := r.state()
+	switch {
+	case len(vms) == 0 || r.version >= 0 && latest && r.upToDate(a, vms):
+		return nil
+	case r.limiter.TokensAt(time.Now()) < float64(a.File.Size()):
+		return nil
+	case !latest:
+		return r.readAccepted(ctx)
+	}
+	if r.version < 0 {
+		if err := r.read(ctx); err != nil || r.upToDate(a, vms) {
+			return err
 		}
 	}
+	return r.write(ctx, a, vms)
 }
 
-func (g *Registry) statusDelay(failures int) time.Duration {
-	rank, fleet := g.cfg.Rank(), g.cfg.Fleet()
-	d := g.random(func(rng *rand.Rand) time.Duration { return StatusDelay(rng, g.cfg.Status, rank, fleet) })
-	return min(d<<min(failures, 5), max(d, maxStatusDelay))
+// spend takes the bytes of a call, if need be before they are there.
+func (r *reporter) spend(n int) {
+	r.limiter.ReserveN(time.Now(), n)
 }
 
-// reportOnce brings Rules/InForce up to date by one conditional write, unless it
-// is already. It returns false when another try is needed.
-func (g *Registry) reportOnce(ctx context.Context) (bool, error) {
-	a, vms := g.state()
-	if len(vms) == 0 {
-		return true, nil
+// readAccepted reads the accepted state, of which peers bring the rules alone.
+func (r *reporter) readAccepted(ctx context.Context) error {
+	o, err := r.cfg.StatusStore.Get(ctx, AcceptedKey)
+	if err != nil {
+		return err
 	}
-	o, err := g.cfg.StatusStore.Get(ctx, InForceKey)
+	r.spend(len(o.Value))
+	return r.take(o)
+}
+
+// upToDate reports whether the report as known says what there is to say.
+func (r *reporter) upToDate(a rule.Accepted, vms []rule.VM) bool {
+	return r.written.Has(a, vms) && len(r.written.WithOnly(r.live()).VMs) == len(r.written.VMs)
+}
+
+// read reads the report, of this gateway or another one.
+func (r *reporter) read(ctx context.Context) error {
+	o, err := r.cfg.StatusStore.Get(ctx, InForceKey)
 	if err != nil {
-		return false, err
+		return err
 	}
-	status, err := rule.ParseInForce(string(o.Value))
+	r.spend(len(o.Value))
+	r.written, err = rule.ParseInForce(string(o.Value))
 	if code.Of(err) == code.StoreNewerFormat {
 		// A newer gateway reports; an older one must not undo that.
-		return true, nil
-	}
-	if err == nil && status.Has(a, vms) {
-		return true, nil
+		return err
 	}
-	status = status.WithAccepted(a).WithVMs(vms).WithOnly(g.live())
-	_, err = g.cfg.StatusStore.Put(ctx, InForceKey, []byte(status.Format()), o.Version)
+	r.version = o.Version
+	return nil
+}
+
+func (r *reporter) write(ctx context.Context, a rule.Accepted, vms []rule.VM) error {
+	next := r.written.WithAccepted(a).WithVMs(vms).WithOnly(r.live())
+	text := next.Format()
+	r.spend(len(text))
+	version, err := r.cfg.StatusStore.Put(ctx, InForceKey, []byte(text), r.version)
 	if code.Of(err) == code.StoreConflict {
-		return false, nil
+		r.version = -1
+		return nil
+	}
+	if err == nil {
+		r.written, r.version = next, version
 	}
-	return err == nil, err
+	return err
 }
 
-// state returns what this gateway can report: the accepted state if the store's
-// copy is known, and the generations of itself and of the VMs that it heard from.
-func (g *Registry) state() (rule.Accepted, []rule.VM) {
+// state returns what this gateway can report: the accepted state, the generations
+// of itself and of the VMs that it heard from, and whether the state is the latest.
+func (g *Registry) state() (a rule.Accepted, vms []rule.VM, latest bool) {
 	g.mu.Lock()
-	a, ok := g.core.Accepted()
+	a, latest = g.core.Latest()
 	generation := g.core.File().Generation
 	g.mu.Unlock()
-	if !ok {
-		a = rule.Accepted{}
-	}
 	if generation == 0 && a.Submission == 0 {
-		return a, nil
+		return a, nil, latest
 	}
-	vms := []rule.VM{{Name: g.cfg.Name, Generation: generation}}
+	vms = []rule.VM{{Name: g.cfg.Name, Generation: generation}}
 	if g.cfg.Live == nil {
-		return a, vms
+		return a, vms, latest
 	}
 	for _, vm := range g.cfg.Live() {
 		if vm.Generation > 0 && vm.Name != g.cfg.Name {
 			vms = append(vms, vm)
 		}
 	}
-	return a, vms
+	return a, vms, latest
 }
 
 // live returns the test for VMs whose lines stay in the report.
--- a/internal/control/rule/change.go
+++ b/internal/control/rule/change.go
@@ -19,8 +19,6 @@
 	To int64
 	// Submission is the submission that led to it.
 	Submission int64
-	// Version is the store's version of Rules/Accepted that has the result.
-	Version int64
 	// Out are the lines that go, with their positions in the old file.
 	Out []Edit
 	// In are the lines that come, with their positions in the new file.
