Read the platform's list in pages, and spread what is new in them

Cause: every gateway read the whole list of VMs every two seconds. At 9,200 VMs of about 150 bytes that is 1.4 MB a read, above the store's value limit of 1 MB and 700 KB/s against the 23 KB/s that control may use. Change: one page a service, read conditionally; a few readers a zone by rendezvous, which flood what is new; slow reads by all others; both kinds slow down so that the fleet keeps to its rate (roster.Schedule, property test).

--- a/internal/control/roster/neighbor_test.go
+++ b/internal/control/roster/neighbor_test.go
@@ -170,25 +170,29 @@
 }
 
 func BenchmarkRoster(b *testing.B) {
-	list := make([]mustardsaddle.Machine, 0, 9200)
-	for i := range 9200 {
-		m := server(i, 1)
-		m.Service = fmt.Sprintf("Service-%d", i%280)
-		list = append(list, m)
+	r := roster.New(roster.Config{})
+	page := make([]mustardsaddle.Machine, 0, 33)
+	for service := range 280 {
+		page = page[:0]
+		for i := range 33 {
+			m := server(33*service+i, 1)
+			m.Service = fmt.Sprintf("Service-%d", service)
+			page = append(page, m)
+		}
+		r = r.WithPage(start, page[0].Service, page)
 	}
-	r := roster.New(roster.Config{}).WithMachines(start, list)
-	changed := slices.Clone(list)
-	changed[0] = server(0, 2)
-	b.Run("EqualList", func(b *testing.B) {
+	changed := slices.Clone(page)
+	changed[0].Incarnation = 2
+	b.Run("EqualPage", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			r.WithMachines(start, list)
+			r.WithPage(start, page[0].Service, page)
 		}
 	})
-	b.Run("ChangedList", func(b *testing.B) {
+	b.Run("ChangedPage", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			r.WithMachines(start, changed)
+			r.WithPage(start, page[0].Service, changed)
 		}
 	})
 	b.Run("Mark", func(b *testing.B) {
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -12,18 +12,21 @@
 //     mislead, first-hand reports to the contrary undo it after some seconds.
 //   - A gateway VM whose link died is silent: it is not counted as live here.
 //
-// A VM that is missing from a list counts as leaving, unless the list lost more
-// than half of a service's servers (or of the gateway VMs) at once. Such a list
-// is doubted: what it lacks stays live until the VMs have been missing for
-// Config.Doubt. A list without any entry is ignored, and a list that cannot be
-// read is simply not given to the roster, so that an outage freezes the roster
-// and never empties it.
+// The list is read in pages: one for each service, and one, with an empty name,
+// for the gateway VMs. Schedule decides who reads which page when; what a reader
+// finds new travels to the other gateways.
+//
+// A VM that is missing from its page counts as leaving, unless the page lost more
+// than half of its VMs at once. Such a page is doubted: what it lacks stays live
+// until the VMs have been missing for Config.Doubt. A page without any entry is
+// ignored, and a page that cannot be read is simply not given to the roster, so
+// that an outage freezes the roster and never empties it.
 //
 // # Usage
 //
 //	r := roster.New(roster.Config{})
-//	next := r.WithMachines(now, machines)
-//	spread(next.MarksSince(r))
+//	next := r.WithPage(now, "Booking", machines)
+//	spread(next.MarksSince(r), next.MachinesSince(r))
 //	r = next
 //	servers := r.Servers("Booking")
 //
@@ -74,8 +77,7 @@
 // roster with the default configuration.
 type Roster struct {
 	cfg     Config
-	listAt  time.Time
-	list    []mustardsaddle.Machine
+	pages   map[string]page
 	entries map[string]entry
 	marks   map[string]heldMark
 	silent  map[string]int64
@@ -86,6 +88,12 @@
 	peers   []mustardsaddle.VM
 }
 
+// page is the newest content of one page of the platform's list.
+type page struct {
+	at       time.Time
+	machines []mustardsaddle.Machine
+}
+
 // entry is what the lists, or a peer's introduction, say of one VM.
 type entry struct {
 	mustardsaddle.Machine
@@ -128,6 +136,7 @@
 // clone returns a copy of r whose maps may be changed.
 func (r Roster) clone() Roster {
 	r.cfg = r.cfg.withDefaults()
+	r.pages = cloneMap(r.pages)
 	r.entries = cloneMap(r.entries)
 	r.marks = cloneMap(r.marks)
 	r.silent = cloneMap(r.silent)
@@ -142,15 +151,18 @@
 	return maps.Clone(m)
 }
 
-// WithMachines returns the roster after the platform's list came in at now. A
-// list that was read before the newest known one adds leaving marks and higher
-// incarnations, and brings no VM back.
-func (r Roster) WithMachines(now time.Time, machines []mustardsaddle.Machine) Roster {
+// WithPage returns the roster after a page of the platform's list came in at now.
+// A page that was read before the newest known one adds leaving marks and higher
+// incarnations, and brings no VM back. VMs of other pages are passed over.
+func (r Roster) WithPage(now time.Time, name string, machines []mustardsaddle.Machine) Roster {
+	machines = slices.DeleteFunc(slices.Clone(machines), func(m mustardsaddle.Machine) bool { return m.Service != name })
 	if len(machines) == 0 {
 		return r
 	}
-	if r.settled() && slices.Equal(machines, r.list) {
-		r.listAt = later(r.listAt, now)
+	old := r.pages[name]
+	if r.settled(name) && slices.Equal(machines, old.machines) {
+		r.pages = cloneMap(r.pages)
+		r.pages[name] = page{at: later(old.at, now), machines: old.machines}
 		return r
 	}
 	next := r.clone()
@@ -159,21 +171,31 @@
 			next.setMark(now, mustardsaddle.Mark{Name: m.Name, Incarnation: m.Incarnation, Seq: FinalSeq, Leaving: true})
 		}
 	}
-	if now.Before(r.listAt) {
-		next.takeOldList(machines)
+	if now.Before(old.at) {
+		next.takeOldPage(old.at, machines)
 	} else {
-		next.listAt, next.list = now, slices.Clone(machines)
-		next.takeList(now, machines)
-		next.dropOld(now)
+		next.pages[name] = page{at: now, machines: machines}
+		next.takePage(now, name, machines)
+		next.dropOld(now, name)
 	}
-	next.build()
+	next.buildPage(name)
 	return next
 }
 
-// settled reports whether an equal list would change nothing: no VM is missing
-// and no mark waits to be dropped.
-func (r Roster) settled() bool {
-	if len(r.entries) != len(r.list) {
+// WithPageUnchanged returns the roster after a page was read at now and found to be
+// as it was. Time alone can end the doubt about a page.
+func (r Roster) WithPageUnchanged(now time.Time, name string) Roster {
+	return r.WithPage(now, name, r.pages[name].machines)
+}
+
+// settled reports whether an equal page would change nothing: none of its VMs is
+// missing and no mark waits to be dropped.
+func (r Roster) settled(name string) bool {
+	known := len(r.servers[name])
+	if name == "" {
+		known = len(r.peers)
+	}
+	if known != len(r.pages[name].machines) {
 		return false
 	}
 	for name := range r.marks {
@@ -201,19 +223,20 @@
 			next.entries[m.Name] = entry{Machine: m, listed: true}
 		}
 		if m.Leaving {
-			next.setMark(r.listAt, mustardsaddle.Mark{Name: m.Name, Incarnation: m.Incarnation, Seq: FinalSeq, Leaving: true})
+			next.setMark(r.pages[m.Service].at, mustardsaddle.Mark{Name: m.Name, Incarnation: m.Incarnation, Seq: FinalSeq, Leaving: true})
 		}
 	}
 	next.build()
 	return next
 }
 
-// takeOldList adds what a list older than the newest one still tells.
-func (r *Roster) takeOldList(machines []mustardsaddle.Machine) {
+// takeOldPage adds what a page older than the newest one, read at newest, still
+// tells.
+func (r *Roster) takeOldPage(newest time.Time, machines []mustardsaddle.Machine) {
 	for _, m := range machines {
 		e, known := r.entries[m.Name]
 		if !known {
-			r.entries[m.Name] = entry{Machine: m, listed: true, missing: r.listAt, gone: true}
+			r.entries[m.Name] = entry{Machine: m, listed: true, missing: newest, gone: true}
 			continue
 		}
 		if m.Incarnation > e.Incarnation {
@@ -223,8 +246,9 @@
 	}
 }
 
-// takeList replaces the listed entries, and decides which missing VMs are gone.
-func (r *Roster) takeList(now time.Time, machines []mustardsaddle.Machine) {
+// takePage replaces the listed entries of a page, and decides which missing VMs
+// are gone.
+func (r *Roster) takePage(now time.Time, page string, machines []mustardsaddle.Machine) {
 	named := make(map[string]bool, len(machines))
 	for _, m := range machines {
 		named[m.Name] = true
@@ -233,35 +257,35 @@
 		}
 		r.entries[m.Name] = entry{Machine: m, listed: true}
 	}
-	lost, known := make(map[string]int), make(map[string]int)
+	lost, known := 0, 0
 	for name, e := range r.entries {
-		if !e.listed || e.gone {
+		if e.Service != page || !e.listed || e.gone {
 			continue
 		}
-		known[e.Service]++
+		known++
 		if named[name] {
 			continue
 		}
-		lost[e.Service]++
+		lost++
 		if e.missing.IsZero() {
 			e.missing = now
 			r.entries[name] = e
 		}
 	}
 	for name, e := range r.entries {
-		if e.missing.IsZero() || e.gone {
+		if e.Service != page || e.missing.IsZero() || e.gone {
 			continue
 		}
-		doubted := 2*lost[e.Service] > known[e.Service]
+		doubted := 2*lost > known
 		e.gone = !doubted || now.Sub(e.missing) >= r.cfg.Doubt
 		r.entries[name] = e
 	}
 }
 
-// dropOld forgets VMs that are gone for long, and marks about unknown VMs.
-func (r *Roster) dropOld(now time.Time) {
+// dropOld forgets VMs of a page that are gone for long, and marks about unknown VMs.
+func (r *Roster) dropOld(now time.Time, page string) {
 	for name, e := range r.entries {
-		if e.gone && now.Sub(e.missing) >= r.cfg.Retain {
+		if e.Service == page && e.gone && now.Sub(e.missing) >= r.cfg.Retain {
 			delete(r.entries, name)
 		}
 	}
@@ -371,17 +395,49 @@
 
 // build computes what readers see from the inputs.
 func (r *Roster) build() {
-	r.servers = make(map[string][]mustardsaddle.Server)
-	r.vms, r.peers = nil, nil
-	for _, name := range slices.Sorted(maps.Keys(r.entries)) {
-		e := r.entries[name]
-		if e.Service != "" {
-			r.servers[e.Service] = append(r.servers[e.Service], r.serverOf(e))
-			continue
+	names := make(map[string][]string)
+	for name, e := range r.entries {
+		names[e.Service] = append(names[e.Service], name)
+	}
+	r.servers = make(map[string][]mustardsaddle.Server, len(names))
+	for page := range names {
+		r.show(page, names[page])
+	}
+}
+
+// buildPage is build for one page, whose VMs alone have changed.
+func (r *Roster) buildPage(page string) {
+	var names []string
+	for name, e := range r.entries {
+		if e.Service == page {
+			names = append(names, name)
 		}
+	}
+	r.servers = cloneMap(r.servers)
+	r.show(page, names)
+}
+
+// show computes what readers see of the VMs of a page.
+func (r *Roster) show(page string, names []string) {
+	slices.Sort(names)
+	if page != "" && len(names) == 0 {
+		delete(r.servers, page)
+		return
+	}
+	if page != "" {
+		group := make([]mustardsaddle.Server, len(names))
+		for i, name := range names {
+			group[i] = r.serverOf(r.entries[name])
+		}
+		r.servers[page] = group
+		return
+	}
+	r.vms, r.peers = make([]mustardsaddle.VM, len(names)), make([]mustardsaddle.VM, len(names))
+	for i, name := range names {
+		e := r.entries[name]
 		vm := r.vmOf(e)
-		r.peers = append(r.peers, vm)
-		r.vms = append(r.vms, vm.WithLeaving(vm.Leaving || r.isSilent(e)))
+		r.peers[i] = vm
+		r.vms[i] = vm.WithLeaving(vm.Leaving || r.isSilent(e))
 	}
 }
 
@@ -456,10 +512,31 @@
 	return r.peers
 }
 
-// List returns the newest list and when it was read, for a peer that cannot read
-// the platform's. The slice must not be changed.
-func (r Roster) List() (time.Time, []mustardsaddle.Machine) {
-	return r.listAt, r.list
+// Machines returns what the lists name, ordered by name, for a peer that cannot
+// read the platform's.
+func (r Roster) Machines() []mustardsaddle.Machine {
+	return r.machines(func(entry) bool { return true })
+}
+
+// MachinesSince returns the VMs, and lives of VMs, that an older roster lacks,
+// ordered by name: what is still to be spread.
+func (r Roster) MachinesSince(old Roster) []mustardsaddle.Machine {
+	return r.machines(func(e entry) bool {
+		before, known := old.entries[e.Name]
+		return !known || before.Incarnation < e.Incarnation
+	})
+}
+
+// machines returns the listed VMs that are kept and not gone, ordered by name.
+func (r Roster) machines(keep func(entry) bool) []mustardsaddle.Machine {
+	var machines []mustardsaddle.Machine
+	for _, e := range r.entries {
+		if e.listed && !e.gone && keep(e) {
+			machines = append(machines, e.Machine)
+		}
+	}
+	slices.SortFunc(machines, func(a, b mustardsaddle.Machine) int { return cmp.Compare(a.Name, b.Name) })
+	return machines
 }
 
 // GatewaysByZone returns the number of live gateway VMs in each availability
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -54,7 +54,7 @@
 		mark func(roster.Roster) roster.Roster
 	}{
 		{"the list", func(r roster.Roster) roster.Roster {
-			return r.WithMachines(start.Add(time.Second), []mustardsaddle.Machine{listed, server(1, 1), server(2, 1)})
+			return r.WithPage(start.Add(time.Second), "Booking", []mustardsaddle.Machine{listed, server(1, 1), server(2, 1)})
 		}},
 		{"a peer", func(r roster.Roster) roster.Roster { return r.WithMark(start, leaving(0, 1)) }},
 		{"a report", func(r roster.Roster) roster.Roster {
@@ -63,17 +63,17 @@
 		}},
 	} {
 		convey.Convey("Given a server that "+c.name+" shows as leaving", t, func() {
-			r := c.mark(roster.New(roster.Config{}).WithMachines(start, servers(3)))
+			r := c.mark(roster.New(roster.Config{}).WithPage(start, "Booking", servers(3)))
 			convey.So(live(r), convey.ShouldResemble, []string{"booking-01", "booking-02"})
 			convey.Convey("Later lists and older marks that call it live change nothing", func() {
 				r = r.WithMark(start, mustardsaddle.Mark{Name: "booking-00", Incarnation: 1})
 				for i := range 100 {
-					r = r.WithMachines(start.Add(time.Duration(i)*time.Minute), servers(3))
+					r = r.WithPage(start.Add(time.Duration(i)*time.Minute), "Booking", servers(3))
 				}
 				convey.So(live(r), convey.ShouldResemble, []string{"booking-01", "booking-02"})
 			})
 			convey.Convey("A restart of the VM makes it live", func() {
-				r = r.WithMachines(start.Add(time.Minute), append(servers(3)[1:], server(0, 2)))
+				r = r.WithPage(start.Add(time.Minute), "Booking", append(servers(3)[1:], server(0, 2)))
 				convey.So(live(r), convey.ShouldHaveLength, 3)
 			})
 		})
@@ -82,7 +82,7 @@
 
 func TestMisleadingDrainingReport(t *testing.T) {
 	convey.Convey("Given a server marked for one Draining report", t, func() {
-		r := roster.New(roster.Config{}).WithMachines(start, servers(3))
+		r := roster.New(roster.Config{}).WithPage(start, "Booking", servers(3))
 		r, mark, spread := r.Observe(start, "booking-00", mustardsaddle.Report{Draining: true})
 		convey.So(spread, convey.ShouldBeTrue)
 		convey.So(mark, convey.ShouldResemble, leaving(0, 1))
@@ -122,27 +122,27 @@
 
 func TestShrinkingList(t *testing.T) {
 	convey.Convey("Given ten listed servers", t, func() {
-		r := roster.New(roster.Config{}).WithMachines(start, servers(10))
+		r := roster.New(roster.Config{}).WithPage(start, "Booking", servers(10))
 		convey.Convey("An empty list is ignored for good", func() {
-			convey.So(live(r.WithMachines(start.Add(time.Hour), nil)), convey.ShouldHaveLength, 10)
+			convey.So(live(r.WithPage(start.Add(time.Hour), "Booking", nil)), convey.ShouldHaveLength, 10)
 		})
 		convey.Convey("A list without one of them shows it as leaving, and drops it later", func() {
-			r = r.WithMachines(start.Add(time.Second), servers(9))
+			r = r.WithPage(start.Add(time.Second), "Booking", servers(9))
 			convey.So(live(r), convey.ShouldHaveLength, 9)
 			convey.So(r.Servers("Booking"), convey.ShouldHaveLength, 10)
-			r = r.WithMachines(start.Add(2*time.Minute), servers(9))
+			r = r.WithPage(start.Add(2*time.Minute), "Booking", servers(9))
 			convey.So(r.Servers("Booking"), convey.ShouldHaveLength, 9)
-			convey.So(live(r.WithMachines(start.Add(3*time.Minute), servers(10))), convey.ShouldHaveLength, 10)
+			convey.So(live(r.WithPage(start.Add(3*time.Minute), "Booking", servers(10))), convey.ShouldHaveLength, 10)
 		})
 		convey.Convey("A list without most of them is doubted for thirty seconds", func() {
 			for i := 1; i <= 30; i++ {
-				r = r.WithMachines(start.Add(time.Duration(i)*time.Second), servers(2))
+				r = r.WithPage(start.Add(time.Duration(i)*time.Second), "Booking", servers(2))
 				convey.So(live(r), convey.ShouldHaveLength, 10)
 			}
-			convey.So(live(r.WithMachines(start.Add(31*time.Second), servers(2))), convey.ShouldHaveLength, 2)
+			convey.So(live(r.WithPage(start.Add(31*time.Second), "Booking", servers(2))), convey.ShouldHaveLength, 2)
 		})
 		convey.Convey("An outage of the list before it does not shorten the doubt", func() {
-			r = r.WithMachines(start.Add(time.Hour), servers(2))
+			r = r.WithPage(start.Add(time.Hour), "Booking", servers(2))
 			convey.So(live(r), convey.ShouldHaveLength, 10)
 		})
 	})
@@ -155,7 +155,7 @@
 		r := roster.New(roster.Config{}).WithPeerList(servers(2)).WithPeerList([]mustardsaddle.Machine{server(2, 1), gone})
 		convey.So(live(r), convey.ShouldHaveLength, 3)
 		convey.Convey("The platform's list takes over when it can be read", func() {
-			r = r.WithMachines(start, append(servers(2), server(3, 1)))
+			r = r.WithPage(start, "Booking", append(servers(2), server(3, 1)))
 			convey.So(live(r), convey.ShouldResemble, []string{"booking-00", "booking-01", "booking-03"})
 		})
 	})
@@ -166,11 +166,11 @@
 		list := []mustardsaddle.Machine{
 			{Name: "gateway-1", Incarnation: 1, Zone: "a"}, {Name: "gateway-2", Incarnation: 1, Zone: "a"},
 		}
-		r := roster.New(roster.Config{}).WithMachines(start, list)
-		r = r.WithVM(mustardsaddle.VM{Name: "gateway-3", Incarnation: 1, Zone: "b"}).WithMachines(start.Add(time.Minute), list)
+		r := roster.New(roster.Config{}).WithPage(start, "", list)
+		r = r.WithVM(mustardsaddle.VM{Name: "gateway-3", Incarnation: 1, Zone: "b"}).WithPage(start.Add(time.Minute), "", list)
 		convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 2, "b": 1})
 		convey.Convey("Silent ones are not live until they speak", func() {
-			r = r.WithSilent("gateway-3").WithSilent("gateway-2").WithMachines(start.Add(2*time.Minute), list)
+			r = r.WithSilent("gateway-3").WithSilent("gateway-2").WithPage(start.Add(2*time.Minute), "", list)
 			convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 1})
 			convey.So(roster.Neighbors(r.Peers(), "gateway-1", roster.NeighborConfig{}), convey.ShouldHaveLength, 1)
 			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"})
@@ -178,7 +178,7 @@
 		})
 		convey.Convey("A stopping one stays leaving when it is heard or listed again", func() {
 			r = r.WithMark(start, mustardsaddle.Mark{Name: "gateway-2", Incarnation: 1, Seq: roster.FinalSeq, Leaving: true})
-			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"}).WithMachines(start.Add(time.Hour), list)
+			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"}).WithPage(start.Add(time.Hour), "", list)
 			convey.So(r.GatewaysByZone()["a"], convey.ShouldEqual, 1)
 			convey.So(r.Gateways(), convey.ShouldEqual, 2)
 		})
@@ -194,7 +194,7 @@
 
 func (in input) apply(r roster.Roster) roster.Roster {
 	if in.list != nil {
-		return r.WithMachines(in.at, in.list)
+		return r.WithPage(in.at, "Booking", in.list)
 	}
 	return r.WithMark(in.at, in.mark)
 }
@@ -231,7 +231,7 @@
 				r = in.apply(r)
 			}
 			for i := range 3 {
-				r = r.WithMachines(start.Add(time.Duration(i+1)*time.Hour), final)
+				r = r.WithPage(start.Add(time.Duration(i+1)*time.Hour), "Booking", final)
 			}
 			return r
 		}
--- a/internal/control/store/client.go
+++ b/internal/control/store/client.go
@@ -206,11 +206,25 @@
 	return objects, err
 }
 
-// Machines reads the platform's lagging list of VMs.
-func (c *Client) Machines(ctx context.Context) ([]mustardsaddle.Machine, error) {
-	var machines []mustardsaddle.Machine
-	err := c.decode(ctx, "/machines", &machines)
-	return machines, err
+// Machines reads one page of the platform's lagging list of VMs.
+func (c *Client) Machines(ctx context.Context, service, known string) (mustardsaddle.Page, error) {
+	path := "/machines?service=" + url.QueryEscape(service)
+	header := http.Header{}
+	if known != "" {
+		header.Set("If-None-Match", known)
+	}
+	a, err := c.call(ctx, request{kind: reading, path: path, header: header})
+	if err != nil {
+		return mustardsaddle.Page{}, err
+	}
+	if a.status == http.StatusNotModified {
+		return mustardsaddle.Page{Version: known}, nil
+	}
+	page := mustardsaddle.Page{Version: a.header.Get("ETag"), Changed: true}
+	if err := json.Unmarshal(a.body, &page.Machines); err != nil {
+		return mustardsaddle.Page{}, code.Wrapf(code.StoreBadObject, err, "decode %s", path)
+	}
+	return page, nil
 }
 
 func (c *Client) decode(ctx context.Context, path string, v any) error {
--- a/internal/peer/news/relay.go
+++ b/internal/peer/news/relay.go
@@ -68,8 +68,8 @@
 // sent it, or empty for the gateway's own news. Generation is the generation in
 // force before the message is applied.
 //
-// Marks go to every other link, so the caller passes only those that were new to
-// it; that alone ends the flood. A rule change goes on once, whether or not
+// Marks and VMs go to every other link, so the caller passes only those that were
+// new to it; that alone ends the flood. A rule change goes on once, whether or not
 // it applies here, unless a generation as high is in force already. All other
 // messages concern one link alone.
 func (r *Relay) Targets(from string, msg Message, generation int64, links []string) []string {
@@ -78,6 +78,10 @@
 		if len(m.Marks) == 0 {
 			return nil
 		}
+	case Machines:
+		if len(m.Machines) == 0 {
+			return nil
+		}
 	case RuleChange:
 		if m.To <= generation || !r.remember(changeID{from: m.From, to: m.To, digest: m.Digest}) {
 			return nil
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -13,6 +13,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,8 +71,10 @@
 	links      *link.Links
 	registry   *registry.Registry
 	generation atomic.Int64
-	metrics    *admin.Metrics
-	stopping   atomic.Bool
+	// pages are the pages of the platform's list that the rules in force need.
+	pages    atomic.Pointer[[]string]
+	metrics  *admin.Metrics
+	stopping atomic.Bool
 
 	// rng is used only by the goroutine that follows the list of VMs.
 	rng *rand.Rand
@@ -124,6 +127,7 @@
 	in.links = in.newLinks(seed)
 	in.registry = in.newRegistry(seed)
 	in.membership.vm(now, in.self)
+	in.pages.Store(&[]string{gatewayPage})
 	return in
 }
 
@@ -187,7 +191,7 @@
 
 // reported takes each load report that the gateway sees.
 func (in *instance) reported(now time.Time, _, server string, rep mustardsaddle.Report) {
-	in.spreadMarks("", in.membership.observe(now, server, rep))
+	in.spreadFresh("", in.membership.observe(now, server, rep))
 }
 
 // ready returns nil while the gateway takes calls.
@@ -205,9 +209,11 @@
 }
 
 // rosterChanged passes a new roster on to all that depend on it.
-func (in *instance) rosterChanged(now time.Time, r roster.Roster) {
+func (in *instance) rosterChanged(now time.Time, old, r roster.Roster) {
 	for _, service := range r.Services() {
-		in.gateway.SetServers(now, service, r.Servers(service))
+		if !slices.Equal(old.Servers(service), r.Servers(service)) {
+			in.gateway.SetServers(now, service, r.Servers(service))
+		}
 	}
 	in.gateway.SetFleet(now, r.VMs())
 	in.store.SetFleet(r.Gateways())
--- a/internal/product/instance/list.go
+++ b/internal/product/instance/list.go
@@ -2,28 +2,57 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
-// followList reads the platform's list of VMs until the context ends, then
-// closes done. A list that cannot be read changes nothing.
+const (
+	// gatewayPage is the page of the platform's list that names the gateway VMs.
+	gatewayPage = ""
+	// maxListWait bounds the wait for a page, so that new rules or VMs are seen.
+	maxListWait = 200 * time.Millisecond
+)
+
+// followList reads pages of the platform's list of VMs until the context ends,
+// then closes done. A page that cannot be read changes nothing.
 func (in *instance) followList(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	for {
-		in.readList(ctx)
+	p := in.cfg.Settings.Platform
+	schedule := roster.NewSchedule(roster.ScheduleConfig{Self: in.self.Name, Poll: p.Poll, FleetReads: p.ReadsPerSecond / 2})
+	versions := make(map[string]string)
+	for ctx.Err() == nil {
+		now := time.Now()
+		schedule.SetFleet(now, in.rng, in.membership.Roster().VMs(), *in.pages.Load())
+		page, wait, ok := schedule.Next(now, in.rng)
+		if ok {
+			in.readPage(ctx, page, versions)
+			continue
+		}
 		select {
 		case <-ctx.Done():
-			return
-		case <-time.After(jitter(in.rng.Float64(), in.cfg.Settings.Platform.Poll)):
+		case <-time.After(min(wait, maxListWait)):
 		}
 	}
 }
 
-func (in *instance) readList(ctx context.Context) {
-	list, err := in.store.Machines(ctx)
+// pagesOf returns the pages that a rules file needs, in order.
+func pagesOf(f rule.File) []string {
+	pages := []string{gatewayPage}
+	for _, r := range f.Rules() {
+		pages = append(pages, r.Service)
+	}
+	slices.Sort(pages)
+	return slices.Compact(pages)
+}
+
+// readPage reads a page, and spreads what is new in it.
+func (in *instance) readPage(ctx context.Context, name string, versions map[string]string) {
+	page, err := in.store.Machines(ctx, name, versions[name])
 	if ctx.Err() != nil {
 		return
 	}
@@ -31,11 +60,8 @@
 		event.Warn(in.cfg.Logger, event.StoreFailed).Int("Code", int(code.Of(err))).Err(err).Send()
 		return
 	}
-	in.spreadMarks("", in.membership.machines(time.Now(), list))
-}
-
-// jitter returns a time between a half and one and a half of the mean; random
-// is in [0, 1).
-func jitter(random float64, mean time.Duration) time.Duration {
-	return time.Duration((0.5 + random) * float64(mean))
+	if page.Changed {
+		versions[name] = page.Version
+	}
+	in.spreadFresh("", in.membership.page(time.Now(), name, page))
 }
--- a/internal/product/instance/membership.go
+++ b/internal/product/instance/membership.go
@@ -11,11 +11,11 @@
 
 // membership owns the roster. Every input passes through change, so that the
 // rest of the instance learns of each new roster exactly once and in order. The
-// methods that take an input return the marks that it made new, for the caller
-// to spread.
+// methods that take an input return what was new in it, for the caller to spread.
 type membership struct {
-	// changed is told each new roster. It runs under the lock, and must not block.
-	changed func(now time.Time, next roster.Roster)
+	// changed is told each new roster with the one that it replaces. It runs under
+	// the lock, and must not block.
+	changed func(now time.Time, old, next roster.Roster)
 
 	mu     sync.Mutex
 	roster roster.Roster
@@ -25,7 +25,13 @@
 	leaving atomic.Pointer[map[string]bool]
 }
 
-func newMembership(changed func(time.Time, roster.Roster)) *membership {
+// fresh is what an input told that was not known.
+type fresh struct {
+	marks    []mustardsaddle.Mark
+	machines []mustardsaddle.Machine
+}
+
+func newMembership(changed func(now time.Time, old, next roster.Roster)) *membership {
 	m := &membership{changed: changed, roster: roster.New(roster.Config{})}
 	m.leaving.Store(&map[string]bool{})
 	return m
@@ -39,7 +45,7 @@
 }
 
 // change replaces the roster by what next makes of it.
-func (m *membership) change(now time.Time, next func(roster.Roster) roster.Roster) []mustardsaddle.Mark {
+func (m *membership) change(now time.Time, next func(roster.Roster) roster.Roster) fresh {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.roster
@@ -53,15 +59,15 @@
 		}
 	}
 	m.leaving.Store(&leaving)
-	m.changed(now, m.roster)
-	return m.roster.MarksSince(old)
+	m.changed(now, old, m.roster)
+	return fresh{marks: m.roster.MarksSince(old), machines: m.roster.MachinesSince(old)}
 }
 
 // observe takes a first-hand load report. In the common case, a server that
 // stays and says so, it takes no lock.
-func (m *membership) observe(now time.Time, server string, rep mustardsaddle.Report) []mustardsaddle.Mark {
+func (m *membership) observe(now time.Time, server string, rep mustardsaddle.Report) fresh {
 	if !rep.Draining && !(*m.leaving.Load())[server] {
-		return nil
+		return fresh{}
 	}
 	return m.change(now, func(r roster.Roster) roster.Roster {
 		next, _, _ := r.Observe(now, server, rep)
@@ -69,18 +75,23 @@
 	})
 }
 
-// machines takes the platform's list, as read at now.
-func (m *membership) machines(now time.Time, list []mustardsaddle.Machine) []mustardsaddle.Mark {
-	return m.change(now, func(r roster.Roster) roster.Roster { return r.WithMachines(now, list) })
+// page takes a page of the platform's list, as read at now.
+func (m *membership) page(now time.Time, name string, page mustardsaddle.Page) fresh {
+	return m.change(now, func(r roster.Roster) roster.Roster {
+		if !page.Changed {
+			return r.WithPageUnchanged(now, name)
+		}
+		return r.WithPage(now, name, page.Machines)
+	})
 }
 
-// peerMachines takes a part of a peer's list.
-func (m *membership) peerMachines(now time.Time, list []mustardsaddle.Machine) {
-	m.change(now, func(r roster.Roster) roster.Roster { return r.WithPeerList(list) })
+// machines takes VMs that a peer's list names.
+func (m *membership) machines(now time.Time, list []mustardsaddle.Machine) fresh {
+	return m.change(now, func(r roster.Roster) roster.Roster { return r.WithPeerList(list) })
 }
 
 // marks takes marks from a peer or from this gateway.
-func (m *membership) marks(now time.Time, marks []mustardsaddle.Mark) []mustardsaddle.Mark {
+func (m *membership) marks(now time.Time, marks []mustardsaddle.Mark) fresh {
 	return m.change(now, func(r roster.Roster) roster.Roster { return r.WithMarks(now, marks) })
 }
 
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
-	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/peer/link"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 )
 
+// maxFloodedMachines bounds the VMs that are flooded at a time: a page's worth.
+const maxFloodedMachines = 256
+
 func (in *instance) newLinks(seed uint64) *link.Links {
 	s := in.cfg.Settings
 	return link.New(link.Config{
@@ -44,14 +46,13 @@
 	case news.Heartbeat:
 		in.compare(now, from, m.Summary)
 	case news.Marks:
-		in.spreadMarks(from, in.membership.marks(now, m.Marks))
+		in.spreadFresh(from, in.membership.marks(now, m.Marks))
 	case news.AskMachines:
-		_, list := in.membership.Roster().List()
-		for _, part := range news.SplitMachines(list) {
+		for _, part := range news.SplitMachines(in.membership.Roster().Machines()) {
 			in.links.Send(from, part)
 		}
 	case news.Machines:
-		in.membership.peerMachines(now, m.Machines)
+		in.spreadFresh(from, in.membership.machines(now, m.Machines))
 	case news.RuleChange:
 		in.receiveChange(now, from, m)
 	case news.AskRules:
@@ -79,13 +80,18 @@
 	}
 }
 
-// spreadMarks floods marks that were new to this gateway.
-func (in *instance) spreadMarks(from string, fresh []mustardsaddle.Mark) {
-	if len(fresh) == 0 {
+// spreadFresh floods what was new to this gateway. A whole list, such as a starting
+// gateway gets, is not flooded: the others have it, or ask for it.
+func (in *instance) spreadFresh(from string, f fresh) {
+	generation := in.generation.Load()
+	for _, part := range news.SplitMarks(f.marks) {
+		in.spread(from, generation, part)
+	}
+	if len(f.machines) > maxFloodedMachines {
 		return
 	}
-	for _, part := range news.SplitMarks(fresh) {
-		in.spread(from, in.generation.Load(), part)
+	for _, part := range news.SplitMachines(f.machines) {
+		in.spread(from, generation, part)
 	}
 }
 
--- a/internal/product/instance/rules.go
+++ b/internal/product/instance/rules.go
@@ -37,6 +37,8 @@
 func (in *instance) inForce(t *rule.Table) {
 	in.gateway.SetRules(t)
 	in.generation.Store(t.File.Generation)
+	pages := pagesOf(t.File)
+	in.pages.Store(&pages)
 }
 
 // live returns the live gateway VMs with the generations that they told of.
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -155,7 +155,7 @@
 	event.Info(in.cfg.Logger, event.StopBegun).Int("InFlight", in.gateway.InFlight()).Send()
 	in.stopping.Store(true)
 	leaving := mustardsaddle.Mark{Name: in.self.Name, Incarnation: in.self.Incarnation, Seq: roster.FinalSeq, Leaving: true}
-	in.spreadMarks("", in.membership.marks(time.Now(), []mustardsaddle.Mark{leaving}))
+	in.spreadFresh("", in.membership.marks(time.Now(), []mustardsaddle.Mark{leaving}))
 	in.gateway.SetStopping()
 	select {
 	case <-time.After(in.cfg.Settings.Stop.Lag):
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
@@ -358,16 +359,29 @@
 	return m.next
 }
 
-func (p *Platform) listMachines(w http.ResponseWriter, _ *http.Request) {
+// listMachines answers with the VMs of one service, or with the gateway VMs.
+func (p *Platform) listMachines(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	service := r.URL.Query().Get("service")
 	machines := []mustardsaddle.Machine{}
 	p.mu.Lock()
 	for _, m := range p.machines {
-		if shown := m.at(now); shown != nil {
+		if shown := m.at(now); shown != nil && shown.Service == service {
 			machines = append(machines, *shown)
 		}
 	}
 	p.mu.Unlock()
 	sort.Slice(machines, func(i, j int) bool { return machines[i].Name < machines[j].Name })
-	_ = json.NewEncoder(w).Encode(machines)
+	body, err := json.Marshal(machines)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	etag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(body)
 }
--- a/store.go
+++ b/store.go
@@ -31,8 +31,20 @@
 	// the platform's wait ends without a change it returns an object of the given
 	// version without its value.
 	Watch(ctx context.Context, key string, version int64) (Object, error)
-	// Machines reads the platform's lagging list of VMs.
-	Machines(ctx context.Context) ([]Machine, error)
+	// Machines reads one page of the platform's lagging list of VMs: the endpoint
+	// servers of a service, or the gateway VMs for an empty service. A page whose
+	// version is still the known one comes back without its VMs.
+	Machines(ctx context.Context, service, known string) (Page, error)
+}
+
+// Page is one page of the platform's list of VMs.
+type Page struct {
+	// Version changes whenever the page does.
+	Version string
+	// Changed is false if the version is the one that the reader knew.
+	Changed bool
+	// Machines are the VMs of the page.
+	Machines []Machine
 }
 
 // Machine is one line of the platform's list of VMs, gateways and endpoint
