Prove whole answers, truthful outcomes and refusals at the decision

Cause: a waiting call could be given a server with a millisecond left, so that a caller who might have been told NotRun was told Unknown (seen in the first run of the refusal test). Ruled out: the queue's own timer; it fires at the deadline, after the server was released at that same moment. Change: an eighth of the caller's time is kept for the attempt itself, and a release first ends the waits that have no useful time left.

--- /dev/null
+++ b/internal/request/gateway/http_test.go
@@ -0,0 +1,273 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
+)
+
+func TestHeaders(t *testing.T) {
+	convey.Convey("Given a server that shows what it gets and sends what it should not", t, func() {
+		var got http.Header
+		var host string
+		j := newJudge(t, func(w http.ResponseWriter, r *http.Request) {
+			got, host = r.Header.Clone(), r.Host
+			w.Header().Set("Connection", "X-Hop")
+			w.Header().Set("X-Hop", "1")
+			w.Header().Set("Mustardsaddle-Outcome", "NotRun")
+			w.Header().Set("Mustardsaddle-Code", "4001")
+			w.Header().Set("Mustardsaddle-Other", "1")
+			_, _ = fmt.Fprint(w, "answer")
+		})
+		front, _ := newGateway(t, gateway.Config{Deadline: 5 * time.Second}, j.address())
+		resp, _, err := do(t, front, "GET", "/x", "", "Mustardsaddle-Outcome", "NotRun", "Mustardsaddle-Attempt", "forged",
+			"Mustardsaddle-Deadline", "99999999", "Connection", "X-Private, keep-alive", "X-Private", "1", "Te", "trailers, gzip",
+			"Proxy-Authorization", "secret", "X-Forwarded-For", "192.0.2.7", "Via", "1.0 outer")
+		convey.So(err, convey.ShouldBeNil)
+		convey.Convey("The server gets our headers and no forged or hop-by-hop ones", func() {
+			left, err := strconv.Atoi(got.Get(gateway.DeadlineHeader))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(left, convey.ShouldBeBetween, 1, 5001)
+			convey.So(got.Get(gateway.AttemptHeader), convey.ShouldStartWith, "gateway-1-")
+			convey.So(got.Get(gateway.OutcomeHeader), convey.ShouldEqual, "")
+			convey.So(got.Get("X-Private"), convey.ShouldEqual, "")
+			convey.So(got.Get("Proxy-Authorization"), convey.ShouldEqual, "")
+			convey.So(got.Get("Te"), convey.ShouldEqual, "trailers")
+			convey.So(got.Get("X-Forwarded-For"), convey.ShouldEqual, "192.0.2.7, 127.0.0.1")
+			convey.So(got.Get("Via"), convey.ShouldEqual, "1.0 outer, 1.1 gateway-1")
+			convey.So(host, convey.ShouldEqual, strings.TrimPrefix(front.URL, "http://"))
+		})
+		convey.Convey("The caller gets the outcome that we saw", func() {
+			convey.So(resp.Header.Get(gateway.OutcomeHeader), convey.ShouldEqual, "Ran")
+			convey.So(resp.Header.Get(gateway.CodeHeader), convey.ShouldEqual, "")
+			convey.So(resp.Header.Get("Mustardsaddle-Other"), convey.ShouldEqual, "")
+			convey.So(resp.Header.Get("X-Hop"), convey.ShouldEqual, "")
+		})
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	j := newJudge(t, nil)
+	all := rule.Compile(rule.File{Rules: []rule.Rule{{Path: "/*", Service: "Booking"}}})
+	for _, tc := range []struct {
+		name, body, upgrade string
+		rules               *rule.Table
+		status              int
+		text                string
+	}{
+		{"upgrade", "", "websocket", all, 501, "Code=4010 Outcome=NotRun\n"},
+		{"body above the limit", strings.Repeat("x", 2000), "", all, 413, "Code=4008 Outcome=NotRun\n"},
+		{"no rule matches", "", "", rule.Compile(rule.File{}), 404, "Code=4001 Outcome=NotRun\n"},
+		{"no rules yet", "", "", nil, 503, "Code=4006 Outcome=NotRun\n"},
+		{"no such service", "", "", rule.Compile(rule.File{Rules: []rule.Rule{{Path: "/x", Service: "None"}}}), 503, "Code=4002 Outcome=NotRun\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			front, g := newGateway(t, gateway.Config{BodyBytes: 1000}, j.address())
+			g.SetRules(tc.rules)
+			resp, text, err := do(t, front, "POST", "/x", tc.body, "Connection", "Upgrade", "Upgrade", tc.upgrade)
+			if err != nil || resp.StatusCode != tc.status || text != tc.text {
+				t.Errorf("got %v %q %v, want %d %q", resp, text, err, tc.status, tc.text)
+			}
+		})
+	}
+}
+
+// TestFraming sends what net/http itself refuses, byte by byte.
+func TestFraming(t *testing.T) {
+	j := newJudge(t, nil)
+	front, _ := newGateway(t, gateway.Config{}, j.address())
+	for _, tc := range []struct {
+		name, head, status string
+	}{
+		{"two lengths", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400"},
+		{"unknown encoding", "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "501"},
+		{"header above the limit", "GET /x HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 100<<10) + "\r\n\r\n", "431"},
+		{"length and encoding", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "200"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", strings.TrimPrefix(front.URL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, tc.head)
+			line, err := bufio.NewReader(c).ReadString('\n')
+			if err != nil || !strings.Contains(line, tc.status) {
+				t.Errorf("got %q, %v, want %s", line, err, tc.status)
+			}
+		})
+	}
+}
+
+func TestMessages(t *testing.T) {
+	convey.Convey("Given a server with every kind of message", t, func() {
+		canceled := make(chan struct{})
+		j := newJudge(t, func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/head":
+				w.Header().Set("Content-Length", "1234")
+			case "/early":
+				w.Header().Set("Link", "</style.css>")
+				w.WriteHeader(http.StatusEarlyHints)
+			case "/none":
+				w.WriteHeader(http.StatusNoContent)
+			case "/unchanged":
+				w.WriteHeader(http.StatusNotModified)
+			case "/forbidden":
+				w.WriteHeader(http.StatusForbidden)
+			case "/trailers":
+				w.Header().Set("Trailer", "X-Sum")
+				body, _ := io.ReadAll(r.Body)
+				_, _ = w.Write(body)
+				w.Header().Set("X-Sum", r.Trailer.Get("X-In"))
+			case "/forever":
+				<-r.Context().Done()
+				close(canceled)
+			case "/part":
+				http.ServeContent(w, r, "plan", time.Time{}, strings.NewReader("0123456789"))
+			case "/until-close":
+				c, _, _ := http.NewResponseController(w).Hijack()
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nuntil close")
+				_ = c.Close()
+			}
+		})
+		front, _ := newGateway(t, gateway.Config{}, j.address())
+		convey.Convey("HEAD keeps the length, 204 and 304 have no body, a range passes", func() {
+			resp, text, err := do(t, front, "HEAD", "/head", "")
+			convey.So([]any{resp.ContentLength, text, err}, convey.ShouldResemble, []any{int64(1234), "", nil})
+			resp, text, err = do(t, front, "GET", "/none", "")
+			convey.So([]any{resp.StatusCode, text, err}, convey.ShouldResemble, []any{204, "", nil})
+			resp, text, err = do(t, front, "GET", "/unchanged", "")
+			convey.So([]any{resp.StatusCode, text, err}, convey.ShouldResemble, []any{304, "", nil})
+			resp, text, err = do(t, front, "GET", "/part", "", "Range", "bytes=2-4")
+			convey.So([]any{resp.StatusCode, text, err}, convey.ShouldResemble, []any{206, "234", nil})
+			_, text, err = do(t, front, "GET", "/until-close", "")
+			convey.So([]any{text, err}, convey.ShouldResemble, []any{"until close", nil})
+		})
+		convey.Convey("Informational answers are relayed", func() {
+			link := ""
+			ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+				Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { link = h.Get("Link"); return nil },
+			})
+			r, _ := http.NewRequestWithContext(ctx, "GET", front.URL+"/early", nil)
+			resp, err := front.Client().Transport.RoundTrip(r)
+			convey.So(err, convey.ShouldBeNil)
+			_ = resp.Body.Close()
+			convey.So(link, convey.ShouldEqual, "</style.css>")
+		})
+		convey.Convey("A body that the server does not want is not sent", func() {
+			read := &video{size: 10 << 20}
+			r, _ := http.NewRequest("POST", front.URL+"/forbidden", read)
+			r.Header.Set("Expect", "100-continue")
+			client := &http.Transport{ExpectContinueTimeout: time.Minute}
+			defer client.CloseIdleConnections()
+			resp, err := client.RoundTrip(r)
+			convey.So(err, convey.ShouldBeNil)
+			_ = resp.Body.Close()
+			convey.So(resp.StatusCode, convey.ShouldEqual, 403)
+			convey.So(read.at, convey.ShouldEqual, 0)
+		})
+		convey.Convey("Trailers pass both ways, also by HTTP/2", func() {
+			client := &http.Transport{Protocols: new(http.Protocols)}
+			client.Protocols.SetUnencryptedHTTP2(true)
+			defer client.CloseIdleConnections()
+			for _, transport := range []http.RoundTripper{front.Client().Transport, client} {
+				r, _ := http.NewRequest("POST", front.URL+"/trailers", io.NopCloser(strings.NewReader("plan")))
+				r.Trailer = http.Header{"X-In": {"42"}}
+				resp, err := transport.RoundTrip(r)
+				convey.So(err, convey.ShouldBeNil)
+				text, _ := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				convey.So(string(text), convey.ShouldEqual, "plan")
+				convey.So(resp.Trailer.Get("X-Sum"), convey.ShouldEqual, "42")
+			}
+		})
+		convey.Convey("The server hears when the caller goes away", func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			r, _ := http.NewRequestWithContext(ctx, "GET", front.URL+"/forever", nil)
+			time.AfterFunc(50*time.Millisecond, cancel)
+			_, err := front.Client().Transport.RoundTrip(r)
+			convey.So(err, convey.ShouldNotBeNil)
+			<-canceled
+		})
+	})
+}
+
+func TestRefusalComesAtTheDecision(t *testing.T) {
+	convey.Convey("Given one server that is busy beyond the deadline", t, func() {
+		release := make(chan struct{})
+		j := newJudge(t, func(http.ResponseWriter, *http.Request) { <-release })
+		t.Cleanup(func() { close(release) })
+		front, g := newGateway(t, gateway.Config{Deadline: 200 * time.Millisecond, MaxWaiting: 1}, j.address())
+		g.SetGateways(1000) // a cap of one connection
+		first := make(chan string, 1)
+		go func() {
+			_, text, _ := do(t, front, "POST", "/x", "")
+			first <- text
+		}()
+		for g.InFlight() == 0 || count("", j) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		second := make(chan string, 1)
+		go func() {
+			_, text, _ := do(t, front, "POST", "/x", "")
+			second <- text
+		}()
+		for g.InFlight() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		convey.Convey("The queue's end, the useful wait and the deadline each answer at once", func() {
+			begun := time.Now()
+			convey.So(<-second, convey.ShouldEqual, "Code=4003 Outcome=NotRun\n")
+			convey.So(<-first, convey.ShouldEqual, "Code=4004 Outcome=Unknown\n")
+			convey.So(time.Since(begun), convey.ShouldBeLessThan, 5*time.Second)
+		})
+	})
+}
+
+func TestStopping(t *testing.T) {
+	convey.Convey("Given a gateway that stops while a call is in flight", t, func() {
+		begun, release := make(chan struct{}), make(chan struct{})
+		j := newJudge(t, func(w http.ResponseWriter, _ *http.Request) {
+			close(begun)
+			<-release
+			_, _ = fmt.Fprint(w, "whole")
+		})
+		front, g := newGateway(t, gateway.Config{HedgeShare: -1}, j.address())
+		type answer struct {
+			resp *http.Response
+			text string
+		}
+		ended := make(chan answer, 1)
+		go func() {
+			resp, text, _ := do(t, front, "GET", "/x", "")
+			ended <- answer{resp, text}
+		}()
+		<-begun
+		g.SetStopping()
+		stopped := make(chan error, 1)
+		go func() { stopped <- front.Config.Shutdown(context.Background()) }()
+		convey.So(g.InFlight(), convey.ShouldEqual, 1)
+		close(release)
+		convey.Convey("The call ends whole and its connection ends", func() {
+			a := <-ended
+			convey.So(a.text, convey.ShouldEqual, "whole")
+			convey.So(a.resp.Close, convey.ShouldBeTrue)
+			convey.So(<-stopped, convey.ShouldBeNil)
+		})
+	})
+}
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -131,7 +131,10 @@
 	defer over.Stop()
 	for {
 		select {
-		case choice := <-given:
+		case choice, ok := <-given:
+			if !ok {
+				return placement{}, l.overloaded()
+			}
 			return placement{choice: choice, queued: time.Since(since)}, nil
 		case <-poll.C:
 			l.poll(id)
@@ -139,11 +142,15 @@
 		case <-over.C:
 		case <-ctx.Done():
 		}
-		no, left := l.leave(id)
-		if left {
-			return placement{}, no
+		if l.leave(id) {
+			return placement{}, l.overloaded()
 		}
-		return placement{choice: <-given, queued: time.Since(since)}, nil
+		// Whoever took the call out of the queue has filled or closed the channel.
+		choice, ok := <-given
+		if !ok {
+			return placement{}, l.overloaded()
+		}
+		return placement{choice: choice, queued: time.Since(since)}, nil
 	}
 }
 
@@ -156,15 +163,20 @@
 	}
 }
 
-// leave gives up waiting. It returns false if a server was given meanwhile.
-func (l *lane) leave(id uint64) (*refusal, bool) {
+// leave gives up waiting. It returns false if the wait was ended meanwhile.
+func (l *lane) leave(id uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.queue.Leave(id) {
-		return nil, false
+		return false
 	}
 	delete(l.waiting, id)
-	return &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: l.queue.RetryAfter()}, true
+	return true
+}
+
+// overloaded returns the refusal of a call that waited as long as was useful.
+func (l *lane) overloaded() *refusal {
+	return &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: l.retryAfter()}
 }
 
 // choose picks a server below its cap of connections, and counts the attempt in.
@@ -189,8 +201,13 @@
 	return max(slot.Connections(s.Connections, int(l.g.gateways.Load()))-defaultIdlePerHost, 1)
 }
 
-// serveWaiting gives servers to waiting calls, in order, while there are any.
+// serveWaiting gives servers to waiting calls, in order, while there are any. It
+// ends the wait of those that have no useful time left.
 func (l *lane) serveWaiting(now time.Time) {
+	for _, id := range l.queue.Expired(now) {
+		close(l.waiting[id])
+		delete(l.waiting, id)
+	}
 	for {
 		id, ok := l.queue.First()
 		if !ok {
--- a/internal/request/slot/slot.go
+++ b/internal/request/slot/slot.go
@@ -30,6 +30,9 @@
 	maxRetryAfter = 60 * time.Second
 	// smoothing is the weight of a new measurement, as one part in this many.
 	smoothing = 8
+	// usefulShare is the least part of a caller's time, as one part in this many,
+	// that is kept for the attempt itself.
+	usefulShare = 8
 )
 
 // Config configures a Queue.
@@ -71,7 +74,7 @@
 // Join asks for a place. The call is refused if the measured pace of releases
 // would not serve it while its deadline leaves it the usual time of an attempt.
 func (q *Queue) Join(now time.Time, id uint64, deadline time.Time) Verdict {
-	until := deadline.Add(-q.latency)
+	until := deadline.Add(-max(q.latency, deadline.Sub(now)/usefulShare))
 	turn := now.Add(q.interval * time.Duration(len(q.waiting)+1))
 	if len(q.waiting) >= q.cfg.MaxWaiting || !now.Before(until) || turn.After(until) {
 		return Verdict{RetryAfter: q.RetryAfter()}
