Prove the checks of a resumed download and of a cut stream

Cause: two trials without a guard still passed: the server's If-Range hid the missing ETag check, and the stated length hid a cut that was passed as the end. Change: the second server ignores If-Range; streams without a length are cut.

--- a/internal/request/gateway/whole_test.go
+++ b/internal/request/gateway/whole_test.go
@@ -180,6 +180,7 @@
 		version := func(etag string) *judge {
 			return newJudge(t, func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("Etag", etag)
+				r.Header.Del("If-Range") // a server that does not know it
 				http.ServeContent(w, r, "video.mp4", time.Time{}, &video{size: 4 << 20})
 			})
 		}
@@ -195,6 +196,29 @@
 	})
 }
 
+// TestCutOfAStreamIsVisible cuts answers that state no length.
+func TestCutOfAStreamIsVisible(t *testing.T) {
+	for name, head := range map[string]string{"chunked": "", "until close": "HTTP/1.1 200 OK\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			j := newJudge(t, func(w http.ResponseWriter, _ *http.Request) {
+				if head == "" {
+					_, _ = io.Copy(w, &video{size: 4 << 20})
+					return
+				}
+				c, _, _ := http.NewResponseController(w).Hijack()
+				_, _ = io.WriteString(c, head)
+				_, _ = io.Copy(c, &video{size: 4 << 20})
+				_ = c.Close()
+			})
+			l := newLink(t, j.address(), func(int) fault { return fault{down: 1 << 20} })
+			front, _ := newGateway(t, gateway.Config{}, l.Addr().String())
+			if _, n, _, err := download(front); err == nil || n >= 4<<20 {
+				t.Errorf("got %d bytes, %v, want a visible cut", n, err)
+			}
+		})
+	}
+}
+
 // TestUploadStreams sends 64 MB through, in constant memory.
 func TestUploadStreams(t *testing.T) {
 	j := newJudge(t, func(w http.ResponseWriter, r *http.Request) {
