Measure what the gateway adds to a call

Change: benchmarks of a call direct and through the gateway, one after another and in parallel, and of the routing log.

--- /dev/null
+++ b/internal/request/gateway/bench_test.go
@@ -0,0 +1,105 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
+)
+
+// newTarget returns a server that answers 200 bytes at once, with a load report.
+func newTarget(b *testing.B) *httptest.Server {
+	answer := []byte(strings.Repeat("x", 200))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(report.Header, report.Format(1, 2, false))
+		_, _ = w.Write(answer)
+	}))
+	b.Cleanup(s.Close)
+	return s
+}
+
+// call sends one request and drains the answer.
+func call(b *testing.B, client http.RoundTripper, method, url string) {
+	r, _ := http.NewRequest(method, url, strings.NewReader("a lathe"))
+	if method == http.MethodGet {
+		r.Body, r.ContentLength = nil, 0
+	}
+	resp, err := client.RoundTrip(r)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b.Errorf("got status %d, want 200", resp.StatusCode)
+	}
+}
+
+// BenchmarkCall compares a call to the server with one through the gateway, whose
+// log goes nowhere or is off. Added latency and allocations are the difference.
+func BenchmarkCall(b *testing.B) {
+	target := newTarget(b)
+	address := strings.TrimPrefix(target.URL, "http://")
+	off, _ := newGateway(b, gateway.Config{Logger: zerolog.Nop()}, address)
+	logged, _ := newGateway(b, gateway.Config{Logger: zerolog.New(io.Discard)}, address)
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for _, way := range []struct{ name, url string }{
+			{"Direct", target.URL}, {"GatewayNoLog", off.URL}, {"Gateway", logged.URL},
+		} {
+			b.Run(method+"/"+way.name, func(b *testing.B) {
+				client := &http.Transport{}
+				defer client.CloseIdleConnections()
+				took := make([]time.Duration, 0, b.N)
+				b.ReportAllocs()
+				for b.Loop() {
+					begun := time.Now()
+					call(b, client, method, way.url+"/bookings")
+					took = append(took, time.Since(begun))
+				}
+				slices.Sort(took)
+				b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+			})
+		}
+	}
+}
+
+// BenchmarkParallel gives the calls per second of all cores that it may use, with
+// client, gateway and server in one process.
+func BenchmarkParallel(b *testing.B) {
+	target := newTarget(b)
+	front, _ := newGateway(b, gateway.Config{Logger: zerolog.New(io.Discard)}, strings.TrimPrefix(target.URL, "http://"))
+	for _, way := range []struct{ name, url string }{{"Direct", target.URL}, {"Gateway", front.URL}} {
+		b.Run(way.name, func(b *testing.B) {
+			client := &http.Transport{MaxIdleConnsPerHost: 64}
+			defer client.CloseIdleConnections()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					call(b, client, http.MethodGet, way.url+"/rosters")
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+		})
+	}
+}
+
+// BenchmarkRoutingLog is the cost of one routing line and one result line.
+func BenchmarkRoutingLog(b *testing.B) {
+	logger := zerolog.New(io.Discard)
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, name := range []string{"RouteChosen", "CallEnded"} {
+			logger.Info().Int("Event", 4001).Str("Name", name).Str("Attempt", "gateway-1-hoqutp2gs3-1").Str("Service", "Booking").
+				Str("Server", "booking-07").Str("Reason", "TwoChoices").Str("Kind", "First").Dur("Queued", 0).Send()
+		}
+	}
+}
