Let at-most-once calls take a connection that has just proved alive

Cause: each at-most-once call opened a connection, which was most of what the gateway added to it. Ruled out: sharing connections of any age; a stale one turns a call that would have run into Unknown. Change: such a call may take a connection that came free within 100 ms. One that was idle longer is sealed before a byte leaves, and the call takes a new one. Calls that stream their body still take a new one. The proofs of at most once pass as before (29 s with the race detector).

--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -31,13 +31,14 @@
 	placement placement
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
-	reuse     bool
+	via       manner
 
 	body       io.Closer
 	conn       *conn
 	baseWrites int64
 	baseReads  int64
 	reused     bool
+	stale      bool
 	sent       time.Time
 
 	resp     *http.Response
@@ -48,11 +49,9 @@
 	latency  time.Duration
 }
 
-// newAttempt prepares an attempt and logs the routing decision. An idempotent
-// request may reuse a connection, unless it is a hedge, which is there to get
-// around a silent one.
-func (c *call) newAttempt(p placement, reuse bool) *attempt {
-	a := &attempt{c: c, id: c.g.nextAttempt(), placement: p, reuse: reuse}
+// newAttempt prepares an attempt and logs the routing decision.
+func (c *call) newAttempt(p placement, via manner) *attempt {
+	a := &attempt{c: c, id: c.g.nextAttempt(), placement: p, via: via}
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	c.mu.Lock()
 	c.tried = append(c.tried, p.choice.Server.Name)
@@ -66,20 +65,29 @@
 
 // send sends the request once and classifies the outcome.
 func (a *attempt) send(extra func(http.Header)) {
+	a.sent = time.Now()
+	a.roundTrip(extra)
+	if a.stale && a.err != nil && a.conn.seal() == a.baseWrites {
+		a.conn, a.reused, a.stale, a.via = nil, false, false, newConnection
+		a.roundTrip(extra)
+	}
+	a.latency = time.Since(a.sent)
+	a.c.m.lane.metrics.attempts.Inc(1)
+	a.classify()
+}
+
+// roundTrip hands the request to the connection library.
+func (a *attempt) roundTrip(extra func(http.Header)) {
 	out := a.request()
 	if extra != nil {
 		extra(out.Header)
 	}
-	transport := a.c.g.fresh
-	if a.reuse {
-		transport = a.c.g.reuse
+	transport := a.c.g.reuse
+	if a.via == newConnection {
+		transport = a.c.g.fresh
 	}
-	a.sent = time.Now()
-	a.resp, a.err = transport.RoundTrip(out) //nolint:bodyclose // finish closes it
-	a.latency = time.Since(a.sent)
-	a.c.m.lane.metrics.attempts.Inc(1)
 	a.body = out.Body
-	a.classify()
+	a.resp, a.err = transport.RoundTrip(out) //nolint:bodyclose // finish closes it
 }
 
 // request builds the outgoing request.
@@ -104,12 +112,13 @@
 	if c.body.empty {
 		delete(out.Header, "Expect")
 	}
-	c.body.put(out, a.reuse)
+	c.body.put(out, a.via != newConnection)
 	return out
 }
 
 // gotConn notes the connection that carries the attempt. A second one would be a
-// silent resend of http.Transport: nothing may leave by it.
+// silent resend of http.Transport: nothing may leave by it. Nor may anything leave
+// by a connection that has been idle too long for the attempt.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	cn, ok := info.Conn.(*conn)
 	if !ok {
@@ -121,6 +130,10 @@
 	}
 	a.conn, a.reused = cn, info.Reused
 	a.baseWrites, a.baseReads = cn.writes.Load(), cn.reads.Load()
+	if a.via == aliveConnection && info.IdleTime > aliveWindow {
+		a.stale = true
+		cn.seal()
+	}
 }
 
 // informational returns the function that relays 1xx answers of the first attempt.
@@ -201,7 +214,7 @@
 		Failed:   a.failed() && (!canceled || timedOut),
 		Canceled: canceled && !timedOut,
 		Latency:  a.latency,
-	})
+	}, a.outcome == mustardsaddle.Ran && !canceled)
 }
 
 // failed reports whether the attempt speaks against the server.
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -82,7 +82,7 @@
 		if no != nil {
 			return nil, c.giveUp(no)
 		}
-		a := c.race(c.newAttempt(p, c.reuse()))
+		a := c.race(c.newAttempt(p, c.manner(p)))
 		if a.outcome == mustardsaddle.Ran {
 			return a, nil
 		}
@@ -142,22 +142,25 @@
 	return &refusal{code: no.code, outcome: outcome, retryAfter: max(no.retryAfter, c.m.lane.retryAfter())}
 }
 
-// reuse reports whether a first attempt or a retry may take a connection that has
-// served before. Methods that announce an empty body by its length take a new one,
-// since the guard against resending hides that length.
-func (c *call) reuse() bool {
-	if c.m.repeat != mustardsaddle.RepeatYes {
-		return false
-	}
-	if !c.body.empty {
-		return true
-	}
+// manner returns by which connection an attempt goes. An idempotent request may
+// take any. One that runs at most once takes a new one, or one that has just proved
+// alive: if that breaks all the same, the outcome is Unknown as on a new one, and
+// nothing is sent again. Methods that announce an empty body by its length take a
+// new one, since the guard against resending hides that length.
+func (c *call) manner(p placement) manner {
 	switch c.r.Method {
 	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		return false
-	default:
-		return true
+		if c.body.empty {
+			return newConnection
+		}
+	}
+	if c.m.repeat == mustardsaddle.RepeatYes {
+		return anyConnection
+	}
+	if c.body.streamed() || !c.m.lane.alive(time.Now(), p.choice.Server.Name) {
+		return newConnection
 	}
+	return aliveConnection
 }
 
 // race sends an attempt, and beside it a hedge if the answer is late. It returns
@@ -195,7 +198,7 @@
 	if no != nil {
 		return nil
 	}
-	h := c.newAttempt(p, false)
+	h := c.newAttempt(p, newConnection)
 	c.mu.Lock()
 	c.hedge = h
 	late := c.winner != nil
--- a/internal/request/gateway/connection.go
+++ b/internal/request/gateway/connection.go
@@ -20,6 +20,21 @@
 	keepAliveInterval = 5 * time.Second
 )
 
+// manner says by which connection an attempt goes.
+type manner int
+
+const (
+	// newConnection is one that nothing else uses, before or after.
+	newConnection manner = iota
+	// anyConnection may be one that has served before.
+	anyConnection
+	// aliveConnection may be one that carried an answer within aliveWindow.
+	aliveConnection
+)
+
+// aliveWindow is how long a connection counts as proved alive by an answer.
+const aliveWindow = 100 * time.Millisecond
+
 // newTransport returns the connection library in one of two manners. With reuse,
 // connections serve many requests, one after another. Without, each request has a
 // new connection, and so none can meet one that is stale or silent.
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -30,16 +30,17 @@
 	service string
 	metrics *laneMetrics
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	chooser mustardsaddle.Chooser
-	budgets booking.Budgets
-	latency booking.Latency
-	limits  *slot.Limits
-	queue   *slot.Queue
-	waiting map[uint64]chan mustardsaddle.Choice
-	lastID  uint64
-	usable  int
+	mu       sync.Mutex
+	rng      *rand.Rand
+	chooser  mustardsaddle.Chooser
+	budgets  booking.Budgets
+	latency  booking.Latency
+	limits   *slot.Limits
+	queue    *slot.Queue
+	waiting  map[uint64]chan mustardsaddle.Choice
+	lastID   uint64
+	usable   int
+	reusedAt map[string]time.Time // when a reusable connection last came free
 }
 
 // placement is the result of the admit filter: a chosen server, counted in.
@@ -61,10 +62,11 @@
 			Retry: newBudget(cfg.RetryShare),
 			Hedge: newBudget(cfg.HedgeShare),
 		},
-		latency: booking.Latency{Quantile: cfg.HedgeQuantile},
-		limits:  slot.NewLimits(),
-		queue:   slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting}),
-		waiting: make(map[uint64]chan mustardsaddle.Choice),
+		latency:  booking.Latency{Quantile: cfg.HedgeQuantile},
+		limits:   slot.NewLimits(),
+		queue:    slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting}),
+		waiting:  make(map[uint64]chan mustardsaddle.Choice),
+		reusedAt: make(map[string]time.Time),
 	}
 }
 
@@ -81,11 +83,16 @@
 	defer l.mu.Unlock()
 	l.chooser.SetServers(now, servers)
 	l.usable = 0
+	reusedAt := make(map[string]time.Time, len(servers))
 	for _, s := range servers {
+		if at, ok := l.reusedAt[s.Name]; ok {
+			reusedAt[s.Name] = at
+		}
 		if !s.Leaving {
 			l.usable++
 		}
 	}
+	l.reusedAt = reusedAt
 	l.serveWaiting(now)
 }
 
@@ -231,10 +238,21 @@
 	l.latency.Add(latency)
 }
 
-// finish tells how an attempt ended, and passes its place on.
-func (l *lane) finish(now time.Time, result mustardsaddle.Result) {
+// alive reports whether a connection to the server came free a moment ago.
+func (l *lane) alive(now time.Time, server string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.reusedAt[server]) < aliveWindow
+}
+
+// finish tells how an attempt ended, and passes its place on. Kept is true if its
+// connection stays open for others.
+func (l *lane) finish(now time.Time, result mustardsaddle.Result, kept bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if kept {
+		l.reusedAt[result.Server] = now
+	}
 	l.chooser.Finish(now, result)
 	l.limits.Release(result.Server)
 	latency := result.Latency
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -117,7 +117,7 @@
 	if !ok {
 		return nil, false
 	}
-	a := s.c.newAttempt(placement{kind: booking.Retry, choice: choice}, false)
+	a := s.c.newAttempt(placement{kind: booking.Retry, choice: choice}, newConnection)
 	timer := time.AfterFunc(s.c.m.deadline, func() { a.cancel(errDeadline) })
 	a.send(func(h http.Header) {
 		h["Range"] = []string{fmt.Sprintf("bytes=%d-", s.offset)}
