Give a call one context for each attempt instead of one more

Cause: each call had a context of its own between the caller's and the attempt's, only so that the deadline could end it. Change: the deadline ends the open attempts directly.

--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -52,11 +52,7 @@
 // newAttempt prepares an attempt and logs the routing decision.
 func (c *call) newAttempt(p placement, via manner) *attempt {
 	a := &attempt{c: c, id: c.g.nextAttempt(), placement: p, via: via}
-	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
-	c.mu.Lock()
-	c.tried = append(c.tried, p.choice.Server.Name)
-	c.lastID = a.id
-	c.mu.Unlock()
+	a.ctx, a.cancel = context.WithCancelCause(c.r.Context())
 	event.Info(c.g.cfg.Logger, event.RouteChosen).Str("Attempt", a.id).Str("Service", c.m.lane.service).
 		Str("Server", p.choice.Server.Name).Str("Reason", p.choice.Reason).Str("Kind", p.kind.String()).
 		Dur("Queued", p.queued).Send()
@@ -229,7 +225,7 @@
 func (a *attempt) code() code.Code {
 	_, tooLarge := a.c.body.state()
 	switch {
-	case errors.Is(context.Cause(a.c.ctx), errDeadline):
+	case errors.Is(context.Cause(a.ctx), errDeadline):
 		return code.CallDeadline
 	case a.c.r.Context().Err() != nil:
 		return code.CallCanceled
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -23,14 +23,14 @@
 	start    time.Time
 	deadline time.Time
 	body     requestBody
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
 	timer    *time.Timer
 
 	mu       sync.Mutex
 	state    booking.Call
 	tried    []string
 	lastID   string
+	expired  bool
+	first    *attempt
 	hedge    *attempt
 	winner   *attempt
 	answered bool
@@ -40,15 +40,42 @@
 	c := &call{g: g, w: w, r: r, m: m, start: now, deadline: now.Add(m.deadline)}
 	c.body.c = c
 	c.state = booking.New(booking.Config{Repeat: m.repeat, Deadline: c.deadline, MaxAttempts: g.cfg.MaxAttempts})
-	c.ctx, c.cancel = context.WithCancelCause(r.Context())
-	c.timer = time.AfterFunc(m.deadline, func() { c.cancel(errDeadline) })
+	c.timer = time.AfterFunc(m.deadline, c.expire)
 	return c
 }
 
-// close ends everything that the call still has open.
-func (c *call) close() {
-	c.timer.Stop()
-	c.cancel(errOver)
+// expire gives up the attempts that are open when the deadline passes.
+func (c *call) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answered {
+		return
+	}
+	c.expired = true
+	for _, a := range []*attempt{c.first, c.hedge} {
+		if a != nil {
+			a.cancel(errDeadline)
+		}
+	}
+}
+
+// enter makes the attempt one that the deadline, or an answer to the other, ends.
+func (c *call) enter(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.placement.kind == booking.Hedge {
+		c.hedge = a
+	} else {
+		c.first, c.hedge = a, nil
+	}
+	c.tried = append(c.tried, a.placement.choice.Server.Name)
+	c.lastID = a.id
+	if c.expired {
+		a.cancel(errDeadline)
+	}
+	if c.winner != nil {
+		a.cancel(errLost)
+	}
 }
 
 // serve passes the call through admit, choose, attempt and relay.
@@ -82,7 +109,9 @@
 		if no != nil {
 			return nil, c.giveUp(no)
 		}
-		a := c.race(c.newAttempt(p, c.manner(p)))
+		a := c.newAttempt(p, c.manner(p))
+		c.enter(a)
+		a = c.race(a)
 		if a.outcome == mustardsaddle.Ran {
 			return a, nil
 		}
@@ -92,7 +121,7 @@
 
 // place asks for one more attempt and for a server to take it.
 func (c *call) place() (placement, *refusal) {
-	p, no := c.m.lane.place(c.ctx, time.Now(), c)
+	p, no := c.m.lane.place(c.r.Context(), time.Now(), c)
 	if no != nil {
 		if no.code != code.OK {
 			c.end(mustardsaddle.NotRun)
@@ -198,14 +227,9 @@
 	if no != nil {
 		return nil
 	}
+	p.kind = booking.Hedge
 	h := c.newAttempt(p, newConnection)
-	c.mu.Lock()
-	c.hedge = h
-	late := c.winner != nil
-	c.mu.Unlock()
-	if late {
-		h.cancel(errLost)
-	}
+	c.enter(h)
 	c.send(h)
 	if h.outcome == mustardsaddle.Ran {
 		first.cancel(errLost)
--- a/internal/request/gateway/claim.go
+++ b/internal/request/gateway/claim.go
@@ -26,7 +26,7 @@
 	if c.g.cfg.Claims == nil {
 		return notRun(code.StoreUnavailable)
 	}
-	if err := c.g.cfg.Claims.Claim(c.ctx, c.m.lane.service, key, c.g.nextAttempt()); err != nil {
+	if err := c.g.cfg.Claims.Claim(c.r.Context(), c.m.lane.service, key, c.g.nextAttempt()); err != nil {
 		return notRun(code.Of(err))
 	}
 	return nil
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -252,7 +252,7 @@
 		return
 	}
 	c := newCall(g, now, w, r, m)
-	defer c.close()
+	defer c.timer.Stop()
 	c.serve()
 }
 
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -86,7 +86,7 @@
 // resume replaces the broken attempt by one that brings the rest.
 func (s *source) resume(cause error) error {
 	broken := s.attempt
-	for s.c.ctx.Err() == nil && s.failed < maxResumes {
+	for s.c.r.Context().Err() == nil && s.failed < maxResumes {
 		s.failed++
 		next, ok := s.request()
 		if !ok {
