--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -23,6 +23,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,6 +65,9 @@
 type Config struct {
 	// Targets are the base URLs of the gateways; calls are spread at random.
 	Targets []string
+	// Live, if set, tells whether a target takes calls. A call whose target does
+	// not goes to the next that does.
+	Live func(target string) bool
 	// Streams are the kinds of calls.
 	Streams []Stream
 	// Rate is the mean number of calls per second.
@@ -255,7 +259,7 @@
 func (d *driver) do(ctx context.Context, c call) End {
 	time.Sleep(d.cfg.Delay)
 	s := d.cfg.Streams[c.stream]
-	url := strings.TrimSuffix(c.target, "/") + s.Path
+	url := strings.TrimSuffix(d.target(c.target), "/") + s.Path
 	if c.work > 0 {
 		url += "?Work=" + c.work.String()
 	}
@@ -275,6 +279,20 @@
 	return endOf(resp)
 }
 
+// target returns the planned target if it takes calls, or else the next.
+func (d *driver) target(planned string) string {
+	if d.cfg.Live == nil {
+		return planned
+	}
+	first := slices.Index(d.cfg.Targets, planned)
+	for i := range d.cfg.Targets {
+		if next := d.cfg.Targets[(first+i)%len(d.cfg.Targets)]; d.cfg.Live(next) {
+			return next
+		}
+	}
+	return planned
+}
+
 // endOf classifies an answer.
 func endOf(resp *http.Response) End {
 	switch {
--- a/internal/standin/trial/trial_test.go
+++ b/internal/standin/trial/trial_test.go
@@ -47,3 +47,15 @@
 		convey.So(report.Planned, convey.ShouldBeGreaterThan, 0)
 	})
 }
+
+func TestSmall(t *testing.T) {
+	convey.Convey("Given a whole small system with a rule change and a graceful stop", t, func() {
+		report, err := trial.Small(context.Background(), trial.SmallConfig{Duration: 2 * time.Second})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(report.Load.All.Calls, convey.ShouldBeGreaterThan, 0)
+		convey.So(report.Cut, convey.ShouldEqual, 0)
+		convey.So(report.Repeated, convey.ShouldEqual, 0)
+		convey.So(report.InForce, convey.ShouldBeLessThan, 5*time.Second)
+		convey.So(report.Text(), convey.ShouldContainSubstring, "Calls cut: 0.")
+	})
+}
