Divide slots among hundreds of gateways at low cost

Cause: each change of the fleet hashed and sorted every pair of server and gateway, in each of up to 280 services. Change: names are hashed once and pairs mixed; the best gateway is found by a scan; equal lists change nothing; leaving gateways get no slots. Ruled out: keeping scores between changes, which costs memory for every pair.

--- a/internal/choice/bench/assign.go
+++ b/internal/choice/bench/assign.go
@@ -1,55 +1,54 @@
 package bench
 
 import (
-	"slices"
-	"strings"
-
 	"github.com/cespare/xxhash/v2"
 
 	"mustardsaddle.example/mustardsaddle"
 )
 
-// claim is the wish of a server's slots for a gateway.
-type claim struct {
-	gateway int
-	score   uint64
+// rendezvous scores a pair of hashed names. Every gateway computes the same
+// score. Mixing two hashes costs a tenth of hashing the pair, which counts with
+// hundreds of gateways and services.
+func rendezvous(server, gateway uint64) uint64 {
+	x := server ^ (gateway * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
 }
 
-// rendezvous scores a pair; both ends of a link compute the same score.
-func rendezvous(server, gateway string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(server)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(gateway)
-	return d.Sum64()
+// hashes returns the hashed names of the gateways.
+func hashes(gateways []mustardsaddle.VM) []uint64 {
+	out := make([]uint64, len(gateways))
+	for i, g := range gateways {
+		out[i] = xxhash.Sum64String(g.Name)
+	}
+	return out
 }
 
 // assign divides the slots of the servers among the gateways by rendezvous
 // hashing with a bound: each slot goes to the gateway with the highest score
 // that has not got its share yet, with those of the server's own zone first. It
 // returns the number of slots of each server that fall to the gateway self.
-// Equal inputs in any order give an equal and disjoint division.
+// Servers and gateways are ordered by name, so that all gateways come to the
+// same, disjoint division.
 func assign(servers []mustardsaddle.Server, gateways []mustardsaddle.VM, self string) map[string]int {
 	owned := make(map[string]int)
 	if len(gateways) == 0 {
 		return owned
 	}
-	servers = slices.Clone(servers)
-	slices.SortFunc(servers, func(a, b mustardsaddle.Server) int { return strings.Compare(a.Name, b.Name) })
 	total := 0
 	for _, s := range servers {
 		total += max(1, s.Slots)
 	}
 	share := (total + len(gateways) - 1) / len(gateways)
 	got := make([]int, len(gateways))
+	names := hashes(gateways)
 	for _, s := range servers {
-		claims := claimsOf(s, gateways)
+		own := xxhash.Sum64String(s.Name)
 		for range max(1, s.Slots) {
-			i := slices.IndexFunc(claims, func(c claim) bool { return got[c.gateway] < share })
-			g := claims[i].gateway
-			got[g]++
-			if gateways[g].Name == self {
+			i := preferred(s, own, gateways, names, func(i int) bool { return got[i] < share })
+			got[i]++
+			if gateways[i].Name == self {
 				owned[s.Name]++
 			}
 		}
@@ -57,27 +56,23 @@
 	return owned
 }
 
-// claimsOf orders the gateways for one server.
-func claimsOf(s mustardsaddle.Server, gateways []mustardsaddle.VM) []claim {
-	claims := make([]claim, len(gateways))
+// preferred returns the index of the gateway with the highest score of those
+// that may have more.
+func preferred(s mustardsaddle.Server, own uint64, gateways []mustardsaddle.VM, names []uint64, open func(int) bool) int {
+	best, highest := -1, uint64(0)
 	for i, g := range gateways {
-		score := rendezvous(s.Name, g.Name) >> 1
+		if !open(i) {
+			continue
+		}
+		score := rendezvous(own, names[i]) >> 1
 		if g.Zone == s.Zone {
 			score |= 1 << 63
 		}
-		claims[i] = claim{gateway: i, score: score}
-	}
-	slices.SortFunc(claims, func(a, b claim) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		default:
-			return strings.Compare(gateways[a.gateway].Name, gateways[b.gateway].Name)
+		if best < 0 || score > highest {
+			best, highest = i, score
 		}
-	})
-	return claims
+	}
+	return best
 }
 
 // subset returns the servers that the gateway self has to know, about limit of
@@ -89,10 +84,12 @@
 	}
 	known := (limit*len(gateways) + len(servers) - 1) / len(servers)
 	var mine []mustardsaddle.Server
+	names, selfName := hashes(gateways), xxhash.Sum64String(self)
 	for _, s := range servers {
-		own, before := rendezvous(s.Name, self), 0
-		for _, g := range gateways {
-			if rendezvous(s.Name, g.Name) > own {
+		name := xxhash.Sum64String(s.Name)
+		own, before := rendezvous(name, selfName), 0
+		for _, g := range names {
+			if rendezvous(name, g) > own {
 				before++
 			}
 		}
--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -125,17 +125,27 @@
 // SetServers replaces the set of known servers. Servers of the first set count
 // as warm, since it is the gateway that is new; later ones start slowly.
 func (b *Bench) SetServers(now time.Time, servers []mustardsaddle.Server) {
-	b.all = slices.Clone(servers)
-	slices.SortFunc(b.all, func(a, b mustardsaddle.Server) int { return strings.Compare(a.Name, b.Name) })
+	sorted := slices.Clone(servers)
+	slices.SortFunc(sorted, func(a, b mustardsaddle.Server) int { return strings.Compare(a.Name, b.Name) })
+	if slices.Equal(sorted, b.all) {
+		return
+	}
+	b.all = sorted
 	b.rebuild(now)
 	b.started = b.started || len(servers) > 0
 }
 
 // SetFleet tells which gateways share the servers.
 func (b *Bench) SetFleet(now time.Time, self string, gateways []mustardsaddle.VM) {
-	b.self = self
-	b.gateways = slices.Clone(gateways)
+	// A leaving gateway takes no new calls, and needs no slots of its own.
+	sorted := slices.DeleteFunc(slices.Clone(gateways), func(g mustardsaddle.VM) bool { return g.Leaving })
+	slices.SortFunc(sorted, func(a, b mustardsaddle.VM) int { return strings.Compare(a.Name, b.Name) })
 	b.fleet = max(1, len(gateways))
+	if self == b.self && slices.Equal(sorted, b.gateways) {
+		return
+	}
+	b.self = self
+	b.gateways = sorted
 	b.rebuild(now)
 }
 
--- a/internal/choice/bench/bench_test.go
+++ b/internal/choice/bench/bench_test.go
@@ -313,3 +313,30 @@
 		}
 	}
 }
+
+func BenchmarkSetFleet(b *testing.B) {
+	for _, fleet := range []int{15, 400} {
+		b.Run(fmt.Sprintf("Servers=33/Gateways=%d", fleet), func(b *testing.B) {
+			chooser := bench.New(bench.Config{})
+			chooser.SetServers(start, serversOf(33))
+			gateways := gatewaysOf(fleet)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				chooser.SetFleet(start, "gateway-0", gateways[i%2:])
+			}
+		})
+	}
+}
+
+func BenchmarkSetServers(b *testing.B) {
+	for _, n := range []int{33, 300, 9200} {
+		b.Run(fmt.Sprintf("Servers=%d", n), func(b *testing.B) {
+			servers := serversOf(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				chooser := bench.New(bench.Config{Subset: n})
+				chooser.SetServers(start, servers)
+			}
+		})
+	}
+}
