--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -79,10 +79,10 @@
 			func(s *Settings) *string { return &s.Gateway.Zone }), "zone-a"),
 		address(sectionGateway, "Listen", "0.0.0.0:8080", "Address for callers.",
 			func(s *Settings) *string { return &s.Gateway.Listen }),
-		address(sectionGateway, "Admin", "127.0.0.1:8081", "Address for operators: health, readiness, rules, metrics.",
+		address(sectionGateway, "Admin", "127.0.0.1:8081", "Address for operators and the platform's balancer: health, readiness, rules, metrics.",
 			func(s *Settings) *string { return &s.Gateway.Admin }),
-		address(sectionGateway, "Peer", "0.0.0.0:8082", "Address for links from other gateways.",
-			func(s *Settings) *string { return &s.Gateway.Peer }),
+		required(ownAddress(sectionGateway, "Peer", "Address for links from other gateways, which learn it from here and dial it.",
+			func(s *Settings) *string { return &s.Gateway.Peer }), "10.0.0.7:8082"),
 		integer(sectionGateway, "Incarnation", "0", 0, 1<<62, "starts",
 			"Number of this life of the VM, which must grow with each start; 0 means the start time in milliseconds.",
 			func(s *Settings) *int64 { return &s.Gateway.Incarnation }),
@@ -121,6 +121,8 @@
 
 func peerList() []setting[Settings] {
 	return []setting[Settings]{
+		addresses(sectionPeers, "Seeds", "Peer addresses that this gateway dials while it knows no other gateway, so that it can start while the store is down.",
+			func(s *Settings) *[]string { return &s.Peers.Seeds }),
 		integer(sectionPeers, "Across", "2", 1, 16, "links",
 			"Links that this gateway keeps on average to gateways in other availability zones, besides those in its own.",
 			func(s *Settings) *int { return &s.Peers.Across }),
