--- a/internal/request/gateway/http_test.go
+++ b/internal/request/gateway/http_test.go
@@ -62,7 +62,7 @@
 
 func TestRefusals(t *testing.T) {
 	j := newJudge(t, nil)
-	all := rule.Compile(rule.File{Rules: []rule.Rule{{Path: "/*", Service: "Booking"}}})
+	all := tableOf(t, "Path=/* Service=Booking # Mei Lin: all")
 	for _, tc := range []struct {
 		name, body, upgrade string
 		rules               *rule.Table
@@ -73,7 +73,7 @@
 		{"body above the limit", strings.Repeat("x", 2000), "", all, 413, "Code=4008 Outcome=NotRun\n"},
 		{"no rule matches", "", "", rule.Compile(rule.File{}), 404, "Code=4001 Outcome=NotRun\n"},
 		{"no rules yet", "", "", nil, 503, "Code=4006 Outcome=NotRun\n"},
-		{"no such service", "", "", rule.Compile(rule.File{Rules: []rule.Rule{{Path: "/x", Service: "None"}}}), 503, "Code=4002 Outcome=NotRun\n"},
+		{"no such service", "", "", tableOf(t, "Path=/x Service=None # Mei Lin: none"), 503, "Code=4002 Outcome=NotRun\n"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			front, g := newGateway(t, gateway.Config{BodyBytes: 1000}, j.address())
@@ -271,3 +271,13 @@
 		})
 	})
 }
+
+// tableOf compiles a rules file without mistakes.
+func tableOf(t *testing.T, text string) *rule.Table {
+	t.Helper()
+	file, problems := rule.Parse(text)
+	if len(problems) > 0 {
+		t.Fatalf("parse rules: %v", problems)
+	}
+	return rule.Compile(file)
+}
