--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -7,6 +7,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
@@ -193,31 +194,32 @@
 }
 
 func checkRuleChange(m RuleChange) error {
-	if m.From < 0 || m.To <= m.From {
-		return code.Errorf(code.PeerBadMessage, "message RuleChange: got From=%d To=%d, want 0 <= From < To", m.From, m.To)
+	if m.From < 0 || m.To <= m.From || m.Submission < 0 {
+		return code.Errorf(code.PeerBadMessage, "message RuleChange: got From=%d To=%d Submission=%d, want 0 <= From < To and no negative submission",
+			m.From, m.To, m.Submission)
 	}
 	bytes := 0
-	for _, lines := range [][]string{m.Out, m.In} {
+	for _, lines := range [][]rule.Edit{m.Out, m.In} {
 		if len(lines) > maxLines {
 			return code.Errorf(code.PeerBadMessage, "message RuleChange: got %d lines, want at most %d", len(lines), maxLines)
 		}
 		for _, line := range lines {
-			bytes += len(line)
+			if line.At < 0 {
+				return code.Errorf(code.PeerBadMessage, "message RuleChange: got a line at %d, want at least 0", line.At)
+			}
+			bytes += len(line.Text)
 		}
 	}
 	if bytes > MaxRulesBytes {
 		return code.Errorf(code.PeerBadMessage, "message RuleChange: got %d bytes, want at most %d", bytes, MaxRulesBytes)
 	}
-	return checkName(m, m.Digest)
+	return nil
 }
 
 func checkWholeRules(m WholeRules) error {
 	if len(m.Text) > MaxRulesBytes {
 		return code.Errorf(code.PeerBadMessage, "message WholeRules: got %d bytes, want at most %d", len(m.Text), MaxRulesBytes)
 	}
-	if err := checkName(m, m.Digest); err != nil {
-		return err
-	}
 	return checkNumber(m, "Generation", m.Generation)
 }
 
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -38,6 +38,7 @@
 	"slices"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Type -output=type_string.go
@@ -118,18 +119,21 @@
 	Marks []mustardsaddle.Mark
 }
 
-// RuleChange turns one generation of the rules into a later one.
+// RuleChange turns one generation of the rules into a later one. It converts
+// from and to rule.Change.
 type RuleChange struct {
 	// From is the generation that the change applies to.
 	From int64
 	// To is the generation that it gives.
 	To int64
+	// Submission is the submission that led to it.
+	Submission int64
 	// Out are the lines that go.
-	Out []string
+	Out []rule.Edit
 	// In are the lines that come.
-	In []string
-	// Digest is the digest of the rules text of generation To.
-	Digest string
+	In []rule.Edit
+	// Digest is the digest of the file of generation To.
+	Digest uint64
 }
 
 // AskRules asks for the rules after generation Have, as changes or whole.
@@ -142,10 +146,8 @@
 type WholeRules struct {
 	// Generation is the generation of the file.
 	Generation int64
-	// Text is the file, at most MaxRulesBytes.
+	// Text is the accepted file with its header, at most MaxRulesBytes.
 	Text string
-	// Digest is the digest of Text.
-	Digest string
 }
 
 // AskMachines asks for the newest list of VMs that the peer has read. A gateway
