--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -7,7 +7,6 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
-	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
@@ -199,7 +198,7 @@
 			m.From, m.To, m.Submission)
 	}
 	bytes := 0
-	for _, lines := range [][]rule.Edit{m.Out, m.In} {
+	for _, lines := range [][]RuleEdit{m.Out, m.In} {
 		if len(lines) > maxLines {
 			return code.Errorf(code.PeerBadMessage, "message RuleChange: got %d lines, want at most %d", len(lines), maxLines)
 		}
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -38,7 +38,6 @@
 	"slices"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Type -output=type_string.go
@@ -119,8 +118,15 @@
 	Marks []mustardsaddle.Mark
 }
 
-// RuleChange turns one generation of the rules into a later one. It converts
-// from and to rule.Change.
+// RuleEdit is one line of a rules file at a position, counted from 0.
+type RuleEdit struct {
+	// At is the position.
+	At int
+	// Text is the line.
+	Text string
+}
+
+// RuleChange turns one generation of the rules into a later one.
 type RuleChange struct {
 	// From is the generation that the change applies to.
 	From int64
@@ -128,11 +134,11 @@
 	To int64
 	// Submission is the submission that led to it.
 	Submission int64
-	// Out are the lines that go.
-	Out []rule.Edit
-	// In are the lines that come.
-	In []rule.Edit
-	// Digest is the digest of the file of generation To.
+	// Out are the lines that go, with their positions in generation From.
+	Out []RuleEdit
+	// In are the lines that come, with their positions in generation To.
+	In []RuleEdit
+	// Digest is the digest of the rules text of generation To.
 	Digest uint64
 }
 
@@ -146,7 +152,7 @@
 type WholeRules struct {
 	// Generation is the generation of the file.
 	Generation int64
-	// Text is the accepted file with its header, at most MaxRulesBytes.
+	// Text is the file, at most MaxRulesBytes.
 	Text string
 }
 
