--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -193,8 +193,9 @@
 }
 
 func checkRuleChange(m RuleChange) error {
-	if m.From < 0 || m.To <= m.From {
-		return code.Errorf(code.PeerBadMessage, "message RuleChange: got From=%d To=%d, want 0 <= From < To", m.From, m.To)
+	if m.From < 0 || m.To <= m.From || m.Submission < 0 {
+		return code.Errorf(code.PeerBadMessage, "message RuleChange: got From=%d To=%d Submission=%d, want 0 <= From < To and no negative submission",
+			m.From, m.To, m.Submission)
 	}
 	bytes := 0
 	for _, lines := range [][]RuleEdit{m.Out, m.In} {
@@ -202,6 +203,9 @@
 			return code.Errorf(code.PeerBadMessage, "message RuleChange: got %d lines, want at most %d", len(lines), maxLines)
 		}
 		for _, line := range lines {
+			if line.At < 0 {
+				return code.Errorf(code.PeerBadMessage, "message RuleChange: got a line at %d, want at least 0", line.At)
+			}
 			bytes += len(line.Text)
 		}
 	}
