Keep the values of our own header fields in one array

Cause: each header field that a request gains on its way had a slice of its own. Before: 206 allocations a GET, 221 a POST. After: 200 and 214 (70 and 78 direct). Conclusion: kept; what remains is mostly net/http and the load report's JSON.

--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -99,12 +99,13 @@
 	out.Host = c.r.Host
 	out.RequestURI = ""
 	out.Close = false
-	out.Header = c.g.forwardHeader(c.r)
-	out.Header[AttemptHeader] = []string{a.id}
+	header := c.g.forwardHeader(c.r)
+	header.set(AttemptHeader, a.id)
 	if !c.body.streamed() {
 		left := max(time.Until(c.deadline).Milliseconds(), 1)
-		out.Header[DeadlineHeader] = []string{strconv.FormatInt(left, 10)}
+		header.set(DeadlineHeader, strconv.FormatInt(left, 10))
 	}
+	out.Header = header.Header
 	if c.body.empty {
 		delete(out.Header, "Expect")
 	}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -160,6 +160,7 @@
 	reuse    *http.Transport
 	fresh    *http.Transport
 	prefix   string
+	via      string
 	attempts atomic.Uint64
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -180,6 +181,7 @@
 		reuse:  newTransport(cfg, true),
 		fresh:  newTransport(cfg, false),
 		prefix: cfg.Name + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
+		via:    "1.1 " + cfg.Name,
 		lanes:  make(map[string]*lane),
 	}
 	g.buffers.New = func() any { return new([copyBufferBytes]byte) }
--- a/internal/request/gateway/header.go
+++ b/internal/request/gateway/header.go
@@ -57,43 +57,60 @@
 	return false
 }
 
+// outgoing is the header of the request to a server. Its own fields share one
+// array of values.
+type outgoing struct {
+	http.Header
+	values []string
+}
+
+// ownFields is how many fields a request gains on its way.
+const ownFields = 8
+
+// set replaces a field by one value.
+func (o *outgoing) set(name, value string) {
+	n := len(o.values)
+	o.values = append(o.values, value)
+	o.Header[name] = o.values[n : n+1 : n+1]
+}
+
+// add appends one element to a field that is a list.
+func (o *outgoing) add(name, value string) {
+	if known := o.Header[name]; len(known) > 0 {
+		value = strings.Join(known, ", ") + ", " + value
+	}
+	o.set(name, value)
+}
+
+// setMissing sets a field that the caller did not send.
+func (o *outgoing) setMissing(name, value string) {
+	if o.Header[name] == nil {
+		o.set(name, value)
+	}
+}
+
 // forwardHeader returns the header of the request to a server, without the
 // attempt's own fields.
-func (g *Gateway) forwardHeader(r *http.Request) http.Header {
-	h := make(http.Header, len(r.Header)+spareHeaders)
-	copyEndToEnd(h, r.Header)
+func (g *Gateway) forwardHeader(r *http.Request) outgoing {
+	o := outgoing{Header: make(http.Header, len(r.Header)+ownFields), values: make([]string, 0, ownFields)}
+	copyEndToEnd(o.Header, r.Header)
 	if listsToken(r.Header["Te"], "trailers") {
-		h["Te"] = []string{"trailers"}
+		o.set("Te", "trailers")
 	}
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = nil
+	if _, ok := o.Header["User-Agent"]; !ok {
+		o.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
 	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		h["X-Forwarded-For"] = appended(h["X-Forwarded-For"], host)
-	}
-	if h["X-Forwarded-Host"] == nil {
-		h["X-Forwarded-Host"] = []string{r.Host}
-	}
-	if h["X-Forwarded-Proto"] == nil {
-		h["X-Forwarded-Proto"] = []string{"http"}
+		o.add("X-Forwarded-For", host)
 	}
-	via := "1.1 " + g.cfg.Name
+	o.setMissing("X-Forwarded-Host", r.Host)
+	o.setMissing("X-Forwarded-Proto", "http")
+	via := g.via
 	if r.ProtoMajor > 1 {
 		via = "2.0 " + g.cfg.Name
 	}
-	h["Via"] = appended(h["Via"], via)
-	return h
-}
-
-// spareHeaders is how many headers a request gains on its way.
-const spareHeaders = 8
-
-// appended returns the list header with one more element.
-func appended(values []string, value string) []string {
-	if len(values) == 0 {
-		return []string{value}
-	}
-	return []string{strings.Join(values, ", ") + ", " + value}
+	o.add("Via", via)
+	return o
 }
 
 // trailerNames returns the declared trailers that may pass, without values.
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -70,8 +70,8 @@
 // relayHeader copies the answer's header.
 func (c *call) relayHeader(h http.Header, a *attempt) {
 	copyEndToEnd(h, a.resp.Header)
-	h[OutcomeHeader] = []string{mustardsaddle.Ran.String()}
-	h[AttemptHeader] = []string{a.id}
+	own := [...]string{mustardsaddle.Ran.String(), a.id}
+	h[OutcomeHeader], h[AttemptHeader] = own[:1:1], own[1:]
 	if c.g.stopping.Load() {
 		h["Connection"] = []string{"close"}
 	}
