--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -8,6 +8,8 @@
 	StopBegun
 	// StopEnded is logged when the process ends, with the number of calls cut.
 	StopEnded
+	// LinesLost is logged when log lines were lost because the log was not read.
+	LinesLost
 )
 
 // Rule events.
@@ -16,6 +18,12 @@
 	RulesInForce Event = iota + 2001
 	// RulesRefused is logged when a submission is refused.
 	RulesRefused
+	// RulesAccepted is logged when this gateway has handled a submission.
+	RulesAccepted
+	// RulesIgnored is logged when rules from the store or a peer are not taken.
+	RulesIgnored
+	// RulesStatusFailed is logged when Rules/InForce could not be written.
+	RulesStatusFailed
 )
 
 // Store events.
@@ -48,4 +56,14 @@
 	LinkUp Event = iota + 5001
 	// LinkDown is logged when a peer link ends.
 	LinkDown
+	// LinkSilent is logged when a peer link is closed because nothing came on it.
+	LinkSilent
+	// LinkFailed is logged when a peer link cannot be established.
+	LinkFailed
+	// PeerMessageRefused is logged when a message of a peer is not used.
+	PeerMessageRefused
+	// PeerMessageUnknown is logged when a message has a type of a later version.
+	PeerMessageUnknown
+	// PeerNewsDropped is logged when a link is too slow for the news on it.
+	PeerNewsDropped
 )
