--- a/cmd/mustardsaddle/main.go
+++ b/cmd/mustardsaddle/main.go
@@ -20,15 +20,10 @@
 }
 
 func run() command.Status {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	abort := make(chan struct{})
-	context.AfterFunc(ctx, func() {
-		second := make(chan os.Signal, 1)
-		signal.Notify(second, syscall.SIGTERM, os.Interrupt)
-		<-second
-		close(abort)
-	})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	ctx, abort := command.Stops(context.Background(), signals)
 	serve := func(ctx context.Context, s settings.Settings, logger zerolog.Logger) error {
 		return instance.Run(ctx, instance.Config{Settings: s, Logger: logger, Abort: abort})
 	}
--- a/internal/product/event/event.go
+++ b/internal/product/event/event.go
@@ -19,6 +19,12 @@
 // area, as for result codes.
 type Event int
 
+// init names the field of an error like the others. zerolog has that name in a
+// package variable alone, which is set here once, before any line is logged.
+func init() {
+	zerolog.ErrorFieldName = "Error"
+}
+
 // NewLogger returns the logger of a gateway. Lines below the level, which is
 // one of debug, info, warn and error, are left out.
 func NewLogger(w io.Writer, level, gateway string) zerolog.Logger {
--- a/internal/product/event/event_test.go
+++ b/internal/product/event/event_test.go
@@ -42,7 +42,7 @@
 	convey.Convey("An error line carries the error's text", t, func() {
 		var out bytes.Buffer
 		event.Error(event.NewLogger(&out, "info", "g"), event.StoreFailed).Err(errors.New("refused")).Send()
-		convey.So(out.String(), convey.ShouldContainSubstring, "refused")
+		convey.So(out.String(), convey.ShouldContainSubstring, `"Error":"refused"`)
 	})
 }
 
