--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -86,7 +86,7 @@
 // resume replaces the broken attempt by one that brings the rest.
 func (s *source) resume(cause error) error {
 	broken := s.attempt
-	for s.c.ctx.Err() == nil && s.failed < maxResumes {
+	for s.c.r.Context().Err() == nil && s.failed < maxResumes {
 		s.failed++
 		next, ok := s.request()
 		if !ok {
@@ -117,7 +117,7 @@
 	if !ok {
 		return nil, false
 	}
-	a := s.c.newAttempt(placement{kind: booking.Retry, choice: choice}, false)
+	a := s.c.newAttempt(placement{kind: booking.Retry, choice: choice}, newConnection)
 	timer := time.AfterFunc(s.c.m.deadline, func() { a.cancel(errDeadline) })
 	a.send(func(h http.Header) {
 		h["Range"] = []string{fmt.Sprintf("bytes=%d-", s.offset)}
