Keep the whole of a body when the answer begins before it ends

Cause: net/http's server drops up to 256 KiB of a request body that has not been read when the answer's header is written. A server that answers while it reads got a body with a hole of 262,145 bytes in it, and the caller an answer to that. Found by the process tests, whose stand-in echoes bodies: it lost all but 512 bytes by the same cause. Ruled out: reading the body before the answer, which needs memory for all of it. Change: the gateway and the stand-in enable full duplex; the stand-in cuts an echo that cannot be whole. Before: TestAnswerBeginsBeforeTheBodyEnds got 3,932,159 of 4,194,304 bytes and no error, three times of three. After: all bytes, three times of three. Conclusion: answers are whole here; TestGatewayKilled and TestLeaving still fail.

--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -254,6 +254,11 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 {
+		// Without full duplex, net/http drops up to 256 KiB of the body when the
+		// answer begins. HTTP/2 always has it and says that it cannot be enabled.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	now := time.Now()
 	m, no := g.match(r)
 	if no != nil {
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -283,12 +283,22 @@
 		return
 	}
 	if r.ContentLength != 0 {
-		_, _ = io.Copy(w, r.Body)
+		echo(w, r)
 		return
 	}
 	_, _ = fmt.Fprintf(w, "%s %s from %s\n", r.Method, r.URL.Path, s.cfg.Name)
 }
 
+// echo sends the body back while it arrives. An echo that cannot be whole is cut.
+func echo(w http.ResponseWriter, r *http.Request) {
+	// Without full duplex, net/http drops what is left of the body when the answer
+	// begins. HTTP/2 always has it and says that it cannot be enabled.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if _, err := io.Copy(w, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // zeros is an endless reader of zero bytes.
 type zeros struct{}
 
