--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -30,16 +30,17 @@
 	service string
 	metrics *laneMetrics
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	chooser mustardsaddle.Chooser
-	budgets booking.Budgets
-	latency booking.Latency
-	limits  *slot.Limits
-	queue   *slot.Queue
-	waiting map[uint64]chan mustardsaddle.Choice
-	lastID  uint64
-	usable  int
+	mu       sync.Mutex
+	rng      *rand.Rand
+	chooser  mustardsaddle.Chooser
+	budgets  booking.Budgets
+	latency  booking.Latency
+	limits   *slot.Limits
+	queue    *slot.Queue
+	waiting  map[uint64]chan mustardsaddle.Choice
+	lastID   uint64
+	usable   int
+	reusedAt map[string]time.Time // when a reusable connection last came free
 }
 
 // placement is the result of the admit filter: a chosen server, counted in.
@@ -61,10 +62,11 @@
 			Retry: newBudget(cfg.RetryShare),
 			Hedge: newBudget(cfg.HedgeShare),
 		},
-		latency: booking.Latency{Quantile: cfg.HedgeQuantile},
-		limits:  slot.NewLimits(),
-		queue:   slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting}),
-		waiting: make(map[uint64]chan mustardsaddle.Choice),
+		latency:  booking.Latency{Quantile: cfg.HedgeQuantile},
+		limits:   slot.NewLimits(),
+		queue:    slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting}),
+		waiting:  make(map[uint64]chan mustardsaddle.Choice),
+		reusedAt: make(map[string]time.Time),
 	}
 }
 
@@ -81,11 +83,16 @@
 	defer l.mu.Unlock()
 	l.chooser.SetServers(now, servers)
 	l.usable = 0
+	reusedAt := make(map[string]time.Time, len(servers))
 	for _, s := range servers {
+		if at, ok := l.reusedAt[s.Name]; ok {
+			reusedAt[s.Name] = at
+		}
 		if !s.Leaving {
 			l.usable++
 		}
 	}
+	l.reusedAt = reusedAt
 	l.serveWaiting(now)
 }
 
@@ -131,7 +138,10 @@
 	defer over.Stop()
 	for {
 		select {
-		case choice := <-given:
+		case choice, ok := <-given:
+			if !ok {
+				return placement{}, l.overloaded()
+			}
 			return placement{choice: choice, queued: time.Since(since)}, nil
 		case <-poll.C:
 			l.poll(id)
@@ -139,11 +149,15 @@
 		case <-over.C:
 		case <-ctx.Done():
 		}
-		no, left := l.leave(id)
-		if left {
-			return placement{}, no
+		if l.leave(id) {
+			return placement{}, l.overloaded()
+		}
+		// Whoever took the call out of the queue has filled or closed the channel.
+		choice, ok := <-given
+		if !ok {
+			return placement{}, l.overloaded()
 		}
-		return placement{choice: <-given, queued: time.Since(since)}, nil
+		return placement{choice: choice, queued: time.Since(since)}, nil
 	}
 }
 
@@ -156,15 +170,20 @@
 	}
 }
 
-// leave gives up waiting. It returns false if a server was given meanwhile.
-func (l *lane) leave(id uint64) (*refusal, bool) {
+// leave gives up waiting. It returns false if the wait was ended meanwhile.
+func (l *lane) leave(id uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.queue.Leave(id) {
-		return nil, false
+		return false
 	}
 	delete(l.waiting, id)
-	return &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: l.queue.RetryAfter()}, true
+	return true
+}
+
+// overloaded returns the refusal of a call that waited as long as was useful.
+func (l *lane) overloaded() *refusal {
+	return &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: l.retryAfter()}
 }
 
 // choose picks a server below its cap of connections, and counts the attempt in.
@@ -189,8 +208,13 @@
 	return max(slot.Connections(s.Connections, int(l.g.gateways.Load()))-defaultIdlePerHost, 1)
 }
 
-// serveWaiting gives servers to waiting calls, in order, while there are any.
+// serveWaiting gives servers to waiting calls, in order, while there are any. It
+// ends the wait of those that have no useful time left.
 func (l *lane) serveWaiting(now time.Time) {
+	for _, id := range l.queue.Expired(now) {
+		close(l.waiting[id])
+		delete(l.waiting, id)
+	}
 	for {
 		id, ok := l.queue.First()
 		if !ok {
@@ -214,10 +238,21 @@
 	l.latency.Add(latency)
 }
 
-// finish tells how an attempt ended, and passes its place on.
-func (l *lane) finish(now time.Time, result mustardsaddle.Result) {
+// alive reports whether a connection to the server came free a moment ago.
+func (l *lane) alive(now time.Time, server string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.reusedAt[server]) < aliveWindow
+}
+
+// finish tells how an attempt ended, and passes its place on. Kept is true if its
+// connection stays open for others.
+func (l *lane) finish(now time.Time, result mustardsaddle.Result, kept bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if kept {
+		l.reusedAt[result.Server] = now
+	}
 	l.chooser.Finish(now, result)
 	l.limits.Release(result.Server)
 	latency := result.Latency
