Repair Rules/Accepted when something else wrote it

Cause: an object that is not ours in Rules/Accepted, such as an operator's file written to the wrong key, kept the last good rules in force and stopped every acceptance until someone repaired it by hand. Ruled out: writing over it from what is in force (a gateway fed by peers lacks the refusals, and may be behind); a newer format is left alone. Change: the gateway whose turn it is looks back through the history for the newest version that can be used, and writes it again on the condition that the bad one is still the newest. Event 2006 tells. The search for a base steps over versions that can't be used.

--- a/internal/control/registry/action_string.go
+++ b/internal/control/registry/action_string.go
@@ -12,12 +12,13 @@
 	_ = x[ReadAccepted-1]
 	_ = x[ReadSubmission-2]
 	_ = x[ReadBase-3]
-	_ = x[Write-4]
+	_ = x[ReadPrevious-4]
+	_ = x[Write-5]
 }
 
-const _Action_name = "IdleReadAcceptedReadSubmissionReadBaseWrite"
+const _Action_name = "IdleReadAcceptedReadSubmissionReadBaseReadPreviousWrite"
 
-var _Action_index = [...]uint8{0, 4, 16, 30, 38, 43}
+var _Action_index = [...]uint8{0, 4, 16, 30, 38, 50, 55}
 
 func (i Action) String() string {
 	idx := int(i) - 0
--- a/internal/control/registry/core.go
+++ b/internal/control/registry/core.go
@@ -38,6 +38,9 @@
 	ReadSubmission
 	// ReadBase means to read a version of Rules/Accepted and hand it to TakeBase.
 	ReadBase
+	// ReadPrevious means to read a version of Rules/Accepted and hand it to
+	// TakePrevious.
+	ReadPrevious
 	// Write means to write Rules/Accepted on the condition of a version, and to
 	// hand the answer to Wrote.
 	Write
@@ -51,7 +54,7 @@
 	Version int64
 	// Value is what to write.
 	Value []byte
-	// Decision is what the write makes known.
+	// Decision is what the write makes known; it is not Handled for a repair.
 	Decision rule.Decision
 }
 
@@ -76,6 +79,7 @@
 	recent  []rule.File
 	pending map[int64]rule.Change
 	work    *work
+	repair  *repair
 }
 
 // work is a submission on its way to a decision.
@@ -83,8 +87,22 @@
 	submission rule.Submission
 	// low and high bound the search for the base among versions of Rules/Accepted.
 	low, high int64
+	// unusable is how many versions from the middle down can't be used.
+	unusable int64
 }
 
+// repair is a version of Rules/Accepted that can't be used, because something
+// else wrote it, on its way to be replaced by the last good one.
+type repair struct {
+	// version is the bad version, and previous the one to read next.
+	version, previous int64
+	// good is the last good state, once it is found.
+	good *rule.Accepted
+}
+
+// maxPrevious is how many versions a repair looks back.
+const maxPrevious = 64
+
 // NewCore returns a Core without rules.
 func NewCore() *Core {
 	return &Core{pending: make(map[int64]rule.Change)}
@@ -129,8 +147,17 @@
 	return c.newest > max(c.stored.Submission, c.handled)
 }
 
-// Next says what to do about the submissions noticed.
+// Broken reports whether Rules/Accepted is to be repaired.
+func (c *Core) Broken() bool {
+	return c.repair != nil
+}
+
+// Next says what to do about Rules/Accepted, if it is broken, and then about the
+// submissions noticed.
 func (c *Core) Next(now time.Time) Step {
+	if c.repair != nil {
+		return c.repair.next()
+	}
 	if !c.Notice(0) {
 		c.work = nil
 		return Step{Action: Idle}
@@ -149,6 +176,32 @@
 	return Step{Action: Write, Version: c.version, Value: []byte(d.Next.Format()), Decision: d}
 }
 
+func (r *repair) next() Step {
+	switch {
+	case r.good != nil:
+		d := rule.Decision{Next: *r.good}
+		return Step{Action: Write, Version: r.version, Value: []byte(r.good.Format()), Decision: d}
+	case r.previous < max(1, r.version-maxPrevious):
+		return Step{Action: Idle}
+	default:
+		return Step{Action: ReadPrevious, Version: r.previous}
+	}
+}
+
+// TakePrevious takes an older version of Rules/Accepted. The newest one that can
+// be used is written again.
+func (c *Core) TakePrevious(version int64, o mustardsaddle.Object) {
+	if c.repair == nil {
+		return
+	}
+	a, err := rule.ParseAccepted(string(o.Value))
+	if o.Version == 0 || err != nil || c.check(a) != nil {
+		c.repair.previous = version - 1
+		return
+	}
+	c.repair.good = &a
+}
+
 // base looks for the file that the present submission edited. It returns the
 // read that the search needs next, if any.
 func (c *Core) base() (Step, bool) {
@@ -173,7 +226,7 @@
 	if w.low > w.high {
 		return Step{}, false
 	}
-	return Step{Action: ReadBase, Version: w.middle()}, true
+	return Step{Action: ReadBase, Version: w.middle() - w.unusable}, true
 }
 
 func (w *work) middle() int64 {
@@ -203,21 +256,28 @@
 
 // TakeBase takes an old version of Rules/Accepted, and narrows the search for the
 // base: generations never fall from one version to the next. A version that the
-// store no longer has counts as too old.
+// store no longer has counts as too old; for one that can't be used the one before
+// it is tried.
 func (c *Core) TakeBase(version int64, o mustardsaddle.Object) {
-	if c.work == nil {
+	w := c.work
+	if w == nil {
 		return
 	}
 	a, err := rule.ParseAccepted(string(o.Value))
-	want := c.work.submission.File.Generation
+	want := w.submission.File.Generation
+	if o.Version > 0 && err != nil && version > w.low {
+		w.unusable++
+		return
+	}
 	switch {
 	case o.Version == 0 || err != nil || a.File.Generation < want:
-		c.work.low = version + 1
+		w.low = w.middle() + 1
 	case a.File.Generation > want:
-		c.work.high = version - 1
+		w.high = version - 1
 	default:
-		c.work.submission = c.work.submission.WithBase(a.File)
+		w.submission = w.submission.WithBase(a.File)
 	}
+	w.unusable = 0
 }
 
 // Wrote takes the answer to a Write. Where the answer leaves it open whether the
@@ -231,10 +291,10 @@
 	case code.StoreBudget, code.StoreBackoff, code.StoreTooLarge:
 		return rule.Change{}, false, err
 	case code.StoreConflict:
-		c.known = false
+		c.known, c.repair = false, nil
 		return rule.Change{}, false, nil
 	default:
-		c.known = false
+		c.known, c.repair = false, nil
 		return rule.Change{}, false, err
 	}
 }
@@ -246,17 +306,11 @@
 	if o.Version < c.version {
 		return rule.Change{}, false, c.tooOld(o)
 	}
-	var a rule.Accepted
-	if o.Version > 0 {
-		var err error
-		if a, err = rule.ParseAccepted(string(o.Value)); err != nil {
-			return rule.Change{}, false, err
-		}
-	}
-	if err := c.check(a); err != nil {
+	a, err := c.read(o)
+	if err != nil {
 		return rule.Change{}, false, err
 	}
-	c.stored, c.version, c.known = a, o.Version, true
+	c.stored, c.version, c.known, c.repair = a, o.Version, true, nil
 	if o.Version > c.seen {
 		c.seen, c.handled = o.Version, a.Submission
 	}
@@ -273,6 +327,26 @@
 	return change, true, nil
 }
 
+// read reads a version of Rules/Accepted. One that can't be used is to be repaired,
+// unless a newer program wrote it.
+func (c *Core) read(o mustardsaddle.Object) (rule.Accepted, error) {
+	if o.Version == 0 {
+		return rule.Accepted{}, c.check(rule.Accepted{})
+	}
+	a, err := rule.ParseAccepted(string(o.Value))
+	if err == nil {
+		err = c.check(a)
+	}
+	if err == nil {
+		return a, nil
+	}
+	c.known = false
+	if code.Of(err) != code.StoreNewerFormat && (c.repair == nil || c.repair.version < o.Version) {
+		c.repair = &repair{version: o.Version, previous: o.Version - 1}
+	}
+	return a, err
+}
+
 // tooOld returns an error for an old version where the newest was to be read. A
 // late answer of a watch is no error.
 func (c *Core) tooOld(o mustardsaddle.Object) error {
--- a/internal/control/registry/follow.go
+++ b/internal/control/registry/follow.go
@@ -118,7 +118,7 @@
 	place := AcceptPlace(f.cfg.Rank(), fleet, version)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.core.Notice(version) || f.waiting {
+	if !f.core.Notice(version) && !f.core.Broken() || f.waiting {
 		return
 	}
 	if place > 0 {
@@ -169,6 +169,8 @@
 				return err
 			}
 			f.ignored(f.take(o))
+			// A broken object is repaired by the gateway whose turn it is.
+			f.notice(0)
 		}
 	}
 	return nil
@@ -207,20 +209,29 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return f.core.TakeSubmission(step.Version, o, err)
-	case ReadBase:
-		o, err := f.cfg.Store.GetVersion(ctx, AcceptedKey, step.Version)
-		if err != nil {
-			return err
-		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.core.TakeBase(step.Version, o)
-		return nil
+	case ReadBase, ReadPrevious:
+		return f.readOld(ctx, step)
 	default:
 		return f.write(ctx, step)
 	}
 }
 
+// readOld reads an old version of Rules/Accepted.
+func (f *follower) readOld(ctx context.Context, step Step) error {
+	o, err := f.cfg.Store.GetVersion(ctx, AcceptedKey, step.Version)
+	if err != nil && code.Of(err) != code.StoreTooLarge {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if step.Action == ReadPrevious {
+		f.core.TakePrevious(step.Version, o)
+	} else {
+		f.core.TakeBase(step.Version, o)
+	}
+	return nil
+}
+
 // submission returns a version of Rules/Submitted.
 func (f *follower) submission(ctx context.Context, version int64) (mustardsaddle.Object, error) {
 	if f.watched.Version == version {
@@ -236,8 +247,13 @@
 	defer f.mu.Unlock()
 	change, brought, failure := f.core.Wrote(step, version, err)
 	f.taken(change, brought)
-	if err == nil {
+	switch {
+	case err != nil:
+	case step.Decision.Handled:
 		f.accepted(step.Decision)
+	default:
+		event.Warn(f.cfg.Logger, event.RulesRepaired).Int64("Version", version).
+			Int64("Generation", step.Decision.Next.File.Generation).Send()
 	}
 	return failure
 }
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -17,6 +17,10 @@
 // write of Rules/Accepted, which holds the rules, their generation and the last
 // submission handled. A write whose answer is lost is resolved by reading back.
 //
+// Only gateways write Rules/Accepted. If something else does, and the object can't
+// be used, a gateway finds the last good version in the object's history and writes
+// it again.
+//
 // # What is in force
 //
 // A gateway takes a generation only if it is higher than its own, from the store
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -343,6 +343,31 @@
 	})
 }
 
+func TestAlienObjectIsRepaired(t *testing.T) {
+	older := rule.Accepted{File: fileOf(1, line(9)), Submission: 1}.Format()
+	for _, test := range []struct{ name, text string }{
+		{"rubbish", "{}"},
+		{"an older generation", older},
+		{"the file of an operator", "# Generation 2\n" + line(7)},
+	} {
+		convey.Convey("Given rules in force and, in Rules/Accepted, "+test.name, t, func() {
+			g := startGroup(t, shape{size: 3, watchers: 1})
+			g.submit(line(1))
+			await(patience, g.everywhere(1))
+			g.submit(line(2))
+			await(patience, g.everywhere(2))
+			history := g.platform.History(registry.AcceptedKey)
+			good := string(history[len(history)-1])
+			g.platform.Put(registry.AcceptedKey, []byte(test.text), -1)
+			await(patience, func() bool { return len(g.platform.History(registry.AcceptedKey)) > len(history)+1 })
+			convey.So(string(g.platform.History(registry.AcceptedKey)[len(history)+1]), convey.ShouldEqual, good)
+			g.submit(line(3))
+			await(patience, g.everywhere(3))
+			convey.So(g.everywhere(3)(), convey.ShouldBeTrue)
+		})
+	}
+}
+
 func TestRacingOperatorsThroughFaults(t *testing.T) {
 	convey.Convey("Given operators who race while the store loses answers and goes down", t, func() {
 		const operators, changes = 3, 8
--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -17,6 +17,7 @@
 	_ = x[RulesAccepted-2003]
 	_ = x[RulesIgnored-2004]
 	_ = x[RulesStatusFailed-2005]
+	_ = x[RulesRepaired-2006]
 	_ = x[StoreFailed-3001]
 	_ = x[RouteChosen-4001]
 	_ = x[CallRefused-4002]
@@ -35,7 +36,7 @@
 
 const (
 	_Event_name_0 = "StartedStopBegunStopEndedLinesLost"
-	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailed"
+	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailedRulesRepaired"
 	_Event_name_2 = "StoreFailed"
 	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilent"
 	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDropped"
@@ -43,7 +44,7 @@
 
 var (
 	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34}
-	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66}
+	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66, 79}
 	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65}
 	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85}
 )
@@ -53,7 +54,7 @@
 	case 1001 <= i && i <= 1004:
 		i -= 1001
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
-	case 2001 <= i && i <= 2005:
+	case 2001 <= i && i <= 2006:
 		i -= 2001
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case i == 3001:
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -24,6 +24,9 @@
 	RulesIgnored
 	// RulesStatusFailed is logged when Rules/InForce could not be written.
 	RulesStatusFailed
+	// RulesRepaired is logged when this gateway has written the last good
+	// Rules/Accepted over one that could not be used.
+	RulesRepaired
 )
 
 // Store events.
