Do not count a write that the seal refused

Cause: an at-most-once call that meets a connection idle for over 100 ms seals it and goes out on a new one if nothing was written. The refused write itself was counted, so the call ended Unknown although nothing had left. Found by the process tests, as 502 answers without any fault. Ruled out: the server's shedding (the answers came after 0.1 ms, without an answer of a server, with the error of the seal). Change: a write is counted under the lock that the seal takes, after the check. Conclusion: Unknown is again told only when something may have run.

--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -126,7 +126,7 @@
 		return
 	}
 	a.conn, a.reused = cn, info.Reused
-	a.baseWrites, a.baseReads = cn.writes.Load(), cn.reads.Load()
+	a.baseWrites, a.baseReads = cn.written(), cn.reads.Load()
 	if a.via == aliveConnection && info.IdleTime > aliveWindow {
 		a.stale = true
 		cn.seal()
--- a/internal/request/gateway/connection.go
+++ b/internal/request/gateway/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,21 +62,33 @@
 // be sealed so that nothing more leaves by it.
 type conn struct {
 	net.Conn
-	writes atomic.Int64
-	reads  atomic.Int64
-	sealed atomic.Bool
+	reads atomic.Int64
+
+	mu     sync.Mutex
+	writes int64
+	sealed bool
 }
 
-// Write counts the write before it looks at the seal: a write that seal did not
-// count finds the seal and is refused.
+// Write passes a write on, or refuses it once the connection is sealed.
 func (c *conn) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	if c.sealed.Load() {
+	if !c.begin() {
 		return 0, code.Errorf(code.Internal, "write to %v: connection is sealed", c.RemoteAddr())
 	}
 	return c.Conn.Write(p)
 }
 
+// begin counts a write before it leaves. A refused write is not counted, so that a
+// count that stays the same proves that nothing has left.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return false
+	}
+	c.writes++
+	return true
+}
+
 // Read counts the reads that bring bytes.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -85,8 +98,17 @@
 	return n, err
 }
 
+// written returns the number of writes until now.
+func (c *conn) written() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
 // seal refuses all later writes and returns the number of writes until now.
 func (c *conn) seal() int64 {
-	c.sealed.Store(true)
-	return c.writes.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writes
 }
