--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -29,6 +29,7 @@
   standin platform --listen 127.0.0.1:7000
   standin server --listen 127.0.0.1:7101 --name booking-01 --slots 2
   standin load --target http://127.0.0.1:8001 --rate 200 --duration 10s
+  standin trial
   standin trial --scenario all
 
 Exit status:
@@ -51,7 +52,7 @@
 	parser.Add("platform", "Run the platform stand-in", platformAbout, &platformCommand{env: env})
 	parser.Add("server", "Run an endpoint server stand-in", serverAbout, &serverCommand{env: env})
 	parser.Add("load", "Drive gateways with calls and measure them", loadAbout, &loadCommand{env: env})
-	parser.Add("trial", "Compare the policies of choice", trialAbout, &trialCommand{env: env})
+	parser.Add("trial", "Run a whole small system, or compare policies", trialAbout, &trialCommand{env: env})
 	return parser.Run(cfg.Out, cfg.Err, args)
 }
 
