Add metrics of the control side

Cause: the metrics page had calls alone; spent and agreed measuring, rules, links and calls to the platform were not to be seen. Ruled out: Prometheus gauges beside tally, since metrics go by tally. Change: admin.State and Metrics.Follow, which shows a state at each interval and totals as counters; a row for each.

--- a/internal/product/admin/admin_test.go
+++ b/internal/product/admin/admin_test.go
@@ -1,6 +1,7 @@
 package admin_test
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -126,3 +127,29 @@
 		})
 	})
 }
+
+func TestFollow(t *testing.T) {
+	convey.Convey("Given a gateway whose state changes", t, func() {
+		m := admin.NewMetrics(admin.MetricsConfig{Interval: time.Hour})
+		ctx, cancel := context.WithCancel(context.Background())
+		states := []admin.State{
+			{Ready: true, Generation: 41, Probes: 10, ProbesAgreed: 20},
+			{Generation: 42, Probes: 25, ProbesAgreed: 20},
+		}
+		calls := 0
+		done := make(chan struct{})
+		m.Follow(ctx, func() admin.State {
+			cancel() // so that the second state is the last one
+			calls++
+			return states[calls-1]
+		}, done)
+		<-done
+		convey.So(m.Close(), convey.ShouldBeNil)
+		convey.Convey("The page shows the last values, and totals once", func() {
+			page := get(m.Handler(), http.MethodGet, "/metrics").Body.String()
+			for _, line := range []string{"Ready 0", "Generation 42", "Probes 25", "ProbesAgreed 20"} {
+				convey.So(page, convey.ShouldContainSubstring, "\nMustardsaddle_"+line+"\n")
+			}
+		})
+	})
+}
--- a/internal/product/admin/metrics.go
+++ b/internal/product/admin/metrics.go
@@ -31,9 +31,10 @@
 // Metrics collects the metrics of one gateway. Each has a registry of its own,
 // so that several gateways in one process don't mix.
 type Metrics struct {
-	scope   tally.Scope
-	closer  io.Closer
-	handler http.Handler
+	scope    tally.Scope
+	interval time.Duration
+	closer   io.Closer
+	handler  http.Handler
 }
 
 var _ io.Closer = (*Metrics)(nil)
@@ -58,7 +59,7 @@
 		SanitizeOptions:        sanitize(),
 		OmitCardinalityMetrics: true,
 	}, cfg.Interval)
-	return &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+	return &Metrics{scope: scope, interval: cfg.Interval, closer: closer, handler: reporter.HTTPHandler()}
 }
 
 // Scope returns the scope in which the parts of a gateway make their metrics.
--- /dev/null
+++ b/internal/product/admin/state.go
@@ -0,0 +1,119 @@
+package admin
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// State is what the metrics page says about the control side of a gateway, apart
+// from the calls. Totals count from the start of the process.
+type State struct {
+	// Ready is true while the gateway takes calls.
+	Ready bool
+	// Generation is the generation of the rules in force.
+	Generation int64
+	// InFlight is the number of calls in flight.
+	InFlight int
+	// Gateways is the number of live gateways, this one included.
+	Gateways int
+	// Servers is the number of known endpoint servers, Leaving that of those that
+	// leave.
+	Servers, Leaving int
+	// Links is the number of links to other gateways.
+	Links int
+	// PeerMessages and PeerBytes are the totals sent and received on links.
+	PeerMessages, PeerBytes int64
+	// Probes and ProbeBytes are the totals spent on load probes, ProbesRefused
+	// those that the budget did not allow.
+	Probes, ProbeBytes, ProbesRefused int64
+	// ProbesAgreed and ProbeBytesAgreed are the agreed rates, a second.
+	ProbesAgreed, ProbeBytesAgreed float64
+	// StoreReads, StoreWatches and StoreWrites are the totals of calls sent to
+	// the platform; StoreFailures of those without a usable answer, StoreUnsent
+	// of those held back by the budget or the circuit breaker.
+	StoreReads, StoreWatches, StoreWrites, StoreFailures, StoreUnsent int64
+}
+
+// stateMetrics are the gauges of a State.
+type stateMetrics struct {
+	ready, generation, inFlight, gateways, servers, leaving, links        tally.Gauge
+	peerMessages, peerBytes                                               tally.Counter
+	probes, probeBytes, probesRefused                                     tally.Counter
+	probesAgreed, probeBytesAgreed                                        tally.Gauge
+	storeReads, storeWatches, storeWrites, storeFailures, storeCallUnsent tally.Counter
+}
+
+func newStateMetrics(scope tally.Scope) stateMetrics {
+	return stateMetrics{
+		ready:            scope.Gauge("Ready"),
+		generation:       scope.Gauge("Generation"),
+		inFlight:         scope.Gauge("InFlight"),
+		gateways:         scope.Gauge("Gateways"),
+		servers:          scope.Gauge("Servers"),
+		leaving:          scope.Gauge("ServersLeaving"),
+		links:            scope.Gauge("PeerLinks"),
+		peerMessages:     scope.Counter("PeerMessages"),
+		peerBytes:        scope.Counter("PeerBytes"),
+		probes:           scope.Counter("Probes"),
+		probeBytes:       scope.Counter("ProbeBytes"),
+		probesRefused:    scope.Counter("ProbesRefused"),
+		probesAgreed:     scope.Gauge("ProbesAgreed"),
+		probeBytesAgreed: scope.Gauge("ProbeBytesAgreed"),
+		storeReads:       scope.Counter("StoreReads"),
+		storeWatches:     scope.Counter("StoreWatches"),
+		storeWrites:      scope.Counter("StoreWrites"),
+		storeFailures:    scope.Counter("StoreFailures"),
+		storeCallUnsent:  scope.Counter("StoreUnsent"),
+	}
+}
+
+// update shows the next state; old is the one shown before.
+func (m stateMetrics) update(old, next State) {
+	ready := 0.0
+	if next.Ready {
+		ready = 1
+	}
+	m.ready.Update(ready)
+	m.generation.Update(float64(next.Generation))
+	m.inFlight.Update(float64(next.InFlight))
+	m.gateways.Update(float64(next.Gateways))
+	m.servers.Update(float64(next.Servers))
+	m.leaving.Update(float64(next.Leaving))
+	m.links.Update(float64(next.Links))
+	m.peerMessages.Inc(next.PeerMessages - old.PeerMessages)
+	m.peerBytes.Inc(next.PeerBytes - old.PeerBytes)
+	m.probes.Inc(next.Probes - old.Probes)
+	m.probeBytes.Inc(next.ProbeBytes - old.ProbeBytes)
+	m.probesRefused.Inc(next.ProbesRefused - old.ProbesRefused)
+	m.probesAgreed.Update(next.ProbesAgreed)
+	m.probeBytesAgreed.Update(next.ProbeBytesAgreed)
+	m.storeReads.Inc(next.StoreReads - old.StoreReads)
+	m.storeWatches.Inc(next.StoreWatches - old.StoreWatches)
+	m.storeWrites.Inc(next.StoreWrites - old.StoreWrites)
+	m.storeFailures.Inc(next.StoreFailures - old.StoreFailures)
+	m.storeCallUnsent.Inc(next.StoreUnsent - old.StoreUnsent)
+}
+
+// Follow shows the state on the metrics page, anew at each interval, until the
+// context ends; then it shows the state once more and closes done. The function
+// must answer from memory.
+func (m *Metrics) Follow(ctx context.Context, state func() State, done chan<- struct{}) {
+	defer close(done)
+	metrics := newStateMetrics(m.scope)
+	ticker := time.NewTicker(m.interval)
+	defer ticker.Stop()
+	var old State
+	for {
+		next := state()
+		metrics.update(old, next)
+		old = next
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			metrics.update(old, state())
+			return
+		}
+	}
+}
