Show no state of servers that nothing supplies

Cause: the servers page had fields for load and ejection which the gateway doesn't give, so they always read 0 and false. Ruled out: leaving out zero values, which would hide the difference between unknown and none. Change: the page shows the servers as the roster has them. Before: three fields without a source. Conclusion: ejections can be shown once the choice of servers tells them.

--- a/internal/product/admin/admin.go
+++ b/internal/product/admin/admin.go
@@ -16,7 +16,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/gorilla/mux"
 
@@ -56,15 +55,9 @@
 	Text string
 }
 
-// Server is what this gateway knows of one endpoint server.
+// Server is an endpoint server as this gateway sees it.
 type Server struct {
 	mustardsaddle.Server
-	// InFlight is the number of this gateway's own attempts at the server.
-	InFlight int
-	// Report is the server's newest load report; its At is zero if none came.
-	Report mustardsaddle.Report
-	// Ejected is true while the server is left out for errors or slowness.
-	Ejected bool
 }
 
 // New returns the handler of the admin pages.
@@ -130,41 +123,15 @@
 	_, _ = fmt.Fprint(w, rules.Text)
 }
 
-// serverLine is one server of the servers page.
-type serverLine struct {
-	Service, Name, Address, Zone string
-	Incarnation                  int64
-	Slots, Connections           int
-	Leaving, Ejected             bool
-	InFlight                     int
-	Report                       *reportLine `json:",omitempty"`
-}
-
-// reportLine is the newest load report of a server.
-type reportLine struct {
-	InFlight, Slots int
-	Draining        bool
-	At              time.Time
-}
-
 func (p pages) servers(w http.ResponseWriter, _ *http.Request) {
-	lines := []serverLine{}
-	for _, s := range p.cfg.Servers() {
-		line := serverLine{
-			Service: s.Service, Name: s.Name, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation,
-			Slots: s.Slots, Connections: s.Connections, Leaving: s.Leaving, Ejected: s.Ejected, InFlight: s.InFlight,
-		}
-		if !s.Report.At.IsZero() {
-			line.Report = &reportLine{
-				InFlight: s.Report.InFlight, Slots: s.Report.Slots, Draining: s.Report.Draining, At: s.Report.At,
-			}
-		}
-		lines = append(lines, line)
+	servers := p.cfg.Servers()
+	if servers == nil {
+		servers = []Server{}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
-	_ = enc.Encode(lines)
+	_ = enc.Encode(servers)
 }
 
 // refuse answers 503 with the code and the reason.
