Show the control side on the metrics page, and report late VMs

Cause: the metrics of links, probes and store calls were documented but not fed; [Service] Slots and Connections had no effect; Rules/InForce named one gateway of three until the next rule change, because it was made before the gateways knew each other. Change: the instance feeds the state of the control side, completes servers from the settings, and has the report made anew when a VM or its generation appears. Conclusion: what operators read now follows the fleet.

--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -247,6 +247,13 @@
 	event.Info(g.cfg.Logger, event.RulesInForce).Int64("Generation", g.core.File().Generation).Str("Source", source).Send()
 }
 
+// VMsChanged tells that Config.Live or the generations in it have changed, so that
+// the status report is made anew. Unlike other calls it may come from within the
+// functions of the Config.
+func (g *Registry) VMsChanged() {
+	g.touch()
+}
+
 // touch tells the status reports to look.
 func (g *Registry) touch() {
 	select {
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -212,12 +212,16 @@
 func (in *instance) rosterChanged(now time.Time, old, r roster.Roster) {
 	for _, service := range r.Services() {
 		if !slices.Equal(old.Servers(service), r.Servers(service)) {
-			in.gateway.SetServers(now, service, r.Servers(service))
+			in.gateway.SetServers(now, service, in.cfg.Settings.Service(service).Complete(r.Servers(service)))
 		}
 	}
+	if slices.Equal(old.VMs(), r.VMs()) {
+		return
+	}
 	in.gateway.SetFleet(now, r.VMs())
 	in.store.SetFleet(r.Gateways())
 	in.links.SetNeighbors(in.neighbors(r))
+	in.registry.VMsChanged()
 }
 
 // neighbors returns the VMs to which links are kept: those that the roster gives,
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -67,9 +67,13 @@
 func (in *instance) compare(now time.Time, from string, theirs news.Summary) {
 	own := in.summary()
 	in.mu.Lock()
+	newer := theirs.Generation > in.told[from]
 	in.told[from] = theirs.Generation
 	gap := in.relay.Compare(now, from, own, theirs)
 	in.mu.Unlock()
+	if newer {
+		in.registry.VMsChanged()
+	}
 	if gap.AskRules {
 		in.links.Send(from, news.AskRules{Have: own.Generation})
 	}
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -118,6 +118,7 @@
 		begin(ctx, in.registry.Run),
 		begin(ctx, in.followList),
 		begin(ctx, in.prober.Run),
+		begin(ctx, func(ctx context.Context, done chan<- struct{}) { in.metrics.Follow(ctx, in.state, done) }),
 	}
 }
 
@@ -137,6 +138,38 @@
 	})
 }
 
+// state returns what the metrics page shows of the control side.
+func (in *instance) state() admin.State {
+	r := in.membership.Roster()
+	links, calls, probes := in.links.Stats(), in.store.Stats(), in.budget.Stats()
+	s := admin.State{
+		Ready:            in.ready() == nil,
+		Generation:       in.generation.Load(),
+		InFlight:         in.gateway.InFlight(),
+		Gateways:         r.Gateways(),
+		Links:            links.Links,
+		PeerMessages:     links.SentMessages + links.ReceivedMessages,
+		PeerBytes:        links.SentBytes + links.ReceivedBytes,
+		Probes:           probes.Spent.Messages,
+		ProbeBytes:       probes.Spent.Bytes,
+		ProbesRefused:    probes.Refused,
+		ProbesAgreed:     probes.AgreedMessagesPerSecond,
+		ProbeBytesAgreed: probes.AgreedBytesPerSecond,
+		StoreReads:       calls.Reads,
+		StoreWatches:     calls.Watches,
+		StoreWrites:      calls.Writes,
+		StoreFailures:    calls.Failures,
+		StoreUnsent:      calls.OverBudget + calls.BackedOff + calls.StatusDropped,
+	}
+	for _, server := range in.servers() {
+		s.Servers++
+		if server.Leaving {
+			s.Leaving++
+		}
+	}
+	return s
+}
+
 // servers returns the endpoint servers as this gateway sees them.
 func (in *instance) servers() []admin.Server {
 	r := in.membership.Roster()
