--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -221,7 +221,6 @@
 	in.gateway.SetFleet(now, r.VMs())
 	in.store.SetFleet(r.Gateways())
 	in.links.SetNeighbors(in.neighbors(r))
-	in.registry.VMsChanged()
 }
 
 // neighbors returns the VMs to which links are kept: those that the roster gives,
