Let reports that do not foresee sheds lose their weight

Cause: a trial with reports that repeat for 500 ms, or that lie, shed more calls than needed: trust fell by the share of wrong reports alone, one server at a time, over hundreds of calls.

--- a/internal/choice/bench/server.go
+++ b/internal/choice/bench/server.go
@@ -12,8 +12,13 @@
 	latencyGain = 0.1
 	// errorGain is the weight of a new outcome in the share of errors.
 	errorGain = 0.2
-	// trustGain is the weight of a new outcome in the trust in reports.
-	trustGain = 0.05
+	// surpriseGain and commonSurpriseGain are the weights of a new outcome in the
+	// share of outcomes that a report did not foresee, for one server and for all.
+	surpriseGain       = 0.1
+	commonSurpriseGain = 0.02
+	// surpriseCost is how fast trust falls with that share: at a quarter, a
+	// report counts for nothing.
+	surpriseCost = 4
 	// errorPenalty multiplies the score of a server that always fails.
 	errorPenalty = 20
 	// slowRatio is the latency, as a multiple of the peers', from which a
@@ -42,8 +47,8 @@
 	others float64
 	// uses counts the choices since the last report.
 	uses int
-	// trust is how well reports agreed with what followed, from 0 to 1.
-	trust float64
+	// surprise is the share of outcomes that the report did not foresee.
+	surprise float64
 
 	// latency is the moving average of successful attempts, in seconds.
 	latency float64
@@ -81,7 +86,7 @@
 // restart forgets what belonged to an earlier life of the server's VM. Attempts
 // in flight still have to finish.
 func (s *server) restart(now time.Time) {
-	*s = server{Server: s.Server, inFlight: s.inFlight, owned: s.owned, trust: 1, since: now}
+	*s = server{Server: s.Server, inFlight: s.inFlight, owned: s.owned, since: now}
 }
 
 // warmth grows from minWarmth to 1 over the slow start.
@@ -109,7 +114,12 @@
 		return 0, 0
 	}
 	age := max(0, now.Sub(s.report.At))
-	return s.others, s.trust * halved(age, b.cfg.ReportHalfLife)
+	return s.others, trust(s.surprise) * trust(b.surprise) * halved(age, b.cfg.ReportHalfLife)
+}
+
+// trust returns the weight of reports with the given share of surprises.
+func trust(surprise float64) float64 {
+	return max(0, 1-surpriseCost*surprise)
 }
 
 // load estimates the requests in the server: the own attempts, which are known,
@@ -209,9 +219,10 @@
 	idle := s.others+float64(s.inFlight) < float64(s.slots())
 	full := s.others >= float64(s.slots())
 	ratio := b.ratio(now, s)
-	agreed := 1.0
+	surprise := 0.0
 	if (idle && (r.Shed || ratio >= slowRatio)) || (full && !r.Shed && !r.Failed && ratio < 1) {
-		agreed = 0
+		surprise = 1
 	}
-	s.trust += trustGain * (agreed - s.trust)
+	s.surprise += surpriseGain * (surprise - s.surprise)
+	b.surprise += commonSurpriseGain * (surprise - b.surprise)
 }
--- a/internal/standin/trial/system.go
+++ b/internal/standin/trial/system.go
@@ -35,6 +35,9 @@
 	slotsPerServer   = 2
 	delayBetweenZone = 500 * time.Microsecond
 	headerTimeout    = 5 * time.Second
+	// maxCalls bounds the calls in flight, each of which may hold a connection
+	// at both ends in this one process.
+	maxCalls = 1000
 )
 
 // service is one service of a network.
@@ -249,6 +252,7 @@
 		Work:     cfg.Work,
 		Delay:    sys.delay,
 		Timeout:  callTimeout + time.Second,
+		InFlight: maxCalls,
 		Seed:     cfg.Seed + uint64(j.repetition),
 	}
 	for _, n := range sys.nodes {
