--- a/internal/peer/news/codec_test.go
+++ b/internal/peer/news/codec_test.go
@@ -79,6 +79,7 @@
 		{"a mark with a long name", marks(mustardsaddle.Mark{Name: strings.Repeat("x", 256)}), code.PeerBadMessage},
 		{"a mark beyond the last Seq", marks(mustardsaddle.Mark{Name: "x", Seq: 1 << 31}), code.PeerBadMessage},
 		{"a change back", raw(t, envelope{1, "RuleChange", news.RuleChange{From: 3, To: 3}}), code.PeerBadMessage},
+		{"a change at a negative line", raw(t, envelope{1, "RuleChange", news.RuleChange{To: 1, In: []news.RuleEdit{{At: -1}}}}), code.PeerBadMessage},
 		{"a hello of no VM", raw(t, envelope{1, "Hello", news.Hello{}}), code.PeerBadMessage},
 		{"a VM without a name", raw(t, envelope{1, "Machines", news.Machines{Machines: make([]mustardsaddle.Machine, 1)}}), code.PeerBadMessage},
 		{"a negative generation", raw(t, envelope{1, "AskRules", news.AskRules{Have: -1}}), code.PeerBadMessage},
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -160,6 +160,7 @@
 	reuse    *http.Transport
 	fresh    *http.Transport
 	prefix   string
+	via      string
 	attempts atomic.Uint64
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -182,6 +183,7 @@
 		reuse:  newTransport(cfg, true),
 		fresh:  newTransport(cfg, false),
 		prefix: cfg.Name + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
+		via:    "1.1 " + cfg.Name,
 		lanes:  make(map[string]*lane),
 	}
 	g.buffers.New = func() any { return new([copyBufferBytes]byte) }
@@ -252,6 +254,11 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 {
+		// Without full duplex, net/http drops up to 256 KiB of the body when the
+		// answer begins. HTTP/2 always has it and says that it cannot be enabled.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	now := time.Now()
 	m, no := g.match(r)
 	if no != nil {
@@ -259,7 +266,7 @@
 		return
 	}
 	c := newCall(g, now, w, r, m)
-	defer c.close()
+	defer c.timer.Stop()
 	c.serve()
 }
 
