--- a/internal/control/registry/core.go
+++ b/internal/control/registry/core.go
@@ -76,33 +76,16 @@
 	// newest is the newest version of Rules/Submitted known.
 	newest int64
 
-	recent  []rule.File
+	// recent are the last files in force, as bases of submissions.
+	recent []rule.File
+	// pending are the changes of peers that came before their turn, by their start.
 	pending map[int64]rule.Change
-	work    *work
-	repair  *repair
+	// work is the submission in hand, and repair the bad version of Rules/Accepted;
+	// nil for none.
+	work   *work
+	repair *repair
 }
 
-// work is a submission on its way to a decision.
-type work struct {
-	submission rule.Submission
-	// low and high bound the search for the base among versions of Rules/Accepted.
-	low, high int64
-	// unusable is how many versions from the middle down can't be used.
-	unusable int64
-}
-
-// repair is a version of Rules/Accepted that can't be used, because something
-// else wrote it, on its way to be replaced by the last good one.
-type repair struct {
-	// version is the bad version, and previous the one to read next.
-	version, previous int64
-	// good is the last good state, once it is found.
-	good *rule.Accepted
-}
-
-// maxPrevious is how many versions a repair looks back.
-const maxPrevious = 64
-
 // NewCore returns a Core without rules.
 func NewCore() *Core {
 	return &Core{pending: make(map[int64]rule.Change)}
@@ -176,110 +159,6 @@
 	return Step{Action: Write, Version: c.version, Value: []byte(d.Next.Format()), Decision: d}
 }
 
-func (r *repair) next() Step {
-	switch {
-	case r.good != nil:
-		d := rule.Decision{Next: *r.good}
-		return Step{Action: Write, Version: r.version, Value: []byte(r.good.Format()), Decision: d}
-	case r.previous < max(1, r.version-maxPrevious):
-		return Step{Action: Idle}
-	default:
-		return Step{Action: ReadPrevious, Version: r.previous}
-	}
-}
-
-// TakePrevious takes an older version of Rules/Accepted. The newest one that can
-// be used is written again.
-func (c *Core) TakePrevious(version int64, o mustardsaddle.Object) {
-	if c.repair == nil {
-		return
-	}
-	a, err := rule.ParseAccepted(string(o.Value))
-	if o.Version == 0 || err != nil || c.check(a) != nil {
-		c.repair.previous = version - 1
-		return
-	}
-	c.repair.good = &a
-}
-
-// base looks for the file that the present submission edited. It returns the
-// read that the search needs next, if any.
-func (c *Core) base() (Step, bool) {
-	w := c.work
-	if w.submission.HasBase || !w.submission.File.HasGeneration || len(w.submission.Problems) > 0 {
-		return Step{}, false
-	}
-	generation := w.submission.File.Generation
-	if generation == 0 {
-		w.submission = w.submission.WithBase(rule.File{})
-		return Step{}, false
-	}
-	if generation > c.stored.File.Generation {
-		return Step{}, false
-	}
-	for _, f := range c.recent {
-		if f.Generation == generation {
-			w.submission = w.submission.WithBase(f)
-			return Step{}, false
-		}
-	}
-	if w.low > w.high {
-		return Step{}, false
-	}
-	return Step{Action: ReadBase, Version: w.middle() - w.unusable}, true
-}
-
-func (w *work) middle() int64 {
-	return w.low + (w.high-w.low)/2
-}
-
-// TakeSubmission takes the present submission. The object has version 0 if the
-// store no longer has it; err is that of the read, of which only
-// code.StoreTooLarge is final.
-func (c *Core) TakeSubmission(version int64, o mustardsaddle.Object, err error) error {
-	var s rule.Submission
-	switch {
-	case code.Of(err) == code.StoreTooLarge:
-		s = rule.LargeSubmission(version)
-	case err != nil:
-		return err
-	case o.Version == 0 && version == c.newest:
-		return code.Errorf(code.StoreBadObject, "read %s: the newest version %d is missing", SubmittedKey, version)
-	case o.Version == 0:
-		s = rule.LostSubmission(version)
-	default:
-		s = rule.ParseSubmission(version, string(o.Value))
-	}
-	c.work = &work{submission: s, low: 1, high: c.version}
-	return nil
-}
-
-// TakeBase takes an old version of Rules/Accepted, and narrows the search for the
-// base: generations never fall from one version to the next. A version that the
-// store no longer has counts as too old; for one that can't be used the one before
-// it is tried.
-func (c *Core) TakeBase(version int64, o mustardsaddle.Object) {
-	w := c.work
-	if w == nil {
-		return
-	}
-	a, err := rule.ParseAccepted(string(o.Value))
-	want := w.submission.File.Generation
-	if o.Version > 0 && err != nil && version > w.low {
-		w.unusable++
-		return
-	}
-	switch {
-	case o.Version == 0 || err != nil || a.File.Generation < want:
-		w.low = w.middle() + 1
-	case a.File.Generation > want:
-		w.high = version - 1
-	default:
-		w.submission = w.submission.WithBase(a.File)
-	}
-	w.unusable = 0
-}
-
 // Wrote takes the answer to a Write. Where the answer leaves it open whether the
 // write took effect, and after a conflict, Rules/Accepted is read back: if its
 // submission number has grown, the submission is handled, by whomever. The
@@ -366,67 +245,3 @@
 	}
 	return nil
 }
-
-// put puts a file of a higher generation in force.
-func (c *Core) put(f rule.File) {
-	c.inForce = f
-	c.recent = append(c.recent, f)
-	c.recent = c.recent[max(0, len(c.recent)-maxRecent):]
-	for from := range c.pending {
-		if from < f.Generation {
-			delete(c.pending, from)
-		}
-	}
-}
-
-// Receive takes a change from a peer. It returns the changes that it brought,
-// since an early change is kept until the ones before it have come.
-func (c *Core) Receive(change rule.Change) ([]rule.Change, rule.Result) {
-	f, result := change.Apply(c.inForce)
-	switch result {
-	case rule.Gap:
-		if len(c.pending) < maxPending {
-			c.pending[change.From] = change
-		}
-		return nil, result
-	case rule.Applied:
-	default:
-		return nil, result
-	}
-	var brought []rule.Change
-	for result == rule.Applied {
-		c.pass(change.Submission)
-		brought = append(brought, change)
-		next := c.pending[change.To]
-		c.put(f)
-		change = next
-		f, result = change.Apply(c.inForce)
-	}
-	return brought, rule.Applied
-}
-
-// pass notes that a submission is handled. Each write of Rules/Accepted handles
-// one, and raises the version by at least one.
-func (c *Core) pass(submission int64) {
-	if submission <= c.handled {
-		return
-	}
-	if c.seen > 0 {
-		c.seen += submission - c.handled
-	}
-	c.handled = submission
-}
-
-// ReceiveWhole takes the whole state from a peer.
-func (c *Core) ReceiveWhole(text string) (rule.Result, error) {
-	a, err := rule.ParseAccepted(text)
-	if err != nil {
-		return rule.BadDigest, err
-	}
-	if a.File.Generation <= c.inForce.Generation {
-		return rule.Stale, nil
-	}
-	c.pass(a.Submission)
-	c.put(a.File)
-	return rule.Applied, nil
-}
--- a/internal/control/registry/follow.go
+++ b/internal/control/registry/follow.go
@@ -75,6 +75,8 @@
 	*Registry
 	// watched is the last submission that the watch has brought.
 	watched mustardsaddle.Object
+	// refused is the last version of Rules/Accepted that could not be used.
+	refused int64
 	// pollFailures and acceptFailures count failures in a row.
 	pollFailures, acceptFailures int
 	poll, accept                 *time.Timer
@@ -105,12 +107,6 @@
 	}
 }
 
-func (f *follower) ignored(err error) {
-	if err != nil {
-		event.Warn(f.cfg.Logger, event.RulesIgnored).Err(err).Int("Code", int(code.Of(err))).Send()
-	}
-}
-
 // notice learns of a version of Rules/Submitted, and leaves it for a while to the
 // gateways that try first.
 func (f *follower) notice(version int64) {
@@ -163,19 +159,30 @@
 		switch {
 		case o.Key == SubmittedKey:
 			f.notice(o.Version)
-		case o.Key == AcceptedKey && o.Version > f.seen():
-			o, err := f.cfg.Store.Get(ctx, AcceptedKey)
-			if err != nil {
+		case o.Key == AcceptedKey && o.Version > f.seen() && o.Version != f.refused:
+			if err := f.readNew(ctx); err != nil {
 				return err
 			}
-			f.ignored(f.take(o))
-			// A broken object is repaired by the gateway whose turn it is.
-			f.notice(0)
 		}
 	}
 	return nil
 }
 
+// readNew reads a new version of Rules/Accepted. One that can't be used is read
+// once, and repaired by the gateway whose turn it is.
+func (f *follower) readNew(ctx context.Context) error {
+	o, err := f.cfg.Store.Get(ctx, AcceptedKey)
+	if err != nil {
+		return err
+	}
+	if err := f.take(o); err != nil {
+		f.refused = o.Version
+		event.Warn(f.cfg.Logger, event.RulesIgnored).Err(err).Int("Code", int(code.Of(err))).Send()
+	}
+	f.notice(0)
+	return nil
+}
+
 // handle handles the submissions known, one after another.
 func (f *follower) handle(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/control/registry/work.go
@@ -0,0 +1,94 @@
+package registry
+
+import (
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+)
+
+// work is a submission on its way to a decision.
+type work struct {
+	submission rule.Submission
+	// low and high bound the search for the base among versions of Rules/Accepted.
+	low, high int64
+	// unusable is how many versions from the middle down can't be used.
+	unusable int64
+}
+
+// base looks for the file that the present submission edited. It returns the
+// read that the search needs next, if any.
+func (c *Core) base() (Step, bool) {
+	w := c.work
+	if w.submission.HasBase || !w.submission.File.HasGeneration || len(w.submission.Problems) > 0 {
+		return Step{}, false
+	}
+	generation := w.submission.File.Generation
+	if generation == 0 {
+		w.submission = w.submission.WithBase(rule.File{})
+		return Step{}, false
+	}
+	if generation > c.stored.File.Generation {
+		return Step{}, false
+	}
+	for _, f := range c.recent {
+		if f.Generation == generation {
+			w.submission = w.submission.WithBase(f)
+			return Step{}, false
+		}
+	}
+	if w.low > w.high {
+		return Step{}, false
+	}
+	return Step{Action: ReadBase, Version: w.middle() - w.unusable}, true
+}
+
+func (w *work) middle() int64 {
+	return w.low + (w.high-w.low)/2
+}
+
+// TakeSubmission takes the present submission. The object has version 0 if the
+// store no longer has it; err is that of the read, of which only
+// code.StoreTooLarge is final.
+func (c *Core) TakeSubmission(version int64, o mustardsaddle.Object, err error) error {
+	var s rule.Submission
+	switch {
+	case code.Of(err) == code.StoreTooLarge:
+		s = rule.LargeSubmission(version)
+	case err != nil:
+		return err
+	case o.Version == 0 && version == c.newest:
+		return code.Errorf(code.StoreBadObject, "read %s: the newest version %d is missing", SubmittedKey, version)
+	case o.Version == 0:
+		s = rule.LostSubmission(version)
+	default:
+		s = rule.ParseSubmission(version, string(o.Value))
+	}
+	c.work = &work{submission: s, low: 1, high: c.version}
+	return nil
+}
+
+// TakeBase takes an old version of Rules/Accepted, and narrows the search for the
+// base: generations never fall from one version to the next. A version that the
+// store no longer has counts as too old; for one that can't be used the one before
+// it is tried.
+func (c *Core) TakeBase(version int64, o mustardsaddle.Object) {
+	w := c.work
+	if w == nil {
+		return
+	}
+	a, err := rule.ParseAccepted(string(o.Value))
+	want := w.submission.File.Generation
+	if o.Version > 0 && err != nil && version > w.low {
+		w.unusable++
+		return
+	}
+	switch {
+	case o.Version == 0 || err != nil || a.File.Generation < want:
+		w.low = w.middle() + 1
+	case a.File.Generation > want:
+		w.high = version - 1
+	default:
+		w.submission = w.submission.WithBase(a.File)
+	}
+	w.unusable = 0
+}
--- a/internal/control/rule/accept.go
+++ b/internal/control/rule/accept.go
@@ -128,7 +128,7 @@
 		all = append(all, Refusal{Submission: submission, Problem: p})
 	}
 	if more := len(problems) - (maxRefusals - 1); more > 0 {
-		p := problemf(code.RuleSyntax, "and %s more", plural(more, "mistake")).at(problems[maxRefusals-1].Line)
+		p := problemf(code.RuleSyntax, "and more mistakes: %d", more).at(problems[maxRefusals-1].Line)
 		all = append(all, Refusal{Submission: submission, Problem: p})
 	}
 	return all[max(0, len(all)-maxRefusals):]
--- a/internal/control/rule/merge.go
+++ b/internal/control/rule/merge.go
@@ -1,10 +1,6 @@
 package rule
 
-import (
-	"strconv"
-
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-)
+import "mustardsaddle.example/mustardsaddle/internal/product/code"
 
 // key identifies a line over all generations: a rule by its ID, any other line
 // by its text and how many equal lines stand above it.
@@ -160,11 +156,3 @@
 	}
 	return *a.rule == *b.rule
 }
-
-// plural returns a count with its noun.
-func plural(n int, noun string) string {
-	if n == 1 {
-		return "1 " + noun
-	}
-	return strconv.Itoa(n) + " " + noun + "s"
-}
