Choose a router by the host and up to four literal segments

Cause: rules that share their first segment, as below /api/v1, stood in one router, which tries them one after another. Ruled out: two segments (many paths share more); no bound (a path of a thousand segments would cost a thousand lookups). Change: a rule's bucket is its host and its literal beginning of up to four segments; a request looks up its own beginnings, the longest first, which keeps the order of specificity.

--- a/internal/control/rule/explain.go
+++ b/internal/control/rule/explain.go
@@ -37,15 +37,12 @@
 		return nil
 	}
 	numbers := t.lineNumbers()
-	seen := make(map[bucketKey]bool)
 	var steps []Step
 	verdict := Chosen
-	for _, k := range keysOf(r) {
-		b := t.buckets[k]
-		if b == nil || seen[k] {
-			continue
+	for _, b := range t.bucketsOf(r) {
+		if b == nil {
+			break
 		}
-		seen[k] = true
 		for i, candidate := range b.rules {
 			step := Step{Line: numbers[candidate.ID()], Rule: *candidate, Verdict: check(b.routes[i], r)}
 			if step.Verdict == Chosen {
--- a/internal/control/rule/rule_bench_test.go
+++ b/internal/control/rule/rule_bench_test.go
@@ -35,6 +35,23 @@
 	})
 }
 
+// BenchmarkMatchSharedPrefix measures the same where all paths share three segments.
+func BenchmarkMatchSharedPrefix(b *testing.B) {
+	sizes(b, func(b *testing.B, n int) {
+		lines := make([]string, 0, n)
+		for i := range n {
+			lines = append(lines, fmt.Sprintf("Path=/api/v1/shed/item-%d/{Id} Service=S # Tan: why", i))
+		}
+		table := rule.Compile(fileOf(1, lines...))
+		r := httptest.NewRequest("GET", fmt.Sprintf("http://h/api/v1/shed/item-%d/7", n/2), nil)
+		for b.Loop() {
+			if _, ok := table.Match(r); !ok {
+				b.Fatal("no match")
+			}
+		}
+	})
+}
+
 // BenchmarkSpread measures a change of one rule: the difference, its encoding,
 // its decoding and its application by a peer, with the new table.
 func BenchmarkSpread(b *testing.B) {
--- a/internal/control/rule/table.go
+++ b/internal/control/rule/table.go
@@ -10,8 +10,8 @@
 
 // Table is a compiled rules file. It is immutable and safe for concurrent use.
 //
-// The rules are spread over small routers by their host and the first segment of
-// their path, since a router tries its routes one after another.
+// The rules are spread over small routers by their host and the literal beginning
+// of their path, since a router tries its routes one after another.
 type Table struct {
 	// File is the rules file that was compiled.
 	File File
@@ -19,13 +19,14 @@
 	buckets map[bucketKey]*bucket
 }
 
+// maxDepth is how many segments of a path choose a router.
+const maxDepth = 4
+
 // bucketKey says which requests a bucket may match.
 type bucketKey struct {
 	host string
-	// first is the first segment of the path.
-	first string
-	// any is true for rules whose first segment is {Name} or *.
-	any bool
+	// prefix is the beginning of the path, of up to maxDepth literal segments.
+	prefix string
 }
 
 // bucket holds the rules of one bucketKey, the most specific first.
@@ -68,16 +69,30 @@
 }
 
 func keyOf(r *Rule) bucketKey {
-	first := firstSegment(r.Path)
-	if segmentRank(first) > 0 {
-		return bucketKey{host: r.Host, any: true}
+	for _, prefix := range prefixes(r.Path) {
+		if !strings.ContainsAny(prefix, "{*") {
+			return bucketKey{host: r.Host, prefix: prefix}
+		}
 	}
-	return bucketKey{host: r.Host, first: first}
+	return bucketKey{host: r.Host}
 }
 
-func firstSegment(path string) string {
-	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	return first
+// prefixes returns the beginnings of a path of up to maxDepth whole segments, the
+// longest first, and then empty ones.
+func prefixes(path string) [maxDepth + 1]string {
+	var list [maxDepth + 1]string
+	depth, end := 0, 0
+	for depth < maxDepth && end < len(path) {
+		if next := strings.IndexByte(path[end+1:], '/'); next >= 0 {
+			end += 1 + next
+		} else {
+			end = len(path)
+		}
+		list[depth] = path[:end]
+		depth++
+	}
+	slices.Reverse(list[:depth])
+	return list
 }
 
 func newBucket(rules []*Rule) *bucket {
@@ -129,10 +144,9 @@
 	if hasDotSegment(r.URL.Path) {
 		return Rule{}, false
 	}
-	for _, k := range keysOf(r) {
-		b := t.buckets[k]
+	for _, b := range t.bucketsOf(r) {
 		if b == nil {
-			continue
+			break
 		}
 		var m mux.RouteMatch
 		if b.router.Match(r, &m) && m.Route != nil {
@@ -142,10 +156,25 @@
 	return Rule{}, false
 }
 
-// keysOf returns the buckets that may match a request, the most specific first.
-func keysOf(r *http.Request) [4]bucketKey {
-	host, first := hostName(r.Host), firstSegment(r.URL.Path)
-	return [4]bucketKey{{host: host, first: first}, {host: host, any: true}, {first: first}, {any: true}}
+// bucketsOf returns the buckets that may match a request, the most specific first,
+// and then nil.
+func (t *Table) bucketsOf(r *http.Request) [2 * (maxDepth + 1)]*bucket {
+	var found [2 * (maxDepth + 1)]*bucket
+	n := 0
+	list := prefixes(r.URL.Path)
+	for _, host := range []string{hostName(r.Host), ""} {
+		for i, prefix := range list {
+			if i > 0 && prefix == list[i-1] {
+				break
+			}
+			b := t.buckets[bucketKey{host: host, prefix: prefix}]
+			if b != nil && !slices.Contains(found[:n], b) {
+				found[n] = b
+				n++
+			}
+		}
+	}
+	return found
 }
 
 // hostName returns a request's host in lower case, without its port.
