--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -103,6 +103,8 @@
 		return decode[Marks](c, e)
 	case name(TypeRuleChange):
 		return decode[RuleChange](c, e)
+	case name(TypeGenerations):
+		return decode[Generations](c, e)
 	case name(TypeAskRules):
 		return decode[AskRules](c, e)
 	case name(TypeWholeRules):
@@ -145,6 +147,8 @@
 		return checkMarks(m)
 	case RuleChange:
 		return checkRuleChange(m)
+	case Generations:
+		return checkGenerations(m)
 	case AskRules:
 		return checkNumber(m, "Have", m.Have)
 	case WholeRules:
@@ -192,6 +196,21 @@
 	return checkName(m, mark.Name)
 }
 
+func checkGenerations(m Generations) error {
+	if len(m.VMs) > MaxMarks {
+		return code.Errorf(code.PeerBadMessage, "message Generations: got %d VMs, want at most %d", len(m.VMs), MaxMarks)
+	}
+	for _, vm := range m.VMs {
+		if err := checkName(m, vm.Name); err != nil {
+			return err
+		}
+		if err := checkNumber(m, "Generation", vm.Generation); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func checkRuleChange(m RuleChange) error {
 	if m.From < 0 || m.To <= m.From || m.Submission < 0 {
 		return code.Errorf(code.PeerBadMessage, "message RuleChange: got From=%d To=%d Submission=%d, want 0 <= From < To and no negative submission",
--- a/internal/peer/news/codec_test.go
+++ b/internal/peer/news/codec_test.go
@@ -32,6 +32,7 @@
 	return []news.Message{
 		hello, news.Heartbeat{Summary: summary}, news.Marks{Marks: []mustardsaddle.Mark{mark}}, change,
 		news.AskRules{Have: 40_000}, news.WholeRules{Generation: 1, Text: "# Generation 1\n"},
+		news.Generations{VMs: []news.Generation{{Name: "gateway-1", Generation: 41_000}}},
 		news.AskMachines{}, news.Machines{Machines: []mustardsaddle.Machine{{
 			Name: "booking-07", Incarnation: 1_800_000_000, Zone: "perth-1", Service: "Booking",
 			Address: "10.0.0.7:8080", Slots: 2, Connections: 200,
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -82,6 +82,8 @@
 	TypeAskMachines
 	// TypeMachines is the type of Machines.
 	TypeMachines
+	// TypeGenerations is the type of Generations.
+	TypeGenerations
 )
 
 // Message is one of the message types of this package. A Message is immutable.
@@ -178,6 +180,7 @@
 	_ Message = Heartbeat{}
 	_ Message = Marks{}
 	_ Message = RuleChange{}
+	_ Message = Generations{}
 	_ Message = AskRules{}
 	_ Message = WholeRules{}
 	_ Message = AskMachines{}
@@ -194,6 +197,18 @@
 // Type returns TypeMarks.
 func (Marks) Type() Type { return TypeMarks }
 
+// Generations tells which generation gateway VMs have in force, the sender among
+// them. Each gateway passes on what was new to it.
+type Generations struct {
+	// VMs are at most MaxMarks generations.
+	VMs []Generation
+}
+
+// Type returns TypeGenerations.
+func (Generations) Type() Type {
+	return TypeGenerations
+}
+
 // Type returns TypeRuleChange.
 func (RuleChange) Type() Type { return TypeRuleChange }
 
--- a/internal/peer/news/type_string.go
+++ b/internal/peer/news/type_string.go
@@ -17,11 +17,12 @@
 	_ = x[TypeWholeRules-6]
 	_ = x[TypeAskMachines-7]
 	_ = x[TypeMachines-8]
+	_ = x[TypeGenerations-9]
 }
 
-const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRulesTypeAskMachinesTypeMachines"
+const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRulesTypeAskMachinesTypeMachinesTypeGenerations"
 
-var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82, 97, 109}
+var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82, 97, 109, 124}
 
 func (i Type) String() string {
 	idx := int(i) - 0
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -81,8 +81,7 @@
 
 	mu    sync.Mutex
 	relay *news.Relay
-	// told holds the generations that peers have told of, by name.
-	told map[string]int64
+	told  *news.Told
 }
 
 // Run serves until the context ends, then stops gracefully. It returns an error
@@ -108,7 +107,7 @@
 		self:    mustardsaddle.VM{Name: s.Gateway.Name, Incarnation: incarnation, Zone: s.Gateway.Zone, Peer: peer},
 		metrics: admin.NewMetrics(admin.MetricsConfig{}),
 		relay:   news.NewRelay(news.RelayConfig{}),
-		told:    make(map[string]int64),
+		told:    news.NewTold(),
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 	}
 	in.store = store.New(store.Config{
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -53,6 +53,8 @@
 		}
 	case news.Machines:
 		in.spreadFresh(from, in.membership.machines(now, m.Machines))
+	case news.Generations:
+		in.learn(m)
 	case news.RuleChange:
 		in.receiveChange(now, from, m)
 	case news.AskRules:
@@ -67,7 +69,7 @@
 func (in *instance) compare(now time.Time, from string, theirs news.Summary) {
 	own := in.summary()
 	in.mu.Lock()
-	in.told[from] = theirs.Generation
+	in.told.Learn(from, theirs.Generation)
 	gap := in.relay.Compare(now, from, own, theirs)
 	in.mu.Unlock()
 	if gap.AskRules {
--- a/internal/product/instance/rules.go
+++ b/internal/product/instance/rules.go
@@ -41,19 +41,6 @@
 	in.pages.Store(&pages)
 }
 
-// live returns the live gateway VMs with the generations that they told of.
-func (in *instance) live() []rule.VM {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	var vms []rule.VM
-	for _, vm := range in.membership.Roster().VMs() {
-		if !vm.Leaving {
-			vms = append(vms, rule.VM{Name: vm.Name, Generation: in.told[vm.Name]})
-		}
-	}
-	return vms
-}
-
 // rules returns the file in force for the admin page.
 func (in *instance) rules() admin.Rules {
 	text, generation := in.registry.Snapshot()
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -117,6 +117,7 @@
 		}),
 		begin(ctx, in.registry.Run),
 		begin(ctx, in.followList),
+		begin(ctx, in.followTold),
 		begin(ctx, in.prober.Run),
 		begin(ctx, func(ctx context.Context, done chan<- struct{}) { in.metrics.Follow(ctx, in.state, done) }),
 	}
