Claim requests in the store for rules with Repeat=Claim

Cause: a caller's own retry through another gateway could run an order twice. Change: package claim creates an object under the digest of service and Idempotency-Key on the condition that none exists; only the call whose id it holds sends. A lost answer is read back. A claim settled as NotRun may be taken again, any other is answered with 409 and what is recorded. The root package gains Claim and Claims. Ruled out: a time limit on claims; a holder paused past it would run twice. After: a rapid search over five retries, interleaved, paused, with refused, lost and late writes finds at most one run; two gateways at once run one order once. Not done: nothing removes old claims from the store yet.

--- a/internal/request/gateway/answer.go
+++ b/internal/request/gateway/answer.go
@@ -26,6 +26,9 @@
 
 // status returns the HTTP status that goes with the refusal.
 func (n *refusal) status() int {
+	if n.code == code.CallClaimed {
+		return http.StatusConflict
+	}
 	if n.outcome != mustardsaddle.NotRun {
 		if n.code == code.CallDeadline {
 			return http.StatusGatewayTimeout
@@ -41,8 +44,6 @@
 		return http.StatusRequestEntityTooLarge
 	case code.CallUpgrade:
 		return http.StatusNotImplemented
-	case code.CallClaimed:
-		return http.StatusConflict
 	case code.CallOverloaded:
 		return http.StatusTooManyRequests
 	default:
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -24,6 +24,7 @@
 	deadline time.Time
 	body     requestBody
 	timer    *time.Timer
+	claim    *mustardsaddle.Claim // held by this call, or nil
 
 	mu       sync.Mutex
 	state    booking.Call
@@ -85,10 +86,11 @@
 		return
 	}
 	if c.m.repeat == mustardsaddle.RepeatClaim {
-		if no := c.claim(); no != nil {
+		if no := c.takeClaim(); no != nil {
 			c.refuse(no)
 			return
 		}
+		defer c.settleClaim()
 	}
 	a, no := c.run()
 	if no != nil {
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -113,7 +113,7 @@
 	OnReport func(now time.Time, service, server string, rep mustardsaddle.Report)
 	// Claims, if set, keeps the claims of rules with Repeat=Claim; otherwise
 	// such requests are refused.
-	Claims Claims
+	Claims mustardsaddle.Claims
 	// Metrics takes counters and histograms; nil means none.
 	Metrics tally.Scope
 	// Logger takes the log events.
