--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -55,7 +55,7 @@
 	defaultReplayBytes  = 64 << 10
 	defaultMaxWaiting   = 1024
 	defaultMaxAttempts  = 3
-	defaultRetryShare   = 0.1
+	defaultRetryShare   = 0.2
 	defaultHedgeShare   = 0.05
 	defaultQuantile     = 0.95
 	defaultMinHedge     = 5 * time.Millisecond
@@ -113,7 +113,7 @@
 	OnReport func(now time.Time, service, server string, rep mustardsaddle.Report)
 	// Claims, if set, keeps the claims of rules with Repeat=Claim; otherwise
 	// such requests are refused.
-	Claims Claims
+	Claims mustardsaddle.Claims
 	// Metrics takes counters and histograms; nil means none.
 	Metrics tally.Scope
 	// Logger takes the log events.
