Probe each server twice a second by the whole fleet

Cause: probes are the cost of measuring, and at 20 a second and gateway they are too old for a server that is free for 20 ms; answers carry reports anyway. Change: the bench's default interval between two probes of one server over the fleet is 500 ms instead of 50 ms.

--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -85,7 +85,7 @@
 	c.MaxEjected = cmp.Or(c.MaxEjected, 0.5)
 	c.ReportHalfLife = cmp.Or(c.ReportHalfLife, 20*time.Millisecond)
 	c.ReportUses = cmp.Or(c.ReportUses, 3)
-	c.ProbeInterval = cmp.Or(c.ProbeInterval, 50*time.Millisecond)
+	c.ProbeInterval = cmp.Or(c.ProbeInterval, 500*time.Millisecond)
 	c.Subset = cmp.Or(c.Subset, 128)
 	return c
 }
