Leave the share of connections to the gateway; bound slow start by a property

Cause: both the bench and the gateway divided a server's connections among the live gateways. Change: the bench no longer does; a rapid property bounds the attempts that a cold server holds, for every policy.

--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -35,9 +35,6 @@
 )
 
 const (
-	// connectionShare is the share of a server's connections that the gateways
-	// divide; the rest is for gateway VMs that are being replaced.
-	connectionShare = 0.8
 	// othersGain is the weight of a report in the mean load of a server.
 	othersGain = 0.05
 	// defaultShedPause is how long a shed server without known latency counts
@@ -58,9 +55,11 @@
 	// Queue is how many attempts of this gateway a server may hold beyond its
 	// slots; -1 means none.
 	Queue int
-	// SlowStart is the time over which a new server gets its full share.
+	// SlowStart is the time over which a new server gets its full share; below 0
+	// there is none.
 	SlowStart time.Duration
-	// MaxEjected is the largest share of servers that are ejected at a time.
+	// MaxEjected is the largest share of servers that are ejected at a time;
+	// below 0 none is ejected.
 	MaxEjected float64
 	// ReportHalfLife is the age at which a report counts half.
 	ReportHalfLife time.Duration
--- a/internal/choice/bench/bench_test.go
+++ b/internal/choice/bench/bench_test.go
@@ -166,6 +166,29 @@
 	})
 }
 
+func TestSlowStartIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slowStart := time.Duration(rapid.IntRange(1, 10_000).Draw(t, "slow start")) * time.Millisecond
+		queue := rapid.IntRange(1, 5).Draw(t, "queue")
+		b := bench.New(bench.Config{Policy: rapid.SampledFrom(policies).Draw(t, "policy"), SlowStart: slowStart, Queue: queue})
+		b.SetServers(start, serversOf(1))
+		b.SetServers(start, serversOf(2))
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		for now := start; now.Before(start.Add(2 * slowStart)); now = now.Add(slowStart / 7) {
+			for {
+				if _, ok := b.Choose(now, rng, mustardsaddle.Need{}); !ok {
+					break
+				}
+			}
+			share := min(1, float64(now.Sub(start))/float64(slowStart))
+			most := max(1, int(share*float64(2+queue)+1e-9))
+			if got := b.InFlight("booking-0001"); got > most {
+				t.Fatalf("after %v of %v: got %d attempts in flight, want at most %d", now.Sub(start), slowStart, got, most)
+			}
+		}
+	})
+}
+
 func TestProbesOfAServerAreDividedAmongGateways(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fleet := rapid.IntRange(1, 20).Draw(t, "gateways")
--- a/internal/choice/bench/server.go
+++ b/internal/choice/bench/server.go
@@ -99,11 +99,7 @@
 
 // limit is how many of this gateway's attempts the server may hold.
 func (b *Bench) limit(now time.Time, s *server) int {
-	n := s.slots() + b.cfg.Queue
-	if s.Connections > 0 {
-		n = min(n, max(1, int(float64(s.Connections)*connectionShare)/max(1, b.fleet)))
-	}
-	return max(1, int(float64(n)*b.warmth(now, s)))
+	return max(1, int(float64(s.slots()+b.cfg.Queue)*b.warmth(now, s)))
 }
 
 // reported returns the load of other gateways by the last report, and its
