Say which leaving servers may return

Cause: a server that leaves by reports alone is not probed, as any leaving server, so no later report can undo a misleading one: it stays out until it restarts. And a mark about a VM that no page names made every read of every page a full copy of the roster. Ruled out: probing every leaving server (the platform's word needs no proof). Change: Server.MayReturn is true for a leaving server of which only reports say so; a page is settled until a mark is due to be dropped. Conclusion: the roster's part is done; the chooser's is left.

--- a/cmd/mustardsaddle/harness_test.go
+++ b/cmd/mustardsaddle/harness_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -214,9 +215,12 @@
 	return e
 }
 
-// freeAddress returns an address that was free a moment ago.
+// freeAddress returns an address for a gateway. Its IP number, on the loopback
+// network, is drawn at random, so that no outgoing connection, whose number is
+// 127.0.0.1, can take the port before the gateway does.
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -160,7 +160,7 @@
 		return r
 	}
 	old := r.pages[name]
-	if r.settled(name) && slices.Equal(machines, old.machines) {
+	if r.settled(now, name) && slices.Equal(machines, old.machines) {
 		r.pages = cloneMap(r.pages)
 		r.pages[name] = page{at: later(old.at, now), machines: old.machines}
 		return r
@@ -188,18 +188,19 @@
 	return r.WithPage(now, name, r.pages[name].machines)
 }
 
-// settled reports whether an equal page would change nothing: none of its VMs is
-// missing and no mark waits to be dropped.
-func (r Roster) settled(name string) bool {
-	known := len(r.servers[name])
-	if name == "" {
+// settled reports whether an equal page would change nothing at now: none of its
+// VMs is missing and no mark is to be dropped.
+func (r Roster) settled(now time.Time, page string) bool {
+	known := len(r.servers[page])
+	if page == "" {
 		known = len(r.peers)
 	}
-	if known != len(r.pages[name].machines) {
+	if known != len(r.pages[page].machines) {
 		return false
 	}
-	for name := range r.marks {
-		if _, ok := r.entries[name]; !ok {
+	retain := r.cfg.withDefaults().MarkRetain
+	for name, m := range r.marks {
+		if _, ok := r.entries[name]; !ok && now.Sub(m.at) >= retain {
 			return false
 		}
 	}
@@ -467,7 +468,7 @@
 func (r Roster) serverOf(e entry) mustardsaddle.Server {
 	return mustardsaddle.Server{
 		Name: e.Name, Incarnation: e.Incarnation, Address: e.Address, Service: e.Service, Zone: e.Zone,
-		Slots: e.Slots, Connections: e.Connections, Leaving: r.leaving(e),
+		Slots: e.Slots, Connections: e.Connections, Leaving: r.leaving(e), MayReturn: r.mayReturn(e),
 	}
 }
 
@@ -488,6 +489,13 @@
 	return e.gone || marked && m.Incarnation >= e.Incarnation && m.Leaving
 }
 
+// mayReturn reports whether reports alone show that a server leaves, so that later
+// ones can undo it.
+func (r Roster) mayReturn(e entry) bool {
+	m, marked := r.marks[e.Name]
+	return !e.gone && marked && m.Incarnation == e.Incarnation && m.Leaving && m.Seq < FinalSeq
+}
+
 // Services returns the names of the services with at least one server.
 func (r Roster) Services() []string {
 	return slices.Sorted(maps.Keys(r.servers))
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -90,6 +90,7 @@
 			r, mark, spread = r.Observe(start.Add(d), "booking-00", mustardsaddle.Report{Draining: draining})
 			return spread
 		}
+		convey.So(r.Servers("Booking")[0].MayReturn, convey.ShouldBeTrue)
 		convey.Convey("Five later reports over three seconds undo it with the next Seq", func() {
 			for i := range 4 {
 				convey.So(observe(time.Duration(i+1)*time.Second, false), convey.ShouldBeFalse)
@@ -116,6 +117,7 @@
 				convey.So(observe(time.Duration(i)*time.Second, false), convey.ShouldBeFalse)
 			}
 			convey.So(live(r), convey.ShouldHaveLength, 2)
+			convey.So(r.Servers("Booking")[0].MayReturn, convey.ShouldBeFalse)
 		})
 	})
 }
--- a/server.go
+++ b/server.go
@@ -21,6 +21,10 @@
 	Connections int
 	// Leaving is true once any input has shown that the server is leaving.
 	Leaving bool
+	// MayReturn is true for a leaving server of which only load reports say so.
+	// It takes no requests, but its load is still asked for, since a report can
+	// mislead.
+	MayReturn bool
 }
 
 // WithLeaving returns a copy of s with Leaving set to leaving.
