Give the gateways the keeper of claims

Cause: rules with Repeat=Claim were refused, because no instance had a keeper. Change: the instance passes one over its store client.

--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -31,6 +31,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/internal/request/claim"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
@@ -156,6 +157,7 @@
 			})
 		},
 		OnReport: in.reported,
+		Claims:   claim.New(claim.Config{Store: in.store}),
 		Metrics:  in.metrics.Scope(),
 		Logger:   in.cfg.Logger,
 		Seed:     seed,
