Bound the connections that peers open

Cause: a connection counted against MaxLinks only after its introduction, so that connections which never introduce themselves were not bounded. Ruled out: a lower limit on the listener (it would also refuse live peers' retries). Change: ServeHTTP counts connections from their first byte to their end. Before: any number of connections could wait for an introduction. Conclusion: memory for links is bounded by settings, whatever peers do.

--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -59,7 +59,7 @@
 	Lost func(now time.Time, name string)
 	// Timing decides when links are made and closed.
 	Timing Timing
-	// MaxLinks bounds the links that others may make.
+	// MaxLinks bounds the connections that others may open.
 	MaxLinks int
 	// Queue is how many messages may wait on a link.
 	Queue int
@@ -99,6 +99,8 @@
 	codec  *news.Codec
 	client *http.Client
 	counts counters
+	// accepting counts the connections that peers opened, introduced or not.
+	accepting atomic.Int64
 
 	// wanted and accepted are read by Run alone; stopped is closed when it ends.
 	wanted   chan []mustardsaddle.VM
@@ -139,7 +141,8 @@
 
 // ServeHTTP accepts a link, and returns when it has ended.
 func (l *Links) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if len(l.Peers()) >= l.cfg.MaxLinks {
+	defer l.accepting.Add(-1)
+	if l.accepting.Add(1) > int64(l.cfg.MaxLinks) {
 		http.Error(w, "too many links", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -27,6 +27,9 @@
 // patience bounds waits for what must happen at some time.
 const patience = 20 * time.Second
 
+// maxLinks is how many links a node accepts.
+const maxLinks = 20
+
 // promise is the time within which a change is in force everywhere.
 const promise = 5 * time.Second
 
@@ -63,7 +66,8 @@
 	n.vm.Peer = listener.Addr().String()
 	n.relay = news.NewRelay(news.RelayConfig{})
 	n.links = link.New(link.Config{
-		Self: n.vm, Summary: n.summary, Receive: n.receive, Lost: n.onLost, Timing: timing, Logger: zerolog.Nop(), Queue: 16,
+		Self: n.vm, Summary: n.summary, Receive: n.receive, Lost: n.onLost, Timing: timing, Logger: zerolog.Nop(),
+		Queue: 16, MaxLinks: maxLinks,
 	})
 	router := mux.NewRouter()
 	n.links.Mount(router)
@@ -322,6 +326,25 @@
 	})
 }
 
+func TestTooManyLinks(t *testing.T) {
+	convey.Convey("Given a gateway with as many connections as it takes, none introduced", t, func() {
+		n := newNode(t, "gateway-a", "1", link.Timing{Heartbeat: 100 * time.Millisecond, Silence: patience})
+		for range maxLinks {
+			conn, _, err := websocket.Dial(context.Background(), "ws://"+n.vm.Peer+link.Path, nil)
+			convey.So(err, convey.ShouldBeNil)
+			t.Cleanup(func() { _ = conn.CloseNow() })
+		}
+		convey.Convey("One more is refused at once, and it can still dial", func() {
+			_, resp, err := websocket.Dial(context.Background(), "ws://"+n.vm.Peer+link.Path, nil)
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusServiceUnavailable)
+			b := newNode(t, "gateway-b", "1", quick())
+			n.links.SetNeighbors([]mustardsaddle.VM{b.vm})
+			wait(t, "the link", func() bool { return n.linked("gateway-b") })
+		})
+	})
+}
+
 func TestBothDial(t *testing.T) {
 	convey.Convey("Given two gateways that dial each other, one by its address alone", t, func() {
 		a, b := newNode(t, "gateway-a", "1", quick()), newNode(t, "gateway-b", "1", quick())
