--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -35,9 +35,6 @@
 )
 
 const (
-	// connectionShare is the share of a server's connections that the gateways
-	// divide; the rest is for gateway VMs that are being replaced.
-	connectionShare = 0.8
 	// othersGain is the weight of a report in the mean load of a server.
 	othersGain = 0.05
 	// defaultShedPause is how long a shed server without known latency counts
@@ -58,9 +55,11 @@
 	// Queue is how many attempts of this gateway a server may hold beyond its
 	// slots; -1 means none.
 	Queue int
-	// SlowStart is the time over which a new server gets its full share.
+	// SlowStart is the time over which a new server gets its full share; below 0
+	// there is none.
 	SlowStart time.Duration
-	// MaxEjected is the largest share of servers that are ejected at a time.
+	// MaxEjected is the largest share of servers that are ejected at a time;
+	// below 0 none is ejected.
 	MaxEjected float64
 	// ReportHalfLife is the age at which a report counts half.
 	ReportHalfLife time.Duration
@@ -85,7 +84,7 @@
 	c.MaxEjected = cmp.Or(c.MaxEjected, 0.5)
 	c.ReportHalfLife = cmp.Or(c.ReportHalfLife, 20*time.Millisecond)
 	c.ReportUses = cmp.Or(c.ReportUses, 3)
-	c.ProbeInterval = cmp.Or(c.ProbeInterval, 50*time.Millisecond)
+	c.ProbeInterval = cmp.Or(c.ProbeInterval, 500*time.Millisecond)
 	c.Subset = cmp.Or(c.Subset, 128)
 	return c
 }
@@ -109,6 +108,8 @@
 
 	// others is the mean load of other gateways on a server.
 	others float64
+	// surprise is the share of outcomes that no report foresaw.
+	surprise float64
 	// latencies is the sum over the measured servers, in seconds.
 	latencies float64
 	measured  int
@@ -165,7 +166,7 @@
 	for _, next := range known {
 		s := b.byName[next.Name]
 		if s == nil {
-			s = &server{Server: next, trust: 1}
+			s = &server{Server: next}
 			if b.started {
 				s.since = now
 			}
--- a/internal/control/registry/core.go
+++ b/internal/control/registry/core.go
@@ -38,6 +38,9 @@
 	ReadSubmission
 	// ReadBase means to read a version of Rules/Accepted and hand it to TakeBase.
 	ReadBase
+	// ReadPrevious means to read a version of Rules/Accepted and hand it to
+	// TakePrevious.
+	ReadPrevious
 	// Write means to write Rules/Accepted on the condition of a version, and to
 	// hand the answer to Wrote.
 	Write
@@ -51,7 +54,7 @@
 	Version int64
 	// Value is what to write.
 	Value []byte
-	// Decision is what the write makes known.
+	// Decision is what the write makes known; it is not Handled for a repair.
 	Decision rule.Decision
 }
 
@@ -62,21 +65,21 @@
 type Core struct {
 	// inForce is the newest accepted file known.
 	inForce rule.File
-	// seen is the highest version of Rules/Accepted that inForce covers.
-	seen int64
+	// seen is the highest version of Rules/Accepted known to hold nothing newer,
+	// and handled the last submission known to be handled.
+	seen, handled int64
 	// stored is Rules/Accepted at version; known is false when it must be read
 	// before the next write.
 	stored  rule.Accepted
 	version int64
 	known   bool
-	// handled is the last submission that a peer said is handled.
-	handled int64
 	// newest is the newest version of Rules/Submitted known.
 	newest int64
 
 	recent  []rule.File
 	pending map[int64]rule.Change
 	work    *work
+	repair  *repair
 }
 
 // work is a submission on its way to a decision.
@@ -84,19 +87,39 @@
 	submission rule.Submission
 	// low and high bound the search for the base among versions of Rules/Accepted.
 	low, high int64
+	// unusable is how many versions from the middle down can't be used.
+	unusable int64
 }
 
+// repair is a version of Rules/Accepted that can't be used, because something
+// else wrote it, on its way to be replaced by the last good one.
+type repair struct {
+	// version is the bad version, and previous the one to read next.
+	version, previous int64
+	// good is the last good state, once it is found.
+	good *rule.Accepted
+}
+
+// maxPrevious is how many versions a repair looks back.
+const maxPrevious = 64
+
 // NewCore returns a Core without rules.
 func NewCore() *Core {
 	return &Core{pending: make(map[int64]rule.Change)}
 }
 
+// Handled returns the last submission known to be handled.
+func (c *Core) Handled() int64 {
+	return c.handled
+}
+
 // File returns the file in force; its generation is 0 before there is one.
 func (c *Core) File() rule.File {
 	return c.inForce
 }
 
-// Seen returns the highest version of Rules/Accepted that File covers.
+// Seen returns a version of Rules/Accepted up to which File is the newest. It is
+// never too high.
 func (c *Core) Seen() int64 {
 	return c.seen
 }
@@ -106,6 +129,12 @@
 	return c.stored, c.known && c.stored.File.Generation >= c.inForce.Generation
 }
 
+// Latest returns the accepted state as last read, and whether nothing newer is
+// known.
+func (c *Core) Latest() (rule.Accepted, bool) {
+	return c.stored, c.stored.File.Generation == c.inForce.Generation && c.stored.Submission >= c.handled
+}
+
 // Forget makes the next write read Rules/Accepted first.
 func (c *Core) Forget() {
 	c.known = false
@@ -118,8 +147,17 @@
 	return c.newest > max(c.stored.Submission, c.handled)
 }
 
-// Next says what to do about the submissions noticed.
+// Broken reports whether Rules/Accepted is to be repaired.
+func (c *Core) Broken() bool {
+	return c.repair != nil
+}
+
+// Next says what to do about Rules/Accepted, if it is broken, and then about the
+// submissions noticed.
 func (c *Core) Next(now time.Time) Step {
+	if c.repair != nil {
+		return c.repair.next()
+	}
 	if !c.Notice(0) {
 		c.work = nil
 		return Step{Action: Idle}
@@ -138,6 +176,32 @@
 	return Step{Action: Write, Version: c.version, Value: []byte(d.Next.Format()), Decision: d}
 }
 
+func (r *repair) next() Step {
+	switch {
+	case r.good != nil:
+		d := rule.Decision{Next: *r.good}
+		return Step{Action: Write, Version: r.version, Value: []byte(r.good.Format()), Decision: d}
+	case r.previous < max(1, r.version-maxPrevious):
+		return Step{Action: Idle}
+	default:
+		return Step{Action: ReadPrevious, Version: r.previous}
+	}
+}
+
+// TakePrevious takes an older version of Rules/Accepted. The newest one that can
+// be used is written again.
+func (c *Core) TakePrevious(version int64, o mustardsaddle.Object) {
+	if c.repair == nil {
+		return
+	}
+	a, err := rule.ParseAccepted(string(o.Value))
+	if o.Version == 0 || err != nil || c.check(a) != nil {
+		c.repair.previous = version - 1
+		return
+	}
+	c.repair.good = &a
+}
+
 // base looks for the file that the present submission edited. It returns the
 // read that the search needs next, if any.
 func (c *Core) base() (Step, bool) {
@@ -162,7 +226,7 @@
 	if w.low > w.high {
 		return Step{}, false
 	}
-	return Step{Action: ReadBase, Version: w.middle()}, true
+	return Step{Action: ReadBase, Version: w.middle() - w.unusable}, true
 }
 
 func (w *work) middle() int64 {
@@ -192,21 +256,28 @@
 
 // TakeBase takes an old version of Rules/Accepted, and narrows the search for the
 // base: generations never fall from one version to the next. A version that the
-// store no longer has counts as too old.
+// store no longer has counts as too old; for one that can't be used the one before
+// it is tried.
 func (c *Core) TakeBase(version int64, o mustardsaddle.Object) {
-	if c.work == nil {
+	w := c.work
+	if w == nil {
 		return
 	}
 	a, err := rule.ParseAccepted(string(o.Value))
-	want := c.work.submission.File.Generation
+	want := w.submission.File.Generation
+	if o.Version > 0 && err != nil && version > w.low {
+		w.unusable++
+		return
+	}
 	switch {
 	case o.Version == 0 || err != nil || a.File.Generation < want:
-		c.work.low = version + 1
+		w.low = w.middle() + 1
 	case a.File.Generation > want:
-		c.work.high = version - 1
+		w.high = version - 1
 	default:
-		c.work.submission = c.work.submission.WithBase(a.File)
+		w.submission = w.submission.WithBase(a.File)
 	}
+	w.unusable = 0
 }
 
 // Wrote takes the answer to a Write. Where the answer leaves it open whether the
@@ -220,10 +291,10 @@
 	case code.StoreBudget, code.StoreBackoff, code.StoreTooLarge:
 		return rule.Change{}, false, err
 	case code.StoreConflict:
-		c.known = false
+		c.known, c.repair = false, nil
 		return rule.Change{}, false, nil
 	default:
-		c.known = false
+		c.known, c.repair = false, nil
 		return rule.Change{}, false, err
 	}
 }
@@ -235,23 +306,19 @@
 	if o.Version < c.version {
 		return rule.Change{}, false, c.tooOld(o)
 	}
-	var a rule.Accepted
-	if o.Version > 0 {
-		var err error
-		if a, err = rule.ParseAccepted(string(o.Value)); err != nil {
-			return rule.Change{}, false, err
-		}
-	}
-	if err := c.check(a); err != nil {
+	a, err := c.read(o)
+	if err != nil {
 		return rule.Change{}, false, err
 	}
-	c.stored, c.version, c.known = a, o.Version, true
-	c.seen = max(c.seen, o.Version)
+	c.stored, c.version, c.known, c.repair = a, o.Version, true, nil
+	if o.Version > c.seen {
+		c.seen, c.handled = o.Version, a.Submission
+	}
 	if a.File.Generation == c.inForce.Generation {
 		return rule.Change{}, false, nil
 	}
 	change := rule.Diff(c.inForce, a.File)
-	change.Submission, change.Version = a.Submission, o.Version
+	change.Submission = a.Submission
 	if shared, result := change.Apply(c.inForce); result == rule.Applied {
 		// The rules that stay are then held once for all generations.
 		c.stored.File = shared
@@ -260,6 +327,26 @@
 	return change, true, nil
 }
 
+// read reads a version of Rules/Accepted. One that can't be used is to be repaired,
+// unless a newer program wrote it.
+func (c *Core) read(o mustardsaddle.Object) (rule.Accepted, error) {
+	if o.Version == 0 {
+		return rule.Accepted{}, c.check(rule.Accepted{})
+	}
+	a, err := rule.ParseAccepted(string(o.Value))
+	if err == nil {
+		err = c.check(a)
+	}
+	if err == nil {
+		return a, nil
+	}
+	c.known = false
+	if code.Of(err) != code.StoreNewerFormat && (c.repair == nil || c.repair.version < o.Version) {
+		c.repair = &repair{version: o.Version, previous: o.Version - 1}
+	}
+	return a, err
+}
+
 // tooOld returns an error for an old version where the newest was to be read. A
 // late answer of a watch is no error.
 func (c *Core) tooOld(o mustardsaddle.Object) error {
@@ -308,8 +395,7 @@
 	}
 	var brought []rule.Change
 	for result == rule.Applied {
-		c.seen = max(c.seen, change.Version)
-		c.handled = max(c.handled, change.Submission)
+		c.pass(change.Submission)
 		brought = append(brought, change)
 		next := c.pending[change.To]
 		c.put(f)
@@ -319,6 +405,18 @@
 	return brought, rule.Applied
 }
 
+// pass notes that a submission is handled. Each write of Rules/Accepted handles
+// one, and raises the version by at least one.
+func (c *Core) pass(submission int64) {
+	if submission <= c.handled {
+		return
+	}
+	if c.seen > 0 {
+		c.seen += submission - c.handled
+	}
+	c.handled = submission
+}
+
 // ReceiveWhole takes the whole state from a peer.
 func (c *Core) ReceiveWhole(text string) (rule.Result, error) {
 	a, err := rule.ParseAccepted(text)
@@ -328,6 +426,7 @@
 	if a.File.Generation <= c.inForce.Generation {
 		return rule.Stale, nil
 	}
+	c.pass(a.Submission)
 	c.put(a.File)
 	return rule.Applied, nil
 }
