End the processes of each case before the next

Cause: the cases of two process tests shared one test, whose processes ended only with the last case: up to 32 at a time. Ruled out: ending them inside each case by hand (a failed check would skip it). Change: each case is a subtest. No check changed. Before: 32 processes at the end of TestLeaving.

--- a/cmd/mustardsaddle/leaving_test.go
+++ b/cmd/mustardsaddle/leaving_test.go
@@ -60,21 +60,23 @@
 			},
 		},
 	} {
-		convey.Convey("Given a server under load that leaves: "+c.name, t, func() {
-			s := newSystem(t, 4, 3)
-			f := newTraffic(12, targets(s.gateways...))
-			defer f.stop()
-			e := s.servers[0]
-			busy := s.requests(e)
-			s.wait("requests to the server", func() bool { return s.requests(e) > busy+20 })
-			sign := time.Now()
-			c.leave(s, e)
-			if c.revive != nil {
-				c.revive(s, e)
-			}
-			convey.So(s.staysQuiet(e, sign), convey.ShouldEqual, 0)
-			f.stop()
-			convey.So(f.failures(), convey.ShouldBeEmpty)
+		t.Run(c.name, func(t *testing.T) {
+			convey.Convey("Given a server under load that leaves: "+c.name, t, func() {
+				s := newSystem(t, 4, 3)
+				f := newTraffic(12, targets(s.gateways...))
+				defer f.stop()
+				e := s.servers[0]
+				busy := s.requests(e)
+				s.wait("requests to the server", func() bool { return s.requests(e) > busy+20 })
+				sign := time.Now()
+				c.leave(s, e)
+				if c.revive != nil {
+					c.revive(s, e)
+				}
+				convey.So(s.staysQuiet(e, sign), convey.ShouldEqual, 0)
+				f.stop()
+				convey.So(f.failures(), convey.ShouldBeEmpty)
+			})
 		})
 	}
 }
--- a/cmd/mustardsaddle/stop_test.go
+++ b/cmd/mustardsaddle/stop_test.go
@@ -144,14 +144,16 @@
 		{"slow", platform.Fault{Delay: 10 * time.Second}},
 		{"well", platform.Fault{}},
 	} {
-		convey.Convey("Given a gateway that starts while the platform is "+c.name, t, func() {
-			s := newSystem(t, 1, 0)
-			g := s.addGateway(0)
-			s.fault(c.fault)
-			s.startGateway(g)
-			s.wait("the start", func() bool { _, ok := g.logged("Started"); return ok })
-			g.signal(syscall.SIGTERM)
-			convey.So(g.waitEnd(stopTime), convey.ShouldBeNil)
+		t.Run(c.name, func(t *testing.T) {
+			convey.Convey("Given a gateway that starts while the platform is "+c.name, t, func() {
+				s := newSystem(t, 1, 0)
+				g := s.addGateway(0)
+				s.fault(c.fault)
+				s.startGateway(g)
+				s.wait("the start", func() bool { _, ok := g.logged("Started"); return ok })
+				g.signal(syscall.SIGTERM)
+				convey.So(g.waitEnd(stopTime), convey.ShouldBeNil)
+			})
 		})
 	}
 }
