Probe servers that leave by their reports alone

Cause: a server whose report said Draining by mistake was never asked again, since the chooser did not probe leaving servers; so nothing could undo the mark. Ruled out: marks that expire, which would send requests to a server that drains. Change: Probe takes leaving servers that may return (Server.MayReturn).

--- a/cmd/mustardsaddle/harness_test.go
+++ b/cmd/mustardsaddle/harness_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -458,3 +459,13 @@
 	_ = to.Close()
 	_ = from.Close()
 }
+
+// leaving reports whether the gateway shows a server as leaving.
+func (g *instance) leaving(name string) bool {
+	var servers []mustardsaddle.Server
+	if json.Unmarshal(get(g.admin+"/servers").body, &servers) != nil {
+		return false
+	}
+	at := slices.IndexFunc(servers, func(s mustardsaddle.Server) bool { return s.Name == name })
+	return at >= 0 && servers[at].Leaving
+}
--- a/cmd/mustardsaddle/leaving_test.go
+++ b/cmd/mustardsaddle/leaving_test.go
@@ -81,6 +81,27 @@
 	}
 }
 
+func TestMisleadingDraining(t *testing.T) {
+	convey.Convey("Given a server under load that reports draining for a moment by mistake", t, func() {
+		s := newSystem(t, 4, 3)
+		f := newTraffic(12, targets(s.gateways...))
+		defer f.stop()
+		e := s.servers[0]
+		s.mode(e, server.Mode{Draining: true})
+		for _, g := range s.gateways {
+			s.wait("the sign", func() bool { return g.leaving(e.machine.Name) })
+		}
+		s.mode(e, server.Mode{})
+		convey.Convey("It takes requests again", func() {
+			after := s.count(e).Total
+			took := s.wait("requests", func() bool { return s.count(e).Total > after+100 })
+			t.Logf("100 requests ran there %v later", took)
+			f.stop()
+			convey.So(f.failures(), convey.ShouldBeEmpty)
+		})
+	})
+}
+
 // listLeaving lists a server as leaving.
 func listLeaving(s *system, e *endpoint) {
 	m := e.machine
--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -300,16 +300,17 @@
 }
 
 // Probe picks the server whose load is most worth asking for: an ejected or
-// draining one whose time has come, then the one with the oldest report if the
+// draining one whose time has come, or one that leaves by its reports alone, then the one with the oldest report if the
 // policy reads reports.
 func (b *Bench) Probe(now time.Time, rng *rand.Rand) (mustardsaddle.Server, bool) {
 	reads := b.cfg.Policy == HotCold || b.cfg.Policy == PreferredSpill
 	p := newPick(rng, "")
 	gap := b.cfg.ProbeInterval * time.Duration(b.fleet)
 	for _, s := range b.servers {
-		returning := s.report.Draining || (s.ejection.active && !now.Before(s.ejection.until))
+		leaves := s.Leaving && !s.MayReturn
+		returning := s.Leaving || s.report.Draining || (s.ejection.active && !now.Before(s.ejection.until))
 		waits := s.ejection.active && !returning
-		if s.Leaving || waits || now.Sub(s.probed) < gap || (!reads && !returning) {
+		if leaves || waits || now.Sub(s.probed) < gap || (!reads && !returning) {
 			continue
 		}
 		last := s.report.At
