Tell a refused write from one that left

Cause: an at-most-once call that met a connection idle for over 100 ms was told Unknown (502). The write refused by the seal was counted as one that may have left, so the call was not sent by a new connection. Ruled out: the server and the retry budget; the server's count was 0 and no retry was asked for. Change: a refused write counts no longer. A test has such calls meet an idle connection; it failed before (502 at the second call) and passes five times now.

--- a/internal/request/gateway/connection.go
+++ b/internal/request/gateway/connection.go
@@ -67,10 +67,11 @@
 }
 
 // Write counts the write before it looks at the seal: a write that seal did not
-// count finds the seal and is refused.
+// count finds the seal and is refused. A refused write counts no longer.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writes.Add(1)
 	if c.sealed.Load() {
+		c.writes.Add(-1)
 		return 0, code.Errorf(code.Internal, "write to %v: connection is sealed", c.RemoteAddr())
 	}
 	return c.Conn.Write(p)
--- a/internal/request/gateway/once_test.go
+++ b/internal/request/gateway/once_test.go
@@ -159,6 +159,24 @@
 	})
 }
 
+// TestIdleConnectionIsNoFault has at-most-once calls meet a connection that was idle
+// for longer than counts as alive: they must take a new one instead of failing.
+func TestIdleConnectionIsNoFault(t *testing.T) {
+	j := newJudge(t, nil)
+	front, _ := newGateway(t, gateway.Config{}, j.address())
+	if _, _, err := do(t, front, "GET", "/warm", ""); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond) // longer than the window
+	for i := range 4 {
+		call := fmt.Sprint("idle-", i)
+		resp, text, err := do(t, front, "POST", "/bookings", "a lathe", "Test-Call", call)
+		if err != nil || resp.StatusCode != http.StatusOK || count(call, j) != 1 {
+			t.Fatalf("call %d: got %v %q %v, ran %d times, want 200 and once", i, resp, text, err, count(call, j))
+		}
+	}
+}
+
 // TestSilentConnection freezes the idle connections: a hedge on a new connection
 // answers long before the deadline.
 func TestSilentConnection(t *testing.T) {
