Let a retry wait for a server like a first attempt

Cause: a call whose server had not run it took another server at once or was refused, although the queue had room and its deadline time. Ruled out: the retry budget (the refusals carried code 4002, not 4003). Change: only hedges do not wait; a waiting call remembers the servers that it has tried. Besides, a change of rules that comes too early waits for the heartbeat to show a gap before the whole file is asked for, and a report that changes nothing in the roster is not published. Conclusion: NotRun is told only when waiting is of no use.

--- a/internal/product/instance/membership.go
+++ b/internal/product/instance/membership.go
@@ -48,8 +48,13 @@
 func (m *membership) change(now time.Time, next func(roster.Roster) roster.Roster) fresh {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.publish(now, next(m.roster))
+}
+
+// publish puts a roster in place. The caller holds mu.
+func (m *membership) publish(now time.Time, next roster.Roster) fresh {
 	old := m.roster
-	m.roster = next(old)
+	m.roster = next
 	leaving := make(map[string]bool)
 	for _, service := range m.roster.Services() {
 		for _, s := range m.roster.Servers(service) {
@@ -69,10 +74,14 @@
 	if !rep.Draining && !(*m.leaving.Load())[server] {
 		return fresh{}
 	}
-	return m.change(now, func(r roster.Roster) roster.Roster {
-		next, _, _ := r.Observe(now, server, rep)
-		return next
-	})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next, _, ok := m.roster.Observe(now, server, rep)
+	if !ok {
+		m.roster = next // it counts the report as proof, which nobody else sees
+		return fresh{}
+	}
+	return m.publish(now, next)
 }
 
 // page takes a page of the platform's list, as read at now.
--- a/internal/product/instance/rules.go
+++ b/internal/product/instance/rules.go
@@ -52,14 +52,13 @@
 	in.spread("", c.From, newsOf(c))
 }
 
-// receiveChange passes a change of a peer on, and applies it. A change that does
-// not fit shows that this gateway lacks something: it asks for the whole file.
+// receiveChange passes a change of a peer on, and applies it. A change that comes
+// too early is kept by the registry; if the one before it does not come, the next
+// heartbeat shows the gap. A change that does not fit needs the whole file.
 func (in *instance) receiveChange(now time.Time, from string, m news.RuleChange) {
 	in.spread(from, in.generation.Load(), m)
-	switch in.registry.Receive(now, changeOf(m)) {
-	case rule.Gap, rule.BadDigest:
+	if in.registry.Receive(now, changeOf(m)) == rule.BadDigest {
 		in.links.Send(from, news.AskRules{Have: in.generation.Load()})
-	case rule.Applied, rule.Stale:
 	}
 }
 
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -37,12 +37,19 @@
 	latency  booking.Latency
 	limits   *slot.Limits
 	queue    *slot.Queue
-	waiting  map[uint64]chan mustardsaddle.Choice
+	waiting  map[uint64]waiter
 	lastID   uint64
 	usable   int
 	reusedAt map[string]time.Time // when a reusable connection last came free
 }
 
+// waiter is a call that waits for a server.
+type waiter struct {
+	// tried are the servers that the call has tried already.
+	tried []string
+	given chan mustardsaddle.Choice
+}
+
 // placement is the result of the admit filter: a chosen server, counted in.
 type placement struct {
 	kind   booking.Kind
@@ -65,7 +72,7 @@
 		latency:  booking.Latency{Quantile: cfg.HedgeQuantile},
 		limits:   slot.NewLimits(),
 		queue:    slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting}),
-		waiting:  make(map[uint64]chan mustardsaddle.Choice),
+		waiting:  make(map[uint64]waiter),
 		reusedAt: make(map[string]time.Time),
 	}
 }
@@ -96,8 +103,8 @@
 	l.serveWaiting(now)
 }
 
-// place begins an attempt of the call and chooses its server. Only a first attempt
-// waits for one; later attempts take another server now, or none.
+// place begins an attempt of the call and chooses its server. A first attempt and a
+// retry wait for one in the queue; a hedge takes another server now, or none.
 func (l *lane) place(ctx context.Context, now time.Time, c *call) (placement, *refusal) {
 	l.mu.Lock()
 	kind, tried, ok := c.begin(now, &l.budgets)
@@ -112,7 +119,7 @@
 			return placement{kind: kind, choice: choice}, nil
 		}
 	}
-	if kind != booking.First || l.usable == 0 {
+	if kind == booking.Hedge || l.usable <= len(tried) {
 		defer l.mu.Unlock()
 		return placement{}, &refusal{code: code.CallNoServer, outcome: mustardsaddle.NotRun, retryAfter: l.queue.RetryAfter()}
 	}
@@ -124,9 +131,11 @@
 		return placement{}, &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: verdict.RetryAfter}
 	}
 	given := make(chan mustardsaddle.Choice, 1)
-	l.waiting[id] = given
+	l.waiting[id] = waiter{tried: tried, given: given}
 	l.mu.Unlock()
-	return l.wait(ctx, now, id, verdict.Until, given)
+	p, no := l.wait(ctx, now, id, verdict.Until, given)
+	p.kind = kind
+	return p, no
 }
 
 // wait returns when a server is given to the waiting call, or when its useful time
@@ -212,7 +221,7 @@
 // ends the wait of those that have no useful time left.
 func (l *lane) serveWaiting(now time.Time) {
 	for _, id := range l.queue.Expired(now) {
-		close(l.waiting[id])
+		close(l.waiting[id].given)
 		delete(l.waiting, id)
 	}
 	for {
@@ -220,12 +229,13 @@
 		if !ok {
 			return
 		}
-		choice, ok := l.choose(now, nil)
+		w := l.waiting[id]
+		choice, ok := l.choose(now, w.tried)
 		if !ok {
 			return
 		}
 		l.queue.Leave(id)
-		l.waiting[id] <- choice
+		w.given <- choice
 		delete(l.waiting, id)
 	}
 }
