--- a/internal/control/rule/table.go
+++ b/internal/control/rule/table.go
@@ -163,15 +163,15 @@
 	n := 0
 	list := prefixes(r.URL.Path)
 	for _, host := range []string{hostName(r.Host), ""} {
-		for i, prefix := range list {
-			if i > 0 && prefix == list[i-1] {
-				break
-			}
+		for _, prefix := range list {
 			b := t.buckets[bucketKey{host: host, prefix: prefix}]
 			if b != nil && !slices.Contains(found[:n], b) {
 				found[n] = b
 				n++
 			}
+			if prefix == "" {
+				break
+			}
 		}
 	}
 	return found
