--- a/internal/control/rule/change_test.go
+++ b/internal/control/rule/change_test.go
@@ -91,3 +91,21 @@
 		convey.So(len(b)-len(a), convey.ShouldBeLessThan, 32)
 	})
 }
+
+// TestApplyOfAnyChange checks that no change of a peer breaks anything.
+func TestApplyOfAnyChange(t *testing.T) {
+	edit := rapid.Custom(func(t *rapid.T) rule.Edit {
+		at := rapid.OneOf(rapid.IntRange(-2, 5), rapid.Int()).Draw(t, "at")
+		return rule.Edit{At: at, Text: rapid.OneOf(rapid.SampledFrom([]string{lineA, lineB, "# c", ""}), rapid.String()).Draw(t, "text")}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		file := fileOf(1, lineA, lineB, "# c", "")
+		change := rule.Change{From: 1, To: 2, Digest: rapid.Uint64().Draw(t, "digest")}
+		change.Out = rapid.SliceOfN(edit, 0, 3).Draw(t, "out")
+		change.In = rapid.SliceOfN(edit, 0, 3).Draw(t, "in")
+		next, result := change.Apply(file)
+		if result == rule.Applied && next.Digest() != change.Digest || result != rule.Applied && !next.Equal(file) {
+			t.Fatalf("got %s and %q", result, next.Format())
+		}
+	})
+}
