Split the roster by concept

Change: pages, marks, VMs and what readers see have a file each; no code changes but a named condition in Probe.

--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -299,6 +299,11 @@
 	}
 }
 
+// returning reports whether an answer of the server could bring it back.
+func (s *server) returning(now time.Time) bool {
+	return s.Leaving || s.report.Draining || s.ejection.active && !now.Before(s.ejection.until)
+}
+
 // Probe picks the server whose load is most worth asking for: an ejected or
 // draining one whose time has come, or one that leaves by its reports alone, then the one with the oldest report if the
 // policy reads reports.
@@ -307,10 +312,9 @@
 	p := newPick(rng, "")
 	gap := b.cfg.ProbeInterval * time.Duration(b.fleet)
 	for _, s := range b.servers {
-		leaves := s.Leaving && !s.MayReturn
-		returning := s.Leaving || s.report.Draining || (s.ejection.active && !now.Before(s.ejection.until))
+		returning := s.returning(now)
 		waits := s.ejection.active && !returning
-		if leaves || waits || now.Sub(s.probed) < gap || (!reads && !returning) {
+		if s.Leaving && !s.MayReturn || waits || now.Sub(s.probed) < gap || (!reads && !returning) {
 			continue
 		}
 		last := s.report.At
--- a/internal/control/roster/mark.go
+++ b/internal/control/roster/mark.go
@@ -76,6 +76,53 @@
 	return r.WithMark(now, mark), mark, true
 }
 
+// WithMarks returns the roster after marks became known at now, from a peer or
+// from the gateway itself. Marks that are not newer than the known ones change
+// nothing.
+func (r Roster) WithMarks(now time.Time, marks []mustardsaddle.Mark) Roster {
+	next := r
+	var changed []string
+	for _, m := range marks {
+		if !next.accepts(m) {
+			continue
+		}
+		if changed == nil {
+			next.marks = cloneMap(r.marks)
+		}
+		next.setMark(now, m)
+		changed = append(changed, m.Name)
+	}
+	if changed != nil {
+		next.rebuild(changed)
+	}
+	return next
+}
+
+// WithMark is WithMarks for one mark.
+func (r Roster) WithMark(now time.Time, mark mustardsaddle.Mark) Roster {
+	return r.WithMarks(now, []mustardsaddle.Mark{mark})
+}
+
+// accepts reports whether a mark is newer than what is known, not about a life
+// that is over, and has room.
+func (r Roster) accepts(m mustardsaddle.Mark) bool {
+	e, known := r.entries[m.Name]
+	if known && m.Incarnation < e.Incarnation {
+		return false
+	}
+	if old, marked := r.marks[m.Name]; marked {
+		return m.Newer(old.Mark)
+	}
+	return known || len(r.marks) < len(r.entries)+maxUnknownMarks
+}
+
+// setMark keeps the newer of the known mark and m.
+func (r *Roster) setMark(now time.Time, m mustardsaddle.Mark) {
+	if r.accepts(m) {
+		r.marks[m.Name] = heldMark{Mark: m, at: now}
+	}
+}
+
 // Marks returns the marks about known VMs ordered by name. Marks about VMs that
 // are unknown here are left out: each gateway forgets them after a time, and
 // would otherwise learn them again from the others for ever.
