Leave a preferred server after its first error

Cause: an own server that fails fast was preferred until its second error. Change: one recent error ends the preference; the score ranks it from then on.

--- a/internal/choice/bench/server.go
+++ b/internal/choice/bench/server.go
@@ -19,6 +19,9 @@
 	// surpriseCost is how fast trust falls with that share: at a quarter, a
 	// report counts for nothing.
 	surpriseCost = 4
+	// recentError is the share of errors from which a server's own slots are no
+	// longer preferred: less than one error leaves.
+	recentError = 0.15
 	// errorPenalty multiplies the score of a server that always fails.
 	errorPenalty = 20
 	// slowRatio is the latency, as a multiple of the peers', from which a
@@ -148,9 +151,10 @@
 	return math.Floor(score/scoreStep) * scoreStep
 }
 
-// slow reports whether the server is much slower than its peers, or fails.
+// slow reports whether the server is much slower than its peers, or has failed a
+// moment ago.
 func (b *Bench) slow(now time.Time, s *server) bool {
-	return b.ratio(now, s) >= slowRatio || s.errors*halved(now.Sub(s.learned), healthHalfLife) > ejectErrors/2
+	return b.ratio(now, s) >= slowRatio || s.errors*halved(now.Sub(s.learned), healthHalfLife) > recentError
 }
 
 // ratio compares the server's latency with the mean of its peers. What was
