--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -299,29 +299,19 @@
 	}
 }
 
-// Probe picks the server whose load is most worth asking for: an ejected or
-// draining one whose time has come, or one that leaves by its reports alone, then the one with the oldest report if the
-// policy reads reports.
+// Probe picks the server whose load is most worth asking for: one that a report
+// can bring back (ejected, draining, or leaving by its reports alone), then the
+// one with the oldest report if the policy reads reports.
 func (b *Bench) Probe(now time.Time, rng *rand.Rand) (mustardsaddle.Server, bool) {
-	reads := b.cfg.Policy == HotCold || b.cfg.Policy == PreferredSpill
 	p := newPick(rng, "")
 	gap := b.cfg.ProbeInterval * time.Duration(b.fleet)
 	for _, s := range b.servers {
-		leaves := s.Leaving && !s.MayReturn
-		returning := s.Leaving || s.report.Draining || (s.ejection.active && !now.Before(s.ejection.until))
-		waits := s.ejection.active && !returning
-		if leaves || waits || now.Sub(s.probed) < gap || (!reads && !returning) {
+		if now.Sub(s.probed) < gap {
 			continue
 		}
-		last := s.report.At
-		if s.probed.After(last) {
-			last = s.probed
-		}
-		worth := -now.Sub(last).Seconds()
-		if returning {
-			worth *= 2
+		if worth, ok := b.worth(now, s); ok {
+			p.offer(s, -worth)
 		}
-		p.offer(s, worth)
 	}
 	if p.best == nil {
 		return mustardsaddle.Server{}, false
@@ -330,6 +320,24 @@
 	return p.best.Server, true
 }
 
+// worth returns what a report of the server is worth, in seconds without one, or
+// false if it is worth nothing now.
+func (b *Bench) worth(now time.Time, s *server) (float64, bool) {
+	if s.Leaving && !s.MayReturn {
+		return 0, false
+	}
+	last := s.report.At
+	if s.probed.After(last) {
+		last = s.probed
+	}
+	worth := now.Sub(last).Seconds()
+	if s.Leaving || s.report.Draining || (s.ejection.active && !now.Before(s.ejection.until)) {
+		return 2 * worth, true
+	}
+	reads := b.cfg.Policy == HotCold || b.cfg.Policy == PreferredSpill
+	return worth, reads && !s.ejection.active
+}
+
 // InFlight returns this gateway's own attempts on a server.
 func (b *Bench) InFlight(name string) int {
 	if s := b.byName[name]; s != nil {
--- a/internal/choice/bench/bench_test.go
+++ b/internal/choice/bench/bench_test.go
@@ -259,6 +259,20 @@
 				convey.So(ejected, convey.ShouldEqual, 1)
 			})
 		})
+		convey.Convey("an ejected server is chosen when no other remains", func() {
+			tell(b, start, "booking-0003", 0, 6)
+			var others []string
+			for _, s := range serversOf(6) {
+				if s.Name != "booking-0003" {
+					others = append(others, s.Name)
+				}
+			}
+			c, ok := b.Choose(start, rng, mustardsaddle.Need{Exclude: others})
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(c.Server.Name, convey.ShouldEqual, "booking-0003")
+			_, ok = b.Choose(start, rng, mustardsaddle.Need{Exclude: append(others, "booking-0003")})
+			convey.So(ok, convey.ShouldBeFalse)
+		})
 		convey.Convey("a straggler is ejected", func() {
 			tell(b, start, "booking-0002", 400*time.Millisecond, 12)
 			ejected, _ := b.Ejected()
@@ -313,6 +327,34 @@
 	})
 }
 
+func TestLyingReportsLoseTheirWeight(t *testing.T) {
+	convey.Convey("Given two servers, of which one always reports to be idle and sheds", t, func() {
+		rng := rand.New(rand.NewPCG(1, 1))
+		b := bench.New(bench.Config{Policy: bench.HotCold, IgnoreShed: true})
+		b.SetServers(start, serversOf(2))
+		liar, now := "booking-0000", start
+		chosen := func(n int) int {
+			count := 0
+			for range n {
+				now = now.Add(10 * time.Millisecond)
+				b.Observe(now, liar, mustardsaddle.Report{At: now})
+				b.Observe(now, "booking-0001", mustardsaddle.Report{InFlight: 1, At: now})
+				c, ok := b.Choose(now, rng, mustardsaddle.Need{})
+				convey.So(ok, convey.ShouldBeTrue)
+				if c.Server.Name == liar {
+					count++
+				}
+				b.Finish(now, mustardsaddle.Result{Server: c.Server.Name, Shed: c.Server.Name == liar, Latency: time.Millisecond})
+			}
+			return count
+		}
+		first := chosen(10)
+		convey.So(first, convey.ShouldBeGreaterThan, 1)
+		_ = chosen(100)
+		convey.So(chosen(100), convey.ShouldBeLessThan, 10*first)
+	})
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{20, 300, 9200} {
 		for _, subset := range []int{128, 10000} {
--- a/internal/choice/bench/ejection.go
+++ b/internal/choice/bench/ejection.go
@@ -20,7 +20,8 @@
 	// longer count.
 	forgiveAfter = time.Minute
 	// probeGrace is how long an ejection waits for the report of a probe before
-	// the server is tried without one.
+	// the server is tried by a call, of which a cold server holds one at a time.
+	// In a large fleet, the turn of one gateway to probe may take longer.
 	probeGrace = 5 * time.Second
 )
 
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -75,6 +75,22 @@
 	})
 }
 
+func TestRunPassesOverTargetsThatAreNotLive(t *testing.T) {
+	convey.Convey("Given two targets of which one takes no calls", t, func() {
+		var live, dead recorder
+		a, b := httptest.NewServer(&live), httptest.NewServer(&dead)
+		defer a.Close()
+		defer b.Close()
+		cfg := config(a.URL)
+		cfg.Targets = append(cfg.Targets, b.URL)
+		cfg.Live = func(target string) bool { return target == a.URL }
+		result, err := load.Run(context.Background(), cfg)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.All.Calls, convey.ShouldEqual, len(live.seen))
+		convey.So(dead.seen, convey.ShouldBeEmpty)
+	})
+}
+
 func TestRunRefusesBadConfig(t *testing.T) {
 	for _, c := range []struct {
 		change func(*load.Config)
