Keep a silent server from holding up all probes

Cause: a round of probes waited for each answer, so that one silent server held up the measuring of every service for 500 ms; a service that was passed over for want of budget counted as probed; and http.Transport could send a probe twice, outside the budget. Change: probes are begun without waiting, at most 64 open; the budget is asked before a server is chosen, and what is paid is kept for the next; probes are never resent, and their answers' headers are bounded. Before: the new test, with a probe timeout of a minute, got no second report within 20 s. After: it passes; the budget test passes as before.

--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -61,10 +61,7 @@
 	out.TransferEncoding = nil
 	switch {
 	case b.empty && reuse:
-		// A body that is not nil and of unknown length stops http.Transport from
-		// resending; the encoding stops it from announcing the body.
-		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(nil)), -1
-		out.TransferEncoding = []string{"identity"}
+		neverResend(out)
 	case b.empty:
 		out.Body, out.ContentLength = http.NoBody, 0
 	case b.kept != nil:
@@ -75,6 +72,14 @@
 	}
 }
 
+// neverResend gives a request without a body one that is not nil and of unknown
+// length, which stops http.Transport from resending the request by itself. The
+// encoding stops it from announcing the body.
+func neverResend(out *http.Request) {
+	out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(nil)), -1
+	out.TransferEncoding = []string{"identity"}
+}
+
 // bodyView is one attempt's view of a streamed body. Once closed it reads nothing
 // more, and so leaves the body whole for a later attempt if it was not begun.
 type bodyView struct {
--- a/internal/request/gateway/prober.go
+++ b/internal/request/gateway/prober.go
@@ -15,6 +15,10 @@
 	// and to bring, TCP and IP headers included.
 	probeRequestBytes = 300
 	probeAnswerBytes  = 500
+	// probeHeaderBytes bounds the header of the answer to a probe.
+	probeHeaderBytes = 4 << 10
+	// maxOpenProbes bounds the probes without an answer.
+	maxOpenProbes = 64
 	// defaultProbeInterval is the time between two rounds of probes.
 	defaultProbeInterval = 50 * time.Millisecond
 )
@@ -43,6 +47,10 @@
 type Prober struct {
 	cfg    ProberConfig
 	client *http.Transport
+	// paid is true while a probe is paid for that no server was worth yet.
+	paid bool
+	// open is the number of probes without an answer.
+	open int
 }
 
 // NewProber returns a prober that has its own connections.
@@ -54,6 +62,7 @@
 	setDefault(&cfg.Timeout, defaultProbeTimeout)
 	client := newTransport(cfg.Gateway.cfg, true)
 	client.MaxIdleConnsPerHost = 1
+	client.MaxResponseHeaderBytes = probeHeaderBytes
 	return &Prober{cfg: cfg, client: client}
 }
 
@@ -61,39 +70,44 @@
 func (p *Prober) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	defer p.client.CloseIdleConnections()
+	ended := make(chan struct{}, maxOpenProbes)
 	ticker := time.NewTicker(p.cfg.Interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			for ; p.open > 0; p.open-- {
+				<-ended
+			}
 			return
+		case <-ended:
+			p.open--
 		case <-ticker.C:
-			p.round(ctx)
+			p.round(ctx, ended)
 		}
 	}
 }
 
-// round probes one server of each service at the same time, as far as the budget
-// goes, and waits for the answers.
-func (p *Prober) round(ctx context.Context) {
-	lanes := p.cfg.Gateway.allLanes()
-	ended := make(chan struct{}, len(lanes))
-	begun := 0
-	for _, l := range lanes {
+// round begins one probe of each service, as far as the budget goes. It does not
+// wait for answers, so that a silent server holds up no other.
+func (p *Prober) round(ctx context.Context, ended chan<- struct{}) {
+	for _, l := range p.cfg.Gateway.allLanes() {
 		now := time.Now()
+		p.paid = p.paid || p.cfg.Budget.Take(now, 1, probeRequestBytes+probeAnswerBytes)
+		if !p.paid || p.open >= maxOpenProbes {
+			return
+		}
 		server, ok := l.probe(now)
-		if !ok || !p.cfg.Budget.Take(now, 1, probeRequestBytes+probeAnswerBytes) {
+		if !ok {
 			continue
 		}
-		begun++
+		p.paid = false
+		p.open++
 		go func() {
 			p.probe(ctx, l, server)
 			ended <- struct{}{}
 		}()
 	}
-	for range begun {
-		<-ended
-	}
 }
 
 // probe asks one server.
@@ -104,6 +118,7 @@
 	if err != nil {
 		return
 	}
+	neverResend(r)
 	resp, err := p.client.RoundTrip(r)
 	if err != nil {
 		return
--- a/internal/request/gateway/prober_test.go
+++ b/internal/request/gateway/prober_test.go
@@ -44,3 +44,26 @@
 		convey.So(probes.Load(), convey.ShouldBeLessThanOrEqualTo, 5)
 	})
 }
+
+func TestProberPassesASilentServer(t *testing.T) {
+	j := newJudge(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(report.Header, report.Format(1, 2, false))
+	})
+	silent := newLink(t, j.address(), func(int) fault { return fault{up: 1, freeze: true} })
+	heard := make(chan string, 1000)
+	onReport := func(_ time.Time, _, server string, _ mustardsaddle.Report) { heard <- server }
+	_, g := newGateway(t, gateway.Config{OnReport: onReport}, silent.Addr().String(), j.address())
+	budget := &purse{}
+	budget.left.Store(100)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	cfg := gateway.ProberConfig{Gateway: g, Budget: budget, Interval: time.Millisecond, Timeout: time.Minute}
+	go gateway.NewProber(cfg).Run(ctx, done)
+	for range 5 {
+		if server := <-heard; server != j.address() {
+			t.Errorf("got a report of %s, want one of %s", server, j.address())
+		}
+	}
+	cancel()
+	<-done
+}
