--- /dev/null
+++ b/faults_test.go
@@ -0,0 +1,177 @@
+package mustardsaddle_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// wantFaults are the rows that docs/FAULTS.md must have: the faults of the
+// users' brief, singly and two at once.
+var wantFaults = []string{
+	"server killed", "server frozen", "server slow", "server fails fast", "server drains",
+	"server cold", "report misleads", "connection silent", "store down", "store slow",
+	"write done, answer lost", "holder paused", "edits race", "VM lost", "VM added",
+	"VM list stale", "peer link cut", "two at once",
+}
+
+// wantSteps are the columns that docs/FAULTS.md must have.
+var wantSteps = []string{
+	"match", "admit", "choose", "send", "await header", "relay body",
+	"submit", "accept", "spread", "membership", "start", "stop",
+}
+
+var (
+	refPattern   = regexp.MustCompile(`^[TNU][0-9]+$`)
+	testPattern  = regexp.MustCompile("^`(Test[A-Za-z0-9_]+|Fuzz[A-Za-z0-9_]+)`$")
+	issuePattern = regexp.MustCompile(`^[0-9]+$`)
+)
+
+// tableRows returns the cells of each table row below a heading.
+func tableRows(t *testing.T, page, heading string) [][]string {
+	t.Helper()
+	_, rest, ok := strings.Cut(page, "\n## "+heading+"\n")
+	if !ok {
+		t.Fatalf("docs/FAULTS.md has no heading %q", heading)
+	}
+	rest, _, _ = strings.Cut(rest, "\n## ")
+	var rows [][]string
+	for line := range strings.SplitSeq(rest, "\n") {
+		if !strings.HasPrefix(line, "|") || strings.HasPrefix(line, "| ---") {
+			continue
+		}
+		cells := strings.Split(strings.Trim(line, "|"), "|")
+		for i := range cells {
+			cells[i] = strings.TrimSpace(cells[i])
+		}
+		rows = append(rows, cells)
+	}
+	return rows
+}
+
+// testsOf returns the names of the test functions of a package folder.
+func testsOf(t *testing.T, folder string) map[string]bool {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(folder, "*_test.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := make(map[string]bool)
+	for _, file := range files {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range parsed.Decls {
+			if f, ok := d.(*ast.FuncDecl); ok {
+				names[f.Name.Name] = true
+			}
+		}
+	}
+	return names
+}
+
+func TestFaultMatrixIsComplete(t *testing.T) {
+	raw, err := os.ReadFile("docs/FAULTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(raw)
+	used := make(map[string]bool)
+	matrix := tableRows(t, page, "Matrix")
+	checkHeader(t, matrix[0])
+	for i, row := range matrix[1:] {
+		if i >= len(wantFaults) || row[0] != wantFaults[i] {
+			t.Errorf("row %d: got fault %q, want the list of faults in order", i+1, row[0])
+			continue
+		}
+		checkCells(t, row, used)
+	}
+	if len(matrix)-1 != len(wantFaults) {
+		t.Errorf("got %d faults, want %d", len(matrix)-1, len(wantFaults))
+	}
+	checkLegend(t, page, used)
+}
+
+func checkHeader(t *testing.T, header []string) {
+	t.Helper()
+	if got, want := strings.Join(header[1:], ","), strings.Join(wantSteps, ","); got != want {
+		t.Errorf("got steps %s, want %s", got, want)
+	}
+}
+
+func checkCells(t *testing.T, row []string, used map[string]bool) {
+	t.Helper()
+	if len(row) != len(wantSteps)+1 {
+		t.Errorf("fault %q: got %d cells, want %d", row[0], len(row)-1, len(wantSteps))
+	}
+	for i, cell := range row[1:] {
+		refs := strings.Fields(cell)
+		if len(refs) == 0 {
+			t.Errorf("fault %q, cell %d is empty", row[0], i+1)
+		}
+		for _, ref := range refs {
+			if !refPattern.MatchString(ref) {
+				t.Errorf("fault %q, cell %d: got %q, want T, N or U with a number", row[0], i+1, ref)
+			}
+			used[ref] = true
+		}
+	}
+}
+
+// checkLegend checks the tables that define the references of the matrix.
+func checkLegend(t *testing.T, page string, used map[string]bool) {
+	t.Helper()
+	defined := make(map[string]bool)
+	for _, row := range legendRows(t, page, "Tests", "T", 3, defined) {
+		m := testPattern.FindStringSubmatch(row[1])
+		if m == nil {
+			t.Errorf("%s: got %q, want a test name in backquotes", row[0], row[1])
+			continue
+		}
+		if !testsOf(t, strings.Trim(row[2], "`"))[m[1]] {
+			t.Errorf("%s: no test %s in %s", row[0], m[1], row[2])
+		}
+	}
+	for _, row := range legendRows(t, page, "Cannot occur", "N", 2, defined) {
+		if len(row[1]) < 20 {
+			t.Errorf("%s: no argument why the fault cannot occur there", row[0])
+		}
+	}
+	for _, row := range legendRows(t, page, "Not proved", "U", 3, defined) {
+		if len(row[1]) < 20 || !issuePattern.MatchString(row[2]) {
+			t.Errorf("%s: got %q, want what is missing and the number of an issue", row[0], row[1:])
+		}
+	}
+	for ref := range used {
+		if !defined[ref] {
+			t.Errorf("%s is used but not defined", ref)
+		}
+	}
+	for ref := range defined {
+		if !used[ref] {
+			t.Errorf("%s is defined but not used", ref)
+		}
+	}
+}
+
+// legendRows returns the rows of a table that defines references of one kind, and
+// notes each as defined.
+func legendRows(t *testing.T, page, heading, kind string, cells int, defined map[string]bool) [][]string {
+	t.Helper()
+	var rows [][]string
+	for _, row := range tableRows(t, page, heading)[1:] {
+		if len(row) != cells || !strings.HasPrefix(row[0], kind) || !refPattern.MatchString(row[0]) || defined[row[0]] {
+			t.Errorf("%s: got row %q, want a new %s and %d cells", heading, row, kind, cells)
+			continue
+		}
+		defined[row[0]] = true
+		rows = append(rows, row)
+	}
+	return rows
+}
