Prove faults on whole systems of gateways

Cause: the matrix had cells without a proof: a slow store, a lost answer of the accepting write, racing operators, gateways without links, a surge, a server added in an outage, two faults at once, a stop with hedged and waiting calls, and a body that stands still, all on the wired gateway. Ruled out: a harness of its own; the tests extend the one of the instance. Change: nine tests. The judges are the servers' own counts, the store's history, and callers who check bodies; waits are for events, and limits only those promised.

--- a/internal/product/instance/harness_test.go
+++ b/internal/product/instance/harness_test.go
@@ -32,7 +32,13 @@
 	platform *platform.Platform
 	url      string
 	servers  []*server.Server
+	hosts    []*httptest.Server
 	gateways []*gatewayVM
+	// change, if set, changes the settings of each gateway.
+	change func(*settings.Settings)
+	// unlisted leaves the gateways out of the platform's list, so that they do not
+	// know each other and no link joins them.
+	unlisted bool
 }
 
 // gatewayVM is a running gateway.
@@ -57,14 +63,38 @@
 
 func (s *system) addServer(name string) *server.Server {
 	e := server.New(server.Config{Name: name, Slots: 2, Queue: 2, Work: time.Millisecond})
-	h := httptest.NewServer(e.Handler())
-	s.t.Cleanup(h.Close)
 	s.servers = append(s.servers, e)
+	s.addHost(name, e.Handler())
+	return e
+}
+
+// addHost serves a handler as an endpoint server, and lists it.
+func (s *system) addHost(name string, handler http.Handler) {
+	h := httptest.NewServer(handler)
+	s.t.Cleanup(func() {
+		h.CloseClientConnections()
+		h.Close()
+	})
+	s.hosts = append(s.hosts, h)
 	s.platform.SetMachine(time.Now(), mustardsaddle.Machine{
 		Name: name, Incarnation: 1, Zone: "a", Service: "Booking", Slots: 2, Connections: 200,
 		Address: strings.TrimPrefix(h.URL, "http://"),
 	})
-	return e
+}
+
+// kill ends an endpoint server with all its connections.
+func (s *system) kill(i int) {
+	_ = s.hosts[i].Listener.Close()
+	s.hosts[i].CloseClientConnections()
+}
+
+// ran returns how many executions all endpoint servers have counted.
+func (s *system) ran() int64 {
+	total := int64(0)
+	for _, e := range s.servers {
+		total += e.Count().Total
+	}
+	return total
 }
 
 // addGateway starts a gateway and lists it.
@@ -78,6 +108,12 @@
 	cfg.Peers.Heartbeat, cfg.Peers.Silent = 100*time.Millisecond, 500*time.Millisecond
 	cfg.Peers.Seeds = seeds
 	cfg.Stop.Lag = 100 * time.Millisecond
+	cfg = cfg.WithService(settings.Service{
+		Name: "Booking", NotRunStatus: http.StatusServiceUnavailable, NotRunHeader: server.NotRunHeader,
+	})
+	if s.change != nil {
+		s.change(&cfg)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	g := &gatewayVM{name: name, stop: stop, ended: make(chan error, 1)}
 	started := make(chan instance.Addresses, 1)
@@ -93,29 +129,69 @@
 	}
 	s.t.Cleanup(func() {
 		stop()
-		select {
-		case err := <-g.ended:
-			if err != nil {
-				s.t.Errorf("gateway %s ended: %v", name, err)
-			}
-		case <-time.After(patience):
-			s.t.Errorf("gateway %s did not stop", name)
+		if err := g.end(); err != nil {
+			s.t.Errorf("gateway %s ended: %v", name, err)
 		}
 	})
-	s.platform.SetMachine(time.Now(), mustardsaddle.Machine{Name: name, Incarnation: 1, Zone: "a", Address: g.addresses.Peer})
+	if !s.unlisted {
+		s.platform.SetMachine(time.Now(), mustardsaddle.Machine{Name: name, Incarnation: 1, Zone: "a", Address: g.addresses.Peer})
+	}
 	s.gateways = append(s.gateways, g)
 	return g
 }
 
+// end waits for the end of a gateway, and returns its error.
+func (g *gatewayVM) end() error {
+	select {
+	case err, open := <-g.ended:
+		if open {
+			close(g.ended)
+		}
+		return err
+	case <-time.After(patience):
+		return fmt.Errorf("still running after %s", patience)
+	}
+}
+
+// startReady submits the first rules, starts gateways, and waits until they take calls.
+func (s *system) startReady(names ...string) []*gatewayVM {
+	s.t.Helper()
+	s.submit(firstRules)
+	for _, name := range names {
+		g := s.addGateway(name)
+		eventually(s.t, patience, "ready "+name, func() bool { return g.ready(s.t) })
+	}
+	return s.gateways
+}
+
+// everywhere checks that a rule is in force on every gateway in the promised time.
+func (s *system) everywhere(line string) {
+	s.t.Helper()
+	took := eventually(s.t, 2*inForceLimit, "in force: "+line, func() bool {
+		for _, g := range s.gateways {
+			if !g.inForce(s.t, line) {
+				return false
+			}
+		}
+		return true
+	})
+	if took > inForceLimit {
+		s.t.Errorf("%s: in force after %s, want at most %s", line, took, inForceLimit)
+	}
+}
+
 // submit writes Rules/Submitted as an operator does.
 func (s *system) submit(text string) {
 	s.platform.Put("Rules/Submitted", []byte(text), -1)
 }
 
+// caller is a client that does not wait for ever.
+func caller() *http.Client { return &http.Client{Timeout: patience} }
+
 // get returns the status and body of a call.
 func get(t *testing.T, url string) (int, string) {
 	t.Helper()
-	resp, err := http.Get(url)
+	resp, err := caller().Get(url)
 	if err != nil {
 		return 0, err.Error()
 	}
