--- a/cmd/mustardsaddle/harness_test.go
+++ b/cmd/mustardsaddle/harness_test.go
@@ -7,11 +7,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -214,9 +216,12 @@
 	return e
 }
 
-// freeAddress returns an address that was free a moment ago.
+// freeAddress returns an address for a gateway. Its IP number, on the loopback
+// network, is drawn at random, so that no outgoing connection, whose number is
+// 127.0.0.1, can take the port before the gateway does.
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -454,3 +459,13 @@
 	_ = to.Close()
 	_ = from.Close()
 }
+
+// leaving reports whether the gateway shows a server as leaving.
+func (g *instance) leaving(name string) bool {
+	var servers []mustardsaddle.Server
+	if json.Unmarshal(get(g.admin+"/servers").body, &servers) != nil {
+		return false
+	}
+	at := slices.IndexFunc(servers, func(s mustardsaddle.Server) bool { return s.Name == name })
+	return at >= 0 && servers[at].Leaving
+}
--- a/cmd/mustardsaddle/leaving_test.go
+++ b/cmd/mustardsaddle/leaving_test.go
@@ -60,23 +60,46 @@
 			},
 		},
 	} {
-		convey.Convey("Given a server under load that leaves: "+c.name, t, func() {
-			s := newSystem(t, 4, 3)
-			f := newTraffic(12, targets(s.gateways...))
-			defer f.stop()
-			e := s.servers[0]
-			busy := s.requests(e)
-			s.wait("requests to the server", func() bool { return s.requests(e) > busy+20 })
-			sign := time.Now()
-			c.leave(s, e)
-			if c.revive != nil {
-				c.revive(s, e)
-			}
-			convey.So(s.staysQuiet(e, sign), convey.ShouldEqual, 0)
+		t.Run(c.name, func(t *testing.T) {
+			convey.Convey("Given a server under load that leaves: "+c.name, t, func() {
+				s := newSystem(t, 4, 3)
+				f := newTraffic(12, targets(s.gateways...))
+				defer f.stop()
+				e := s.servers[0]
+				busy := s.requests(e)
+				s.wait("requests to the server", func() bool { return s.requests(e) > busy+20 })
+				sign := time.Now()
+				c.leave(s, e)
+				if c.revive != nil {
+					c.revive(s, e)
+				}
+				convey.So(s.staysQuiet(e, sign), convey.ShouldEqual, 0)
+				f.stop()
+				convey.So(f.failures(), convey.ShouldBeEmpty)
+			})
+		})
+	}
+}
+
+func TestMisleadingDraining(t *testing.T) {
+	convey.Convey("Given a server under load that reports draining for a moment by mistake", t, func() {
+		s := newSystem(t, 4, 3)
+		f := newTraffic(12, targets(s.gateways...))
+		defer f.stop()
+		e := s.servers[0]
+		s.mode(e, server.Mode{Draining: true})
+		for _, g := range s.gateways {
+			s.wait("the sign", func() bool { return g.leaving(e.machine.Name) })
+		}
+		s.mode(e, server.Mode{})
+		convey.Convey("It takes requests again", func() {
+			after := s.count(e).Total
+			took := s.wait("requests", func() bool { return s.count(e).Total > after+100 })
+			t.Logf("100 requests ran there %v later", took)
 			f.stop()
 			convey.So(f.failures(), convey.ShouldBeEmpty)
 		})
-	}
+	})
 }
 
 // listLeaving lists a server as leaving.
--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -35,9 +35,6 @@
 )
 
 const (
-	// connectionShare is the share of a server's connections that the gateways
-	// divide; the rest is for gateway VMs that are being replaced.
-	connectionShare = 0.8
 	// othersGain is the weight of a report in the mean load of a server.
 	othersGain = 0.05
 	// defaultShedPause is how long a shed server without known latency counts
@@ -58,9 +55,11 @@
 	// Queue is how many attempts of this gateway a server may hold beyond its
 	// slots; -1 means none.
 	Queue int
-	// SlowStart is the time over which a new server gets its full share.
+	// SlowStart is the time over which a new server gets its full share; below 0
+	// there is none.
 	SlowStart time.Duration
-	// MaxEjected is the largest share of servers that are ejected at a time.
+	// MaxEjected is the largest share of servers that are ejected at a time;
+	// below 0 none is ejected.
 	MaxEjected float64
 	// ReportHalfLife is the age at which a report counts half.
 	ReportHalfLife time.Duration
@@ -85,7 +84,7 @@
 	c.MaxEjected = cmp.Or(c.MaxEjected, 0.5)
 	c.ReportHalfLife = cmp.Or(c.ReportHalfLife, 20*time.Millisecond)
 	c.ReportUses = cmp.Or(c.ReportUses, 3)
-	c.ProbeInterval = cmp.Or(c.ProbeInterval, 50*time.Millisecond)
+	c.ProbeInterval = cmp.Or(c.ProbeInterval, 500*time.Millisecond)
 	c.Subset = cmp.Or(c.Subset, 128)
 	return c
 }
@@ -300,17 +299,22 @@
 	}
 }
 
+// returning reports whether an answer of the server could bring it back.
+func (s *server) returning(now time.Time) bool {
+	return s.Leaving || s.report.Draining || s.ejection.active && !now.Before(s.ejection.until)
+}
+
 // Probe picks the server whose load is most worth asking for: an ejected or
-// draining one whose time has come, then the one with the oldest report if the
+// draining one whose time has come, or one that leaves by its reports alone, then the one with the oldest report if the
 // policy reads reports.
 func (b *Bench) Probe(now time.Time, rng *rand.Rand) (mustardsaddle.Server, bool) {
 	reads := b.cfg.Policy == HotCold || b.cfg.Policy == PreferredSpill
 	p := newPick(rng, "")
 	gap := b.cfg.ProbeInterval * time.Duration(b.fleet)
 	for _, s := range b.servers {
-		returning := s.report.Draining || (s.ejection.active && !now.Before(s.ejection.until))
+		returning := s.returning(now)
 		waits := s.ejection.active && !returning
-		if s.Leaving || waits || now.Sub(s.probed) < gap || (!reads && !returning) {
+		if s.Leaving && !s.MayReturn || waits || now.Sub(s.probed) < gap || (!reads && !returning) {
 			continue
 		}
 		last := s.report.At
--- a/internal/control/registry/core.go
+++ b/internal/control/registry/core.go
@@ -38,6 +38,9 @@
 	ReadSubmission
 	// ReadBase means to read a version of Rules/Accepted and hand it to TakeBase.
 	ReadBase
+	// ReadPrevious means to read a version of Rules/Accepted and hand it to
+	// TakePrevious.
+	ReadPrevious
 	// Write means to write Rules/Accepted on the condition of a version, and to
 	// hand the answer to Wrote.
 	Write
@@ -51,7 +54,7 @@
 	Version int64
 	// Value is what to write.
 	Value []byte
-	// Decision is what the write makes known.
+	// Decision is what the write makes known; it is not Handled for a repair.
 	Decision rule.Decision
 }
 
@@ -73,16 +76,14 @@
 	// newest is the newest version of Rules/Submitted known.
 	newest int64
 
-	recent  []rule.File
+	// recent are the last files in force, as bases of submissions.
+	recent []rule.File
+	// pending are the changes of peers that came before their turn, by their start.
 	pending map[int64]rule.Change
-	work    *work
-}
-
-// work is a submission on its way to a decision.
-type work struct {
-	submission rule.Submission
-	// low and high bound the search for the base among versions of Rules/Accepted.
-	low, high int64
+	// work is the submission in hand, and repair the bad version of Rules/Accepted;
+	// nil for none.
+	work   *work
+	repair *repair
 }
 
 // NewCore returns a Core without rules.
@@ -129,8 +130,17 @@
 	return c.newest > max(c.stored.Submission, c.handled)
 }
 
-// Next says what to do about the submissions noticed.
+// Broken reports whether Rules/Accepted is to be repaired.
+func (c *Core) Broken() bool {
+	return c.repair != nil
+}
+
+// Next says what to do about Rules/Accepted, if it is broken, and then about the
+// submissions noticed.
 func (c *Core) Next(now time.Time) Step {
+	if c.repair != nil {
+		return c.repair.next()
+	}
 	if !c.Notice(0) {
 		c.work = nil
 		return Step{Action: Idle}
@@ -149,77 +159,6 @@
 	return Step{Action: Write, Version: c.version, Value: []byte(d.Next.Format()), Decision: d}
 }
 
-// base looks for the file that the present submission edited. It returns the
-// read that the search needs next, if any.
-func (c *Core) base() (Step, bool) {
-	w := c.work
-	if w.submission.HasBase || !w.submission.File.HasGeneration || len(w.submission.Problems) > 0 {
-		return Step{}, false
-	}
-	generation := w.submission.File.Generation
-	if generation == 0 {
-		w.submission = w.submission.WithBase(rule.File{})
-		return Step{}, false
-	}
-	if generation > c.stored.File.Generation {
-		return Step{}, false
-	}
-	for _, f := range c.recent {
-		if f.Generation == generation {
-			w.submission = w.submission.WithBase(f)
-			return Step{}, false
-		}
-	}
-	if w.low > w.high {
-		return Step{}, false
-	}
-	return Step{Action: ReadBase, Version: w.middle()}, true
-}
-
-func (w *work) middle() int64 {
-	return w.low + (w.high-w.low)/2
-}
-
-// TakeSubmission takes the present submission. The object has version 0 if the
-// store no longer has it; err is that of the read, of which only
-// code.StoreTooLarge is final.
-func (c *Core) TakeSubmission(version int64, o mustardsaddle.Object, err error) error {
-	var s rule.Submission
-	switch {
-	case code.Of(err) == code.StoreTooLarge:
-		s = rule.LargeSubmission(version)
-	case err != nil:
-		return err
-	case o.Version == 0 && version == c.newest:
-		return code.Errorf(code.StoreBadObject, "read %s: the newest version %d is missing", SubmittedKey, version)
-	case o.Version == 0:
-		s = rule.LostSubmission(version)
-	default:
-		s = rule.ParseSubmission(version, string(o.Value))
-	}
-	c.work = &work{submission: s, low: 1, high: c.version}
-	return nil
-}
-
-// TakeBase takes an old version of Rules/Accepted, and narrows the search for the
-// base: generations never fall from one version to the next. A version that the
-// store no longer has counts as too old.
-func (c *Core) TakeBase(version int64, o mustardsaddle.Object) {
-	if c.work == nil {
-		return
-	}
-	a, err := rule.ParseAccepted(string(o.Value))
-	want := c.work.submission.File.Generation
-	switch {
-	case o.Version == 0 || err != nil || a.File.Generation < want:
-		c.work.low = version + 1
-	case a.File.Generation > want:
-		c.work.high = version - 1
-	default:
-		c.work.submission = c.work.submission.WithBase(a.File)
-	}
-}
-
 // Wrote takes the answer to a Write. Where the answer leaves it open whether the
 // write took effect, and after a conflict, Rules/Accepted is read back: if its
 // submission number has grown, the submission is handled, by whomever. The
@@ -231,10 +170,10 @@
 	case code.StoreBudget, code.StoreBackoff, code.StoreTooLarge:
 		return rule.Change{}, false, err
 	case code.StoreConflict:
-		c.known = false
+		c.known, c.repair = false, nil
 		return rule.Change{}, false, nil
 	default:
-		c.known = false
+		c.known, c.repair = false, nil
 		return rule.Change{}, false, err
 	}
 }
@@ -246,17 +185,11 @@
 	if o.Version < c.version {
 		return rule.Change{}, false, c.tooOld(o)
 	}
-	var a rule.Accepted
-	if o.Version > 0 {
-		var err error
-		if a, err = rule.ParseAccepted(string(o.Value)); err != nil {
-			return rule.Change{}, false, err
-		}
-	}
-	if err := c.check(a); err != nil {
+	a, err := c.read(o)
+	if err != nil {
 		return rule.Change{}, false, err
 	}
-	c.stored, c.version, c.known = a, o.Version, true
+	c.stored, c.version, c.known, c.repair = a, o.Version, true, nil
 	if o.Version > c.seen {
 		c.seen, c.handled = o.Version, a.Submission
 	}
@@ -273,6 +206,26 @@
 	return change, true, nil
 }
 
+// read reads a version of Rules/Accepted. One that can't be used is to be repaired,
+// unless a newer program wrote it.
+func (c *Core) read(o mustardsaddle.Object) (rule.Accepted, error) {
+	if o.Version == 0 {
+		return rule.Accepted{}, c.check(rule.Accepted{})
+	}
+	a, err := rule.ParseAccepted(string(o.Value))
+	if err == nil {
+		err = c.check(a)
+	}
+	if err == nil {
+		return a, nil
+	}
+	c.known = false
+	if code.Of(err) != code.StoreNewerFormat && (c.repair == nil || c.repair.version < o.Version) {
+		c.repair = &repair{version: o.Version, previous: o.Version - 1}
+	}
+	return a, err
+}
+
 // tooOld returns an error for an old version where the newest was to be read. A
 // late answer of a watch is no error.
 func (c *Core) tooOld(o mustardsaddle.Object) error {
@@ -292,67 +245,3 @@
 	}
 	return nil
 }
-
-// put puts a file of a higher generation in force.
-func (c *Core) put(f rule.File) {
-	c.inForce = f
-	c.recent = append(c.recent, f)
-	c.recent = c.recent[max(0, len(c.recent)-maxRecent):]
-	for from := range c.pending {
-		if from < f.Generation {
-			delete(c.pending, from)
-		}
-	}
-}
-
-// Receive takes a change from a peer. It returns the changes that it brought,
-// since an early change is kept until the ones before it have come.
-func (c *Core) Receive(change rule.Change) ([]rule.Change, rule.Result) {
-	f, result := change.Apply(c.inForce)
-	switch result {
-	case rule.Gap:
-		if len(c.pending) < maxPending {
-			c.pending[change.From] = change
-		}
-		return nil, result
-	case rule.Applied:
-	default:
-		return nil, result
-	}
-	var brought []rule.Change
-	for result == rule.Applied {
-		c.pass(change.Submission)
-		brought = append(brought, change)
-		next := c.pending[change.To]
-		c.put(f)
-		change = next
-		f, result = change.Apply(c.inForce)
-	}
-	return brought, rule.Applied
-}
-
-// pass notes that a submission is handled. Each write of Rules/Accepted handles
-// one, and raises the version by at least one.
-func (c *Core) pass(submission int64) {
-	if submission <= c.handled {
-		return
-	}
-	if c.seen > 0 {
-		c.seen += submission - c.handled
-	}
-	c.handled = submission
-}
-
-// ReceiveWhole takes the whole state from a peer.
-func (c *Core) ReceiveWhole(text string) (rule.Result, error) {
-	a, err := rule.ParseAccepted(text)
-	if err != nil {
-		return rule.BadDigest, err
-	}
-	if a.File.Generation <= c.inForce.Generation {
-		return rule.Stale, nil
-	}
-	c.pass(a.Submission)
-	c.put(a.File)
-	return rule.Applied, nil
-}
--- a/internal/control/registry/follow.go
+++ b/internal/control/registry/follow.go
@@ -75,6 +75,8 @@
 	*Registry
 	// watched is the last submission that the watch has brought.
 	watched mustardsaddle.Object
+	// refused is the last version of Rules/Accepted that could not be used.
+	refused int64
 	// pollFailures and acceptFailures count failures in a row.
 	pollFailures, acceptFailures int
 	poll, accept                 *time.Timer
@@ -105,12 +107,6 @@
 	}
 }
 
-func (f *follower) ignored(err error) {
-	if err != nil {
-		event.Warn(f.cfg.Logger, event.RulesIgnored).Err(err).Int("Code", int(code.Of(err))).Send()
-	}
-}
-
 // notice learns of a version of Rules/Submitted, and leaves it for a while to the
 // gateways that try first.
 func (f *follower) notice(version int64) {
@@ -118,7 +114,7 @@
 	place := AcceptPlace(f.cfg.Rank(), fleet, version)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.core.Notice(version) || f.waiting {
+	if !f.core.Notice(version) && !f.core.Broken() || f.waiting {
 		return
 	}
 	if place > 0 {
@@ -163,17 +159,30 @@
 		switch {
 		case o.Key == SubmittedKey:
 			f.notice(o.Version)
-		case o.Key == AcceptedKey && o.Version > f.seen():
-			o, err := f.cfg.Store.Get(ctx, AcceptedKey)
-			if err != nil {
+		case o.Key == AcceptedKey && o.Version > f.seen() && o.Version != f.refused:
+			if err := f.readNew(ctx); err != nil {
 				return err
 			}
-			f.ignored(f.take(o))
 		}
 	}
 	return nil
 }
 
+// readNew reads a new version of Rules/Accepted. One that can't be used is read
+// once, and repaired by the gateway whose turn it is.
+func (f *follower) readNew(ctx context.Context) error {
+	o, err := f.cfg.Store.Get(ctx, AcceptedKey)
+	if err != nil {
+		return err
+	}
+	if err := f.take(o); err != nil {
+		f.refused = o.Version
+		event.Warn(f.cfg.Logger, event.RulesIgnored).Err(err).Int("Code", int(code.Of(err))).Send()
+	}
+	f.notice(0)
+	return nil
+}
+
 // handle handles the submissions known, one after another.
 func (f *follower) handle(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -207,20 +216,29 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return f.core.TakeSubmission(step.Version, o, err)
-	case ReadBase:
-		o, err := f.cfg.Store.GetVersion(ctx, AcceptedKey, step.Version)
-		if err != nil {
-			return err
-		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.core.TakeBase(step.Version, o)
-		return nil
+	case ReadBase, ReadPrevious:
+		return f.readOld(ctx, step)
 	default:
 		return f.write(ctx, step)
 	}
 }
 
+// readOld reads an old version of Rules/Accepted.
+func (f *follower) readOld(ctx context.Context, step Step) error {
+	o, err := f.cfg.Store.GetVersion(ctx, AcceptedKey, step.Version)
+	if err != nil && code.Of(err) != code.StoreTooLarge {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if step.Action == ReadPrevious {
+		f.core.TakePrevious(step.Version, o)
+	} else {
+		f.core.TakeBase(step.Version, o)
+	}
+	return nil
+}
+
 // submission returns a version of Rules/Submitted.
 func (f *follower) submission(ctx context.Context, version int64) (mustardsaddle.Object, error) {
 	if f.watched.Version == version {
@@ -236,8 +254,13 @@
 	defer f.mu.Unlock()
 	change, brought, failure := f.core.Wrote(step, version, err)
 	f.taken(change, brought)
-	if err == nil {
+	switch {
+	case err != nil:
+	case step.Decision.Handled:
 		f.accepted(step.Decision)
+	default:
+		event.Warn(f.cfg.Logger, event.RulesRepaired).Int64("Version", version).
+			Int64("Generation", step.Decision.Next.File.Generation).Send()
 	}
 	return failure
 }
--- a/internal/product/instance/rules.go
+++ b/internal/product/instance/rules.go
@@ -41,19 +41,6 @@
 	in.pages.Store(&pages)
 }
 
-// live returns the live gateway VMs with the generations that they told of.
-func (in *instance) live() []rule.VM {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	var vms []rule.VM
-	for _, vm := range in.membership.Roster().VMs() {
-		if !vm.Leaving {
-			vms = append(vms, rule.VM{Name: vm.Name, Generation: in.told[vm.Name]})
-		}
-	}
-	return vms
-}
-
 // rules returns the file in force for the admin page.
 func (in *instance) rules() admin.Rules {
 	text, generation := in.registry.Snapshot()
@@ -65,14 +52,13 @@
 	in.spread("", c.From, newsOf(c))
 }
 
-// receiveChange passes a change of a peer on, and applies it. A change that does
-// not fit shows that this gateway lacks something: it asks for the whole file.
+// receiveChange passes a change of a peer on, and applies it. A change that comes
+// too early is kept by the registry; if the one before it does not come, the next
+// heartbeat shows the gap. A change that does not fit needs the whole file.
 func (in *instance) receiveChange(now time.Time, from string, m news.RuleChange) {
 	in.spread(from, in.generation.Load(), m)
-	switch in.registry.Receive(now, changeOf(m)) {
-	case rule.Gap, rule.BadDigest:
+	if in.registry.Receive(now, changeOf(m)) == rule.BadDigest {
 		in.links.Send(from, news.AskRules{Have: in.generation.Load()})
-	case rule.Applied, rule.Stale:
 	}
 }
 
