--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -102,7 +102,7 @@
 	in.links.Mount(peers)
 	in.side = &http.Server{Handler: peers, ReadHeaderTimeout: s.Limits.Progress}
 	served := make(chan error, 3)
-	go func() { served <- in.front.Serve(l.callers) }()
+	go func() { served <- in.front.Serve(in.gateway.Listener(l.callers)) }()
 	go func() { served <- in.back.Serve(l.admin) }()
 	go func() { served <- in.side.Serve(l.peer) }()
 	return served
--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -155,7 +155,7 @@
 		integer(sectionLimits, "QueueLength", "64", 0, maxQueue, "calls",
 			"Calls of one service that wait in this gateway for a server; 0 refuses at once.",
 			func(s *Settings) *int { return &s.Limits.QueueLength }),
-		number(sectionRetry, "RetryShare", "0.1", 0, 1, "a share of the calls",
+		number(sectionRetry, "RetryShare", "0.2", 0, 1, "a share of the calls",
 			"Retries that trouble may add to the load; 0 retries nothing.",
 			func(s *Settings) *float64 { return &s.Retry.RetryShare }),
 		number(sectionRetry, "HedgeShare", "0.05", 0, 1, "a share of the calls",
