Take the settings 0 as none throughout

Cause: [Limits] QueueLength, [Choice] EjectShare and SlowStart of 0 became the default of the request path, although the settings say that they mean none. Change: the instance maps them as it did the shares; a server without a stated number of connections has no limit of its own. After: tests of the gateway, the stand-ins and the product pass.

--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -143,16 +143,16 @@
 		Deadline:      s.Limits.Deadline,
 		Progress:      s.Limits.Progress,
 		BodyBytes:     s.Limits.BodyBytes,
-		MaxWaiting:    s.Limits.QueueLength,
-		RetryShare:    share(s.Retry.RetryShare),
-		HedgeShare:    share(s.Retry.HedgeShare),
+		MaxWaiting:    orNone(s.Limits.QueueLength),
+		RetryShare:    orNone(s.Retry.RetryShare),
+		HedgeShare:    orNone(s.Retry.HedgeShare),
 		HedgeQuantile: s.Retry.HedgeQuantile,
 		Services:      services,
 		NewChooser: func(string) mustardsaddle.Chooser {
 			return bench.New(bench.Config{
 				Policy:        policy(s.Choice.Policy),
-				SlowStart:     s.Choice.SlowStart,
-				MaxEjected:    s.Choice.EjectShare,
+				SlowStart:     orNone(s.Choice.SlowStart),
+				MaxEjected:    orNone(s.Choice.EjectShare),
 				ProbeInterval: interval(s.Measuring.ServerPerSecond),
 			})
 		},
@@ -164,8 +164,9 @@
 	})
 }
 
-// share maps the setting 0, which means none, to what the gateway takes as none.
-func share(v float64) float64 {
+// orNone maps the setting 0, which means none, to what the request path takes as
+// none; there 0 means the default.
+func orNone[N int | float64 | time.Duration](v N) N {
 	if v == 0 {
 		return -1
 	}
--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -111,7 +111,7 @@
 		number(sectionMeasuring, "BytesPerSecond", "8192", 0, 1<<30, "bytes a second",
 			"Bytes of load probes and their answers; 0 sends none.",
 			func(s *Settings) *float64 { return &s.Measuring.BytesPerSecond }),
-		number(sectionMeasuring, "ServerPerSecond", "20", 0, maxPerSecond, "messages a second",
+		number(sectionMeasuring, "ServerPerSecond", "2", 0, maxPerSecond, "messages a second",
 			"Load probes that one endpoint server may receive from all gateways together; 0 sends one an hour at most.",
 			func(s *Settings) *float64 { return &s.Measuring.ServerPerSecond }),
 		urlPath(sectionMeasuring, "Path", "/load", "Path of the load probe on endpoint servers.",
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -89,7 +89,8 @@
 	BodyBytes int64
 	// ReplayBytes bounds the body that is kept so that it can be sent again.
 	ReplayBytes int64
-	// MaxWaiting bounds the calls of one service that wait for a server.
+	// MaxWaiting bounds the calls of one service that wait for a server; below 0
+	// for none.
 	MaxWaiting int
 	// MaxAttempts bounds the attempts of one call.
 	MaxAttempts int
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -209,10 +210,11 @@
 }
 
 // limit returns how many attempts this gateway may have open at a server: its
-// share of the connections, less those that may be idle.
+// share of the connections, less those that may be idle. A server that states no
+// connections has no limit here.
 func (l *lane) limit(s mustardsaddle.Server) int {
 	if s.Connections == 0 {
-		return l.g.cfg.MaxWaiting
+		return math.MaxInt
 	}
 	return max(slot.Connections(s.Connections, int(l.g.gateways.Load()))-defaultIdlePerHost, 1)
 }
