--- a/internal/product/instance/call_test.go
+++ b/internal/product/instance/call_test.go
@@ -15,6 +15,7 @@
 
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
 )
 
 // A surge of ten times the calls sends no more probes than agreed: the servers'
@@ -200,3 +201,76 @@
 		t.Errorf("a small body that stands still: got status %d %q, want 502 and code 4005", status, body)
 	}
 }
+
+// A request that is claimed runs at most once, however often and through whichever
+// gateways its caller sends it, also if each answer of the store's writes is lost.
+// With the store down it is not run.
+func TestClaimThroughAFaultyStore(t *testing.T) {
+	const orders = "Path=/orders Method=POST Service=Booking Repeat=Claim # Tan: order once\n"
+	s := newSystem(t, 2)
+	s.submit(firstRules + orders)
+	for _, name := range []string{"gateway-1", "gateway-2"} {
+		g := s.addGateway(name)
+		eventually(t, patience, "a ready gateway", func() bool { return g.ready(t) })
+	}
+	for _, c := range []struct {
+		key         string
+		fault       platform.Fault
+		least, most int64
+	}{
+		{"store works", platform.Fault{}, 1, 1},
+		{"answers of writes lost", platform.Fault{LoseAnswers: true}, 0, 1},
+		{"store down", platform.Fault{Down: true}, 0, 0},
+	} {
+		s.platform.SetFault(c.fault)
+		told, executions := s.orderTenTimes(c.key)
+		t.Logf("%s: %d executions, told %v", c.key, executions, told)
+		if executions < c.least || executions > c.most || executions < told["Ran"] {
+			t.Errorf("%s: got %d executions, told %v, want %d to %d", c.key, executions, told, c.least, c.most)
+		}
+		if c.fault.Down && told["NotRun"] != 10 {
+			t.Errorf("%s: told %v, want NotRun each time", c.key, told)
+		}
+	}
+}
+
+// orderTenTimes sends one order ten times at once through two gateways. It returns
+// how many callers were told each outcome of their own attempt, and how often the
+// order was executed.
+func (s *system) orderTenTimes(key string) (told map[string]int64, executions int64) {
+	before := s.ran()
+	var group sync.WaitGroup
+	outcomes := make(chan string, 10)
+	for i := range cap(outcomes) {
+		group.Go(func() { outcomes <- order(s.t, s.gateways[i%len(s.gateways)], key) })
+	}
+	group.Wait()
+	close(outcomes)
+	told = make(map[string]int64)
+	for outcome := range outcomes {
+		told[outcome]++
+	}
+	return told, s.ran() - before
+}
+
+// order sends an order with an idempotency key, and returns the outcome that the
+// caller is told.
+func order(t *testing.T, g *gatewayVM, key string) string {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+g.addresses.Callers+"/orders", strings.NewReader("M1"))
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := caller().Do(r)
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode == http.StatusConflict {
+		return "Claimed"
+	}
+	return resp.Header.Get("Mustardsaddle-Outcome")
+}
