--- a/internal/product/instance/call_test.go
+++ b/internal/product/instance/call_test.go
@@ -121,6 +121,52 @@
 	}
 }
 
+// A server that dies during a stop costs no caller of an idempotent call its
+// answer: another server gives it.
+func TestStopWhileAServerDies(t *testing.T) {
+	const callers = 6
+	s := newSystem(t, 0)
+	s.change = func(cfg *settings.Settings) {
+		cfg.Retry.HedgeShare, cfg.Retry.RetryShare = 0, 1
+		cfg.Stop.Lag = time.Second
+	}
+	release := make(chan struct{})
+	var arrived [3]atomic.Int64
+	for i := range arrived {
+		s.addHost(fmt.Sprintf("booking-%02d", i), held(release, &arrived[i]))
+	}
+	s.submit(firstRules + "Path=/held Service=Booking Deadline=15s # Mei Lin: members wait\n")
+	g := s.addGateway("gateway-1")
+	eventually(t, patience, "a ready gateway", func() bool { return g.ready(t) })
+	url := "http://" + g.addresses.Callers
+	for range 100 {
+		get(t, url+"/rosters")
+	}
+	ends := make(chan error, callers)
+	for range callers {
+		go func() { ends <- answered(url + "/held") }()
+	}
+	total := func() int64 { return arrived[0].Load() + arrived[1].Load() + arrived[2].Load() }
+	eventually(t, patience, "all calls at servers", func() bool { return total() == callers })
+	dies := 0
+	for arrived[dies].Load() == 0 {
+		dies++
+	}
+	g.stop()
+	eventually(t, patience, "the stop", func() bool { return !g.ready(t) })
+	s.kill(dies)
+	eventually(t, patience, "calls at other servers", func() bool { return total() > callers })
+	close(release)
+	for range callers {
+		if err := <-ends; err != nil {
+			t.Error(err)
+		}
+	}
+	if err := g.end(); err != nil {
+		t.Errorf("the stop: got %v, want nothing cut", err)
+	}
+}
+
 // held returns an endpoint server that holds the calls of /held until they are
 // released, and counts them.
 func held(release <-chan struct{}, arrived *atomic.Int64) http.Handler {
