--- a/internal/product/instance/call_test.go
+++ b/internal/product/instance/call_test.go
@@ -15,6 +15,7 @@
 
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
 )
 
 // A surge of ten times the calls sends no more probes than agreed: the servers'
@@ -120,6 +121,52 @@
 	}
 }
 
+// A server that dies during a stop costs no caller of an idempotent call its
+// answer: another server gives it.
+func TestStopWhileAServerDies(t *testing.T) {
+	const callers = 6
+	s := newSystem(t, 0)
+	s.change = func(cfg *settings.Settings) {
+		cfg.Retry.HedgeShare, cfg.Retry.RetryShare = 0, 1
+		cfg.Stop.Lag = time.Second
+	}
+	release := make(chan struct{})
+	var arrived [3]atomic.Int64
+	for i := range arrived {
+		s.addHost(fmt.Sprintf("booking-%02d", i), held(release, &arrived[i]))
+	}
+	s.submit(firstRules + "Path=/held Service=Booking Deadline=15s # Mei Lin: members wait\n")
+	g := s.addGateway("gateway-1")
+	eventually(t, patience, "a ready gateway", func() bool { return g.ready(t) })
+	url := "http://" + g.addresses.Callers
+	for range 100 {
+		get(t, url+"/rosters")
+	}
+	ends := make(chan error, callers)
+	for range callers {
+		go func() { ends <- answered(url + "/held") }()
+	}
+	total := func() int64 { return arrived[0].Load() + arrived[1].Load() + arrived[2].Load() }
+	eventually(t, patience, "all calls at servers", func() bool { return total() == callers })
+	dies := 0
+	for arrived[dies].Load() == 0 {
+		dies++
+	}
+	g.stop()
+	eventually(t, patience, "the stop", func() bool { return !g.ready(t) })
+	s.kill(dies)
+	eventually(t, patience, "calls at other servers", func() bool { return total() > callers })
+	close(release)
+	for range callers {
+		if err := <-ends; err != nil {
+			t.Error(err)
+		}
+	}
+	if err := g.end(); err != nil {
+		t.Errorf("the stop: got %v, want nothing cut", err)
+	}
+}
+
 // held returns an endpoint server that holds the calls of /held until they are
 // released, and counts them.
 func held(release <-chan struct{}, arrived *atomic.Int64) http.Handler {
@@ -200,3 +247,76 @@
 		t.Errorf("a small body that stands still: got status %d %q, want 502 and code 4005", status, body)
 	}
 }
+
+// A request that is claimed runs at most once, however often and through whichever
+// gateways its caller sends it, also if each answer of the store's writes is lost.
+// With the store down it is not run.
+func TestClaimThroughAFaultyStore(t *testing.T) {
+	const orders = "Path=/orders Method=POST Service=Booking Repeat=Claim # Tan: order once\n"
+	s := newSystem(t, 2)
+	s.submit(firstRules + orders)
+	for _, name := range []string{"gateway-1", "gateway-2"} {
+		g := s.addGateway(name)
+		eventually(t, patience, "a ready gateway", func() bool { return g.ready(t) })
+	}
+	for _, c := range []struct {
+		key         string
+		fault       platform.Fault
+		least, most int64
+	}{
+		{"store works", platform.Fault{}, 1, 1},
+		{"answers of writes lost", platform.Fault{LoseAnswers: true}, 0, 1},
+		{"store down", platform.Fault{Down: true}, 0, 0},
+	} {
+		s.platform.SetFault(c.fault)
+		told, executions := s.orderTenTimes(c.key)
+		t.Logf("%s: %d executions, told %v", c.key, executions, told)
+		if executions < c.least || executions > c.most || executions < told["Ran"] {
+			t.Errorf("%s: got %d executions, told %v, want %d to %d", c.key, executions, told, c.least, c.most)
+		}
+		if c.fault.Down && told["NotRun"] != 10 {
+			t.Errorf("%s: told %v, want NotRun each time", c.key, told)
+		}
+	}
+}
+
+// orderTenTimes sends one order ten times at once through two gateways. It returns
+// how many callers were told each outcome of their own attempt, and how often the
+// order was executed.
+func (s *system) orderTenTimes(key string) (told map[string]int64, executions int64) {
+	before := s.ran()
+	var group sync.WaitGroup
+	outcomes := make(chan string, 10)
+	for i := range cap(outcomes) {
+		group.Go(func() { outcomes <- order(s.t, s.gateways[i%len(s.gateways)], key) })
+	}
+	group.Wait()
+	close(outcomes)
+	told = make(map[string]int64)
+	for outcome := range outcomes {
+		told[outcome]++
+	}
+	return told, s.ran() - before
+}
+
+// order sends an order with an idempotency key, and returns the outcome that the
+// caller is told.
+func order(t *testing.T, g *gatewayVM, key string) string {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+g.addresses.Callers+"/orders", strings.NewReader("M1"))
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := caller().Do(r)
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode == http.StatusConflict {
+		return "Claimed"
+	}
+	return resp.Header.Get("Mustardsaddle-Outcome")
+}
