--- a/internal/choice/report/report_test.go
+++ b/internal/choice/report/report_test.go
@@ -102,7 +102,7 @@
 		})
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		var all []spending
-		now, latest := start, start
+		now, latest := start, time.Time{}
 		for range rapid.IntRange(1, 300).Draw(t, "arrivals") {
 			// Arrivals in bursts, after pauses, and with the clock set back.
 			step := time.Duration(rng.ExpFloat64() * float64(10*time.Millisecond))
