--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -80,6 +80,7 @@
 	// rng is used only by the goroutine that follows the list of VMs.
 	rng *rand.Rand
 
+	// mu guards relay and told.
 	mu    sync.Mutex
 	relay *news.Relay
 	told  *news.Told
