Give a server that joined more calls than the gateway's own slots

The gateway knew the server; its calls came one at a time, and a gateway takes slots of other gateways only when its own are busy. Whether it owns a slot of the new server depends on its random source. Ruled out: the slow store and the reading of the page (the server was on /servers). Change: eight calls at a time. The check stays: the server that joined must get a call while the store is slow.

--- a/internal/product/instance/harness_test.go
+++ b/internal/product/instance/harness_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -200,6 +201,16 @@
 	return resp.StatusCode, string(body)
 }
 
+// burst makes n calls at a time and waits for their answers.
+func burst(t *testing.T, url string, n int) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() { get(t, url) })
+	}
+	wg.Wait()
+}
+
 // ready reports whether a gateway takes calls.
 func (g *gatewayVM) ready(t *testing.T) bool {
 	status, _ := get(t, "http://"+g.addresses.Admin+"/readyz")
--- a/internal/product/instance/outage_test.go
+++ b/internal/product/instance/outage_test.go
@@ -83,7 +83,9 @@
 	s.everywhere(line)
 	joined := s.addServer("booking-99")
 	eventually(t, patience, "a call to a server that joined", func() bool {
-		get(t, "http://"+c.addresses.Callers+"/rosters")
+		// More calls at a time than this gateway has slots of its own, since it
+		// takes those of other gateways only when its own are busy.
+		burst(t, "http://"+c.addresses.Callers+"/rosters", 8)
 		return joined.Count().Total > 0
 	})
 	s.platform.SetFault(platform.Fault{Delay: time.Hour})
