Tell a gateway of its fleet in one way, and drop what nothing calls

Found in reading the whole change: the trial set the number of gateways and the choosers' fleet apart, which gateway.SetFleet does together; SetGateways was left for that and one test. Gateway.Observe had no caller. Roster.GatewaysByZone served tests alone. Change: the trial and the test call SetFleet; the unused methods are gone; the roster's tests count live gateways from VMs, with the same assertions.

--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -202,18 +202,6 @@
 	return machines
 }
 
-// GatewaysByZone returns the number of live gateway VMs in each availability
-// zone. Shares of budgets and connections divide by it.
-func (r Roster) GatewaysByZone() map[string]int {
-	counts := make(map[string]int)
-	for _, vm := range r.vms {
-		if !vm.Leaving {
-			counts[vm.Zone]++
-		}
-	}
-	return counts
-}
-
 // Gateways returns the number of live gateway VMs, at least 1: the caller.
 func (r Roster) Gateways() int {
 	n := 0
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -42,6 +42,17 @@
 	return names
 }
 
+// liveByZone returns the number of live gateway VMs in each availability zone.
+func liveByZone(r roster.Roster) map[string]int {
+	counts := make(map[string]int)
+	for _, vm := range r.VMs() {
+		if !vm.Leaving {
+			counts[vm.Zone]++
+		}
+	}
+	return counts
+}
+
 func leaving(seq, incarnation int64) mustardsaddle.Mark {
 	return mustardsaddle.Mark{Name: "booking-00", Incarnation: incarnation, Seq: seq, Leaving: true}
 }
@@ -170,18 +181,18 @@
 		}
 		r := roster.New(roster.Config{}).WithPage(start, "", list)
 		r = r.WithVM(mustardsaddle.VM{Name: "gateway-3", Incarnation: 1, Zone: "b"}).WithPage(start.Add(time.Minute), "", list)
-		convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 2, "b": 1})
+		convey.So(liveByZone(r), convey.ShouldResemble, map[string]int{"a": 2, "b": 1})
 		convey.Convey("Silent ones are not live until they speak", func() {
 			r = r.WithSilent("gateway-3").WithSilent("gateway-2").WithPage(start.Add(2*time.Minute), "", list)
-			convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 1})
+			convey.So(liveByZone(r), convey.ShouldResemble, map[string]int{"a": 1})
 			convey.So(roster.Neighbors(r.Peers(), "gateway-1", roster.NeighborConfig{}), convey.ShouldHaveLength, 1)
 			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"})
-			convey.So(r.GatewaysByZone(), convey.ShouldResemble, map[string]int{"a": 2})
+			convey.So(liveByZone(r), convey.ShouldResemble, map[string]int{"a": 2})
 		})
 		convey.Convey("A stopping one stays leaving when it is heard or listed again", func() {
 			r = r.WithMark(start, mustardsaddle.Mark{Name: "gateway-2", Incarnation: 1, Seq: roster.FinalSeq, Leaving: true})
 			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"}).WithPage(start.Add(time.Hour), "", list)
-			convey.So(r.GatewaysByZone()["a"], convey.ShouldEqual, 1)
+			convey.So(liveByZone(r)["a"], convey.ShouldEqual, 1)
 			convey.So(r.Gateways(), convey.ShouldEqual, 2)
 		})
 	})
--- a/internal/request/gateway/fleet.go
+++ b/internal/request/gateway/fleet.go
@@ -12,7 +12,7 @@
 // until its last call has finished; choosers divide the servers among those that
 // stay.
 func (g *Gateway) SetFleet(now time.Time, gateways []mustardsaddle.VM) {
-	g.SetGateways(len(gateways))
+	g.gateways.Store(int64(len(gateways)))
 	live := slices.DeleteFunc(slices.Clone(gateways), func(v mustardsaddle.VM) bool { return v.Leaving })
 	g.mu.Lock()
 	same := slices.EqualFunc(g.fleet, live, func(a, b mustardsaddle.VM) bool { return a.Name == b.Name })
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -24,7 +24,7 @@
 //	g := gateway.New(gateway.Config{Name: "gateway-1", Logger: logger})
 //	g.SetRules(table)
 //	g.SetServers(now, "Booking", servers)
-//	g.SetGateways(15)
+//	g.SetFleet(now, gateways)
 //	srv := gateway.NewServer(gateway.ServerConfig{Handler: g})
 //	srv.Serve(g.Listener(listener))
 //	...
@@ -218,19 +218,6 @@
 	l.setServers(now, servers)
 }
 
-// SetGateways tells how many gateways are live or leaving; they share the
-// connections of each server.
-func (g *Gateway) SetGateways(n int) {
-	g.gateways.Store(int64(n))
-}
-
-// Observe passes on a load report that came another way than with an answer.
-func (g *Gateway) Observe(now time.Time, service, server string, rep mustardsaddle.Report) {
-	if l := g.lane(service); l != nil {
-		l.observe(now, server, rep)
-	}
-}
-
 // InFlight returns how many calls are being served.
 func (g *Gateway) InFlight() int {
 	return int(g.inFlight.Load())
--- a/internal/request/gateway/http_test.go
+++ b/internal/request/gateway/http_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
@@ -217,7 +218,7 @@
 		j := newJudge(t, func(http.ResponseWriter, *http.Request) { <-release })
 		t.Cleanup(func() { close(release) })
 		front, g := newGateway(t, gateway.Config{Deadline: 200 * time.Millisecond, MaxWaiting: 1}, j.address())
-		g.SetGateways(1000) // a cap of one connection
+		g.SetFleet(time.Now(), make([]mustardsaddle.VM, 1000)) // a cap of one connection
 		first := make(chan string, 1)
 		go func() {
 			_, text, _ := do(t, front, "POST", "/x", "")
--- a/internal/standin/trial/front.go
+++ b/internal/standin/trial/front.go
@@ -65,18 +65,16 @@
 		Logger: zerolog.New(io.Discard).With().Timestamp().Logger(),
 	})
 	f.gateway.SetRules(rules)
-	f.gateway.SetGateways(len(cfg.fleet))
+	f.gateway.SetFleet(time.Time{}, cfg.fleet) // it never changes in a run
 	f.budget = report.NewBudget(report.BudgetConfig{MessagesPerSecond: probesPerSecond, BytesPerSecond: probeBytesPerSecond})
 	ctx, f.cancel = context.WithCancel(ctx)
 	go gateway.NewProber(gateway.ProberConfig{Gateway: f.gateway, Budget: f.budget}).Run(ctx, f.ended)
 	return f, nil
 }
 
-// newChooser returns the chooser of a service. The fleet never changes in a run.
+// newChooser returns the chooser of a service.
 func (f *front) newChooser(string) mustardsaddle.Chooser {
-	b := bench.New(f.cfg.candidate.cfg)
-	b.SetFleet(time.Time{}, f.cfg.name, f.cfg.fleet)
-	return b
+	return bench.New(f.cfg.candidate.cfg)
 }
 
 // close ends the probes.
