--- a/choice.go
+++ b/choice.go
@@ -63,3 +63,16 @@
 	// included. Gateways with equal lists agree on the division.
 	SetFleet(now time.Time, self string, gateways []VM)
 }
+
+// Surveyor is a Chooser that wants some servers to be asked for their load just
+// before it chooses. The answers reach it through Observe, after Asked.
+type Surveyor interface {
+	Chooser
+	// Ask returns up to n servers to ask now. They count as asked until Asked or
+	// Unasked.
+	Ask(now time.Time, rng *rand.Rand, need Need, n int) []Server
+	// Unasked tells that servers of Ask were not asked after all.
+	Unasked(servers []Server)
+	// Asked tells the status of a server's answer, or 0 if it did not answer.
+	Asked(now time.Time, server string, status int)
+}
--- a/cmd/mustardsaddle/main.go
+++ b/cmd/mustardsaddle/main.go
@@ -8,11 +8,12 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/rs/zerolog"
-
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/store"
 	"mustardsaddle.example/mustardsaddle/internal/product/command"
 	"mustardsaddle.example/mustardsaddle/internal/product/instance"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/platform"
 )
 
 func main() {
@@ -23,9 +24,16 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	ctx, abort := command.Stops(context.Background(), signals)
-	serve := func(ctx context.Context, s settings.Settings, logger zerolog.Logger) error {
-		return instance.Run(ctx, instance.Config{Settings: s, Logger: logger, Abort: abort})
+	serve := func(ctx context.Context, g command.Gateway) error {
+		cfg := instance.Config{Settings: g.Settings, Reloads: g.Reloads, Logger: g.Logger, Abort: abort}
+		if g.Settings.Platform.Kind == settings.KindDirectory {
+			cfg.Directory = func(c *store.Client) mustardsaddle.Directory { return platform.New(c) }
+		}
+		return instance.Run(ctx, cfg)
 	}
-	return command.Run(ctx, command.Config{Out: os.Stdout, Err: os.Stderr, Serve: serve}, os.Args[1:])
+	return command.Run(ctx, command.Config{Out: os.Stdout, Err: os.Stderr, Hangup: hangup, Serve: serve}, os.Args[1:])
 }
--- a/internal/choice/report/budget.go
+++ b/internal/choice/report/budget.go
@@ -75,11 +75,34 @@
 
 // newLimiter returns a bucket that keeps the tokens of the time burst.
 func newLimiter(perSecond float64, burst time.Duration, least int) *rate.Limiter {
+	limit, depth := bucket(perSecond, burst, least)
+	return rate.NewLimiter(limit, depth)
+}
+
+// setLimiter changes the rate of a bucket.
+func setLimiter(at time.Time, l *rate.Limiter, perSecond float64, burst time.Duration, least int) {
+	limit, depth := bucket(perSecond, burst, least)
+	l.SetLimitAt(at, limit)
+	l.SetBurstAt(at, depth)
+}
+
+// bucket returns the rate and the depth of a bucket.
+func bucket(perSecond float64, burst time.Duration, least int) (rate.Limit, int) {
 	if math.IsNaN(perSecond) || perSecond <= 0 {
-		return rate.NewLimiter(0, 0)
+		return 0, 0
 	}
-	depth := max(least, int(perSecond*burst.Seconds()))
-	return rate.NewLimiter(rate.Limit(perSecond), depth)
+	return rate.Limit(perSecond), max(least, int(perSecond*burst.Seconds()))
+}
+
+// SetRates changes what was agreed. What was spent stays spent.
+func (b *Budget) SetRates(now time.Time, cfg BudgetConfig) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := b.advance(now)
+	cfg.Burst = b.cfg.Burst
+	b.cfg = cfg
+	setLimiter(at, b.messages, cfg.MessagesPerSecond, cfg.Burst, minBurst)
+	setLimiter(at, b.bytes, cfg.BytesPerSecond, cfg.Burst, ProbeBytes)
 }
 
 // Take pays for messages of the given total size, or returns false and pays
--- /dev/null
+++ b/internal/choice/survey/survey.go
@@ -0,0 +1,274 @@
+// Package survey chooses the endpoint server of an attempt by what a few servers
+// say of their load just before it.
+//
+// Where load changes within the time of one request, a report that is some
+// milliseconds old is worth more than any memory. So a Survey names servers to ask,
+// mostly those that looked good a moment ago and some at random, and then picks the
+// one whose slots and speed promise the earliest end. What it learns serves the
+// next calls for as long as it is fresh; this gateway's own attempts are counted
+// into it meanwhile.
+//
+// A server is passed over while it leaves, while all its slots are taken, or while
+// it is out: failures in a row take it out for a time that doubles, and answers to
+// questions alone do not bring it back earlier, since a server can fail every
+// request while it says that it is well. At most a share of the servers is out.
+//
+// Services whose servers never report their load are chosen for by this gateway's
+// own attempts in flight.
+//
+// # Usage
+//
+//	s := survey.New(survey.Config{})
+//	s.SetServers(now, servers)
+//	for _, server := range s.Ask(now, rng, need, 8) {
+//		... // ask, then s.Asked(now, server.Name, status) and s.Observe(now, server.Name, report)
+//	}
+//	choice, ok := s.Choose(now, rng, need)
+//
+// A Survey is a deterministic state machine: time and the random source are
+// arguments. Its owner holds a lock.
+package survey
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+)
+
+const (
+	// defaultFresh is the age up to which a report decides.
+	defaultFresh = 40 * time.Millisecond
+	// defaultCurrent is the age below which a server is not asked again.
+	defaultCurrent = 4 * time.Millisecond
+	// defaultMaxOut is the largest share of servers that are out at a time.
+	defaultMaxOut = 0.4
+	// questionTimeout is the time after which a question without an answer is
+	// given up.
+	questionTimeout = 200 * time.Millisecond
+	// crowding is how much longer work takes when it takes the last slot.
+	crowding = 0.7
+	// waitingCost is what each request ahead in the queue of a server adds.
+	waitingCost = 1.0
+	// coldCost is how much longer work takes on a server that has just started.
+	coldCost = 1.0
+	// failureCost is how much an expected failure adds to the score.
+	failureCost = 4.0
+	// awayCost is what a server in another availability zone adds.
+	awayCost = 0.02
+)
+
+// Reasons of choices.
+const (
+	reasonReport = "Report"
+	reasonOwn    = "Own"
+)
+
+// Config configures a Survey. Zero values mean the defaults.
+type Config struct {
+	// Fresh is the age up to which a report decides.
+	Fresh time.Duration
+	// Current is the age below which a server is not asked again.
+	Current time.Duration
+	// MaxOut is the largest share of servers that are out at a time; below 0 none
+	// is.
+	MaxOut float64
+}
+
+// Survey is the state of one service's servers as this gateway sees them.
+type Survey struct {
+	cfg     Config
+	servers []*server
+	byName  map[string]*server
+	// reporting is true once any server of the service has reported its load.
+	reporting bool
+}
+
+var _ mustardsaddle.Surveyor = (*Survey)(nil)
+
+// New returns a Survey without servers.
+func New(cfg Config) *Survey {
+	cfg.Fresh = cmp.Or(cfg.Fresh, defaultFresh)
+	cfg.Current = cmp.Or(cfg.Current, defaultCurrent)
+	cfg.MaxOut = cmp.Or(cfg.MaxOut, defaultMaxOut)
+	return &Survey{cfg: cfg, byName: make(map[string]*server)}
+}
+
+// SetServers replaces the set of known servers. A server with another start or
+// address is another server, of which nothing is known.
+func (v *Survey) SetServers(_ time.Time, servers []mustardsaddle.Server) {
+	byName := make(map[string]*server, len(servers))
+	v.servers = v.servers[:0]
+	for _, known := range servers {
+		s := v.byName[known.Name]
+		if s == nil || s.Incarnation != known.Incarnation || s.Address != known.Address {
+			s = &server{}
+		}
+		s.Server = known
+		byName[known.Name] = s
+		v.servers = append(v.servers, s)
+	}
+	v.byName = byName
+	slices.SortFunc(v.servers, func(a, b *server) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// Ask returns up to n servers to ask: those with the best score as last known, and
+// as many at random.
+func (v *Survey) Ask(now time.Time, rng *rand.Rand, need mustardsaddle.Need, n int) []mustardsaddle.Server {
+	var candidates []*server
+	for _, s := range v.servers {
+		if v.usable(now, s, need) && s.worthAsking(now, v.cfg.Current) {
+			candidates = append(candidates, s)
+		}
+	}
+	rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	if len(candidates) > n {
+		best := slices.Clone(candidates)
+		slices.SortStableFunc(best, func(a, b *server) int {
+			return cmp.Compare(a.score(now, need.Zone), b.score(now, need.Zone))
+		})
+		candidates = mix(best[:n/2], candidates, n)
+	}
+	asked := make([]mustardsaddle.Server, len(candidates))
+	for i, s := range candidates {
+		s.asked = now
+		asked[i] = s.Server
+	}
+	return asked
+}
+
+// mix returns the first servers and then others, n in all.
+func mix(first, others []*server, n int) []*server {
+	list := slices.Clone(first)
+	for _, s := range others {
+		if len(list) == n {
+			break
+		}
+		if !slices.Contains(first, s) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Unasked tells that servers of Ask were not asked after all.
+func (v *Survey) Unasked(servers []mustardsaddle.Server) {
+	for _, known := range servers {
+		if s := v.byName[known.Name]; s != nil {
+			s.asked = time.Time{}
+		}
+	}
+}
+
+// Asked tells the status of a server's answer, or 0 if it did not answer.
+func (v *Survey) Asked(now time.Time, name string, status int) {
+	s := v.byName[name]
+	if s == nil {
+		return
+	}
+	s.asked = time.Time{}
+	if status == 0 {
+		s.missed++
+		s.missedAt = now
+		return
+	}
+	s.missed = 0
+}
+
+// Probe picks no server: all questions come with calls.
+func (v *Survey) Probe(time.Time, *rand.Rand) (mustardsaddle.Server, bool) {
+	return mustardsaddle.Server{}, false
+}
+
+// Choose picks the server with the best score that has a free slot.
+func (v *Survey) Choose(now time.Time, rng *rand.Rand, need mustardsaddle.Need) (mustardsaddle.Choice, bool) {
+	reason := reasonReport
+	best := v.best(now, rng, need, func(s *server) bool { return s.fresh(now, v.cfg.Fresh) && s.free() > 0 })
+	if best == nil && !v.reporting {
+		reason = reasonOwn
+		best = v.best(now, rng, need, func(s *server) bool { return s.inFlight < s.slots() })
+	}
+	if best == nil {
+		return mustardsaddle.Choice{}, false
+	}
+	best.inFlight++
+	best.busy++
+	return mustardsaddle.Choice{Server: best.Server, Reason: reason}, true
+}
+
+// best returns the usable server with the lowest score that passes the test. Among
+// equals each has the same chance.
+func (v *Survey) best(now time.Time, rng *rand.Rand, need mustardsaddle.Need, test func(*server) bool) *server {
+	var best *server
+	lowest, ties := 0.0, 0
+	for _, s := range v.servers {
+		if !v.usable(now, s, need) || !test(s) {
+			continue
+		}
+		score := s.score(now, need.Zone)
+		switch {
+		case best == nil || score < lowest:
+			best, lowest, ties = s, score, 1
+		case score == lowest:
+			ties++
+			if rng.IntN(ties) == 0 {
+				best = s
+			}
+		}
+	}
+	return best
+}
+
+// usable reports whether a server may be chosen at all.
+func (v *Survey) usable(now time.Time, s *server, need mustardsaddle.Need) bool {
+	return !s.Leaving && !slices.Contains(need.Exclude, s.Name) && !s.isOut(now) && !s.silent(now)
+}
+
+// Finish tells how a chosen attempt ended.
+func (v *Survey) Finish(now time.Time, r mustardsaddle.Result) {
+	s := v.byName[r.Server]
+	if s == nil {
+		return
+	}
+	s.inFlight = max(s.inFlight-1, 0)
+	s.busy = max(s.busy-1, 0)
+	switch {
+	case r.Failed:
+		s.fail()
+		v.takeOut(now, s)
+	case r.Shed:
+		s.busy = max(s.busy, s.slots())
+	case r.Outcome == mustardsaddle.Ran && !r.Canceled:
+		s.succeed()
+	}
+}
+
+// takeOut takes a server out that has failed too often, unless too many are out.
+func (v *Survey) takeOut(now time.Time, s *server) {
+	if s.failures < outFailures || s.isOut(now) {
+		return
+	}
+	out := 0
+	for _, other := range v.servers {
+		if other.isOut(now) {
+			out++
+		}
+	}
+	if float64(out+1) <= v.cfg.MaxOut*float64(len(v.servers)) {
+		s.takeOut(now)
+	}
+}
+
+// Observe takes a load report of a server.
+func (v *Survey) Observe(_ time.Time, name string, report mustardsaddle.Report) {
+	s := v.byName[name]
+	if s == nil {
+		return
+	}
+	v.reporting = true
+	s.report = report
+	s.busy = report.InFlight
+}
--- a/internal/control/rule/field.go
+++ b/internal/control/rule/field.go
@@ -11,8 +11,16 @@
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
-// maxDeadline bounds the Deadline of a rule.
-const maxDeadline = 24 * time.Hour
+const (
+	// maxDeadline bounds the times of a rule.
+	maxDeadline = 24 * time.Hour
+	// maxAttempts bounds the Attempts of a rule.
+	maxAttempts = 16
+	// maxPriority is the lowest rank of a rule.
+	maxPriority = 1000
+	// maxConnections bounds the Connections of a service.
+	maxConnections = 1 << 20
+)
 
 // setField parses one field into r. The Problem has code.OK when it is valid.
 func setField(r *Rule, name, value string) Problem {
@@ -27,11 +35,25 @@
 		return checkMethod(value)
 	case "Service":
 		r.Service = value
-		return checkService(value)
+		_, problem := parseSplit(value)
+		return problem
 	case "Deadline":
-		return setDeadline(r, value)
+		return setPeriod(&r.Deadline, name, value)
 	case "Repeat":
 		return setRepeat(r, value)
+	case "Attempts":
+		return setNumber(&r.Attempts, name, value, 1, maxAttempts)
+	case "Target":
+		return setPeriod(&r.Target, name, value)
+	case "Priority":
+		return setNumber(&r.Priority, name, value, 0, maxPriority)
+	case "Probe":
+		r.Probe = value
+		return checkProbe(value)
+	case "Connections":
+		return setNumber(&r.Connections, name, value, 1, maxConnections)
+	case "Idle":
+		return setPeriod(&r.Idle, name, value)
 	default:
 		return problemf(code.RuleUnknownField, "unknown field %q", name)
 	}
@@ -84,12 +106,29 @@
 	return unicode.IsLetter(c) || unicode.IsDigit(c) || c == '_'
 }
 
-func setDeadline(r *Rule, value string) Problem {
+func setPeriod(field *time.Duration, name, value string) Problem {
 	d, err := time.ParseDuration(value)
 	if err != nil || d <= 0 || d > maxDeadline {
-		return problemf(code.RuleBadValue, "got Deadline=%s, want a duration up to 24h, such as 2s", value)
+		return problemf(code.RuleBadValue, "got %s=%s, want a duration up to 24h, such as 2s", name, value)
+	}
+	*field = d
+	return Problem{}
+}
+
+func setNumber(field *int, name, value string, lo, hi int) Problem {
+	n, err := strconv.Atoi(value)
+	if err != nil || n < lo || n > hi {
+		return problemf(code.RuleBadValue, "got %s=%s, want a whole number from %d to %d", name, value, lo, hi)
+	}
+	*field = n
+	return Problem{}
+}
+
+// checkProbe accepts a plain path without a query.
+func checkProbe(value string) Problem {
+	if !strings.HasPrefix(value, "/") || strings.ContainsAny(value, "?%\\") {
+		return problemf(code.RuleBadValue, "got Probe=%s, want a plain path, such as /load", value)
 	}
-	r.Deadline = d
 	return Problem{}
 }
 
--- a/internal/control/rule/parse.go
+++ b/internal/control/rule/parse.go
@@ -139,15 +139,44 @@
 			problems = append(problems, problem)
 		}
 	}
+	problems = append(problems, checkFields(seen)...)
+	if !namesWho(r.Who) {
+		problems = append(problems, problemf(code.RuleNoWho, "rule has no comment that names who asked and why, want # Who: why"))
+	}
+	return r, problems
+}
+
+// Fields of the three kinds of lines besides Path and Service.
+var (
+	routeFields   = []string{"Host", "Method", "Deadline", "Repeat", "Attempts", "Target", "Priority"} //nolint:gochecknoglobals // a table
+	serviceFields = []string{"Probe", "Connections"}                                                   //nolint:gochecknoglobals // a table
+)
+
+// checkFields returns what is missing in a line, and what does not belong there.
+func checkFields(seen map[string]bool) []Problem {
+	unfit := func(names []string, kind string) []Problem {
+		var problems []Problem
+		for _, name := range names {
+			if seen[name] {
+				problems = append(problems, problemf(code.RuleSyntax, "field %s does not belong in a line that %s", name, kind))
+			}
+		}
+		return problems
+	}
+	declares := seen["Probe"] || seen["Connections"]
+	switch {
+	case seen["Idle"] && len(seen) == 1:
+		return nil
+	case declares && !seen["Path"] && seen["Service"]:
+		return unfit(append([]string{"Idle"}, routeFields...), "declares a service")
+	}
+	var problems []Problem
 	for _, name := range []string{"Path", "Service"} {
 		if !seen[name] {
 			problems = append(problems, problemf(code.RuleMissingField, "rule has no %s", name))
 		}
 	}
-	if !namesWho(r.Who) {
-		problems = append(problems, problemf(code.RuleNoWho, "rule has no comment that names who asked and why, want # Who: why"))
-	}
-	return r, problems
+	return append(problems, unfit(append([]string{"Idle"}, serviceFields...), "routes requests")...)
 }
 
 func parseField(r *Rule, seen map[string]bool, field string) Problem {
--- a/internal/control/rule/rule.go
+++ b/internal/control/rule/rule.go
@@ -2,13 +2,17 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
 )
 
-// Rule is one rule of the rules file. A Rule is immutable and comparable.
+// Rule is one line of the rules file that is no comment. A line with a Path routes
+// requests; one with a Service alone declares how the servers of that service are
+// used; one with Idle alone bounds callers' connections. A Rule is immutable and
+// comparable.
 type Rule struct {
 	// Host is the host that the request must name, in lower case; empty for any.
 	Host string
@@ -16,7 +20,8 @@
 	Path string
 	// Method is the method; empty for any.
 	Method string
-	// Service is the service that answers.
+	// Service is the service that answers, or several with their weights in the
+	// form A:90,B:10.
 	Service string
 	// Deadline bounds the whole call; 0 means the gateway's default.
 	Deadline time.Duration
@@ -24,10 +29,29 @@
 	Repeat mustardsaddle.Repeat
 	// RepeatSet is true when the line states Repeat.
 	RepeatSet bool
+	// Attempts bounds the servers to which one request is sent; 0 means the
+	// gateway's default.
+	Attempts int
+	// Target is the time within which an answer is worth most; 0 if not stated.
+	Target time.Duration
+	// Priority is the rank of the request, of which 0 is the highest.
+	Priority int
+	// Probe is the path where the servers of a declared service tell their load.
+	Probe string
+	// Connections is how many connections a server of a declared service accepts
+	// from all gateways together; 0 if not stated.
+	Connections int
+	// Idle is how long a caller's connection is kept without a request.
+	Idle time.Duration
 	// Who is the comment that names who asked for the rule, and why.
 	Who string
 }
 
+// Routes reports whether the rule routes requests.
+func (r Rule) Routes() bool {
+	return r.Path != ""
+}
+
 // ID identifies a rule over all generations: two rules with the same ID match
 // the same requests.
 type ID struct {
@@ -37,10 +61,15 @@
 	Path string
 	// Method is the rule's method.
 	Method string
+	// Service is the service that the rule declares; empty for a rule that routes.
+	Service string
 }
 
 // ID returns the identity of r.
 func (r Rule) ID() ID {
+	if !r.Routes() {
+		return ID{Service: r.Service}
+	}
 	return ID{Host: r.Host, Path: withoutNames(r.Path), Method: r.Method}
 }
 
@@ -87,16 +116,36 @@
 	field("Path", r.Path)
 	field("Method", r.Method)
 	field("Service", r.Service)
-	if r.Deadline > 0 {
-		field("Deadline", r.Deadline.String())
-	}
+	field("Deadline", period(r.Deadline))
 	if r.RepeatSet {
 		field("Repeat", repeatName(r.Repeat))
 	}
+	field("Attempts", number(r.Attempts))
+	field("Target", period(r.Target))
+	field("Priority", number(r.Priority))
+	field("Probe", r.Probe)
+	field("Connections", number(r.Connections))
+	field("Idle", period(r.Idle))
 	b.WriteString("# " + r.Who)
 	return b.String()
 }
 
+// number returns the text of a field that is left out when it is 0.
+func number(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.Itoa(n)
+}
+
+// period returns the text of a time that is left out when it is 0.
+func period(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
 // compare orders rules by which one wins when both match: negative if r does.
 func (r Rule) compare(other Rule) int {
 	if r.Host != other.Host {
--- a/internal/control/rule/table.go
+++ b/internal/control/rule/table.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 )
@@ -17,6 +18,31 @@
 	File File
 
 	buckets map[bucketKey]*bucket
+	// splits are the parsed values of Service.
+	splits map[string]Split
+	// services are the rules that declare a service.
+	services map[string]Rule
+	idle     time.Duration
+}
+
+// Split returns the weighted services of a rule of this table.
+func (t *Table) Split(r Rule) Split {
+	return t.splits[r.Service]
+}
+
+// Service returns what the file declares about a service: nothing but its name if
+// it has no such line.
+func (t *Table) Service(name string) Rule {
+	if declared, ok := t.services[name]; ok {
+		return declared
+	}
+	return Rule{Service: name}
+}
+
+// Idle returns how long a caller's connection is kept without a request, or 0 if
+// the file does not say.
+func (t *Table) Idle() time.Duration {
+	return t.idle
 }
 
 // maxDepth is how many segments of a path choose a router.
@@ -45,13 +71,20 @@
 // shared with t.
 func (t *Table) Next(file File) *Table {
 	rules := make(map[bucketKey][]*Rule)
+	next := &Table{File: file, splits: make(map[string]Split), services: make(map[string]Rule)}
 	for _, l := range file.lines {
-		if l.rule != nil {
-			k := keyOf(l.rule)
-			rules[k] = append(rules[k], l.rule)
+		if l.rule == nil {
+			continue
+		}
+		if !l.rule.Routes() {
+			next.declare(*l.rule)
+			continue
 		}
+		k := keyOf(l.rule)
+		rules[k] = append(rules[k], l.rule)
+		next.splits[l.rule.Service], _ = parseSplit(l.rule.Service)
 	}
-	next := &Table{File: file, buckets: make(map[bucketKey]*bucket, len(rules))}
+	next.buckets = make(map[bucketKey]*bucket, len(rules))
 	for k, bucketRules := range rules {
 		slices.SortFunc(bucketRules, func(a, b *Rule) int { return a.compare(*b) })
 		old := t.buckets[k]
@@ -64,6 +97,15 @@
 	return next
 }
 
+// declare takes a rule that routes nothing.
+func (t *Table) declare(r Rule) {
+	if r.Service == "" {
+		t.idle = r.Idle
+		return
+	}
+	t.services[r.Service] = r
+}
+
 func sameRule(a, b *Rule) bool {
 	return a == b || *a == *b
 }
--- a/internal/control/store/call.go
+++ b/internal/control/store/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -10,94 +11,115 @@
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
-// kind is the kind of a call, which decides what it counts as.
-type kind string
+// Kind is the kind of a call, which decides what it counts as.
+type Kind string
 
+// Kinds of calls.
 const (
-	reading  kind = "read"
-	watching kind = "watch"
-	writing  kind = "write"
+	Reading  Kind = "read"
+	Watching Kind = "watch"
+	Writing  Kind = "write"
 )
 
-// request is one call to the platform.
-type request struct {
-	kind   kind
-	path   string
-	header http.Header
-	value  []byte
+// Request is one call to the platform.
+type Request struct {
+	// Kind is what the call counts as.
+	Kind Kind
+	// Method is the HTTP method; empty means PUT for a write and GET for all else.
+	Method string
+	// Path is the path with the query.
+	Path string
+	// Header is sent besides what net/http adds.
+	Header http.Header
+	// Value is the body.
+	Value []byte
+	// Wait is how long the platform may hold the call open before it answers.
+	Wait time.Duration
+	// MaxBytes bounds the body of the answer; 0 means MaxValueBytes.
+	MaxBytes int
+	// Check turns a status into an error; nil means that of the client's own calls.
+	// An error with code.StoreUnavailable or code.StoreRefused counts as a failure.
+	Check func(q Request, status int) error
 }
 
-// answer is a whole answer of the platform.
-type answer struct {
-	status int
-	header http.Header
-	body   []byte
+// Answer is a whole answer of the platform.
+type Answer struct {
+	// Status is the HTTP status.
+	Status int
+	// Header is the answer's header.
+	Header http.Header
+	// Body is the answer's body.
+	Body []byte
 }
 
-// call sends a request, if the budget and the circuit breaker allow it.
-func (c *Client) call(ctx context.Context, q request) (answer, error) {
-	if err := c.admit(time.Now(), q.kind); err != nil {
-		return answer{}, err
+// Call sends a request, if the budget and the circuit breaker allow it. It serves
+// clients of platforms whose paths and encodings differ from this client's own.
+func (c *Client) Call(ctx context.Context, q Request) (Answer, error) {
+	if q.Check == nil {
+		q.Check = checkStatus
 	}
-	timeout := c.cfg.Timeout
-	if q.kind == watching {
-		timeout += watchWait
+	q.MaxBytes = cmp.Or(q.MaxBytes, MaxValueBytes)
+	if q.Method == "" {
+		q.Method = http.MethodGet
+		if q.Kind == Writing {
+			q.Method = http.MethodPut
+		}
 	}
+	if err := c.admit(time.Now(), q.Kind); err != nil {
+		return Answer{}, err
+	}
+	timeout := c.cfg.Timeout + q.Wait
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	a, err := c.send(limited, q)
 	if err == nil {
-		err = checkStatus(q, a.status)
+		err = q.Check(q, a.Status)
 	} else if ctx.Err() == nil {
 		// The other open connections may have gone silent with this one.
 		c.http.CloseIdleConnections()
 	}
-	c.finish(time.Now(), err, ctx.Err() != nil, len(a.body), len(q.value))
+	c.finish(time.Now(), err, ctx.Err() != nil, len(a.Body), len(q.Value))
 	return a, err
 }
 
-func (c *Client) send(ctx context.Context, q request) (answer, error) {
-	method := http.MethodGet
-	if q.kind == writing {
-		method = http.MethodPut
-	}
-	r, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+q.path, bytes.NewReader(q.value))
+func (c *Client) send(ctx context.Context, q Request) (Answer, error) {
+	r, err := http.NewRequestWithContext(ctx, q.Method, c.cfg.URL+q.Path, bytes.NewReader(q.Value))
 	if err != nil {
-		return answer{}, code.Wrapf(code.StoreRefused, err, "%s %s", method, q.path)
+		return Answer{}, code.Wrapf(code.StoreRefused, err, "%s %s", q.Method, q.Path)
 	}
 	// Without GetBody the transport does not send a request a second time.
 	r.GetBody = nil
-	for name, values := range q.header {
+	for name, values := range q.Header {
 		r.Header[name] = values
 	}
 	resp, err := c.http.Do(r)
 	if err != nil {
-		return answer{}, code.Wrapf(code.StoreUnavailable, err, "%s %s", method, q.path)
+		return Answer{}, code.Wrapf(code.StoreUnavailable, err, "%s %s", q.Method, q.Path)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(q.MaxBytes)+1))
 	if err != nil {
-		return answer{}, code.Wrapf(code.StoreUnavailable, err, "%s %s", method, q.path)
+		return Answer{}, code.Wrapf(code.StoreUnavailable, err, "%s %s", q.Method, q.Path)
 	}
-	if len(body) > MaxValueBytes {
-		return answer{}, code.Errorf(code.StoreTooLarge, "%s %s: answer is larger than %d bytes", method, q.path, MaxValueBytes)
+	if len(body) > q.MaxBytes {
+		return Answer{}, code.Errorf(code.StoreTooLarge, "%s %s: answer is larger than %d bytes", q.Method, q.Path, q.MaxBytes)
 	}
-	return answer{status: resp.StatusCode, header: resp.Header, body: body}, nil
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
 // checkStatus turns a status into an error. A server error leaves it unknown
 // whether a write took effect.
-func checkStatus(q request, status int) error {
+func checkStatus(q Request, status int) error {
 	switch {
 	case status == http.StatusOK:
 		return nil
-	case q.kind != writing && (status == http.StatusNotFound || status == http.StatusNotModified):
+	case q.Kind != Writing && (status == http.StatusNotFound || status == http.StatusNotModified):
 		return nil
 	case status == http.StatusPreconditionFailed:
-		return code.Errorf(code.StoreConflict, "%s %s: the version is not the newest", q.kind, q.path)
+		return code.Errorf(code.StoreConflict, "%s %s: the version is not the newest", q.Kind, q.Path)
 	case status >= http.StatusInternalServerError:
-		return code.Errorf(code.StoreUnavailable, "%s %s: got status %d, want 200", q.kind, q.path, status)
+		return code.Errorf(code.StoreUnavailable, "%s %s: got status %d, want 200", q.Kind, q.Path, status)
 	default:
-		return code.Errorf(code.StoreRefused, "%s %s: got status %d, want 200", q.kind, q.path, status)
+		return code.Errorf(code.StoreRefused, "%s %s: got status %d, want 200", q.Kind, q.Path, status)
 	}
 }
--- a/internal/control/store/client.go
+++ b/internal/control/store/client.go
@@ -134,42 +134,42 @@
 
 // Get reads the newest version of an object.
 func (c *Client) Get(ctx context.Context, key string) (mustardsaddle.Object, error) {
-	return c.object(ctx, request{kind: reading, path: objectPath(key)}, key, 0)
+	return c.object(ctx, Request{Kind: Reading, Path: objectPath(key)}, key, 0)
 }
 
 // GetVersion reads an old version of an object.
 func (c *Client) GetVersion(ctx context.Context, key string, version int64) (mustardsaddle.Object, error) {
 	path := objectPath(key) + "?version=" + strconv.FormatInt(version, 10)
-	return c.object(ctx, request{kind: reading, path: path}, key, 0)
+	return c.object(ctx, Request{Kind: Reading, Path: path}, key, 0)
 }
 
 // Watch waits until the object is newer than version. When the wait ends without
 // a change the object has the given version and no value.
 func (c *Client) Watch(ctx context.Context, key string, version int64) (mustardsaddle.Object, error) {
 	path := fmt.Sprintf("%s?after=%d&wait=%s", objectPath(key), version, watchWait)
-	return c.object(ctx, request{kind: watching, path: path}, key, version)
+	return c.object(ctx, Request{Kind: Watching, Path: path, Wait: watchWait}, key, version)
 }
 
 func objectPath(key string) string {
 	return (&url.URL{Path: "/objects/" + key}).EscapedPath()
 }
 
-func (c *Client) object(ctx context.Context, q request, key string, version int64) (mustardsaddle.Object, error) {
-	a, err := c.call(ctx, q)
+func (c *Client) object(ctx context.Context, q Request, key string, version int64) (mustardsaddle.Object, error) {
+	a, err := c.Call(ctx, q)
 	if err != nil {
 		return mustardsaddle.Object{}, err
 	}
-	switch a.status {
+	switch a.Status {
 	case http.StatusNotFound:
 		return mustardsaddle.Object{Key: key}, nil
 	case http.StatusNotModified:
 		return mustardsaddle.Object{Key: key, Version: version}, nil
 	}
-	found, err := parseETag(a.header.Get("ETag"))
+	found, err := parseETag(a.Header.Get("ETag"))
 	if err != nil {
 		return mustardsaddle.Object{}, err
 	}
-	return mustardsaddle.Object{Key: key, Version: found, Value: a.body}, nil
+	return mustardsaddle.Object{Key: key, Version: found, Value: a.Body}, nil
 }
 
 // Put writes a value if the newest version is still the given one.
@@ -181,11 +181,11 @@
 	if version > 0 {
 		condition = http.Header{"If-Match": {strconv.Quote(strconv.FormatInt(version, 10))}}
 	}
-	a, err := c.call(ctx, request{kind: writing, path: objectPath(key), header: condition, value: value})
+	a, err := c.Call(ctx, Request{Kind: Writing, Path: objectPath(key), Header: condition, Value: value})
 	if err != nil {
 		return 0, err
 	}
-	return parseETag(a.header.Get("ETag"))
+	return parseETag(a.Header.Get("ETag"))
 }
 
 // List returns the keys below a prefix.
@@ -202,26 +202,26 @@
 	if known != "" {
 		header.Set("If-None-Match", known)
 	}
-	a, err := c.call(ctx, request{kind: reading, path: path, header: header})
+	a, err := c.Call(ctx, Request{Kind: Reading, Path: path, Header: header})
 	if err != nil {
 		return mustardsaddle.Page{}, err
 	}
-	if a.status == http.StatusNotModified {
+	if a.Status == http.StatusNotModified {
 		return mustardsaddle.Page{Version: known}, nil
 	}
-	page := mustardsaddle.Page{Version: a.header.Get("ETag"), Changed: true}
-	if err := json.Unmarshal(a.body, &page.Machines); err != nil {
+	page := mustardsaddle.Page{Version: a.Header.Get("ETag"), Changed: true}
+	if err := json.Unmarshal(a.Body, &page.Machines); err != nil {
 		return mustardsaddle.Page{}, code.Wrapf(code.StoreBadObject, err, "decode %s", path)
 	}
 	return page, nil
 }
 
 func (c *Client) decode(ctx context.Context, path string, v any) error {
-	a, err := c.call(ctx, request{kind: reading, path: path})
+	a, err := c.Call(ctx, Request{Kind: Reading, Path: path})
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(a.body, v); err != nil {
+	if err := json.Unmarshal(a.Body, v); err != nil {
 		return code.Wrapf(code.StoreBadObject, err, "decode %s", path)
 	}
 	return nil
--- a/internal/control/store/stats.go
+++ b/internal/control/store/stats.go
@@ -40,16 +40,16 @@
 }
 
 // admit decides whether a call may go out, and counts it.
-func (c *Client) admit(now time.Time, k kind) error {
+func (c *Client) admit(now time.Time, k Kind) error {
 	s := c.core
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// A watch takes long to show anything, so that it can't test a store that failed.
-	if k == watching && s.breaker.State() != Closed || !s.breaker.Allow(now) {
+	if k == Watching && s.breaker.State() != Closed || !s.breaker.Allow(now) {
 		s.stats.BackedOff++
 		return code.Errorf(code.StoreBackoff, "%s: the store failed and is not called yet", k)
 	}
-	if !s.budget.Take(now, k == writing, c.status) {
+	if !s.budget.Take(now, k == Writing, c.status) {
 		s.breaker.Cancel(now)
 		if c.status {
 			s.stats.StatusDropped++
@@ -59,11 +59,11 @@
 		return code.Errorf(code.StoreBudget, "%s: the call budget is spent", k)
 	}
 	switch k {
-	case reading:
+	case Reading:
 		s.stats.Reads++
-	case watching:
+	case Watching:
 		s.stats.Watches++
-	case writing:
+	case Writing:
 		s.stats.Writes++
 	}
 	return nil
--- a/internal/product/code/list.go
+++ b/internal/product/code/list.go
@@ -90,6 +90,9 @@
 	// StoreBackoff means that the client waits after failures before it calls
 	// the store again. Nothing was sent.
 	StoreBackoff
+	// StoreHistoryLost means that the store no longer has the changes since a
+	// revision, so that the whole has to be read.
+	StoreHistoryLost
 )
 
 // Call codes.
--- a/internal/product/command/command.go
+++ b/internal/product/command/command.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"io"
+	"os"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
@@ -54,12 +55,24 @@
 
 // Config configures a run of the command line.
 type Config struct {
-	// Out takes results.
+	// Out takes results, and the log of serve.
 	Out io.Writer
-	// Err takes messages, and the log of serve.
+	// Err takes messages.
 	Err io.Writer
+	// Hangup takes the signals that ask for the settings to be read again.
+	Hangup <-chan os.Signal
 	// Serve runs a gateway until the context ends.
-	Serve func(ctx context.Context, s settings.Settings, logger zerolog.Logger) error
+	Serve func(ctx context.Context, g Gateway) error
+}
+
+// Gateway is what serve runs.
+type Gateway struct {
+	// Settings are the checked settings.
+	Settings settings.Settings
+	// Reloads brings later settings, checked too.
+	Reloads <-chan settings.Settings
+	// Logger takes the log events.
+	Logger zerolog.Logger
 }
 
 // Run runs the command that the arguments name.
--- a/internal/product/command/explain.go
+++ b/internal/product/command/explain.go
@@ -115,9 +115,21 @@
 	}
 	c.print("  Deadline  %s\n", deadline)
 	c.print("  Repeat    %s\n", repeatText(found, r.Method))
+	c.limits(found)
 	c.print("  Who       %s\n", found.Who)
 }
 
+// limits prints the fields that a rule may leave out.
+func (c *explain) limits(found rule.Rule) {
+	if found.Attempts > 0 {
+		c.print("  Attempts  %d servers at most\n", found.Attempts)
+	}
+	if found.Target > 0 {
+		c.print("  Target    %s\n", found.Target)
+	}
+	c.print("  Priority  %d, of which 0 is the highest\n", found.Priority)
+}
+
 func because(value, none, some string) string {
 	if value == "" {
 		return none
--- a/internal/product/command/serve.go
+++ b/internal/product/command/serve.go
@@ -12,7 +12,10 @@
 reports not ready, goes on taking calls for [Stop] Lag, and ends once every
 call in flight has finished. A second signal ends it at once.
 
-The log goes to standard error, one JSON object a line; docs/EVENTS.md lists
+The settings file is read again when it changes and on SIGHUP; a log line says
+what takes force at once and what only after a restart.
+
+The log goes to standard output, one JSON object a line; docs/EVENTS.md lists
 the events.
 
 Example:
@@ -39,8 +42,15 @@
 		return Failf(Mistakes, "%d in %s", n, c.Settings)
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(c.ctx))
-	log := event.NewWriter(ctx, event.WriterConfig{Out: c.cfg.Err, Gateway: s.Gateway.Name})
-	err := c.cfg.Serve(c.ctx, s, event.NewLogger(log, s.Log.Level, s.Gateway.Name))
+	log := event.NewWriter(ctx, event.WriterConfig{Out: c.cfg.Out, Gateway: s.Gateway.Name})
+	logger := event.NewLogger(log, s.Log.Level, s.Gateway.Name)
+	w := newReloader(c.Settings, c.cfg.Hangup, logger)
+	watched := make(chan struct{})
+	watching, end := context.WithCancel(ctx)
+	go w.run(watching, watched)
+	err := c.cfg.Serve(c.ctx, Gateway{Settings: s, Reloads: w.out, Logger: logger})
+	end()
+	<-watched
 	cancel()
 	select {
 	case <-log.Done():
--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -12,6 +12,8 @@
 	_ = x[StopBegun-1002]
 	_ = x[StopEnded-1003]
 	_ = x[LinesLost-1004]
+	_ = x[SettingsReloaded-1005]
+	_ = x[SettingsRefused-1006]
 	_ = x[RulesInForce-2001]
 	_ = x[RulesRefused-2002]
 	_ = x[RulesAccepted-2003]
@@ -19,6 +21,9 @@
 	_ = x[RulesStatusFailed-2005]
 	_ = x[RulesRepaired-2006]
 	_ = x[StoreFailed-3001]
+	_ = x[StoreBack-3002]
+	_ = x[EntrySkipped-3003]
+	_ = x[ServerChanged-3004]
 	_ = x[RouteChosen-4001]
 	_ = x[CallRefused-4002]
 	_ = x[CallEnded-4003]
@@ -35,30 +40,32 @@
 }
 
 const (
-	_Event_name_0 = "StartedStopBegunStopEndedLinesLost"
+	_Event_name_0 = "StartedStopBegunStopEndedLinesLostSettingsReloadedSettingsRefused"
 	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailedRulesRepaired"
-	_Event_name_2 = "StoreFailed"
+	_Event_name_2 = "StoreFailedStoreBackEntrySkippedServerChanged"
 	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilent"
 	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDropped"
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34}
+	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34, 50, 65}
 	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66, 79}
+	_Event_index_2 = [...]uint8{0, 11, 20, 32, 45}
 	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65}
 	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85}
 )
 
 func (i Event) String() string {
 	switch {
-	case 1001 <= i && i <= 1004:
+	case 1001 <= i && i <= 1006:
 		i -= 1001
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 2001 <= i && i <= 2006:
 		i -= 2001
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
-	case i == 3001:
-		return _Event_name_2
+	case 3001 <= i && i <= 3004:
+		i -= 3001
+		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
 	case 4001 <= i && i <= 4006:
 		i -= 4001
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -10,6 +10,12 @@
 	StopEnded
 	// LinesLost is logged when log lines were lost because the log was not read.
 	LinesLost
+	// SettingsReloaded is logged when changed settings were read, with what of them
+	// takes force now and what only after a restart.
+	SettingsReloaded
+	// SettingsRefused is logged when changed settings have a mistake and the old
+	// ones stay in force.
+	SettingsRefused
 )
 
 // Rule events.
@@ -33,6 +39,12 @@
 const (
 	// StoreFailed is logged when a call to the platform's store fails.
 	StoreFailed Event = iota + 3001
+	// StoreBack is logged when the platform's store answers again.
+	StoreBack
+	// EntrySkipped is logged when an entry of the platform's directory is unusable.
+	EntrySkipped
+	// ServerChanged is logged when an endpoint server joins, leaves or is replaced.
+	ServerChanged
 )
 
 // Call events.
--- /dev/null
+++ b/internal/product/instance/directory.go
@@ -0,0 +1,95 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
+	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
+	"mustardsaddle.example/mustardsaddle/internal/control/catalog"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+)
+
+const (
+	// enterPause is the time between tries to enter this gateway in the directory.
+	enterPause = time.Second
+	// enterTries bounds these tries.
+	enterTries = 30
+)
+
+// newCatalog returns the follower of a directory.
+func (in *instance) newCatalog(d mustardsaddle.Directory, seed uint64) *catalog.Catalog {
+	s := in.cfg.Settings
+	return catalog.New(catalog.Config{
+		Directory: d,
+		InForce:   in.directoryInForce,
+		Servers: func(now time.Time, service string, servers []mustardsaddle.Server) {
+			in.gateway.SetServers(now, service, in.complete(service, servers))
+		},
+		Gateways: func(now time.Time, vms []mustardsaddle.VM) { in.gateway.SetFleet(now, vms) },
+		Wait:     s.Platform.Watch,
+		Core:     catalog.CoreConfig{Return: s.Platform.Return},
+		Logger:   in.cfg.Logger,
+		Seed:     seed,
+	})
+}
+
+// directoryInForce puts rules of a directory in force. What they declare of
+// services goes with the servers.
+func (in *instance) directoryInForce(t *rule.Table) {
+	in.gateway.SetRules(t)
+	in.generation.Store(t.File.Generation)
+}
+
+// complete fills in what neither the list nor the rules state of servers.
+func (in *instance) complete(service string, servers []mustardsaddle.Server) []mustardsaddle.Server {
+	return in.cfg.Settings.Service(service).Complete(servers)
+}
+
+// enter writes this gateway's entry, by which the others find it.
+func (in *instance) enter(ctx context.Context, d mustardsaddle.Directory, done chan<- struct{}) {
+	defer close(done)
+	for range enterTries {
+		err := d.Enter(ctx, in.self)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		event.Warn(in.cfg.Logger, event.StoreFailed).Int("Code", int(code.Of(err))).Err(err).Send()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(enterPause):
+		}
+	}
+}
+
+// newChooser returns the chooser of a service.
+func (in *instance) newChooser(string) mustardsaddle.Chooser {
+	s := in.cfg.Settings
+	if s.Choice.Policy == settings.PolicySurvey {
+		return survey.New(survey.Config{MaxOut: orNone(s.Choice.EjectShare)})
+	}
+	return bench.New(bench.Config{
+		Policy:        policy(s.Choice.Policy),
+		SlowStart:     orNone(s.Choice.SlowStart),
+		MaxEjected:    orNone(s.Choice.EjectShare),
+		ProbeInterval: interval(s.Measuring.ServerPerSecond),
+	})
+}
+
+// headers returns the names of headers that the settings state.
+func headers(h settings.Headers) *mustardsaddle.Headers {
+	names := &mustardsaddle.Headers{
+		RequestID: h.RequestID, Deadline: h.Deadline, Instance: h.Instance, Load: h.Load, NotRun: h.NotRun,
+		Signature: h.Signature, ParseLoad: report.Parse, FractionalRetryAfter: h.RetryAfter == settings.RetryAfterFractions,
+	}
+	if h.LoadFormat == settings.LoadCounts {
+		names.ParseLoad = report.ParseCounts
+	}
+	return names
+}
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -23,6 +23,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/control/catalog"
 	"mustardsaddle.example/mustardsaddle/internal/control/registry"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
@@ -35,14 +36,26 @@
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
+// firstStorePause and maxStorePause bound the pauses after failed calls to the
+// platform. They are short against the time in which rules have to take force.
+const (
+	firstStorePause = 100 * time.Millisecond
+	maxStorePause   = 400 * time.Millisecond
+)
+
 // Config configures an instance.
 type Config struct {
 	// Settings are the checked settings.
 	Settings settings.Settings
+	// Reloads, if set, brings later settings, checked too.
+	Reloads <-chan settings.Settings
 	// Logger takes the log events.
 	Logger zerolog.Logger
 	// Abort, if set, ends a graceful stop at once when it is closed.
 	Abort <-chan struct{}
+	// Directory, if set, makes the directory that the rules and the lists of VMs
+	// come from, in place of the platform's store.
+	Directory func(*store.Client) mustardsaddle.Directory
 	// Started, if set, is told the open addresses before the first call.
 	Started func(Addresses)
 }
@@ -71,11 +84,16 @@
 	membership *membership
 	links      *link.Links
 	registry   *registry.Registry
+	// directory and catalog are nil where the gateways agree on rules in a store.
+	directory  mustardsaddle.Directory
+	catalog    *catalog.Catalog
 	generation atomic.Int64
 	// pages are the pages of the platform's list that the rules in force need.
 	pages    atomic.Pointer[[]string]
 	metrics  *admin.Metrics
 	stopping atomic.Bool
+	// current are the settings in force, of which some parts change with a reload.
+	current atomic.Pointer[settings.Settings]
 
 	// rng is used only by the goroutine that follows the list of VMs.
 	rng *rand.Rand
@@ -112,21 +130,25 @@
 		told:    news.NewTold(),
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 	}
+	in.current.Store(&s)
 	in.store = store.New(store.Config{
 		URL:     s.Platform.URL,
 		Timeout: s.Platform.Timeout,
 		Rates:   store.Rates{Reads: s.Platform.ReadsPerSecond, Writes: s.Platform.WritesPerSecond},
+		Backoff: store.Backoff{Base: firstStorePause, Max: maxStorePause},
 		Seed:    seed,
 	})
-	in.budget = report.NewBudget(report.BudgetConfig{
-		MessagesPerSecond: s.Measuring.MessagesPerSecond,
-		BytesPerSecond:    s.Measuring.BytesPerSecond,
-	})
+	in.budget = report.NewBudget(measuringRates(s))
 	in.gateway = in.newGateway(seed)
 	in.prober = gateway.NewProber(gateway.ProberConfig{Gateway: in.gateway, Budget: in.budget, Path: s.Measuring.Path})
 	in.membership = newMembership(in.rosterChanged)
 	in.links = in.newLinks(seed)
-	in.registry = in.newRegistry(seed)
+	if cfg.Directory != nil {
+		in.directory = cfg.Directory(in.store)
+		in.catalog = in.newCatalog(in.directory, seed)
+	} else {
+		in.registry = in.newRegistry(seed)
+	}
 	in.membership.vm(now, in.self)
 	in.pages.Store(&[]string{gatewayPage})
 	return in
@@ -149,22 +171,30 @@
 		HedgeShare:    orNone(s.Retry.HedgeShare),
 		HedgeQuantile: s.Retry.HedgeQuantile,
 		Services:      services,
-		NewChooser: func(string) mustardsaddle.Chooser {
-			return bench.New(bench.Config{
-				Policy:        policy(s.Choice.Policy),
-				SlowStart:     orNone(s.Choice.SlowStart),
-				MaxEjected:    orNone(s.Choice.EjectShare),
-				ProbeInterval: interval(s.Measuring.ServerPerSecond),
-			})
-		},
-		OnReport: in.reported,
-		Claims:   claim.New(claim.Config{Store: in.store}),
-		Metrics:  in.metrics.Scope(),
-		Logger:   in.cfg.Logger,
-		Seed:     seed,
+		RetryWindow:   s.Retry.Window,
+		RetrySlack:    s.Retry.Slack,
+		Headers:       headers(s.Headers),
+		Ask:           s.Choice.Ask,
+		ProbePath:     s.Measuring.Path,
+		Budget:        in.budget,
+		NewChooser:    in.newChooser,
+		OnReport:      in.reported,
+		Claims:        in.claims(),
+		Metrics:       in.metrics.Scope(),
+		Logger:        in.cfg.Logger,
+		Seed:          seed,
 	})
 }
 
+// claims returns the claims in the platform's store. A directory keeps none, so that
+// rules with Repeat=Claim are refused.
+func (in *instance) claims() mustardsaddle.Claims {
+	if in.cfg.Directory != nil {
+		return nil
+	}
+	return claim.New(claim.Config{Store: in.store})
+}
+
 // orNone maps the setting 0, which means none, to what the request path takes as
 // none; there 0 means the default.
 func orNone[N int | float64 | time.Duration](v N) N {
@@ -205,7 +235,7 @@
 	if in.gateway.Rules() == nil {
 		return code.Errorf(code.CallNotReady, "gateway %s has no rules yet", in.self.Name)
 	}
-	if len(in.membership.Roster().Services()) == 0 {
+	if len(in.servers()) == 0 {
 		return code.Errorf(code.CallNotReady, "gateway %s knows no endpoint server yet", in.self.Name)
 	}
 	return nil
--- a/internal/product/instance/list.go
+++ b/internal/product/instance/list.go
@@ -44,7 +44,9 @@
 func pagesOf(f rule.File) []string {
 	pages := []string{gatewayPage}
 	for _, r := range f.Rules() {
-		pages = append(pages, r.Service)
+		for _, part := range r.Services() {
+			pages = append(pages, part.Service)
+		}
 	}
 	slices.Sort(pages)
 	return slices.Compact(pages)
--- a/internal/product/instance/rules.go
+++ b/internal/product/instance/rules.go
@@ -43,6 +43,10 @@
 
 // rules returns the file in force for the admin page.
 func (in *instance) rules() admin.Rules {
+	if in.catalog != nil {
+		text, generation := in.catalog.Snapshot()
+		return admin.Rules{Generation: generation, Text: text}
+	}
 	text, generation := in.registry.Snapshot()
 	return admin.Rules{Generation: generation, Text: text}
 }
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -110,17 +110,26 @@
 
 // start begins the control side. Each channel is closed when its part has ended.
 func (in *instance) start(ctx context.Context) []<-chan struct{} {
-	return []<-chan struct{}{
+	parts := []<-chan struct{}{
 		begin(ctx, func(ctx context.Context, done chan<- struct{}) {
 			defer close(done)
 			_ = in.links.Run(ctx)
 		}),
+		begin(ctx, in.followSettings),
+		begin(ctx, func(ctx context.Context, done chan<- struct{}) { in.metrics.Follow(ctx, in.state, done) }),
+	}
+	if in.catalog != nil {
+		return append(parts,
+			begin(ctx, in.catalog.Run),
+			begin(ctx, func(ctx context.Context, done chan<- struct{}) { in.enter(ctx, in.directory, done) }),
+		)
+	}
+	return append(parts,
 		begin(ctx, in.registry.Run),
 		begin(ctx, in.followList),
 		begin(ctx, in.followTold),
 		begin(ctx, in.prober.Run),
-		begin(ctx, func(ctx context.Context, done chan<- struct{}) { in.metrics.Follow(ctx, in.state, done) }),
-	}
+	)
 }
 
 // begin starts a part and returns the channel on which it reports its end.
@@ -173,8 +182,14 @@
 
 // servers returns the endpoint servers as this gateway sees them.
 func (in *instance) servers() []admin.Server {
-	r := in.membership.Roster()
 	var servers []admin.Server
+	if in.catalog != nil {
+		for _, s := range in.catalog.Servers() {
+			servers = append(servers, admin.Server{Server: s})
+		}
+		return servers
+	}
+	r := in.membership.Roster()
 	for _, service := range r.Services() {
 		for _, s := range r.Servers(service) {
 			servers = append(servers, admin.Server{Server: s})
@@ -192,7 +207,7 @@
 	in.spreadFresh("", in.membership.marks(time.Now(), []mustardsaddle.Mark{leaving}))
 	in.gateway.SetStopping()
 	select {
-	case <-time.After(in.cfg.Settings.Stop.Lag):
+	case <-time.After(in.current.Load().Stop.Lag):
 	case <-in.cfg.Abort:
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -37,6 +37,7 @@
 	sectionLimits    = "Limits"
 	sectionRetry     = "Retry"
 	sectionChoice    = "Choice"
+	sectionHeaders   = "Headers"
 	sectionLog       = "Log"
 	sectionService   = "Service NAME"
 )
@@ -68,6 +69,7 @@
 	list = append(list, peerList()...)
 	list = append(list, limitList()...)
 	list = append(list, choiceList()...)
+	list = append(list, headerList()...)
 	return list
 }
 
@@ -93,6 +95,15 @@
 	return []setting[Settings]{
 		required(httpURL(sectionPlatform, "URL", "Base address of the platform's store and list of VMs.",
 			func(s *Settings) *string { return &s.Platform.URL }), "http://127.0.0.1:7000"),
+		oneOf(sectionPlatform, "Kind", KindStore, []string{KindStore, KindDirectory},
+			"Store: the gateways agree on rules in the platform's store. Directory: the platform accepts rules and lists VMs by itself.",
+			func(s *Settings) *string { return &s.Platform.Kind }),
+		duration(sectionPlatform, "Watch", "1500ms", 100*time.Millisecond, time.Minute,
+			"Longest wait of one watch of a Directory, which bounds how long a watch that fell silent goes unnoticed.",
+			func(s *Settings) *time.Duration { return &s.Platform.Watch }),
+		duration(sectionPlatform, "Return", "2s", 0, time.Minute,
+			"Time after an outage of a Directory in which an endpoint server is still used that its list lacks.",
+			func(s *Settings) *time.Duration { return &s.Platform.Return }),
 		duration(sectionPlatform, "Timeout", "2s", 10*time.Millisecond, time.Minute,
 			"Longest wait for one call to the platform, apart from watches.",
 			func(s *Settings) *time.Duration { return &s.Platform.Timeout }),
@@ -158,6 +169,12 @@
 		number(sectionRetry, "RetryShare", "0.2", 0, 1, "a share of the calls",
 			"Retries that trouble may add to the load; 0 retries nothing.",
 			func(s *Settings) *float64 { return &s.Retry.RetryShare }),
+		duration(sectionRetry, "Window", "10s", 100*time.Millisecond, maxDuration,
+			"Time over which retries and hedges are counted against the calls.",
+			func(s *Settings) *time.Duration { return &s.Retry.Window }),
+		number(sectionRetry, "Slack", "200", 0, maxPerSecond, "attempts",
+			"Retries and hedges in a window that all gateways together may send beyond the share; each takes its part.",
+			func(s *Settings) *float64 { return &s.Retry.Slack }),
 		number(sectionRetry, "HedgeShare", "0.05", 0, 1, "a share of the calls",
 			"Second attempts of slow idempotent calls; 0 hedges nothing.",
 			func(s *Settings) *float64 { return &s.Retry.HedgeShare }),
@@ -171,6 +188,9 @@
 	return []setting[Settings]{
 		oneOf(sectionChoice, "Policy", "Default", policies(), "How a server is chosen; Default is the one that won the comparison in docs/MEASUREMENTS.md.",
 			func(s *Settings) *string { return &s.Choice.Policy }),
+		integer(sectionChoice, "Ask", "8", 1, 64, "servers",
+			"Endpoint servers that are asked for their load just before a call is sent, by the policy Survey.",
+			func(s *Settings) *int { return &s.Choice.Ask }),
 		number(sectionChoice, "EjectShare", "0.3", 0, 0.9, "a share of the servers",
 			"Servers of one service that may be left out for errors or slowness at a time.",
 			func(s *Settings) *float64 { return &s.Choice.EjectShare }),
@@ -186,7 +206,34 @@
 
 // policies names the policies of the choice of a server.
 func policies() []string {
-	return []string{"Default", "RoundRobin", "TwoChoices", "HotCold", "PreferredSpill"}
+	return []string{"Default", "RoundRobin", "TwoChoices", "HotCold", "PreferredSpill", PolicySurvey}
+}
+
+// PolicySurvey asks servers for their load just before a call is sent.
+const PolicySurvey = "Survey"
+
+// headerList describes the headers of callers and servers.
+func headerList() []setting[Settings] {
+	return []setting[Settings]{
+		headerName(sectionHeaders, "RequestID", "", "Header in which a caller names its request and a server names the request that it answers.",
+			func(s *Settings) *string { return &s.Headers.RequestID }),
+		headerName(sectionHeaders, "Deadline", "Mustardsaddle-Deadline", "Header that tells how many milliseconds the sender still waits, from callers and to servers.",
+			func(s *Settings) *string { return &s.Headers.Deadline }),
+		headerName(sectionHeaders, "Instance", "", "Header that names the server for which a request is meant; any other server answers 421.",
+			func(s *Settings) *string { return &s.Headers.Instance }),
+		headerName(sectionHeaders, "Load", "Endpoint-Load-Metrics", "Header in which servers report their load.",
+			func(s *Settings) *string { return &s.Headers.Load }),
+		oneOf(sectionHeaders, "LoadFormat", LoadORCA, []string{LoadORCA, LoadCounts},
+			"Format of load reports. Counts: running, waiting and slots, and then the slowness of the VM in percent, if known.",
+			func(s *Settings) *string { return &s.Headers.LoadFormat }),
+		headerName(sectionHeaders, "NotRun", "", "Header by which servers of any service declare, with any status, that a request was not run.",
+			func(s *Settings) *string { return &s.Headers.NotRun }),
+		headerName(sectionHeaders, "Signature", "", "Header that each successful answer of a server has; one without it is not relayed.",
+			func(s *Settings) *string { return &s.Headers.Signature }),
+		oneOf(sectionHeaders, "RetryAfter", "Seconds", []string{"Seconds", RetryAfterFractions},
+			"Whether Retry-After has whole seconds or fractions, which only callers who know of them understand.",
+			func(s *Settings) *string { return &s.Headers.RetryAfter }),
+	}
 }
 
 // serviceList describes the settings of a service section.
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -16,6 +16,7 @@
 package settings
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -41,6 +42,8 @@
 	Retry Retry
 	// Choice says how a server is chosen for an attempt.
 	Choice Choice
+	// Headers name what callers and servers say in headers.
+	Headers Headers
 	// Log says what is logged.
 	Log Log
 
@@ -61,6 +64,9 @@
 // fleet of gateways.
 type Platform struct {
 	URL             string
+	Kind            string
+	Watch           time.Duration
+	Return          time.Duration
 	Timeout         time.Duration
 	Poll            time.Duration
 	ReadsPerSecond  float64
@@ -100,6 +106,8 @@
 // Retry bounds the attempts that the gateway adds to a call, as shares of the
 // calls.
 type Retry struct {
+	Window        time.Duration
+	Slack         float64
 	RetryShare    float64
 	HedgeShare    float64
 	HedgeQuantile float64
@@ -108,10 +116,43 @@
 // Choice says how a server is chosen for an attempt.
 type Choice struct {
 	Policy     string
+	Ask        int
 	EjectShare float64
 	SlowStart  time.Duration
 }
 
+// Kinds of platforms.
+const (
+	// KindStore is a store in which the gateways agree on the rules.
+	KindStore = "Store"
+	// KindDirectory is a platform that accepts the rules by itself.
+	KindDirectory = "Directory"
+)
+
+// Formats of load reports.
+const (
+	// LoadORCA is the JSON text form of the Open Request Cost Aggregation format.
+	LoadORCA = "ORCA"
+	// LoadCounts is a list of counts: running, waiting, slots, slowness in percent.
+	LoadCounts = "Counts"
+)
+
+// RetryAfterFractions lets Retry-After have a fraction of a second.
+const RetryAfterFractions = "Fractions"
+
+// Headers names what callers and servers say in headers. An empty name means that
+// they do not say it.
+type Headers struct {
+	RequestID  string
+	Deadline   string
+	Instance   string
+	Load       string
+	LoadFormat string
+	NotRun     string
+	Signature  string
+	RetryAfter string
+}
+
 // Service describes the endpoint servers of one service.
 type Service struct {
 	Name         string
@@ -204,3 +245,48 @@
 	s.Platform = p
 	return s
 }
+
+// WithMeasuring returns a copy of s with the given budget of load probes.
+func (s Settings) WithMeasuring(m Measuring) Settings {
+	s.Measuring = m
+	return s
+}
+
+// WithRetry returns a copy of s with the given bounds of retries.
+func (s Settings) WithRetry(r Retry) Settings {
+	s.Retry = r
+	return s
+}
+
+// WithStop returns a copy of s with the given way to stop.
+func (s Settings) WithStop(stop Stop) Settings {
+	s.Stop = stop
+	return s
+}
+
+// Changed returns the sections in which s differs from old.
+func (s Settings) Changed(old Settings) []string {
+	sections := []struct {
+		name     string
+		new, old any
+	}{
+		{sectionGateway, s.Gateway, old.Gateway},
+		{sectionPlatform, s.Platform, old.Platform},
+		{sectionMeasuring, s.Measuring, old.Measuring},
+		{sectionPeers, s.Peers, old.Peers},
+		{sectionStop, s.Stop, old.Stop},
+		{sectionLimits, s.Limits, old.Limits},
+		{sectionRetry, s.Retry, old.Retry},
+		{sectionChoice, s.Choice, old.Choice},
+		{sectionHeaders, s.Headers, old.Headers},
+		{sectionLog, s.Log, old.Log},
+		{sectionService, s.services, old.services},
+	}
+	changed := []string{}
+	for _, section := range sections {
+		if !reflect.DeepEqual(section.new, section.old) {
+			changed = append(changed, section.name)
+		}
+	}
+	return changed
+}
--- a/internal/request/booking/booking.go
+++ b/internal/request/booking/booking.go
@@ -71,7 +71,7 @@
 // open, and the caller must End it.
 func (c *Call) Begin(now time.Time, b *Budgets) (Kind, bool) {
 	kind := c.kind()
-	if !c.permitted(now) || !b.take(kind) {
+	if !c.permitted(now) || !b.take(now, kind) {
 		return kind, false
 	}
 	c.begun++
--- a/internal/request/booking/budget.go
+++ b/internal/request/booking/budget.go
@@ -1,5 +1,7 @@
 package booking
 
+import "time"
+
 // Budget bounds extra attempts to a share of calls: each call earns Share, each
 // extra attempt costs one. Over n calls at most Burst + Share × n extra attempts
 // are granted, so that trouble is not amplified. A Budget is not safe for
@@ -39,18 +41,34 @@
 	Retry Budget
 	// Hedge pays for attempts beside one that has not ended.
 	Hedge Budget
+	// Window, if set, pays for retries in place of Retry, and for hedges besides
+	// Hedge, so that the extra attempts of any stretch of time are bounded.
+	Window *Window
+	// Bounds are what the Window allows.
+	Bounds Bounds
 }
 
 // take pays for an attempt; a first attempt is free and earns both shares.
-func (b *Budgets) take(kind Kind) bool {
+func (b *Budgets) take(now time.Time, kind Kind) bool {
 	switch kind {
 	case Retry:
-		return b.Retry.Take()
+		return b.TakeRetry(now)
 	case Hedge:
-		return b.Hedge.Take()
+		return b.Hedge.Take() && (b.Window == nil || b.Window.Take(now, b.Bounds))
 	case First:
 		b.Retry.earn()
 		b.Hedge.earn()
+		if b.Window != nil {
+			b.Window.Call(now)
+		}
 	}
 	return true
 }
+
+// TakeRetry pays for an attempt after one that ended.
+func (b *Budgets) TakeRetry(now time.Time) bool {
+	if b.Window != nil {
+		return b.Window.Take(now, b.Bounds)
+	}
+	return b.Retry.Take()
+}
--- a/internal/request/gateway/answer.go
+++ b/internal/request/gateway/answer.go
@@ -68,7 +68,7 @@
 		h.Set(AttemptHeader, attempt)
 	}
 	if status == http.StatusTooManyRequests || status >= http.StatusInternalServerError {
-		h.Set("Retry-After", strconv.Itoa(slot.Seconds(max(n.retryAfter, time.Second))))
+		h.Set("Retry-After", g.cfg.retryAfter(n.retryAfter))
 	}
 	body := n.body()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
@@ -78,6 +78,26 @@
 	_, _ = w.Write([]byte(body))
 }
 
+// minFraction is the shortest wait that is told to callers who understand fractions.
+const minFraction = 50 * time.Millisecond
+
+// minRetryAfter returns the shortest wait that a refused caller can be told.
+func (cfg Config) minRetryAfter() time.Duration {
+	if cfg.Headers.FractionalRetryAfter {
+		return minFraction
+	}
+	return time.Second
+}
+
+// retryAfter renders a wait for the Retry-After header.
+func (cfg Config) retryAfter(d time.Duration) string {
+	d = max(d, cfg.minRetryAfter())
+	if cfg.Headers.FractionalRetryAfter {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(slot.Seconds(d))
+}
+
 // extend gives the caller's connection time to take what is written next. The
 // error is that of a writer that has no deadlines.
 func (g *Gateway) extend(w http.ResponseWriter) {
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
@@ -101,9 +100,13 @@
 	out.Close = false
 	header := c.g.forwardHeader(c.r)
 	header.set(AttemptHeader, a.id)
-	if !c.body.streamed() {
+	names := c.g.cfg.Headers
+	if !c.body.streamed() && names.Deadline != "" {
 		left := max(time.Until(c.deadline).Milliseconds(), 1)
-		header.set(DeadlineHeader, strconv.FormatInt(left, 10))
+		header.set(names.Deadline, strconv.FormatInt(left, 10))
+	}
+	if names.Instance != "" {
+		header.set(names.Instance, a.placement.choice.Server.Name)
 	}
 	out.Header = header.Header
 	if c.body.empty {
@@ -150,35 +153,58 @@
 		}
 		return
 	}
-	declared := a.c.g.cfg.Services[a.c.m.lane.service]
-	h := a.resp.Header
-	switch echoed := h.Get(AttemptHeader); {
-	case echoed != "" && echoed != a.id:
+	switch {
+	case !a.ours():
 		a.mismatch = true
 		a.outcome = mustardsaddle.Unknown
-	case declared.NotRunStatus != 0 && a.resp.StatusCode == declared.NotRunStatus && h.Get(declared.NotRunHeader) != "":
+	case a.declaredNotRun():
 		a.shed = true
 		a.outcome = mustardsaddle.NotRun
+	case a.otherInstance():
+		a.outcome = mustardsaddle.NotRun
 	default:
 		a.outcome = mustardsaddle.Ran
 	}
 }
 
+// ours reports whether the answer belongs to the attempt: it echoes no other id,
+// and a successful one has the signature that it must have.
+func (a *attempt) ours() bool {
+	names, h := a.c.g.cfg.Headers, a.resp.Header
+	if echoed := h.Get(AttemptHeader); echoed != "" && echoed != a.id {
+		return false
+	}
+	if names.RequestID != "" {
+		asked, echoed := a.c.r.Header.Get(names.RequestID), h.Get(names.RequestID)
+		if echoed != "" && echoed != asked {
+			return false
+		}
+	}
+	success := a.resp.StatusCode >= http.StatusOK && a.resp.StatusCode < http.StatusMultipleChoices
+	return !success || names.Signature == "" || h.Get(names.Signature) != ""
+}
+
+// declaredNotRun reports whether the server says that it did not run the request.
+func (a *attempt) declaredNotRun() bool {
+	h := a.resp.Header
+	if name := a.c.g.cfg.Headers.NotRun; name != "" && h.Get(name) != "" {
+		return true
+	}
+	declared := a.c.g.cfg.Services[a.c.m.lane.service]
+	return declared.NotRunStatus != 0 && a.resp.StatusCode == declared.NotRunStatus && h.Get(declared.NotRunHeader) != ""
+}
+
+// otherInstance reports whether another server has the address.
+func (a *attempt) otherInstance() bool {
+	return a.c.g.cfg.Headers.Instance != "" && a.resp.StatusCode == http.StatusMisdirectedRequest
+}
+
 // observe passes on the load report of the answer.
 func (a *attempt) observe() {
 	if a.resp == nil || a.mismatch {
 		return
 	}
-	text := a.resp.Header.Get(report.Header)
-	if text == "" {
-		return
-	}
-	now := time.Now()
-	rep, err := report.Parse(now, text)
-	if err != nil {
-		return
-	}
-	a.c.m.lane.observe(now, a.placement.choice.Server.Name, rep)
+	a.c.m.lane.observeHeader(time.Now(), a.placement.choice.Server.Name, a.resp.Header)
 }
 
 // silent reports whether a connection that had served before carried nothing back.
@@ -219,7 +245,7 @@
 	if a.err != nil || a.mismatch {
 		return true
 	}
-	return !a.shed && a.resp != nil && a.resp.StatusCode >= http.StatusInternalServerError
+	return !a.shed && a.resp != nil && (a.resp.StatusCode >= http.StatusInternalServerError || a.otherInstance())
 }
 
 // code returns the result code that says why the attempt brought no answer.
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -40,7 +40,7 @@
 func newCall(g *Gateway, now time.Time, w http.ResponseWriter, r *http.Request, m matched) *call {
 	c := &call{g: g, w: w, r: r, m: m, start: now, deadline: now.Add(m.deadline)}
 	c.body.c = c
-	c.state = booking.New(booking.Config{Repeat: m.repeat, Deadline: c.deadline, MaxAttempts: g.cfg.MaxAttempts})
+	c.state = booking.New(booking.Config{Repeat: m.repeat, Deadline: c.deadline, MaxAttempts: m.attempts})
 	c.timer = time.AfterFunc(m.deadline, c.expire)
 	return c
 }
@@ -155,6 +155,13 @@
 	return kind, c.tried, ok && c.winner == nil
 }
 
+// servers returns the servers that were tried.
+func (c *call) servers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tried
+}
+
 // end tells the call's state what became of an attempt.
 func (c *call) end(outcome mustardsaddle.Outcome) {
 	c.mu.Lock()
--- a/internal/request/gateway/fleet.go
+++ b/internal/request/gateway/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 )
 
 // SetFleet tells which gateway VMs there are, this one included. All of them share
@@ -18,11 +19,11 @@
 	same := slices.EqualFunc(g.fleet, live, func(a, b mustardsaddle.VM) bool { return a.Name == b.Name })
 	g.fleet = live
 	g.mu.Unlock()
-	if same {
-		return
-	}
 	for _, l := range g.allLanes() {
-		l.setFleet(now, live)
+		l.updateBounds()
+		if !same {
+			l.setFleet(now, live)
+		}
 	}
 }
 
@@ -34,3 +35,19 @@
 		c.SetFleet(now, l.g.cfg.Name, live)
 	}
 }
+
+// SetRetry changes the bounds of retries and hedges in a window: the share that a
+// call earns, and the slack of the whole fleet.
+func (g *Gateway) SetRetry(bounds booking.Bounds) {
+	g.retry.Store(&bounds)
+	for _, l := range g.allLanes() {
+		l.updateBounds()
+	}
+}
+
+// updateBounds takes bounds, or a size of the fleet, that have changed.
+func (l *lane) updateBounds() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setBounds()
+}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -33,6 +33,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -44,7 +45,9 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
+	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 )
 
 // Defaults of a Config.
@@ -96,6 +99,13 @@
 	MaxAttempts int
 	// RetryShare is the number of retries that one call earns; below 0 for none.
 	RetryShare float64
+	// RetryWindow is the time over which retries and hedges together are bounded
+	// by RetryShare of the calls and RetrySlack; 0 means that each call earns its
+	// share instead.
+	RetryWindow time.Duration
+	// RetrySlack is how many retries and hedges all gateways together may send in
+	// a window beyond the share.
+	RetrySlack float64
 	// HedgeShare is the number of hedges that one call earns; below 0 for none.
 	HedgeShare float64
 	// HedgeQuantile is the quantile of latencies after which a hedge is sent.
@@ -106,6 +116,17 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an unused connection to a server is kept.
 	IdleTimeout time.Duration
+	// Headers names what callers and servers say in headers; nil means the
+	// project's own names.
+	Headers *mustardsaddle.Headers
+	// Ask is how many servers are asked for their load before a call is sent, if
+	// the chooser wants to know.
+	Ask int
+	// ProbePath is where servers tell their load if the rules do not say; empty
+	// means /load.
+	ProbePath string
+	// Budget pays for what servers are asked; nil means that nothing is asked.
+	Budget Budget
 	// Services holds the declarations by service.
 	Services map[string]Service
 	// NewChooser returns the chooser of a service; nil means package bench.
@@ -137,9 +158,13 @@
 	setDefault(&cfg.MinHedge, defaultMinHedge)
 	setDefault(&cfg.DialTimeout, defaultDialTimeout)
 	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
+	setDefault(&cfg.ProbePath, defaultLoadPath)
 	if cfg.NewChooser == nil {
 		cfg.NewChooser = func(string) mustardsaddle.Chooser { return bench.New(bench.Config{}) }
 	}
+	if cfg.Headers == nil {
+		cfg.Headers = &mustardsaddle.Headers{Deadline: DeadlineHeader, Load: report.Header, ParseLoad: report.Parse}
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
@@ -160,16 +185,21 @@
 	rules    atomic.Pointer[rule.Table]
 	reuse    *http.Transport
 	fresh    *http.Transport
+	asking   *http.Transport
 	prefix   string
 	via      string
 	attempts atomic.Uint64
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	gateways atomic.Int64
-	buffers  sync.Pool
+	// retry bounds the retries of the whole fleet.
+	retry   atomic.Pointer[booking.Bounds]
+	buffers sync.Pool
 
 	mu    sync.RWMutex
 	lanes map[string]*lane
+	// rng draws the service of a call; it is guarded by mu.
+	rng *rand.Rand
 	// fleet are the live gateway VMs.
 	fleet []mustardsaddle.VM
 }
@@ -183,10 +213,13 @@
 		cfg:    cfg,
 		reuse:  newTransport(cfg, true),
 		fresh:  newTransport(cfg, false),
+		asking: newAskingTransport(cfg),
 		prefix: cfg.Name + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
 		via:    "1.1 " + cfg.Name,
 		lanes:  make(map[string]*lane),
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 4)),
 	}
+	g.retry.Store(&booking.Bounds{Share: max(cfg.RetryShare, 0), Slack: cfg.RetrySlack})
 	g.buffers.New = func() any { return new([copyBufferBytes]byte) }
 	return g
 }
@@ -233,6 +266,7 @@
 func (g *Gateway) Close() {
 	g.reuse.CloseIdleConnections()
 	g.fresh.CloseIdleConnections()
+	g.asking.CloseIdleConnections()
 }
 
 // ServeHTTP answers one caller's request.
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +22,10 @@
 	// pollInterval is how often the first waiting call asks again, since a
 	// chooser may admit a server by the passing of time alone.
 	pollInterval = 20 * time.Millisecond
+	// slackShare is the part of the retry slack that running gateways plan to use.
+	slackShare = 0.6
+	// assumedGateways is the size of a fleet that is not known yet.
+	assumedGateways = 32
 	// unmeasuredHedge is the hedge delay while too few latencies are known.
 	unmeasuredHedge = 100 * time.Millisecond
 )
@@ -60,7 +66,7 @@
 
 func newLane(g *Gateway, service string) *lane {
 	cfg := g.cfg
-	return &lane{
+	l := &lane{
 		g:       g,
 		service: service,
 		metrics: newLaneMetrics(cfg.Metrics, service),
@@ -72,10 +78,25 @@
 		},
 		latency:  booking.Latency{Quantile: cfg.HedgeQuantile},
 		limits:   slot.NewLimits(),
-		queue:    slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting}),
+		queue:    slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting, MinRetryAfter: cfg.minRetryAfter()}),
 		waiting:  make(map[uint64]waiter),
 		reusedAt: make(map[string]time.Time),
 	}
+	if cfg.RetryWindow > 0 {
+		l.budgets.Window = booking.NewWindow(cfg.RetryWindow)
+	}
+	l.setBounds()
+	return l
+}
+
+// setBounds takes the bounds of retries, and of the slack that all gateways share
+// this one's part. Some of it is left for gateways that start without a memory of
+// what they have sent.
+func (l *lane) setBounds() {
+	gateways := cmp.Or(l.g.gateways.Load(), assumedGateways)
+	bounds := *l.g.retry.Load()
+	bounds.Slack *= slackShare / float64(gateways)
+	l.budgets.Bounds = bounds
 }
 
 // newBudget returns a budget of a share of calls; a share below 0 grants none.
@@ -107,6 +128,7 @@
 // place begins an attempt of the call and chooses its server. A first attempt and a
 // retry wait for one in the queue; a hedge takes another server now, or none.
 func (l *lane) place(ctx context.Context, now time.Time, c *call) (placement, *refusal) {
+	l.ask(ctx, c.servers())
 	l.mu.Lock()
 	kind, tried, ok := c.begin(now, &l.budgets)
 	if !ok {
@@ -154,7 +176,7 @@
 			}
 			return placement{choice: choice, queued: time.Since(since)}, nil
 		case <-poll.C:
-			l.poll(id)
+			l.poll(ctx, id)
 			continue
 		case <-over.C:
 		case <-ctx.Done():
@@ -172,12 +194,18 @@
 }
 
 // poll asks the chooser again on behalf of the first waiting call.
-func (l *lane) poll(id uint64) {
+func (l *lane) poll(ctx context.Context, id uint64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if first, ok := l.queue.First(); ok && first == id {
-		l.serveWaiting(time.Now())
+	first, ok := l.queue.First()
+	tried := l.waiting[id].tried
+	l.mu.Unlock()
+	if !ok || first != id {
+		return
 	}
+	l.ask(ctx, tried)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.serveWaiting(time.Now())
 }
 
 // leave gives up waiting. It returns false if the wait was ended meanwhile.
@@ -286,6 +314,21 @@
 	}
 }
 
+// observeHeader takes the load report in an answer's header, if there is one.
+func (l *lane) observeHeader(now time.Time, server string, h http.Header) {
+	names := l.g.cfg.Headers
+	text := h.Get(names.Load)
+	if text == "" {
+		return
+	}
+	rep, err := names.ParseLoad(now, text)
+	if err != nil {
+		l.metrics.badReports.Inc(1)
+		return
+	}
+	l.observe(now, server, rep)
+}
+
 // hedgeDelay returns how long an attempt may be without an answer before it gets
 // a hedge, or false if a hedge would have no other server.
 func (l *lane) hedgeDelay() (time.Duration, bool) {
@@ -306,10 +349,10 @@
 }
 
 // takeRetry pays for an extra request that is not an attempt of a call.
-func (l *lane) takeRetry() bool {
+func (l *lane) takeRetry(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.budgets.Retry.Take()
+	return l.budgets.TakeRetry(now)
 }
 
 // probe picks the server whose load is most worth asking for.
--- a/internal/request/gateway/match.go
+++ b/internal/request/gateway/match.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -10,11 +12,16 @@
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
+// maxPatience bounds the time that a caller may say it waits.
+const maxPatience = 24 * time.Hour
+
 // matched is the result of the match filter.
 type matched struct {
 	rule     rule.Rule
 	repeat   mustardsaddle.Repeat
 	deadline time.Duration
+	// attempts bounds the servers that the request is sent to.
+	attempts int
 	lane     *lane
 }
 
@@ -35,16 +42,40 @@
 	if !ok {
 		return matched{}, notRun(code.CallNoRule)
 	}
-	m := matched{rule: found, repeat: found.RepeatOf(r.Method), deadline: found.Deadline, lane: g.lane(found.Service)}
+	m := matched{
+		rule: found, repeat: found.RepeatOf(r.Method), lane: g.lane(g.pick(table.Split(found))),
+		deadline: cmp.Or(found.Deadline, g.cfg.Deadline), attempts: cmp.Or(found.Attempts, g.cfg.MaxAttempts),
+	}
 	if m.lane == nil {
 		return matched{}, notRun(code.CallNoServer)
 	}
-	if m.deadline == 0 {
-		m.deadline = g.cfg.Deadline
+	if waits, ok := g.patience(r); ok {
+		m.deadline = min(m.deadline, waits)
 	}
 	return m, nil
 }
 
+// pick draws the service of one call.
+func (g *Gateway) pick(s rule.Split) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return s.Pick(g.rng)
+}
+
+// patience returns how long the caller says that it waits. The project's own
+// header comes from gateways alone, and is not believed of callers.
+func (g *Gateway) patience(r *http.Request) (time.Duration, bool) {
+	name := g.cfg.Headers.Deadline
+	if name == "" || name == DeadlineHeader {
+		return 0, false
+	}
+	millis, err := strconv.ParseInt(r.Header.Get(name), 10, 64)
+	if err != nil || millis < 0 || millis > maxPatience.Milliseconds() {
+		return 0, false
+	}
+	return time.Duration(millis) * time.Millisecond, true
+}
+
 // upgrades reports whether the request asks for another protocol. An offer of
 // unencrypted HTTP/2 may be ignored, and is.
 func upgrades(r *http.Request) bool {
--- a/internal/request/gateway/metrics.go
+++ b/internal/request/gateway/metrics.go
@@ -23,22 +23,27 @@
 	silent   tally.Counter
 	resumed  tally.Counter
 	cut      tally.Counter
-	queued   tally.Histogram
-	header   tally.Histogram
+	// badReports counts load reports that could not be read.
+	badReports tally.Counter
+	questions  tally.Counter
+	queued     tally.Histogram
+	header     tally.Histogram
 }
 
 func newLaneMetrics(scope tally.Scope, service string) *laneMetrics {
 	s := scope.Tagged(map[string]string{"Service": service})
 	times := tally.MustMakeExponentialDurationBuckets(firstBucket, 2, buckets)
 	m := &laneMetrics{
-		attempts: s.Counter("Attempts"),
-		retries:  s.Counter("Retries"),
-		hedges:   s.Counter("Hedges"),
-		silent:   s.Counter("SilentConnections"),
-		resumed:  s.Counter("ResumedDownloads"),
-		cut:      s.Counter("CutAnswers"),
-		queued:   s.Histogram("QueueTime", times),
-		header:   s.Histogram("HeaderTime", times),
+		attempts:   s.Counter("Attempts"),
+		retries:    s.Counter("Retries"),
+		hedges:     s.Counter("Hedges"),
+		silent:     s.Counter("SilentConnections"),
+		resumed:    s.Counter("ResumedDownloads"),
+		cut:        s.Counter("CutAnswers"),
+		badReports: s.Counter("BadReports"),
+		questions:  s.Counter("Questions"),
+		queued:     s.Histogram("QueueTime", times),
+		header:     s.Histogram("HeaderTime", times),
 	}
 	for _, o := range []mustardsaddle.Outcome{mustardsaddle.Unknown, mustardsaddle.NotRun, mustardsaddle.Ran} {
 		m.outcomes[o] = s.Tagged(map[string]string{"Outcome": o.String()}).Counter("Calls")
--- a/internal/request/gateway/prober.go
+++ b/internal/request/gateway/prober.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 )
 
 const (
@@ -125,12 +124,7 @@
 	}
 	_, _ = io.CopyN(io.Discard, resp.Body, probeAnswerBytes)
 	_ = resp.Body.Close()
-	now := time.Now()
-	rep, err := report.Parse(now, resp.Header.Get(report.Header))
-	if err != nil {
-		return
-	}
-	l.observe(now, server.Name, rep)
+	l.observeHeader(time.Now(), server.Name, resp.Header)
 }
 
 // allLanes returns the lanes of all services.
--- /dev/null
+++ b/internal/request/gateway/question.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+)
+
+const (
+	// patienceForAnswers is how long a call waits for the answers of the servers
+	// that were asked for their load.
+	patienceForAnswers = 6 * time.Millisecond
+	// questionTimeout bounds one question; its connection is closed then.
+	questionTimeout = 150 * time.Millisecond
+	// idleQuestions is how many unused connections for questions are kept to a
+	// server.
+	idleQuestions = 1
+)
+
+// newAskingTransport returns the connection library for questions.
+func newAskingTransport(cfg Config) *http.Transport {
+	t := newTransport(cfg, true)
+	t.MaxIdleConnsPerHost = idleQuestions
+	t.MaxResponseHeaderBytes = probeHeaderBytes
+	return t
+}
+
+// ask lets the chooser ask a few servers for their load, and waits for the answers
+// that come soon. It does nothing for a chooser that asks nobody, and when the
+// budget is spent; older reports decide then.
+func (l *lane) ask(ctx context.Context, tried []string) {
+	surveyor, ok := l.chooser.(mustardsaddle.Surveyor)
+	if !ok || l.g.cfg.Budget == nil {
+		return
+	}
+	now := time.Now()
+	l.mu.Lock()
+	need := mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone}
+	servers := surveyor.Ask(now, l.rng, need, l.g.cfg.Ask)
+	for i := range servers {
+		if !l.g.cfg.Budget.Take(now, 1, probeRequestBytes+probeAnswerBytes) {
+			surveyor.Unasked(servers[i:])
+			servers = servers[:i]
+			break
+		}
+	}
+	l.mu.Unlock()
+	if len(servers) > 0 {
+		l.question(ctx, servers)
+	}
+}
+
+// question asks servers at the same time, and returns when all have answered or
+// the patience is over. Later answers count all the same.
+func (l *lane) question(ctx context.Context, servers []mustardsaddle.Server) {
+	l.metrics.questions.Inc(int64(len(servers)))
+	path := l.g.probePath(l.service)
+	answered := make(chan struct{}, len(servers))
+	for _, server := range servers {
+		go func() {
+			// The answer serves other calls too, so that the caller's end does not end it.
+			asking, cancel := context.WithTimeout(context.WithoutCancel(ctx), questionTimeout)
+			defer cancel()
+			l.questionOne(asking, server, path)
+			answered <- struct{}{}
+		}()
+	}
+	patience := time.NewTimer(patienceForAnswers)
+	defer patience.Stop()
+	for range servers {
+		select {
+		case <-answered:
+		case <-patience.C:
+			return
+		}
+	}
+}
+
+// questionOne asks one server.
+func (l *lane) questionOne(ctx context.Context, server mustardsaddle.Server, path string) {
+	h, status := l.g.questionServer(ctx, server, path)
+	now := time.Now()
+	l.mu.Lock()
+	if surveyor, ok := l.chooser.(mustardsaddle.Surveyor); ok {
+		surveyor.Asked(now, server.Name, status)
+	}
+	l.mu.Unlock()
+	if h != nil {
+		l.observeHeader(now, server.Name, h)
+	}
+}
+
+// questionServer sends a question and returns the header and status of the answer,
+// or the status 0 if none came.
+func (g *Gateway) questionServer(ctx context.Context, server mustardsaddle.Server, path string) (http.Header, int) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+path, http.NoBody)
+	if err != nil {
+		return nil, 0
+	}
+	r.Header["User-Agent"] = nil
+	neverResend(r)
+	resp, err := g.asking.RoundTrip(r)
+	if err != nil {
+		return nil, 0
+	}
+	_, _ = io.CopyN(io.Discard, resp.Body, probeAnswerBytes)
+	_ = resp.Body.Close()
+	return resp.Header, resp.StatusCode
+}
+
+// probePath returns the path where the servers of a service tell their load.
+func (g *Gateway) probePath(service string) string {
+	if table := g.rules.Load(); table != nil {
+		if path := table.Service(service).Probe; path != "" {
+			return path
+		}
+	}
+	return g.cfg.ProbePath
+}
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -110,7 +110,7 @@
 // same body.
 func (s *source) request() (*attempt, bool) {
 	l := s.c.m.lane
-	if !l.takeRetry() {
+	if !l.takeRetry(time.Now()) {
 		return nil, false
 	}
 	choice, ok := l.takeOther(time.Now(), s.attempt.placement.choice.Server.Name)
@@ -122,7 +122,7 @@
 	a.send(func(h http.Header) {
 		h["Range"] = []string{fmt.Sprintf("bytes=%d-", s.offset)}
 		h["If-Range"] = []string{s.etag}
-		delete(h, DeadlineHeader)
+		delete(h, s.c.g.cfg.Headers.Deadline)
 	})
 	timer.Stop()
 	if err := s.check(a); err != nil {
--- a/internal/request/slot/slot.go
+++ b/internal/request/slot/slot.go
@@ -19,13 +19,14 @@
 package slot
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	// minRetryAfter is the shortest wait that a refused caller is told.
-	minRetryAfter = time.Second
+	// defaultMinRetryAfter is the shortest wait that a refused caller is told.
+	defaultMinRetryAfter = time.Second
 	// maxRetryAfter is the longest wait that a refused caller is told.
 	maxRetryAfter = 60 * time.Second
 	// smoothing is the weight of a new measurement, as one part in this many.
@@ -39,6 +40,8 @@
 type Config struct {
 	// MaxWaiting bounds the calls that wait.
 	MaxWaiting int
+	// MinRetryAfter is the shortest wait that a refused caller is told; 0 means 1 s.
+	MinRetryAfter time.Duration
 }
 
 // Verdict answers a call that wants to wait.
@@ -68,6 +71,7 @@
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
+	cfg.MinRetryAfter = cmp.Or(cfg.MinRetryAfter, defaultMinRetryAfter)
 	return &Queue{cfg: cfg}
 }
 
@@ -139,7 +143,7 @@
 // RetryAfter returns how long the backlog takes at the measured pace.
 func (q *Queue) RetryAfter() time.Duration {
 	backlog := q.interval * time.Duration(len(q.waiting)+1)
-	return min(max(backlog, minRetryAfter), maxRetryAfter)
+	return min(max(backlog, q.cfg.MinRetryAfter), maxRetryAfter)
 }
 
 // smooth moves old towards sample.
--- a/server.go
+++ b/server.go
@@ -21,6 +21,8 @@
 	Connections int
 	// Leaving is true once any input has shown that the server is leaving.
 	Leaving bool
+	// WarmAt is when the server has warmed up after its start; zero if unknown.
+	WarmAt time.Time
 	// MayReturn is true for a leaving server of which only load reports say so.
 	// It takes no requests, but its load is still asked for, since a report can
 	// mislead.
@@ -42,6 +44,9 @@
 	Slots int
 	// Draining is true while the server takes no new requests.
 	Draining bool
+	// Slowness is how long work takes on the server's VM at this moment, as a
+	// multiple of the usual; 0 if not stated.
+	Slowness float64
 	// At is when the gateway received the report.
 	At time.Time
 }
--- a/store.go
+++ b/store.go
@@ -1,6 +1,9 @@
 package mustardsaddle
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Object is one version of an object in the platform's store.
 type Object struct {
@@ -60,4 +63,6 @@
 	Slots       int
 	Connections int
 	Leaving     bool
+	// WarmUp is how much longer the VM is slow after its start.
+	WarmUp time.Duration
 }
