Let two gateways read the directory and the links carry the rest

Change: two gateways by rendezvous order hold the watches; updates with the revision that they continue from flood over the links; heartbeats tell how old each gateway's knowledge is, and one whose age passes 1.2 s reads for itself.

--- a/directory.go
+++ b/directory.go
@@ -24,8 +24,9 @@
 // gives them rules that are agreed. Every method returns an error whose code.Of
 // gives the result code; none waits longer than its context.
 type Directory interface {
-	// Snapshot reads a whole collection, as it is at the time of the call.
-	Snapshot(ctx context.Context, c Collection) (Update, error)
+	// Snapshot reads a whole collection, as it is at the time of the call. One that
+	// need not be exact costs less, and may be as the collection was seconds ago.
+	Snapshot(ctx context.Context, c Collection, exact bool) (Update, error)
 	// Changes waits up to the given time for what changes in a collection after a
 	// revision. An update without a change has the revision to go on from. The
 	// error has code.StoreHistoryLost if only a Snapshot can help.
@@ -38,6 +39,8 @@
 
 // Update is what a Directory tells of one collection.
 type Update struct {
+	// After is the revision that an update which is not whole continues from.
+	After int64
 	// Revision is the revision of the directory up to which the update holds.
 	Revision int64
 	// Whole is true if the update lists all there is, and false if it lists what
@@ -53,6 +56,15 @@
 	Skipped []error
 }
 
+// Known says how much a gateway knows of a collection: everything up to Revision,
+// and nothing was missing Age ago.
+type Known struct {
+	// Revision is 0 if nothing is known.
+	Revision int64
+	// Age bounds the time for which the collection may have changed unnoticed.
+	Age time.Duration
+}
+
 // RulesText is a rules file as a Directory gives it.
 type RulesText struct {
 	// Generation orders the versions of the rules. It grows by any step.
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -12,12 +12,17 @@
 //
 // # Freshness
 //
+// A few gateways, the readers, watch the directory and pass what they hear on to
+// their peers, which pass it on in turn. Every gateway tells its peers up to which
+// revision it knows a collection, and how long ago it was sure that nothing was
+// missing. From that each one keeps its own age: one whose age exceeds Config.Stale
+// reads the directory itself, whatever has become of the readers.
+//
 // A watch may fall silent without an error, and then neither its connection nor
-// the directory shows it. So no watch waits longer than Config.Wait, and a watch
-// that is not answered in that time is given up on its connection. When the
-// directory has lost the changes since the known revision, the whole collection is
-// read. Rules are taken only if their generation is higher than the one in force,
-// so that they never revert.
+// the directory shows it. So no watch waits longer than Config.Wait, and one that
+// is not answered in that time is given up. When the directory has lost the changes
+// since the known revision, the whole collection is read. Rules are taken only if
+// their generation is higher than the one in force, so that they never revert.
 //
 // # Outages
 //
@@ -44,11 +49,20 @@
 const (
 	// defaultWait is how long one watch waits.
 	defaultWait = 1500 * time.Millisecond
+	// defaultStale is the age from which a gateway reads for itself.
+	defaultStale = 1200 * time.Millisecond
+	// staleJitter is added at random, so that gateways that lost their readers do
+	// not all read at once.
+	staleJitter = 300 * time.Millisecond
+	// maxSleep bounds the time between two looks at the age.
+	maxSleep = 200 * time.Millisecond
+	// askInterval is the least time between two questions to peers for a collection.
+	askInterval = 300 * time.Millisecond
 	// expireInterval is the time between checks of entries that are missing.
 	expireInterval = 100 * time.Millisecond
 	// firstPause and maxPause bound the pause after a failed call.
 	firstPause = 50 * time.Millisecond
-	maxPause   = 500 * time.Millisecond
+	maxPause   = 800 * time.Millisecond
 )
 
 // Config configures a Catalog. Its functions must not block, nor call the Catalog.
@@ -59,9 +73,14 @@
 	InForce func(*rule.Table)
 	// Servers takes the servers of a service whenever they change.
 	Servers func(now time.Time, service string, servers []mustardsaddle.Server)
-	// Gateways takes the gateway VMs whenever they change; nil if they are not
-	// followed.
-	Gateways func(now time.Time, vms []mustardsaddle.VM)
+	// Reader reports whether this gateway reads a collection for others; nil means
+	// that it does.
+	Reader func(mustardsaddle.Collection) bool
+	// Spread passes an update on to all peers but the one that it came from, which
+	// is empty for what this gateway has read; nil means that there are no peers.
+	Spread func(from string, c mustardsaddle.Collection, u mustardsaddle.Update)
+	// Stale is the age from which this gateway reads for itself; 0 means 1.2 s.
+	Stale time.Duration
 	// Wait is how long one watch waits; 0 means 1.5 s.
 	Wait time.Duration
 	// Core configures what is believed after an outage.
@@ -72,30 +91,51 @@
 	Seed uint64
 }
 
+// followed are the collections that a Catalog follows.
+var followed = [...]mustardsaddle.Collection{mustardsaddle.RulesCollection, mustardsaddle.ServersCollection} //nolint:gochecknoglobals // a table
+
 // Catalog follows a directory for one gateway. It is safe for concurrent use.
 type Catalog struct {
 	cfg   Config
 	pause store.Backoff
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	table    *rule.Table
-	servers  *Core
-	gateways *Core
+	mu      sync.Mutex
+	rng     *rand.Rand
+	table   *rule.Table
+	rules   mustardsaddle.RulesText
+	servers *Core
+	known   [len(followed)]progress
+}
+
+// progress is how far one collection is known.
+type progress struct {
+	revision int64
+	// lost is true when the directory has lost the changes since the revision.
+	lost bool
+	// fresh is when nothing was missing.
+	fresh time.Time
+	// watching is when the present watch began; zero if there is none.
+	watching time.Time
+	// asked is when a peer was last asked for the collection.
+	asked time.Time
 }
 
 // New returns a Catalog that knows nothing yet.
 func New(cfg Config) *Catalog {
-	if cfg.Wait == 0 {
-		cfg.Wait = defaultWait
+	cfg.Wait = cmp.Or(cfg.Wait, defaultWait)
+	cfg.Stale = cmp.Or(cfg.Stale, defaultStale)
+	if cfg.Reader == nil {
+		cfg.Reader = func(mustardsaddle.Collection) bool { return true }
+	}
+	if cfg.Spread == nil {
+		cfg.Spread = func(string, mustardsaddle.Collection, mustardsaddle.Update) {}
 	}
 	return &Catalog{
-		cfg:      cfg,
-		pause:    store.Backoff{Base: firstPause, Max: maxPause},
-		rng:      rand.New(rand.NewPCG(cfg.Seed, 3)),
-		table:    rule.Compile(rule.File{}),
-		servers:  NewCore(cfg.Core),
-		gateways: NewCore(cfg.Core),
+		cfg:     cfg,
+		pause:   store.Backoff{Base: firstPause, Max: maxPause},
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 3)),
+		table:   rule.Compile(rule.File{}),
+		servers: NewCore(cfg.Core),
 	}
 }
 
@@ -103,13 +143,9 @@
 func (c *Catalog) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	ended := make(chan struct{})
-	parts := []func(context.Context){
-		func(ctx context.Context) { c.follow(ctx, mustardsaddle.RulesCollection) },
-		func(ctx context.Context) { c.follow(ctx, mustardsaddle.ServersCollection) },
-		c.expire,
-	}
-	if c.cfg.Gateways != nil {
-		parts = append(parts, func(ctx context.Context) { c.follow(ctx, mustardsaddle.GatewaysCollection) })
+	parts := []func(context.Context){c.expire}
+	for _, which := range followed {
+		parts = append(parts, func(ctx context.Context) { c.follow(ctx, which) })
 	}
 	for _, part := range parts {
 		go func() {
@@ -141,89 +177,209 @@
 	return servers
 }
 
-// follow reads one collection, and then its changes, until the context ends.
+// follow keeps one collection up to date until the context ends.
 func (c *Catalog) follow(ctx context.Context, which mustardsaddle.Collection) {
-	revision, failures := int64(0), 0
+	failures := 0
 	for ctx.Err() == nil {
-		u, err := c.read(ctx, which, revision)
+		action, pause, revision := c.plan(time.Now(), which)
+		if action == Sleep {
+			sleep(ctx, min(pause, maxSleep))
+			continue
+		}
+		err := c.act(ctx, which, action, revision)
 		if ctx.Err() != nil {
 			return
 		}
-		if code.Of(err) == code.StoreHistoryLost && revision != 0 {
-			c.logFailure(which, err)
-			revision = 0
-			continue
-		}
-		if err != nil {
-			failures++
-			if failures == 1 {
-				c.logFailure(which, err)
-			}
-			if !sleep(ctx, c.delay(failures)) {
-				return
+		if err == nil {
+			if failures > 0 {
+				event.Info(c.cfg.Logger, event.StoreBack).Stringer("Collection", which).Int("Failures", failures).Send()
 			}
+			failures = 0
 			continue
 		}
-		if failures > 0 {
-			event.Info(c.cfg.Logger, event.StoreBack).Stringer("Collection", which).Int("Failures", failures).Send()
+		failures++
+		if failures == 1 {
+			c.logFailure(which, err)
+		}
+		if code.Of(err) == code.StoreHistoryLost && failures == 1 {
+			c.forget(which)
+			continue
 		}
-		revision, failures = u.Revision, 0
-		c.take(time.Now(), which, u)
+		sleep(ctx, c.delay(failures))
 	}
 }
 
-func (c *Catalog) read(ctx context.Context, which mustardsaddle.Collection, revision int64) (mustardsaddle.Update, error) {
-	if revision == 0 {
-		return c.cfg.Directory.Snapshot(ctx, which)
+// plan returns the next action about a collection, and the revision to go on from.
+func (c *Catalog) plan(now time.Time, which mustardsaddle.Collection) (Action, time.Duration, int64) {
+	reader := c.cfg.Reader(which)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.known[which]
+	if p.lost {
+		return ReadWhole, 0, 0
 	}
-	return c.cfg.Directory.Changes(ctx, which, revision, c.cfg.Wait)
+	stale := c.cfg.Stale + time.Duration(c.rng.Int64N(int64(staleJitter)))
+	action, pause := Plan(now, State{Revision: p.revision, Fresh: p.fresh, Reader: reader, Stale: stale})
+	return action, pause, p.revision
 }
 
-func (c *Catalog) logFailure(which mustardsaddle.Collection, err error) {
-	event.Warn(c.cfg.Logger, event.StoreFailed).Stringer("Collection", which).Int("Code", int(code.Of(err))).Err(err).Send()
+// act reads a collection and takes what came.
+func (c *Catalog) act(ctx context.Context, which mustardsaddle.Collection, action Action, revision int64) error {
+	began := time.Now()
+	var u mustardsaddle.Update
+	var err error
+	switch action {
+	case ReadWhole:
+		u, err = c.cfg.Directory.Snapshot(ctx, which, true)
+	case Watch:
+		c.setWatching(which, began)
+		u, err = c.cfg.Directory.Changes(ctx, which, revision, c.cfg.Wait)
+		c.setWatching(which, time.Time{})
+	default:
+		u, err = c.cfg.Directory.Changes(ctx, which, revision, 0)
+	}
+	if err != nil {
+		return err
+	}
+	c.take(began, time.Now(), which, u)
+	return nil
 }
 
-func (c *Catalog) delay(failures int) time.Duration {
+func (c *Catalog) setWatching(which mustardsaddle.Collection, began time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pause.Delay(c.rng, failures)
+	c.known[which].watching = began
+}
+
+// forget makes the next action read the whole collection.
+func (c *Catalog) forget(which mustardsaddle.Collection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known[which].lost = true
 }
 
-// take applies an update.
-func (c *Catalog) take(now time.Time, which mustardsaddle.Collection, u mustardsaddle.Update) {
+// take applies what this gateway has read in a call, and spreads what is new.
+func (c *Catalog) take(began, now time.Time, which mustardsaddle.Collection, u mustardsaddle.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, err := range u.Skipped {
 		event.Warn(c.cfg.Logger, event.EntrySkipped).Stringer("Collection", which).Err(err).Send()
 	}
-	switch which {
-	case mustardsaddle.RulesCollection:
-		if u.Rules != nil {
-			c.takeRules(*u.Rules, u.Revision)
+	p := &c.known[which]
+	p.fresh = now
+	p.lost = p.lost && !u.Whole
+	c.servers.Contact(began, now)
+	if MergeOf(p.revision, u.After, u.Revision, u.Whole) != Fits {
+		return
+	}
+	c.apply(now, which, u, "Directory")
+	if !u.Whole {
+		c.cfg.Spread("", which, u)
+	}
+}
+
+// Known returns how much is known of a collection.
+func (c *Catalog) Known(now time.Time, which mustardsaddle.Collection) mustardsaddle.Known {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.known[which]
+	if p.revision == 0 {
+		return mustardsaddle.Known{}
+	}
+	if !p.watching.IsZero() && now.Sub(p.watching) <= c.cfg.Wait {
+		return mustardsaddle.Known{Revision: p.revision}
+	}
+	return mustardsaddle.Known{Revision: p.revision, Age: max(now.Sub(p.fresh), 0)}
+}
+
+// Heard takes what a peer says that it knows. It returns true if the peer knows more
+// and is to be asked for the whole collection.
+func (c *Catalog) Heard(now time.Time, which mustardsaddle.Collection, k mustardsaddle.Known) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := &c.known[which]
+	if k.Revision == 0 {
+		return false
+	}
+	if k.Revision > p.revision {
+		ask := now.Sub(p.asked) >= askInterval
+		if ask {
+			p.asked = now
 		}
-	case mustardsaddle.ServersCollection:
+		return ask
+	}
+	if fresh := now.Add(-k.Age); fresh.After(p.fresh) {
+		p.fresh = fresh
+		c.servers.Contact(fresh, fresh)
+	}
+	return false
+}
+
+// Receive takes an update of a peer and passes it on if it is new.
+func (c *Catalog) Receive(now time.Time, from string, which mustardsaddle.Collection, u mustardsaddle.Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if MergeOf(c.known[which].revision, u.After, u.Revision, u.Whole) != Fits {
+		return
+	}
+	c.servers.Contact(now, now)
+	c.apply(now, which, u, "Peer")
+	if !u.Whole {
+		c.cfg.Spread(from, which, u)
+	}
+}
+
+// Whole returns a collection for a peer that lacks it, or false if nothing is known.
+func (c *Catalog) Whole(which mustardsaddle.Collection) (mustardsaddle.Update, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := mustardsaddle.Update{Whole: true, Revision: c.known[which].revision}
+	if which == mustardsaddle.ServersCollection {
+		u.Machines = c.servers.Machines()
+	} else if c.rules.Generation > 0 {
+		rules := c.rules
+		u.Rules = &rules
+	}
+	return u, u.Revision > 0
+}
+
+// apply puts an update in force. The caller holds mu.
+func (c *Catalog) apply(now time.Time, which mustardsaddle.Collection, u mustardsaddle.Update, source string) {
+	c.known[which].revision = u.Revision
+	if which == mustardsaddle.ServersCollection {
 		c.publish(now, c.servers.Apply(now, u))
-	case mustardsaddle.GatewaysCollection:
-		if len(c.gateways.Apply(now, u)) > 0 {
-			c.cfg.Gateways(now, c.gateways.VMs())
-		}
+		return
+	}
+	if u.Rules != nil {
+		c.takeRules(*u.Rules, u.Revision, source)
 	}
 }
 
+func (c *Catalog) logFailure(which mustardsaddle.Collection, err error) {
+	event.Warn(c.cfg.Logger, event.StoreFailed).Stringer("Collection", which).Int("Code", int(code.Of(err))).Err(err).Send()
+}
+
+func (c *Catalog) delay(failures int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pause.Delay(c.rng, failures)
+}
+
 // takeRules puts rules in force if they are newer. The caller holds mu.
-func (c *Catalog) takeRules(r mustardsaddle.RulesText, revision int64) {
+func (c *Catalog) takeRules(r mustardsaddle.RulesText, revision int64, source string) {
+	if r.Generation <= c.table.File.Generation {
+		return
+	}
 	file, problems := rule.Parse(r.Text)
 	for _, p := range problems {
 		event.Warn(c.cfg.Logger, event.RulesIgnored).Int64("Generation", r.Generation).Int("Line", p.Line).
 			Int("Code", int(p.Code)).Str("Problem", p.Text).Send()
 	}
-	if r.Generation <= c.table.File.Generation {
-		return
-	}
+	c.rules = r
 	c.table = c.table.Next(file.WithGeneration(r.Generation))
 	c.cfg.InForce(c.table)
 	event.Info(c.cfg.Logger, event.RulesInForce).Int64("Generation", r.Generation).Int64("Revision", revision).
-		Str("Source", "Directory").Send()
+		Str("Source", source).Send()
 }
 
 // publish passes changed services on. The caller holds mu.
--- a/internal/control/catalog/core.go
+++ b/internal/control/catalog/core.go
@@ -31,9 +31,10 @@
 type Core struct {
 	cfg     CoreConfig
 	entries map[string]entry
-	// answered is when the directory last answered.
+	// answered is when the directory was last known to answer, to this gateway or to
+	// one that it heard of it.
 	answered time.Time
-	// back is when it last answered after an outage.
+	// back is when it answered again after an outage.
 	back time.Time
 }
 
@@ -65,10 +66,6 @@
 // by name. A VM that is no longer listed is gone at once, unless the directory has
 // just come back: an entry that lapsed meanwhile is believed for Return.
 func (c *Core) Apply(now time.Time, u mustardsaddle.Update) []Change {
-	if !c.answered.IsZero() && now.Sub(c.answered) >= c.cfg.Outage {
-		c.back = now
-	}
-	c.answered = now
 	before := maps.Clone(c.entries)
 	listed := make(map[string]bool, len(u.Machines))
 	for _, m := range u.Machines {
@@ -89,6 +86,28 @@
 	return changes(before, c.entries)
 }
 
+// Contact tells that the directory answered from since to now.
+func (c *Core) Contact(since, now time.Time) {
+	if !c.answered.IsZero() && since.Sub(c.answered) >= c.cfg.Outage {
+		c.back = now
+	}
+	if now.After(c.answered) {
+		c.answered = now
+	}
+}
+
+// Machines returns the VMs that are listed, ordered by name.
+func (c *Core) Machines() []mustardsaddle.Machine {
+	var machines []mustardsaddle.Machine
+	for _, e := range c.entries {
+		if e.until.IsZero() {
+			machines = append(machines, e.Machine)
+		}
+	}
+	slices.SortFunc(machines, func(a, b mustardsaddle.Machine) int { return cmp.Compare(a.Name, b.Name) })
+	return machines
+}
+
 // warmAt returns when a VM will have warmed up, as told at now.
 func warmAt(now time.Time, m mustardsaddle.Machine) time.Time {
 	if m.WarmUp <= 0 {
@@ -171,15 +190,3 @@
 	}
 	return slices.Sorted(maps.Keys(names))
 }
-
-// VMs returns the listed VMs as gateways, ordered by name.
-func (c *Core) VMs() []mustardsaddle.VM {
-	var vms []mustardsaddle.VM
-	for _, e := range c.entries {
-		vms = append(vms, mustardsaddle.VM{
-			Name: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Peer: e.Address, Leaving: e.Leaving,
-		})
-	}
-	slices.SortFunc(vms, func(a, b mustardsaddle.VM) int { return cmp.Compare(a.Name, b.Name) })
-	return vms
-}
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -113,6 +113,10 @@
 		return decode[AskMachines](c, e)
 	case name(TypeMachines):
 		return decode[Machines](c, e)
+	case name(TypeListing):
+		return decode[Listing](c, e)
+	case name(TypeAskListing):
+		return decode[AskListing](c, e)
 	case "":
 		return nil, code.Errorf(code.PeerBadMessage, "decode message: got no type")
 	default:
@@ -142,7 +146,7 @@
 	case Hello:
 		return checkHello(m)
 	case Heartbeat:
-		return checkNumber(m, "Generation", m.Summary.Generation)
+		return checkSummary(m, m.Summary)
 	case Marks:
 		return checkMarks(m)
 	case RuleChange:
@@ -156,7 +160,11 @@
 	case AskMachines:
 		return nil
 	case Machines:
-		return checkMachines(m)
+		return checkMachines(m, m.Machines)
+	case Listing:
+		return checkListing(m)
+	case AskListing:
+		return nil
 	default:
 		return code.Errorf(code.PeerBadMessage, "message %s cannot be sent", name(msg.Type()))
 	}
@@ -171,7 +179,24 @@
 			return err
 		}
 	}
-	return checkNumber(m, "Generation", m.Summary.Generation)
+	return checkSummary(m, m.Summary)
+}
+
+func checkSummary(m Message, s Summary) error {
+	numbers := []struct {
+		field string
+		n     int64
+	}{
+		{"Generation", s.Generation},
+		{"Rules.Revision", s.Rules.Revision}, {"Rules.Age", s.Rules.Age},
+		{"Servers.Revision", s.Servers.Revision}, {"Servers.Age", s.Servers.Age},
+	}
+	for _, number := range numbers {
+		if err := checkNumber(m, number.field, number.n); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func checkMarks(m Marks) error {
@@ -241,13 +266,13 @@
 	return checkNumber(m, "Generation", m.Generation)
 }
 
-func checkMachines(m Machines) error {
-	if len(m.Machines) > MaxMachines {
-		return code.Errorf(code.PeerBadMessage, "message Machines: got %d VMs, want at most %d", len(m.Machines), MaxMachines)
+func checkMachines(m Message, machines []mustardsaddle.Machine) error {
+	if len(machines) > MaxMachines {
+		return code.Errorf(code.PeerBadMessage, "message %s: got %d VMs, want at most %d", name(m.Type()), len(machines), MaxMachines)
 	}
-	for _, machine := range m.Machines {
+	for _, machine := range machines {
 		if machine.Name == "" {
-			return code.Errorf(code.PeerBadMessage, "message Machines: got a VM without a name")
+			return code.Errorf(code.PeerBadMessage, "message %s: got a VM without a name", name(m.Type()))
 		}
 		for _, s := range []string{machine.Name, machine.Zone, machine.Service, machine.Address} {
 			if err := checkName(m, s); err != nil {
@@ -258,6 +283,25 @@
 	return nil
 }
 
+func checkListing(m Listing) error {
+	if m.After < 0 || m.Revision <= 0 || m.Generation < 0 {
+		return code.Errorf(code.PeerBadMessage, "message Listing: got After=%d Revision=%d Generation=%d, want a revision above 0 and no negative number",
+			m.After, m.Revision, m.Generation)
+	}
+	if len(m.Rules) > MaxRulesBytes {
+		return code.Errorf(code.PeerBadMessage, "message Listing: got rules of %d bytes, want at most %d", len(m.Rules), MaxRulesBytes)
+	}
+	if len(m.Removed) > MaxMachines {
+		return code.Errorf(code.PeerBadMessage, "message Listing: got %d names, want at most %d", len(m.Removed), MaxMachines)
+	}
+	for _, removed := range m.Removed {
+		if err := checkName(m, removed); err != nil {
+			return err
+		}
+	}
+	return checkMachines(m, m.Machines)
+}
+
 func checkName(m Message, s string) error {
 	if len(s) > maxNameBytes {
 		return code.Errorf(code.PeerBadMessage, "message %s: got a name of %d bytes, want at most %d", name(m.Type()), len(s), maxNameBytes)
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -84,6 +84,10 @@
 	TypeMachines
 	// TypeGenerations is the type of Generations.
 	TypeGenerations
+	// TypeListing is the type of Listing.
+	TypeListing
+	// TypeAskListing is the type of AskListing.
+	TypeAskListing
 )
 
 // Message is one of the message types of this package. A Message is immutable.
@@ -98,6 +102,18 @@
 	Generation int64
 	// MarksDigest is equal for gateways that know the same marks.
 	MarksDigest uint64
+	// Rules and Servers say how much the sender knows of a directory; both are zero
+	// where there is none.
+	Rules   Known `cbor:",omitzero"`
+	Servers Known `cbor:",omitzero"`
+}
+
+// Known says how much a gateway knows of a collection of a directory.
+type Known struct {
+	// Revision is the revision of the directory up to which everything is known.
+	Revision int64
+	// Age is how many milliseconds ago nothing was missing.
+	Age int64
 }
 
 // Hello is the first message in each direction of a link.
@@ -169,6 +185,32 @@
 	Machines []mustardsaddle.Machine
 }
 
+// Listing is an update of a collection of a directory.
+type Listing struct {
+	// Servers is true for the servers and false for the rules.
+	Servers bool
+	// Whole is true if the listing is the whole collection.
+	Whole bool
+	// After is the revision that a listing which is not whole continues from.
+	After int64
+	// Revision is the revision up to which the listing holds.
+	Revision int64
+	// Generation is the generation of Rules; 0 if the listing has none.
+	Generation int64
+	// Rules is a rules file of at most MaxRulesBytes.
+	Rules string
+	// Machines are at most MaxMachines servers that are new or have changed.
+	Machines []mustardsaddle.Machine
+	// Removed names at most MaxMachines servers that are no longer listed.
+	Removed []string
+}
+
+// AskListing asks for a whole collection of a directory.
+type AskListing struct {
+	// Servers is true for the servers and false for the rules.
+	Servers bool
+}
+
 // Unknown stands for a message of a type that this version does not know.
 type Unknown struct {
 	// Name is the name of the type.
@@ -185,6 +227,8 @@
 	_ Message = WholeRules{}
 	_ Message = AskMachines{}
 	_ Message = Machines{}
+	_ Message = Listing{}
+	_ Message = AskListing{}
 	_ Message = Unknown{}
 )
 
@@ -224,6 +268,12 @@
 // Type returns TypeMachines.
 func (Machines) Type() Type { return TypeMachines }
 
+// Type returns TypeListing.
+func (Listing) Type() Type { return TypeListing }
+
+// Type returns TypeAskListing.
+func (AskListing) Type() Type { return TypeAskListing }
+
 // Type returns TypeUnknown.
 func (Unknown) Type() Type { return TypeUnknown }
 
--- a/internal/peer/news/type_string.go
+++ b/internal/peer/news/type_string.go
@@ -18,11 +18,13 @@
 	_ = x[TypeAskMachines-7]
 	_ = x[TypeMachines-8]
 	_ = x[TypeGenerations-9]
+	_ = x[TypeListing-10]
+	_ = x[TypeAskListing-11]
 }
 
-const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRulesTypeAskMachinesTypeMachinesTypeGenerations"
+const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRulesTypeAskMachinesTypeMachinesTypeGenerationsTypeListingTypeAskListing"
 
-var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82, 97, 109, 124}
+var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82, 97, 109, 124, 135, 149}
 
 func (i Type) String() string {
 	idx := int(i) - 0
--- a/internal/product/instance/directory.go
+++ b/internal/product/instance/directory.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"context"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
@@ -10,18 +9,9 @@
 	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
 	"mustardsaddle.example/mustardsaddle/internal/control/catalog"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 )
 
-const (
-	// enterPause is the time between tries to enter this gateway in the directory.
-	enterPause = time.Second
-	// enterTries bounds these tries.
-	enterTries = 30
-)
-
 // newCatalog returns the follower of a directory.
 func (in *instance) newCatalog(d mustardsaddle.Directory, seed uint64) *catalog.Catalog {
 	s := in.cfg.Settings
@@ -31,11 +21,12 @@
 		Servers: func(now time.Time, service string, servers []mustardsaddle.Server) {
 			in.gateway.SetServers(now, service, in.complete(service, servers))
 		},
-		Gateways: func(now time.Time, vms []mustardsaddle.VM) { in.gateway.SetFleet(now, vms) },
-		Wait:     s.Platform.Watch,
-		Core:     catalog.CoreConfig{Return: s.Platform.Return},
-		Logger:   in.cfg.Logger,
-		Seed:     seed,
+		Reader: in.reads,
+		Spread: in.spreadListing,
+		Wait:   s.Platform.Watch,
+		Core:   catalog.CoreConfig{Return: s.Platform.Return},
+		Logger: in.cfg.Logger,
+		Seed:   seed,
 	})
 }
 
@@ -51,23 +42,6 @@
 	return in.cfg.Settings.Service(service).Complete(servers)
 }
 
-// enter writes this gateway's entry, by which the others find it.
-func (in *instance) enter(ctx context.Context, d mustardsaddle.Directory, done chan<- struct{}) {
-	defer close(done)
-	for range enterTries {
-		err := d.Enter(ctx, in.self)
-		if err == nil || ctx.Err() != nil {
-			return
-		}
-		event.Warn(in.cfg.Logger, event.StoreFailed).Int("Code", int(code.Of(err))).Err(err).Send()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(enterPause):
-		}
-	}
-}
-
 // newChooser returns the chooser of a service.
 func (in *instance) newChooser(string) mustardsaddle.Chooser {
 	s := in.cfg.Settings
--- a/internal/product/instance/list.go
+++ b/internal/product/instance/list.go
@@ -7,8 +7,6 @@
 
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
 const (
@@ -59,7 +57,7 @@
 		return
 	}
 	if err != nil {
-		event.Warn(in.cfg.Logger, event.StoreFailed).Int("Code", int(code.Of(err))).Err(err).Send()
+		in.logStoreFailure(ctx, err)
 		return
 	}
 	if page.Changed {
--- /dev/null
+++ b/internal/product/instance/listing.go
@@ -0,0 +1,169 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+	"mustardsaddle.example/mustardsaddle/internal/peer/news"
+	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/product/event"
+)
+
+const (
+	// readers is how many gateways of the fleet watch a collection of a directory.
+	readers = 2
+	// secondLook is when the gateways are read again after the start, since those
+	// that start at the same time enter themselves at the same time.
+	secondLook = 1500 * time.Millisecond
+	// lookInterval is the mean time between later reads of the gateways, which the
+	// links name too.
+	lookInterval = 30 * time.Second
+	// lookPause is the time to the next read of the gateways after a failure.
+	lookPause = time.Second
+)
+
+// reads reports whether this gateway reads a collection for the others. It is one
+// of the first in an order on which all gateways agree that know the same VMs.
+func (in *instance) reads(c mustardsaddle.Collection) bool {
+	return roster.Rank(in.membership.Roster().VMs(), in.self.Name, c.String()) < readers
+}
+
+// spreadListing passes an update of the directory on to the peers.
+func (in *instance) spreadListing(from string, c mustardsaddle.Collection, u mustardsaddle.Update) {
+	m := listingOf(c, u)
+	for _, peer := range in.links.Peers() {
+		if peer != from {
+			in.links.Send(peer, m)
+		}
+	}
+}
+
+// receiveListing takes an update of the directory from a peer, or a question for one.
+func (in *instance) receiveListing(now time.Time, from string, msg news.Message) {
+	if in.catalog == nil {
+		return
+	}
+	switch m := msg.(type) {
+	case news.Listing:
+		in.catalog.Receive(now, from, collectionOf(m.Servers), updateOf(m))
+	case news.AskListing:
+		c := collectionOf(m.Servers)
+		if u, ok := in.catalog.Whole(c); ok {
+			in.links.Send(from, listingOf(c, u))
+		}
+	}
+}
+
+// compareListed asks a peer for the collections of which it knows more.
+func (in *instance) compareListed(now time.Time, from string, theirs news.Summary) {
+	if in.catalog == nil {
+		return
+	}
+	for c, known := range map[mustardsaddle.Collection]news.Known{
+		mustardsaddle.RulesCollection: theirs.Rules, mustardsaddle.ServersCollection: theirs.Servers,
+	} {
+		k := mustardsaddle.Known{Revision: known.Revision, Age: time.Duration(known.Age) * time.Millisecond}
+		if in.catalog.Heard(now, c, k) {
+			in.links.Send(from, news.AskListing{Servers: c == mustardsaddle.ServersCollection})
+		}
+	}
+}
+
+func collectionOf(servers bool) mustardsaddle.Collection {
+	if servers {
+		return mustardsaddle.ServersCollection
+	}
+	return mustardsaddle.RulesCollection
+}
+
+func knownOf(k mustardsaddle.Known) news.Known {
+	return news.Known{Revision: k.Revision, Age: k.Age.Milliseconds()}
+}
+
+// listingOf returns the message that carries an update.
+func listingOf(c mustardsaddle.Collection, u mustardsaddle.Update) news.Listing {
+	m := news.Listing{
+		Servers: c == mustardsaddle.ServersCollection, Whole: u.Whole, After: u.After, Revision: u.Revision,
+		Machines: u.Machines, Removed: u.Removed,
+	}
+	if u.Rules != nil {
+		m.Generation, m.Rules = u.Rules.Generation, u.Rules.Text
+	}
+	return m
+}
+
+// updateOf returns the update that a message carries.
+func updateOf(m news.Listing) mustardsaddle.Update {
+	u := mustardsaddle.Update{
+		Whole: m.Whole, After: m.After, Revision: m.Revision, Machines: m.Machines, Removed: m.Removed,
+	}
+	if m.Generation > 0 {
+		u.Rules = &mustardsaddle.RulesText{Generation: m.Generation, Text: m.Rules}
+	}
+	return u
+}
+
+// machineOf returns a gateway VM as the directory lists it.
+func machineOf(vm mustardsaddle.VM) mustardsaddle.Machine {
+	return mustardsaddle.Machine{Name: vm.Name, Incarnation: vm.Incarnation, Zone: vm.Zone, Address: vm.Peer}
+}
+
+// meet enters this gateway in the directory, and reads which others there are,
+// until the context ends; then it closes done.
+func (in *instance) meet(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	if !in.enter(ctx) {
+		return
+	}
+	for pause, looks := time.Duration(0), 0; in.pause(ctx, pause); {
+		// Later reads need not be exact: links tell of gateways that are new.
+		u, err := in.directory.Snapshot(ctx, mustardsaddle.GatewaysCollection, looks < 2)
+		if err != nil {
+			in.logStoreFailure(ctx, err)
+			pause = lookPause
+			continue
+		}
+		now := time.Now()
+		in.spreadFresh("", in.membership.machines(now, u.Machines))
+		looks++
+		pause = secondLook
+		if looks > 1 {
+			pause = lookInterval/2 + rand.N(lookInterval)
+		}
+	}
+}
+
+// enter writes this gateway's entry, by which the others find it. It returns false
+// when the context has ended.
+func (in *instance) enter(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		err := in.directory.Enter(ctx, in.self)
+		if err == nil {
+			return true
+		}
+		in.logStoreFailure(ctx, err)
+		in.pause(ctx, lookPause)
+	}
+	return false
+}
+
+// pause waits, and returns false when the context has ended.
+func (in *instance) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (in *instance) logStoreFailure(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		event.Warn(in.cfg.Logger, event.StoreFailed).Int("Code", int(code.Of(err))).Err(err).Send()
+	}
+}
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/peer/link"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 )
@@ -25,10 +26,15 @@
 
 // summary says what this gateway knows.
 func (in *instance) summary() news.Summary {
-	return news.Summary{
-		Generation:  in.generation.Load(),
-		MarksDigest: in.membership.Roster().MarksDigest(),
+	s := news.Summary{MarksDigest: in.membership.Roster().MarksDigest()}
+	if in.catalog == nil {
+		s.Generation = in.generation.Load()
+		return s
 	}
+	now := time.Now()
+	s.Rules = knownOf(in.catalog.Known(now, mustardsaddle.RulesCollection))
+	s.Servers = knownOf(in.catalog.Known(now, mustardsaddle.ServersCollection))
+	return s
 }
 
 // receive takes one message of a peer.
@@ -38,11 +44,7 @@
 		in.mu.Lock()
 		in.relay.Forget(from)
 		in.mu.Unlock()
-		in.membership.vm(now, m.VM)
-		in.compare(now, from, m.Summary)
-		if len(in.membership.Roster().Services()) == 0 {
-			in.links.Send(from, news.AskMachines{})
-		}
+		in.introduced(now, from, m)
 	case news.Heartbeat:
 		in.compare(now, from, m.Summary)
 	case news.Marks:
@@ -55,12 +57,24 @@
 		in.spreadFresh(from, in.membership.machines(now, m.Machines))
 	case news.Generations:
 		in.learn(m)
-	case news.RuleChange:
-		in.receiveChange(now, from, m)
-	case news.AskRules:
-		in.sendRules(from, m.Have)
-	case news.WholeRules:
-		in.receiveRules(now, m)
+	case news.Listing, news.AskListing:
+		in.receiveListing(now, from, msg)
+	case news.RuleChange, news.AskRules, news.WholeRules:
+		in.receiveRules(now, from, msg)
+	}
+}
+
+// introduced takes the introduction of a peer.
+func (in *instance) introduced(now time.Time, from string, m news.Hello) {
+	in.membership.vm(now, m.VM)
+	if in.catalog != nil {
+		// A directory names the gateways that have entered themselves; those that
+		// entered after this one has read it come by links.
+		in.spreadFresh(from, in.membership.machines(now, []mustardsaddle.Machine{machineOf(m.VM)}))
+	}
+	in.compare(now, from, m.Summary)
+	if in.catalog == nil && len(in.membership.Roster().Services()) == 0 {
+		in.links.Send(from, news.AskMachines{})
 	}
 }
 
@@ -72,6 +86,7 @@
 	in.told.Learn(from, theirs.Generation)
 	gap := in.relay.Compare(now, from, own, theirs)
 	in.mu.Unlock()
+	in.compareListed(now, from, theirs)
 	if gap.AskRules {
 		in.links.Send(from, news.AskRules{Have: own.Generation})
 	}
--- a/internal/product/instance/rules.go
+++ b/internal/product/instance/rules.go
@@ -74,8 +74,19 @@
 	}
 }
 
-// receiveRules takes a whole file from a peer. The registry logs one that it
-// refuses.
-func (in *instance) receiveRules(now time.Time, m news.WholeRules) {
-	_, _ = in.registry.ReceiveWhole(now, m.Text)
+// receiveRules takes a message about rules that the gateways agree on. With a
+// directory there are none.
+func (in *instance) receiveRules(now time.Time, from string, msg news.Message) {
+	if in.registry == nil {
+		return
+	}
+	switch m := msg.(type) {
+	case news.RuleChange:
+		in.receiveChange(now, from, m)
+	case news.AskRules:
+		in.sendRules(from, m.Have)
+	case news.WholeRules:
+		// The registry logs a file that it refuses.
+		_, _ = in.registry.ReceiveWhole(now, m.Text)
+	}
 }
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -121,7 +121,7 @@
 	if in.catalog != nil {
 		return append(parts,
 			begin(ctx, in.catalog.Run),
-			begin(ctx, func(ctx context.Context, done chan<- struct{}) { in.enter(ctx, in.directory, done) }),
+			begin(ctx, in.meet),
 		)
 	}
 	return append(parts,
