Bound questions per server, order the queue by target, and read on after a lost history

Change: each gateway's questions are bounded by its part of ServerPerSecond; waiting calls that can meet their target go first, then by priority, and wait at most half of the target; from an eighth of it on they may queue in a server behind one request; age is honest about pending watches, and confirmations flood; any answer that the history is lost leads to a whole read. The tests of the queue pass a ticket in place of id and deadline and check the same.

--- a/choice.go
+++ b/choice.go
@@ -30,6 +30,8 @@
 	Exclude []string
 	// Zone is the availability zone of the gateway.
 	Zone string
+	// Queue is how many requests may wait in the server before the attempt.
+	Queue int
 }
 
 // Choice is a chosen server, with the reason for the log.
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -48,14 +48,17 @@
 
 const (
 	// defaultWait is how long one watch waits.
-	defaultWait = 1500 * time.Millisecond
+	defaultWait = 1200 * time.Millisecond
 	// defaultStale is the age from which a gateway reads for itself.
-	defaultStale = 1200 * time.Millisecond
+	defaultStale = 1400 * time.Millisecond
 	// staleJitter is added at random, so that gateways that lost their readers do
 	// not all read at once.
-	staleJitter = 300 * time.Millisecond
+	staleJitter = 250 * time.Millisecond
 	// maxSleep bounds the time between two looks at the age.
 	maxSleep = 200 * time.Millisecond
+	// confirmInterval is the least time by which a peer's word that nothing has
+	// changed must be newer to be passed on.
+	confirmInterval = 200 * time.Millisecond
 	// askInterval is the least time between two questions to peers for a collection.
 	askInterval = 300 * time.Millisecond
 	// expireInterval is the time between checks of entries that are missing.
@@ -79,9 +82,9 @@
 	// Spread passes an update on to all peers but the one that it came from, which
 	// is empty for what this gateway has read; nil means that there are no peers.
 	Spread func(from string, c mustardsaddle.Collection, u mustardsaddle.Update)
-	// Stale is the age from which this gateway reads for itself; 0 means 1.2 s.
+	// Stale is the age from which this gateway reads for itself; 0 means 1.4 s.
 	Stale time.Duration
-	// Wait is how long one watch waits; 0 means 1.5 s.
+	// Wait is how long one watch waits; 0 means 1.2 s.
 	Wait time.Duration
 	// Core configures what is believed after an outage.
 	Core CoreConfig
@@ -114,8 +117,6 @@
 	lost bool
 	// fresh is when nothing was missing.
 	fresh time.Time
-	// watching is when the present watch began; zero if there is none.
-	watching time.Time
 	// asked is when a peer was last asked for the collection.
 	asked time.Time
 }
@@ -182,6 +183,10 @@
 	failures := 0
 	for ctx.Err() == nil {
 		action, pause, revision := c.plan(time.Now(), which)
+		if action == Watch && failures > 0 {
+			// A watch shows too late that the directory is back.
+			action = ReadChanges
+		}
 		if action == Sleep {
 			sleep(ctx, min(pause, maxSleep))
 			continue
@@ -201,7 +206,7 @@
 		if failures == 1 {
 			c.logFailure(which, err)
 		}
-		if code.Of(err) == code.StoreHistoryLost && failures == 1 {
+		if code.Of(err) == code.StoreHistoryLost && action != ReadWhole {
 			c.forget(which)
 			continue
 		}
@@ -232,9 +237,7 @@
 	case ReadWhole:
 		u, err = c.cfg.Directory.Snapshot(ctx, which, true)
 	case Watch:
-		c.setWatching(which, began)
 		u, err = c.cfg.Directory.Changes(ctx, which, revision, c.cfg.Wait)
-		c.setWatching(which, time.Time{})
 	default:
 		u, err = c.cfg.Directory.Changes(ctx, which, revision, 0)
 	}
@@ -245,12 +248,6 @@
 	return nil
 }
 
-func (c *Catalog) setWatching(which mustardsaddle.Collection, began time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.known[which].watching = began
-}
-
 // forget makes the next action read the whole collection.
 func (c *Catalog) forget(which mustardsaddle.Collection) {
 	c.mu.Lock()
@@ -269,10 +266,9 @@
 	p.fresh = now
 	p.lost = p.lost && !u.Whole
 	c.servers.Contact(began, now)
-	if MergeOf(p.revision, u.After, u.Revision, u.Whole) != Fits {
-		return
+	if MergeOf(p.revision, u.After, u.Revision, u.Whole) == Fits {
+		c.apply(now, which, u, "Directory")
 	}
-	c.apply(now, which, u, "Directory")
 	if !u.Whole {
 		c.cfg.Spread("", which, u)
 	}
@@ -286,9 +282,6 @@
 	if p.revision == 0 {
 		return mustardsaddle.Known{}
 	}
-	if !p.watching.IsZero() && now.Sub(p.watching) <= c.cfg.Wait {
-		return mustardsaddle.Known{Revision: p.revision}
-	}
 	return mustardsaddle.Known{Revision: p.revision, Age: max(now.Sub(p.fresh), 0)}
 }
 
@@ -315,16 +308,23 @@
 	return false
 }
 
-// Receive takes an update of a peer and passes it on if it is new.
+// Receive takes an update of a peer and passes it on if it is new, be it that it
+// only confirms that nothing has changed.
 func (c *Catalog) Receive(now time.Time, from string, which mustardsaddle.Collection, u mustardsaddle.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if MergeOf(c.known[which].revision, u.After, u.Revision, u.Whole) != Fits {
+	p := &c.known[which]
+	merge := MergeOf(p.revision, u.After, u.Revision, u.Whole)
+	confirms := merge == Old && !u.Whole && now.Sub(p.fresh) >= confirmInterval
+	if merge != Fits && !confirms {
 		return
 	}
 	c.servers.Contact(now, now)
-	c.apply(now, which, u, "Peer")
+	if merge == Fits {
+		c.apply(now, which, u, "Peer")
+	}
 	if !u.Whole {
+		p.fresh = now
 		c.cfg.Spread(from, which, u)
 	}
 }
--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -98,7 +98,7 @@
 		oneOf(sectionPlatform, "Kind", KindStore, []string{KindStore, KindDirectory},
 			"Store: the gateways agree on rules in the platform's store. Directory: the platform accepts rules and lists VMs by itself.",
 			func(s *Settings) *string { return &s.Platform.Kind }),
-		duration(sectionPlatform, "Watch", "1500ms", 100*time.Millisecond, time.Minute,
+		duration(sectionPlatform, "Watch", "1200ms", 100*time.Millisecond, time.Minute,
 			"Longest wait of one watch of a Directory, which bounds how long a watch that fell silent goes unnoticed.",
 			func(s *Settings) *time.Duration { return &s.Platform.Watch }),
 		duration(sectionPlatform, "Return", "2s", 0, time.Minute,
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -12,6 +12,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/event"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
+	"mustardsaddle.example/mustardsaddle/internal/request/slot"
 )
 
 // call is one caller's request on its way through the filters.
@@ -60,6 +61,16 @@
 	}
 }
 
+// ticket returns what the call has to say in the queue.
+func (c *call) ticket(id uint64) slot.Ticket {
+	t := slot.Ticket{ID: id, Deadline: c.deadline, Priority: c.m.rule.Priority}
+	if target := c.m.rule.Target; target > 0 {
+		t.Target = c.start.Add(target)
+		t.Patience = target / patienceShare
+	}
+	return t
+}
+
 // enter makes the attempt one that the deadline, or an answer to the other, ends.
 func (c *call) enter(a *attempt) {
 	c.mu.Lock()
--- a/internal/request/gateway/fleet.go
+++ b/internal/request/gateway/fleet.go
@@ -20,7 +20,7 @@
 	g.fleet = live
 	g.mu.Unlock()
 	for _, l := range g.allLanes() {
-		l.updateBounds()
+		l.updateBounds(now)
 		if !same {
 			l.setFleet(now, live)
 		}
@@ -38,16 +38,17 @@
 
 // SetRetry changes the bounds of retries and hedges in a window: the share that a
 // call earns, and the slack of the whole fleet.
-func (g *Gateway) SetRetry(bounds booking.Bounds) {
+func (g *Gateway) SetRetry(now time.Time, bounds booking.Bounds) {
 	g.retry.Store(&bounds)
 	for _, l := range g.allLanes() {
-		l.updateBounds()
+		l.updateBounds(now)
 	}
 }
 
 // updateBounds takes bounds, or a size of the fleet, that have changed.
-func (l *lane) updateBounds() {
+func (l *lane) updateBounds(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.setBounds()
+	l.setQuestions(now)
 }
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -125,6 +125,9 @@
 	// ProbePath is where servers tell their load if the rules do not say; empty
 	// means /load.
 	ProbePath string
+	// ServerPerSecond is how many questions one server may get each second from all
+	// gateways together.
+	ServerPerSecond float64
 	// Budget pays for what servers are asked; nil means that nothing is asked.
 	Budget Budget
 	// Services holds the declarations by service.
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
@@ -22,6 +24,14 @@
 	// pollInterval is how often the first waiting call asks again, since a
 	// chooser may admit a server by the passing of time alone.
 	pollInterval = 20 * time.Millisecond
+	// deepShare is the part of the target, as one part in this many, after which a
+	// waiting call may go into a server's own queue, and deepQueue how many may be
+	// before it there.
+	deepShare = 8
+	deepQueue = 1
+	// patienceShare is the part of the target, as one part in this many, for which a
+	// call waits for a server.
+	patienceShare = 2
 	// slackShare is the part of the retry slack that running gateways plan to use.
 	slackShare = 0.6
 	// assumedGateways is the size of a fleet that is not known yet.
@@ -37,24 +47,36 @@
 	service string
 	metrics *laneMetrics
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	chooser  mustardsaddle.Chooser
-	budgets  booking.Budgets
-	latency  booking.Latency
-	limits   *slot.Limits
-	queue    *slot.Queue
-	waiting  map[uint64]waiter
-	lastID   uint64
-	usable   int
-	reusedAt map[string]time.Time // when a reusable connection last came free
+	mu      sync.Mutex
+	rng     *rand.Rand
+	chooser mustardsaddle.Chooser
+	budgets booking.Budgets
+	latency booking.Latency
+	limits  *slot.Limits
+	queue   *slot.Queue
+	waiting map[uint64]waiter
+	lastID  uint64
+	usable  int
+	// questions bounds what this gateway asks the servers of the service.
+	questions *rate.Limiter
+	reusedAt  map[string]time.Time // when a reusable connection last came free
 }
 
 // waiter is a call that waits for a server.
 type waiter struct {
 	// tried are the servers that the call has tried already.
 	tried []string
-	given chan mustardsaddle.Choice
+	// deepFrom is when the call may wait in a server's own queue.
+	deepFrom time.Time
+	given    chan mustardsaddle.Choice
+}
+
+// queue returns how many requests the call may have before it in a server.
+func (w waiter) queue(now time.Time) int {
+	if now.Before(w.deepFrom) {
+		return 0
+	}
+	return deepQueue
 }
 
 // placement is the result of the admit filter: a chosen server, counted in.
@@ -76,11 +98,12 @@
 			Retry: newBudget(cfg.RetryShare),
 			Hedge: newBudget(cfg.HedgeShare),
 		},
-		latency:  booking.Latency{Quantile: cfg.HedgeQuantile},
-		limits:   slot.NewLimits(),
-		queue:    slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting, MinRetryAfter: cfg.minRetryAfter()}),
-		waiting:  make(map[uint64]waiter),
-		reusedAt: make(map[string]time.Time),
+		latency:   booking.Latency{Quantile: cfg.HedgeQuantile},
+		limits:    slot.NewLimits(),
+		queue:     slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting, MinRetryAfter: cfg.minRetryAfter()}),
+		waiting:   make(map[uint64]waiter),
+		reusedAt:  make(map[string]time.Time),
+		questions: rate.NewLimiter(0, 0),
 	}
 	if cfg.RetryWindow > 0 {
 		l.budgets.Window = booking.NewWindow(cfg.RetryWindow)
@@ -122,6 +145,7 @@
 		}
 	}
 	l.reusedAt = reusedAt
+	l.setQuestions(now)
 	l.serveWaiting(now)
 }
 
@@ -136,7 +160,7 @@
 		return placement{}, &refusal{code: code.OK}
 	}
 	if kind != booking.First || l.queue.Len() == 0 {
-		choice, ok := l.choose(now, tried)
+		choice, ok := l.choose(now, tried, 0)
 		if ok {
 			l.mu.Unlock()
 			return placement{kind: kind, choice: choice}, nil
@@ -148,13 +172,13 @@
 	}
 	l.lastID++
 	id := l.lastID
-	verdict := l.queue.Join(now, id, c.deadline)
+	verdict := l.queue.Join(now, c.ticket(id))
 	if !verdict.Waits {
 		l.mu.Unlock()
 		return placement{}, &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: verdict.RetryAfter}
 	}
 	given := make(chan mustardsaddle.Choice, 1)
-	l.waiting[id] = waiter{tried: tried, given: given}
+	l.waiting[id] = waiter{tried: tried, deepFrom: now.Add(c.m.rule.Target / deepShare), given: given}
 	l.mu.Unlock()
 	p, no := l.wait(ctx, now, id, verdict.Until, given)
 	p.kind = kind
@@ -196,7 +220,7 @@
 // poll asks the chooser again on behalf of the first waiting call.
 func (l *lane) poll(ctx context.Context, id uint64) {
 	l.mu.Lock()
-	first, ok := l.queue.First()
+	first, ok := l.queue.First(time.Now())
 	tried := l.waiting[id].tried
 	l.mu.Unlock()
 	if !ok || first != id {
@@ -225,8 +249,9 @@
 }
 
 // choose picks a server below its cap of connections, and counts the attempt in.
-func (l *lane) choose(now time.Time, tried []string) (mustardsaddle.Choice, bool) {
-	need := mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone}
+// Queue is how many requests the attempt may have before it in the server.
+func (l *lane) choose(now time.Time, tried []string, queue int) (mustardsaddle.Choice, bool) {
+	need := mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone, Queue: queue}
 	for {
 		choice, ok := l.chooser.Choose(now, l.rng, need)
 		if !ok || l.limits.Admit(choice.Server.Name, l.limit(choice.Server)) {
@@ -255,12 +280,12 @@
 		delete(l.waiting, id)
 	}
 	for {
-		id, ok := l.queue.First()
+		id, ok := l.queue.First(now)
 		if !ok {
 			return
 		}
 		w := l.waiting[id]
-		choice, ok := l.choose(now, w.tried)
+		choice, ok := l.choose(now, w.tried, w.queue(now))
 		if !ok {
 			return
 		}
@@ -366,8 +391,8 @@
 func (l *lane) takeOther(now time.Time, server string) (mustardsaddle.Choice, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if choice, ok := l.choose(now, []string{server}); ok {
+	if choice, ok := l.choose(now, []string{server}, 0); ok {
 		return choice, true
 	}
-	return l.choose(now, nil)
+	return l.choose(now, nil, deepQueue)
 }
--- a/internal/request/gateway/question.go
+++ b/internal/request/gateway/question.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"mustardsaddle.example/mustardsaddle"
 )
 
@@ -15,6 +18,10 @@
 	patienceForAnswers = 6 * time.Millisecond
 	// questionTimeout bounds one question; its connection is closed then.
 	questionTimeout = 150 * time.Millisecond
+	// questionShare is the part of the questions that running gateways plan to ask.
+	questionShare = 0.85
+	// questionBurst is the time for which unspent questions are kept.
+	questionBurst = 2 * time.Second
 	// idleQuestions is how many unused connections for questions are kept to a
 	// server.
 	idleQuestions = 1
@@ -28,6 +35,15 @@
 	return t
 }
 
+// setQuestions takes this gateway's part of the questions that the servers of the
+// service may get. The caller holds mu.
+func (l *lane) setQuestions(now time.Time) {
+	gateways := cmp.Or(l.g.gateways.Load(), assumedGateways)
+	perSecond := questionShare * l.g.cfg.ServerPerSecond * float64(l.usable) / float64(gateways)
+	l.questions.SetLimitAt(now, rate.Limit(perSecond))
+	l.questions.SetBurstAt(now, max(int(perSecond*questionBurst.Seconds()), l.g.cfg.Ask))
+}
+
 // ask lets the chooser ask a few servers for their load, and waits for the answers
 // that come soon. It does nothing for a chooser that asks nobody, and when the
 // budget is spent; older reports decide then.
@@ -41,7 +57,7 @@
 	need := mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone}
 	servers := surveyor.Ask(now, l.rng, need, l.g.cfg.Ask)
 	for i := range servers {
-		if !l.g.cfg.Budget.Take(now, 1, probeRequestBytes+probeAnswerBytes) {
+		if !l.questions.AllowN(now, 1) || !l.g.cfg.Budget.Take(now, 1, probeRequestBytes+probeAnswerBytes) {
 			surveyor.Unasked(servers[i:])
 			servers = servers[:i]
 			break
--- a/internal/request/slot/slot.go
+++ b/internal/request/slot/slot.go
@@ -9,7 +9,7 @@
 //	if !verdict.Waits { ... }  // answer now, with verdict.RetryAfter
 //	...
 //	q.Released(now, latency)   // an attempt ended
-//	id, ok := q.First()        // whose turn it is
+//	id, ok := q.First(now)      // whose turn it is
 //
 // # Invariants
 //
@@ -44,6 +44,20 @@
 	MinRetryAfter time.Duration
 }
 
+// Ticket is a call that wants to wait. It is immutable.
+type Ticket struct {
+	// ID names the call.
+	ID uint64
+	// Deadline is when its caller no longer waits.
+	Deadline time.Time
+	// Target is when an answer is worth less; zero if that is not known.
+	Target time.Time
+	// Priority is the rank of the call, of which 0 is the highest.
+	Priority int
+	// Patience bounds the wait; 0 means that only the deadline does.
+	Patience time.Duration
+}
+
 // Verdict answers a call that wants to wait.
 type Verdict struct {
 	// Waits is true if the call waits; otherwise it is refused now.
@@ -54,8 +68,9 @@
 	RetryAfter time.Duration
 }
 
-// Queue holds the calls of one service that wait for a server, in order of
-// arrival. It is not safe for concurrent use.
+// Queue holds the calls of one service that wait for a server. Calls that can still
+// be answered by their target come first, those of higher priority before others,
+// and then each in order of arrival. It is not safe for concurrent use.
 type Queue struct {
 	cfg      Config
 	waiting  []waiter
@@ -65,7 +80,7 @@
 }
 
 type waiter struct {
-	id    uint64
+	Ticket
 	until time.Time
 }
 
@@ -77,27 +92,49 @@
 
 // Join asks for a place. The call is refused if the measured pace of releases
 // would not serve it while its deadline leaves it the usual time of an attempt.
-func (q *Queue) Join(now time.Time, id uint64, deadline time.Time) Verdict {
-	until := deadline.Add(-max(q.latency, deadline.Sub(now)/usefulShare))
+func (q *Queue) Join(now time.Time, t Ticket) Verdict {
+	until := t.Deadline.Add(-max(q.latency, t.Deadline.Sub(now)/usefulShare))
+	if patient := now.Add(t.Patience); t.Patience > 0 && patient.Before(until) {
+		until = patient
+	}
 	turn := now.Add(q.interval * time.Duration(len(q.waiting)+1))
 	if len(q.waiting) >= q.cfg.MaxWaiting || !now.Before(until) || turn.After(until) {
 		return Verdict{RetryAfter: q.RetryAfter()}
 	}
-	q.waiting = append(q.waiting, waiter{id: id, until: until})
+	q.waiting = append(q.waiting, waiter{Ticket: t, until: until})
 	return Verdict{Waits: true, Until: until}
 }
 
 // First returns the call whose turn it is.
-func (q *Queue) First() (uint64, bool) {
+func (q *Queue) First(now time.Time) (uint64, bool) {
 	if len(q.waiting) == 0 {
 		return 0, false
 	}
-	return q.waiting[0].id, true
+	first := q.waiting[0]
+	for _, w := range q.waiting[1:] {
+		if q.before(now, w.Ticket, first.Ticket) {
+			first = w
+		}
+	}
+	return first.ID, true
+}
+
+// before reports whether a is served before b, which arrived earlier.
+func (q *Queue) before(now time.Time, a, b Ticket) bool {
+	if timely, other := q.timely(now, a), q.timely(now, b); timely != other {
+		return timely
+	}
+	return a.Priority < b.Priority
+}
+
+// timely reports whether a call can be answered by its target if it is sent now.
+func (q *Queue) timely(now time.Time, t Ticket) bool {
+	return t.Target.IsZero() || !now.Add(q.latency).After(t.Target)
 }
 
 // Leave removes a call that got a server, was canceled or gave up.
 func (q *Queue) Leave(id uint64) bool {
-	i := slices.IndexFunc(q.waiting, func(w waiter) bool { return w.id == id })
+	i := slices.IndexFunc(q.waiting, func(w waiter) bool { return w.ID == id })
 	if i < 0 {
 		return false
 	}
@@ -111,7 +148,7 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(w waiter) bool {
 		over := !now.Before(w.until)
 		if over {
-			ids = append(ids, w.id)
+			ids = append(ids, w.ID)
 		}
 		return over
 	})
--- a/internal/request/slot/slot_test.go
+++ b/internal/request/slot/slot_test.go
@@ -26,7 +26,7 @@
 			case 0:
 				id++
 				deadline := now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "Deadline")) * time.Millisecond)
-				if v := q.Join(now, id, deadline); v.Waits {
+				if v := q.Join(now, slot.Ticket{ID: id, Deadline: deadline}); v.Waits {
 					deadlines[id] = deadline
 					if v.Until.After(deadline) {
 						t.Fatalf("call waits until %v, want at most its deadline %v", v.Until, deadline)
@@ -37,7 +37,7 @@
 			case 1:
 				q.Released(now, time.Duration(rapid.IntRange(1, 50).Draw(t, "Latency"))*time.Millisecond)
 			case 2:
-				if first, ok := q.First(); ok && q.Leave(first) {
+				if first, ok := q.First(now); ok && q.Leave(first) {
 					delete(deadlines, first)
 				}
 			}
@@ -86,18 +86,50 @@
 	convey.Convey("Given a backlog of 10 calls that is served at 100 ms each", t, func() {
 		q := slot.New(slot.Config{MaxWaiting: 100})
 		for id := range uint64(10) {
-			convey.So(q.Join(start, id, start.Add(time.Minute)).Waits, convey.ShouldBeTrue)
+			convey.So(q.Join(start, slot.Ticket{ID: id, Deadline: start.Add(time.Minute)}).Waits, convey.ShouldBeTrue)
 		}
 		q.Released(start, 50*time.Millisecond)
 		q.Released(start.Add(100*time.Millisecond), 50*time.Millisecond)
 		now := start.Add(100 * time.Millisecond)
 		convey.Convey("A call with half a second is refused at once and told when to come back", func() {
-			v := q.Join(now, 99, now.Add(500*time.Millisecond))
+			v := q.Join(now, slot.Ticket{ID: 99, Deadline: now.Add(500 * time.Millisecond)})
 			convey.So(v.Waits, convey.ShouldBeFalse)
 			convey.So(slot.Seconds(v.RetryAfter), convey.ShouldEqual, 2)
 		})
 		convey.Convey("A call with two seconds waits", func() {
-			convey.So(q.Join(now, 99, now.Add(2*time.Second)).Waits, convey.ShouldBeTrue)
+			convey.So(q.Join(now, slot.Ticket{ID: 99, Deadline: now.Add(2 * time.Second)}).Waits, convey.ShouldBeTrue)
+		})
+	})
+}
+
+func TestOrderUnderOverload(t *testing.T) {
+	convey.Convey("Given calls that arrive in a surge, some of them too late for their target", t, func() {
+		q := slot.New(slot.Config{MaxWaiting: 100})
+		q.Released(start, 100*time.Millisecond)
+		join := func(id uint64, target time.Duration, priority int) {
+			v := q.Join(start, slot.Ticket{ID: id, Deadline: start.Add(time.Second), Target: start.Add(target), Priority: priority})
+			convey.So(v.Waits, convey.ShouldBeTrue)
+		}
+		join(1, 50*time.Millisecond, 0)
+		join(2, 300*time.Millisecond, 2)
+		join(3, 300*time.Millisecond, 1)
+		join(4, 300*time.Millisecond, 1)
+		convey.Convey("Those that can meet it go first, by priority, then by arrival; late ones go last", func() {
+			var order []uint64
+			for {
+				id, ok := q.First(start)
+				if !ok {
+					break
+				}
+				order = append(order, id)
+				q.Leave(id)
+			}
+			convey.So(order, convey.ShouldResemble, []uint64{3, 4, 2, 1})
+		})
+		convey.Convey("A call waits no longer than its patience", func() {
+			v := q.Join(start, slot.Ticket{ID: 5, Deadline: start.Add(time.Second), Patience: 100 * time.Millisecond})
+			convey.So(v.Until, convey.ShouldEqual, start.Add(100*time.Millisecond))
+			convey.So(q.Expired(start.Add(100*time.Millisecond)), convey.ShouldResemble, []uint64{5})
 		})
 	})
 }
