--- /dev/null
+++ b/internal/choice/survey/survey_test.go
@@ -0,0 +1,196 @@
+package survey_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	near  = mustardsaddle.Need{Zone: "zone-a"}
+)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// servers returns n servers of two slots each.
+func servers(n int) []mustardsaddle.Server {
+	list := make([]mustardsaddle.Server, n)
+	for i := range list {
+		list[i] = mustardsaddle.Server{
+			Name: fmt.Sprintf("booking-%d", i), Incarnation: 1, Address: fmt.Sprintf("10.0.0.%d:80", i+1),
+			Service: "Booking", Zone: "zone-a", Slots: 2,
+		}
+	}
+	return list
+}
+
+func report(now time.Time, busy int, slowness float64) mustardsaddle.Report {
+	return mustardsaddle.Report{InFlight: busy, Slots: 2, Slowness: slowness, At: now}
+}
+
+func newSurvey(n int) *survey.Survey {
+	v := survey.New(survey.Config{})
+	v.SetServers(start, servers(n))
+	return v
+}
+
+func TestChoosesByReport(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reports []mustardsaddle.Report
+		need    mustardsaddle.Need
+		want    string
+	}{
+		{"the idle one", []mustardsaddle.Report{report(start, 1, 1), report(start, 0, 1), report(start, 2, 1)}, near, "booking-1"},
+		{"a quick one with a free slot before a slow idle one", []mustardsaddle.Report{report(start, 0, 4), report(start, 1, 1)}, near, "booking-1"},
+		{"none whose slots are taken", []mustardsaddle.Report{report(start, 2, 1), report(start, 3, 1)}, near, ""},
+		{"one with a place in its queue", []mustardsaddle.Report{report(start, 3, 1), report(start, 2, 1)}, mustardsaddle.Need{Queue: 1}, "booking-1"},
+		{"none by an old report", []mustardsaddle.Report{report(start.Add(-time.Second), 0, 1)}, near, ""},
+		{"none that was tried", []mustardsaddle.Report{report(start, 0, 1)}, mustardsaddle.Need{Exclude: []string{"booking-0"}}, ""},
+	} {
+		v := newSurvey(len(c.reports))
+		for i, r := range c.reports {
+			v.Observe(start, fmt.Sprintf("booking-%d", i), r)
+		}
+		choice, ok := v.Choose(start, newRand(), c.need)
+		if ok != (c.want != "") || choice.Server.Name != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, choice.Server.Name, c.want)
+		}
+	}
+}
+
+func TestOwnAttemptsCount(t *testing.T) {
+	convey.Convey("Given one idle server", t, func() {
+		v, rng := newSurvey(1), newRand()
+		v.Observe(start, "booking-0", report(start, 0, 1))
+		for range 2 {
+			_, ok := v.Choose(start, rng, near)
+			convey.So(ok, convey.ShouldBeTrue)
+		}
+		convey.Convey("It takes no more attempts than it has slots", func() {
+			_, ok := v.Choose(start, rng, near)
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+		convey.Convey("An attempt that ends makes room, one that was shed does not", func() {
+			v.Finish(start, mustardsaddle.Result{Server: "booking-0", Outcome: mustardsaddle.Ran})
+			_, ok := v.Choose(start, rng, near)
+			convey.So(ok, convey.ShouldBeTrue)
+			v.Finish(start, mustardsaddle.Result{Server: "booking-0", Outcome: mustardsaddle.NotRun, Shed: true})
+			_, ok = v.Choose(start, rng, near)
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+	})
+}
+
+// TestGreyServers answers the pattern of servers that say they are well and fail
+// their requests.
+func TestGreyServers(t *testing.T) {
+	convey.Convey("Given a server that fails every request, and looks idle for it", t, func() {
+		v, rng := newSurvey(5), newRand()
+		grey, failed, now := "booking-0", 0, start
+		for range 60 {
+			now = now.Add(20 * time.Millisecond)
+			for i := range 5 {
+				v.Observe(now, fmt.Sprintf("booking-%d", i), report(now, min(i, 1), 1))
+			}
+			choice, ok := v.Choose(now, rng, near)
+			convey.So(ok, convey.ShouldBeTrue)
+			r := mustardsaddle.Result{Server: choice.Server.Name, Outcome: mustardsaddle.Ran}
+			if choice.Server.Name == grey {
+				r = mustardsaddle.Result{Server: grey, Failed: true}
+				failed++
+			}
+			v.Finish(now, r)
+		}
+		convey.Convey("It leaves the choice within a few requests, though answers to questions say that it is well", func() {
+			convey.So(failed, convey.ShouldBeBetweenOrEqual, 1, 3)
+		})
+	})
+	convey.Convey("Given that all servers fail, a part of them stays in the choice", t, func() {
+		v, rng, now := newSurvey(5), newRand(), start
+		for range 100 {
+			for i := range 5 {
+				v.Observe(now, fmt.Sprintf("booking-%d", i), report(now, 0, 1))
+			}
+			choice, ok := v.Choose(now, rng, near)
+			convey.So(ok, convey.ShouldBeTrue)
+			v.Finish(now, mustardsaddle.Result{Server: choice.Server.Name, Failed: true})
+		}
+	})
+}
+
+func TestAsk(t *testing.T) {
+	convey.Convey("Given twenty servers", t, func() {
+		v, rng := newSurvey(20), newRand()
+		convey.Convey("As many as wanted are asked, each once at a time", func() {
+			first := v.Ask(start, rng, near, 8)
+			second := v.Ask(start, rng, near, 8)
+			convey.So(first, convey.ShouldHaveLength, 8)
+			convey.So(second, convey.ShouldHaveLength, 8)
+			for _, s := range second {
+				convey.So(first, convey.ShouldNotContain, s)
+			}
+		})
+		convey.Convey("One whose report is a moment old is not asked, and one that was good is", func() {
+			for i := range 20 {
+				v.Observe(start, fmt.Sprintf("booking-%d", i), report(start, 2, 4))
+			}
+			v.Observe(start, "booking-7", report(start, 0, 1))
+			convey.So(v.Ask(start.Add(time.Millisecond), rng, near, 8), convey.ShouldBeEmpty)
+			later := v.Ask(start.Add(100*time.Millisecond), rng, near, 4)
+			names := make([]string, len(later))
+			for i, s := range later {
+				names[i] = s.Name
+			}
+			convey.So(names, convey.ShouldContain, "booking-7")
+		})
+		convey.Convey("One that leaves two questions unanswered is not asked for a while", func() {
+			one := newSurvey(1)
+			for range 2 {
+				convey.So(one.Ask(start, rng, near, 8), convey.ShouldHaveLength, 1)
+				one.Asked(start, "booking-0", 0)
+			}
+			convey.So(one.Ask(start, rng, near, 8), convey.ShouldBeEmpty)
+			convey.So(one.Ask(start.Add(time.Second), rng, near, 8), convey.ShouldHaveLength, 1)
+		})
+	})
+}
+
+func TestReplacedServer(t *testing.T) {
+	convey.Convey("Given a server that failed and starts again under its name", t, func() {
+		v, rng := newSurvey(2), newRand()
+		for range 3 {
+			v.Finish(start, mustardsaddle.Result{Server: "booking-0", Failed: true})
+		}
+		list := servers(2)
+		list[0].Incarnation = 2
+		v.SetServers(start, list)
+		convey.Convey("Nothing of its earlier life counts", func() {
+			v.Observe(start, "booking-0", report(start, 0, 1))
+			choice, ok := v.Choose(start, rng, near)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(choice.Server.Name, convey.ShouldEqual, "booking-0")
+		})
+	})
+}
+
+func TestServiceWithoutReports(t *testing.T) {
+	convey.Convey("Given servers that never tell their load, own attempts decide", t, func() {
+		v, rng := newSurvey(3), newRand()
+		seen := make(map[string]int)
+		for range 6 {
+			choice, ok := v.Choose(start, rng, near)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(choice.Reason, convey.ShouldEqual, "Own")
+			seen[choice.Server.Name]++
+		}
+		convey.So(seen, convey.ShouldResemble, map[string]int{"booking-0": 2, "booking-1": 2, "booking-2": 2})
+	})
+}
