Pass a server over whose address another server has

Change: an answer that names another server, to a question or to a request, takes the server out until a question shows it back; questions come before requests, so that strangers are met without a request. TestReusedAddress fails without it.

--- a/choice.go
+++ b/choice.go
@@ -39,6 +39,9 @@
 	Server Server
 	// Reason names the branch of the policy that decided, for example "Spill".
 	Reason string
+	// Report is the load report that decided, with this gateway's own attempts
+	// counted in; its At is zero if none did.
+	Report Report
 }
 
 // Result tells how one attempt ended.
@@ -49,6 +52,8 @@
 	Outcome Outcome
 	// Shed is true when the server declared that it refused for load.
 	Shed bool
+	// Gone is true when another server has the address.
+	Gone bool
 	// Failed is true for a server error, a broken connection or a timeout.
 	Failed bool
 	// Canceled is true when the gateway or the caller gave the attempt up, which
@@ -75,6 +80,20 @@
 	Ask(now time.Time, rng *rand.Rand, need Need, n int) []Server
 	// Unasked tells that servers of Ask were not asked after all.
 	Unasked(servers []Server)
-	// Asked tells the status of a server's answer, or 0 if it did not answer.
-	Asked(now time.Time, server string, status int)
+	// Asked tells what became of a question.
+	Asked(now time.Time, server string, reply Reply)
 }
+
+//go:generate go tool -modfile=tools/go.mod stringer -type=Reply -output=reply_string.go
+
+// Reply is what became of a question for a server's load.
+type Reply int
+
+const (
+	// NoReply means that no answer came.
+	NoReply Reply = iota
+	// OwnReply means that the server answered.
+	OwnReply
+	// OtherReply means that another server has the address.
+	OtherReply
+)
--- a/headers.go
+++ b/headers.go
@@ -12,6 +12,8 @@
 	// Instance tells which server a request is meant for. Any other server answers
 	// 421 and does not run the request.
 	Instance string
+	// Server is the name of the server that answers.
+	Server string
 	// Load is the load report of an answer.
 	Load string
 	// NotRun declares in an answer that the request was not run.
--- a/internal/choice/survey/server.go
+++ b/internal/choice/survey/server.go
@@ -19,6 +19,8 @@
 	// server silent, and silentPause how long it is not asked then.
 	silentQuestions = 2
 	silentPause     = 500 * time.Millisecond
+	// gonePause is how long a server is passed over whose address another one has.
+	gonePause = 3 * time.Second
 	// usualSlowness is the slowness of a server that does not state it.
 	usualSlowness = 1.0
 )
@@ -107,6 +109,12 @@
 	}
 }
 
+// gone passes the server over for a while. What it reported is not its own.
+func (s *server) gone(now time.Time) {
+	s.report = mustardsaddle.Report{}
+	s.outUntil = now.Add(gonePause)
+}
+
 // isOut reports whether the server is out at the given time.
 func (s *server) isOut(now time.Time) bool {
 	return now.Before(s.outUntil)
--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -13,6 +13,9 @@
 // questions alone do not bring it back earlier, since a server can fail every
 // request while it says that it is well. At most a share of the servers is out.
 //
+// A server whose address another one has is passed over until a question shows that
+// it is back.
+//
 // Services whose servers never report their load are chosen for by this gateway's
 // own attempts in flight.
 //
@@ -163,19 +166,22 @@
 	}
 }
 
-// Asked tells the status of a server's answer, or 0 if it did not answer.
-func (v *Survey) Asked(now time.Time, name string, status int) {
+// Asked tells what became of a question.
+func (v *Survey) Asked(now time.Time, name string, reply mustardsaddle.Reply) {
 	s := v.byName[name]
 	if s == nil {
 		return
 	}
 	s.asked = time.Time{}
-	if status == 0 {
+	switch reply {
+	case mustardsaddle.NoReply:
 		s.missed++
 		s.missedAt = now
-		return
+	case mustardsaddle.OtherReply:
+		s.gone(now)
+	case mustardsaddle.OwnReply:
+		s.missed = 0
 	}
-	s.missed = 0
 }
 
 // Probe picks no server: all questions come with calls.
@@ -195,9 +201,11 @@
 	if best == nil {
 		return mustardsaddle.Choice{}, false
 	}
+	choice := mustardsaddle.Choice{Server: best.Server, Reason: reason, Report: best.report}
+	choice.Report.InFlight = best.busy
 	best.inFlight++
 	best.busy++
-	return mustardsaddle.Choice{Server: best.Server, Reason: reason}, true
+	return choice, true
 }
 
 // best returns the usable server with the lowest score that passes the test. Among
@@ -237,6 +245,8 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	s.busy = max(s.busy-1, 0)
 	switch {
+	case r.Gone:
+		s.gone(now)
 	case r.Failed:
 		s.fail()
 		v.takeOut(now, s)
--- a/internal/choice/survey/survey_test.go
+++ b/internal/choice/survey/survey_test.go
@@ -155,7 +155,7 @@
 			one := newSurvey(1)
 			for range 2 {
 				convey.So(one.Ask(start, rng, near, 8), convey.ShouldHaveLength, 1)
-				one.Asked(start, "booking-0", 0)
+				one.Asked(start, "booking-0", mustardsaddle.NoReply)
 			}
 			convey.So(one.Ask(start, rng, near, 8), convey.ShouldBeEmpty)
 			convey.So(one.Ask(start.Add(time.Second), rng, near, 8), convey.ShouldHaveLength, 1)
@@ -194,3 +194,32 @@
 		convey.So(seen, convey.ShouldResemble, map[string]int{"booking-0": 2, "booking-1": 2, "booking-2": 2})
 	})
 }
+
+// TestReusedAddress answers the pattern of servers that end without a word and whose
+// addresses go to servers of another service.
+func TestReusedAddress(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tell func(v *survey.Survey)
+	}{
+		{"a question is answered by another server", func(v *survey.Survey) {
+			v.Asked(start, "booking-0", mustardsaddle.OtherReply)
+		}},
+		{"an attempt is answered by another server", func(v *survey.Survey) {
+			v.Finish(start, mustardsaddle.Result{Server: "booking-0", Outcome: mustardsaddle.NotRun, Gone: true})
+		}},
+	} {
+		v, rng := newSurvey(1), newRand()
+		v.Observe(start, "booking-0", report(start, 0, 1))
+		c.tell(v)
+		if choice, ok := v.Choose(start, rng, near); ok {
+			t.Errorf("%s: got %s chosen, want none", c.name, choice.Server.Name)
+		}
+		if asked := v.Ask(start.Add(time.Second), rng, near, 8); len(asked) > 0 {
+			t.Errorf("%s: got it asked a second later, want it left alone", c.name)
+		}
+		if asked := v.Ask(start.Add(5*time.Second), rng, near, 8); len(asked) != 1 {
+			t.Errorf("%s: got %d asked later, want 1", c.name, len(asked))
+		}
+	}
+}
--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -30,6 +30,7 @@
 	_ = x[CallCut-4004]
 	_ = x[CallResumed-4005]
 	_ = x[ConnectionSilent-4006]
+	_ = x[AttemptFailed-4007]
 	_ = x[LinkUp-5001]
 	_ = x[LinkDown-5002]
 	_ = x[LinkSilent-5003]
@@ -43,7 +44,7 @@
 	_Event_name_0 = "StartedStopBegunStopEndedLinesLostSettingsReloadedSettingsRefused"
 	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailedRulesRepaired"
 	_Event_name_2 = "StoreFailedStoreBackEntrySkippedServerChanged"
-	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilent"
+	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilentAttemptFailed"
 	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDropped"
 )
 
@@ -51,7 +52,7 @@
 	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34, 50, 65}
 	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66, 79}
 	_Event_index_2 = [...]uint8{0, 11, 20, 32, 45}
-	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65}
+	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65, 78}
 	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85}
 )
 
@@ -66,7 +67,7 @@
 	case 3001 <= i && i <= 3004:
 		i -= 3001
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
-	case 4001 <= i && i <= 4006:
+	case 4001 <= i && i <= 4007:
 		i -= 4001
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 5001 <= i && i <= 5007:
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -63,6 +63,8 @@
 	// ConnectionSilent is logged when a connection that was reused carried no
 	// answer and is closed.
 	ConnectionSilent
+	// AttemptFailed is logged when an attempt brought no answer for the caller.
+	AttemptFailed
 )
 
 // Peer events.
--- a/internal/product/instance/directory.go
+++ b/internal/product/instance/directory.go
@@ -59,7 +59,7 @@
 // headers returns the names of headers that the settings state.
 func headers(h settings.Headers) *mustardsaddle.Headers {
 	names := &mustardsaddle.Headers{
-		RequestID: h.RequestID, Deadline: h.Deadline, Instance: h.Instance, Load: h.Load, NotRun: h.NotRun,
+		RequestID: h.RequestID, Deadline: h.Deadline, Instance: h.Instance, Server: h.Server, Load: h.Load, NotRun: h.NotRun,
 		Signature: h.Signature, ParseLoad: report.Parse, FractionalRetryAfter: h.RetryAfter == settings.RetryAfterFractions,
 	}
 	if h.LoadFormat == settings.LoadCounts {
--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -221,6 +221,8 @@
 			func(s *Settings) *string { return &s.Headers.Deadline }),
 		headerName(sectionHeaders, "Instance", "", "Header that names the server for which a request is meant; any other server answers 421.",
 			func(s *Settings) *string { return &s.Headers.Instance }),
+		headerName(sectionHeaders, "Server", "", "Header in which a server names itself in its answer.",
+			func(s *Settings) *string { return &s.Headers.Server }),
 		headerName(sectionHeaders, "Load", "Endpoint-Load-Metrics", "Header in which servers report their load.",
 			func(s *Settings) *string { return &s.Headers.Load }),
 		oneOf(sectionHeaders, "LoadFormat", LoadORCA, []string{LoadORCA, LoadCounts},
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -146,6 +146,7 @@
 	RequestID  string
 	Deadline   string
 	Instance   string
+	Server     string
 	Load       string
 	LoadFormat string
 	NotRun     string
--- a/internal/request/gateway/answer.go
+++ b/internal/request/gateway/answer.go
@@ -59,8 +59,12 @@
 // refuse answers at once with what is known and when to come back.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, attempt string, n *refusal) {
 	status := n.status()
-	event.Warn(g.cfg.Logger, event.CallRefused).Str("Method", r.Method).Str("Path", r.URL.Path).
-		Str("Attempt", attempt).Int("Code", int(n.code)).Str("Outcome", n.outcome.String()).Send()
+	line := g.name(event.Warn(g.cfg.Logger, event.CallRefused), r).Str("Method", r.Method).Str("Path", r.URL.Path).
+		Str("Attempt", attempt).Int("Status", status).Int("Code", int(n.code)).Str("Outcome", n.outcome.String())
+	if n.retryAfter > 0 {
+		line = line.Dur("RetryAfter", n.retryAfter)
+	}
+	line.Send()
 	h := w.Header()
 	h.Set(OutcomeHeader, n.outcome.String())
 	h.Set(CodeHeader, strconv.Itoa(int(n.code)))
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -52,9 +52,7 @@
 func (c *call) newAttempt(p placement, via manner) *attempt {
 	a := &attempt{c: c, id: c.g.nextAttempt(), placement: p, via: via}
 	a.ctx, a.cancel = context.WithCancelCause(c.r.Context())
-	event.Info(c.g.cfg.Logger, event.RouteChosen).Str("Attempt", a.id).Str("Service", c.m.lane.service).
-		Str("Server", p.choice.Server.Name).Str("Reason", p.choice.Reason).Str("Kind", p.kind.String()).
-		Dur("Queued", p.queued).Send()
+	c.logRoute(a)
 	return a
 }
 
@@ -201,7 +199,7 @@
 
 // observe passes on the load report of the answer.
 func (a *attempt) observe() {
-	if a.resp == nil || a.mismatch {
+	if a.resp == nil || a.mismatch || a.otherInstance() {
 		return
 	}
 	a.c.m.lane.observeHeader(time.Now(), a.placement.choice.Server.Name, a.resp.Header)
@@ -234,6 +232,7 @@
 		Server:   a.placement.choice.Server.Name,
 		Outcome:  a.outcome,
 		Shed:     a.shed,
+		Gone:     a.resp != nil && a.otherInstance(),
 		Failed:   a.failed() && (!canceled || timedOut),
 		Canceled: canceled && !timedOut,
 		Latency:  a.latency,
@@ -245,7 +244,7 @@
 	if a.err != nil || a.mismatch {
 		return true
 	}
-	return !a.shed && a.resp != nil && (a.resp.StatusCode >= http.StatusInternalServerError || a.otherInstance())
+	return !a.shed && a.resp != nil && a.resp.StatusCode >= http.StatusInternalServerError
 }
 
 // code returns the result code that says why the attempt brought no answer.
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -10,7 +10,6 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
 )
@@ -268,6 +267,7 @@
 	}
 	a.observe()
 	outcome := a.outcome
+	c.logAttempt(a)
 	if outcome == mustardsaddle.Ran {
 		a.outcome = mustardsaddle.Unknown
 		a.cancel(errLost)
@@ -356,11 +356,3 @@
 	}
 	return nil
 }
-
-// logEnd writes the result line of a call that was answered.
-func (c *call) logEnd(a *attempt, bytes int64) {
-	c.m.lane.metrics.outcomes[mustardsaddle.Ran].Inc(1)
-	event.Info(c.g.cfg.Logger, event.CallEnded).Str("Attempt", a.id).Str("Service", c.m.lane.service).
-		Str("Server", a.placement.choice.Server.Name).Int("Status", a.resp.StatusCode).
-		Str("Outcome", mustardsaddle.Ran.String()).Int64("Bytes", bytes).Dur("Took", time.Since(c.start)).Send()
-}
--- a/internal/request/gateway/match.go
+++ b/internal/request/gateway/match.go
@@ -20,6 +20,8 @@
 	rule     rule.Rule
 	repeat   mustardsaddle.Repeat
 	deadline time.Duration
+	// generation is that of the rules that matched.
+	generation int64
 	// attempts bounds the servers that the request is sent to.
 	attempts int
 	lane     *lane
@@ -43,7 +45,7 @@
 		return matched{}, notRun(code.CallNoRule)
 	}
 	m := matched{
-		rule: found, repeat: found.RepeatOf(r.Method), lane: g.lane(g.pick(table.Split(found))),
+		rule: found, generation: table.File.Generation, repeat: found.RepeatOf(r.Method), lane: g.lane(g.pick(table.Split(found))),
 		deadline: cmp.Or(found.Deadline, g.cfg.Deadline), attempts: cmp.Or(found.Attempts, g.cfg.MaxAttempts),
 	}
 	if m.lane == nil {
--- a/internal/request/gateway/question.go
+++ b/internal/request/gateway/question.go
@@ -97,34 +97,38 @@
 
 // questionOne asks one server.
 func (l *lane) questionOne(ctx context.Context, server mustardsaddle.Server, path string) {
-	h, status := l.g.questionServer(ctx, server, path)
+	h, reply := l.g.questionServer(ctx, server, path)
 	now := time.Now()
 	l.mu.Lock()
 	if surveyor, ok := l.chooser.(mustardsaddle.Surveyor); ok {
-		surveyor.Asked(now, server.Name, status)
+		surveyor.Asked(now, server.Name, reply)
 	}
 	l.mu.Unlock()
-	if h != nil {
+	if reply == mustardsaddle.OwnReply {
 		l.observeHeader(now, server.Name, h)
 	}
 }
 
-// questionServer sends a question and returns the header and status of the answer,
-// or the status 0 if none came.
-func (g *Gateway) questionServer(ctx context.Context, server mustardsaddle.Server, path string) (http.Header, int) {
+// questionServer sends a question, and returns the header of the answer.
+func (g *Gateway) questionServer(ctx context.Context, server mustardsaddle.Server, path string) (http.Header, mustardsaddle.Reply) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+path, http.NoBody)
 	if err != nil {
-		return nil, 0
+		return nil, mustardsaddle.NoReply
 	}
 	r.Header["User-Agent"] = nil
 	neverResend(r)
 	resp, err := g.asking.RoundTrip(r)
 	if err != nil {
-		return nil, 0
+		return nil, mustardsaddle.NoReply
 	}
 	_, _ = io.CopyN(io.Discard, resp.Body, probeAnswerBytes)
 	_ = resp.Body.Close()
-	return resp.Header, resp.StatusCode
+	if name := g.cfg.Headers.Server; name != "" {
+		if told := resp.Header.Get(name); told != "" && told != server.Name {
+			return nil, mustardsaddle.OtherReply
+		}
+	}
+	return resp.Header, mustardsaddle.OwnReply
 }
 
 // probePath returns the path where the servers of a service tell their load.
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -136,7 +136,7 @@
 	c.m.lane.metrics.cut.Inc(1)
 	c.m.lane.metrics.outcomes[mustardsaddle.Ran].Inc(1)
 	c.reset(a)
-	event.Warn(c.g.cfg.Logger, event.CallCut).Str("Attempt", a.id).Str("Service", c.m.lane.service).
+	c.g.name(event.Warn(c.g.cfg.Logger, event.CallCut), c.r).Str("Attempt", a.id).Str("Service", c.m.lane.service).
 		Str("Server", a.placement.choice.Server.Name).Int("Code", int(code.CallBroken)).Int64("Bytes", n).Err(err).Send()
 	panic(http.ErrAbortHandler)
 }
--- a/internal/request/gateway/server.go
+++ b/internal/request/gateway/server.go
@@ -20,23 +20,22 @@
 // default.
 type ServerConfig struct {
 	// Handler answers the requests.
-	Handler http.Handler
+	Handler *Gateway
 	// HeaderBytes bounds a request header.
 	HeaderBytes int
 	// HeaderTimeout bounds the reading of a request header.
 	HeaderTimeout time.Duration
-	// IdleTimeout is how long an unused connection is kept.
-	IdleTimeout time.Duration
 	// Logger takes what net/http reports.
 	Logger zerolog.Logger
 }
 
 // NewServer returns a server for HTTP/1.1 and unencrypted HTTP/2. It has no bound
-// on the whole time of a request: bodies are bounded by their progress.
+// on the whole time of a request: bodies are bounded by their progress. Unused
+// connections are kept for the time that the rules in force state.
 func NewServer(cfg ServerConfig) *http.Server {
 	setDefault(&cfg.HeaderBytes, defaultHeaderBytes)
 	setDefault(&cfg.HeaderTimeout, defaultHeaderTimeout)
-	setDefault(&cfg.IdleTimeout, defaultCallerIdle)
+	idle := newIdleConns(cfg.Handler.idleLimit)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -44,7 +43,8 @@
 		Handler:           cfg.Handler,
 		MaxHeaderBytes:    cfg.HeaderBytes,
 		ReadHeaderTimeout: cfg.HeaderTimeout,
-		IdleTimeout:       cfg.IdleTimeout,
+		IdleTimeout:       maxCallerIdle + 2*idleMargin,
+		ConnState:         idle.changed,
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ErrorLog:          log.New(cfg.Logger, "", 0),
