Queue behind one request in a quick server at once, and refuse sooner

Change: as kept; answers count the bytes that cross zones; a gateway that starts again reads its entry in place of writing it; the collector runs at 25 % growth.

--- a/choice.go
+++ b/choice.go
@@ -32,6 +32,8 @@
 	Zone string
 	// Queue is how many requests may wait in the server before the attempt.
 	Queue int
+	// Bytes is the usual size of an answer of the service.
+	Bytes int
 }
 
 // Choice is a chosen server, with the reason for the log.
--- a/cmd/mustardsaddle/main.go
+++ b/cmd/mustardsaddle/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"mustardsaddle.example/mustardsaddle"
@@ -16,11 +17,16 @@
 	"mustardsaddle.example/mustardsaddle/platform"
 )
 
+// gcPercent is the heap growth, in percent, at which the collector runs. A gateway's
+// heap is small, so that memory is dearer than the collector's time.
+const gcPercent = 25
+
 func main() {
 	os.Exit(int(run()))
 }
 
 func run() command.Status {
+	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
--- a/internal/choice/survey/server.go
+++ b/internal/choice/survey/server.go
@@ -74,13 +74,18 @@
 	return s.missed >= silentQuestions && now.Sub(s.missedAt) < silentPause
 }
 
+// slowness returns how long work takes as a multiple of the usual, as last reported.
+func (s *server) slowness() float64 {
+	if s.report.Slowness <= 0 {
+		return usualSlowness
+	}
+	return s.report.Slowness
+}
+
 // score returns how long work is expected to take as a multiple of the usual. The
 // lowest is best.
-func (s *server) score(now time.Time, zone string) float64 {
-	slowness := s.report.Slowness
-	if slowness <= 0 {
-		slowness = usualSlowness
-	}
+func (s *server) score(now time.Time, need mustardsaddle.Need) float64 {
+	slowness := s.slowness()
 	if now.Before(s.WarmAt) {
 		slowness += coldCost
 	}
@@ -92,8 +97,8 @@
 		score += slowness * waitingCost * float64(waiting)
 	}
 	score += failureCost * s.failures
-	if s.Zone != zone {
-		score += awayCost
+	if s.Zone != need.Zone {
+		score += awayCost + awayByteCost*float64(need.Bytes)
 	}
 	return score
 }
--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -60,8 +60,10 @@
 	coldCost = 1.0
 	// failureCost is how much an expected failure adds to the score.
 	failureCost = 4.0
-	// awayCost is what a server in another availability zone adds.
-	awayCost = 0.02
+	// awayCost is what a server in another availability zone adds, and awayByteCost
+	// what each byte of an answer adds that has to cross.
+	awayCost     = 0.02
+	awayByteCost = 8e-6
 )
 
 // Reasons of choices.
@@ -131,7 +133,7 @@
 	if len(candidates) > n {
 		best := slices.Clone(candidates)
 		slices.SortStableFunc(best, func(a, b *server) int {
-			return cmp.Compare(a.score(now, need.Zone), b.score(now, need.Zone))
+			return cmp.Compare(a.score(now, need), b.score(now, need))
 		})
 		candidates = mix(best[:n/2], candidates, n)
 	}
@@ -217,7 +219,7 @@
 		if !v.usable(now, s, need) || !test(s) {
 			continue
 		}
-		score := s.score(now, need.Zone)
+		score := s.score(now, need)
 		switch {
 		case best == nil || score < lowest:
 			best, lowest, ties = s, score, 1
--- a/internal/control/catalog/catalog_test.go
+++ b/internal/control/catalog/catalog_test.go
@@ -36,7 +36,7 @@
 	return d.whole, nil
 }
 
-func (d *directory) Changes(ctx context.Context, c mustardsaddle.Collection, after int64, _ time.Duration) (mustardsaddle.Update, error) {
+func (d *directory) Changes(ctx context.Context, c mustardsaddle.Collection, _ int64, _ time.Duration) (mustardsaddle.Update, error) {
 	d.mu.Lock()
 	if c == mustardsaddle.RulesCollection && len(d.failures) > 0 {
 		err := d.failures[0]
@@ -190,7 +190,7 @@
 
 func TestServersAfterOutage(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	server := func(name string) mustardsaddle.Machine {
 		return mustardsaddle.Machine{Name: name, Service: "Booking", Address: "10.0.0.1:80", Incarnation: 1}
 	}
--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
@@ -15,9 +16,9 @@
 const (
 	// readers is how many gateways of the fleet watch a collection of a directory.
 	readers = 2
-	// secondLook is when the gateways are read again after the start, since those
-	// that start at the same time enter themselves at the same time.
-	secondLook = 1500 * time.Millisecond
+	// secondLook is when the gateways are read again after this one has entered
+	// itself, since others that start at the same time do so too.
+	secondLook = 700 * time.Millisecond
 	// lookInterval is the mean time between later reads of the gateways, which the
 	// links name too.
 	lookInterval = 30 * time.Second
@@ -111,43 +112,39 @@
 	return mustardsaddle.Machine{Name: vm.Name, Incarnation: vm.Incarnation, Zone: vm.Zone, Address: vm.Peer}
 }
 
-// meet enters this gateway in the directory, and reads which others there are,
-// until the context ends; then it closes done.
+// meet reads which gateways there are, and enters this one in the directory, until
+// the context ends; then it closes done.
 func (in *instance) meet(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	if !in.enter(ctx) {
-		return
-	}
-	for pause, looks := time.Duration(0), 0; in.pause(ctx, pause); {
+	looks := 0
+	for pause := time.Duration(0); in.pause(ctx, pause); {
 		// Later reads need not be exact: links tell of gateways that are new.
 		u, err := in.directory.Snapshot(ctx, mustardsaddle.GatewaysCollection, looks < 2)
+		if err == nil && looks == 0 && !in.listed(u.Machines) {
+			err = in.directory.Enter(ctx, in.self)
+		} else if err == nil {
+			looks = 2
+		}
 		if err != nil {
 			in.logStoreFailure(ctx, err)
 			pause = lookPause
 			continue
 		}
-		now := time.Now()
-		in.spreadFresh("", in.membership.machines(now, u.Machines))
+		in.spreadFresh("", in.membership.machines(time.Now(), u.Machines))
 		looks++
 		pause = secondLook
-		if looks > 1 {
+		if looks >= 2 {
 			pause = lookInterval/2 + rand.N(lookInterval)
 		}
 	}
 }
 
-// enter writes this gateway's entry, by which the others find it. It returns false
-// when the context has ended.
-func (in *instance) enter(ctx context.Context) bool {
-	for ctx.Err() == nil {
-		err := in.directory.Enter(ctx, in.self)
-		if err == nil {
-			return true
-		}
-		in.logStoreFailure(ctx, err)
-		in.pause(ctx, lookPause)
-	}
-	return false
+// listed reports whether this gateway is found by its entry, be it one of an earlier
+// life.
+func (in *instance) listed(machines []mustardsaddle.Machine) bool {
+	return slices.ContainsFunc(machines, func(m mustardsaddle.Machine) bool {
+		return m.Name == in.self.Name && m.Zone == in.self.Zone && m.Address == in.self.Peer
+	})
 }
 
 // pause waits, and returns false when the context has ended.
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -24,14 +24,14 @@
 	// pollInterval is how often the first waiting call asks again, since a
 	// chooser may admit a server by the passing of time alone.
 	pollInterval = 20 * time.Millisecond
-	// deepShare is the part of the target, as one part in this many, after which a
-	// waiting call may go into a server's own queue, and deepQueue how many may be
-	// before it there.
-	deepShare = 8
-	deepQueue = 1
+	// serverQueue is how many requests may wait in a server before one of this
+	// gateway's: a quick server with one before it beats a slow idle one.
+	serverQueue = 1
 	// patienceShare is the part of the target, as one part in this many, for which a
 	// call waits for a server.
-	patienceShare = 2
+	patienceShare = 8
+	// answerGain is the weight of one answer in the mean of their sizes.
+	answerGain = 0.05
 	// slackShare is the part of the retry slack that running gateways plan to use.
 	slackShare = 0.6
 	// assumedGateways is the size of a fleet that is not known yet.
@@ -57,6 +57,8 @@
 	waiting map[uint64]waiter
 	lastID  uint64
 	usable  int
+	// answerBytes is the moving mean of the size of answers.
+	answerBytes float64
 	// questions bounds what this gateway asks the servers of the service.
 	questions *rate.Limiter
 	reusedAt  map[string]time.Time // when a reusable connection last came free
@@ -66,17 +68,7 @@
 type waiter struct {
 	// tried are the servers that the call has tried already.
 	tried []string
-	// deepFrom is when the call may wait in a server's own queue.
-	deepFrom time.Time
-	given    chan mustardsaddle.Choice
-}
-
-// queue returns how many requests the call may have before it in a server.
-func (w waiter) queue(now time.Time) int {
-	if now.Before(w.deepFrom) {
-		return 0
-	}
-	return deepQueue
+	given chan mustardsaddle.Choice
 }
 
 // placement is the result of the admit filter: a chosen server, counted in.
@@ -160,7 +152,7 @@
 		return placement{}, &refusal{code: code.OK}
 	}
 	if kind != booking.First || l.queue.Len() == 0 {
-		choice, ok := l.choose(now, tried, 0)
+		choice, ok := l.choose(now, tried)
 		if ok {
 			l.mu.Unlock()
 			return placement{kind: kind, choice: choice}, nil
@@ -178,7 +170,7 @@
 		return placement{}, &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: verdict.RetryAfter}
 	}
 	given := make(chan mustardsaddle.Choice, 1)
-	l.waiting[id] = waiter{tried: tried, deepFrom: now.Add(c.m.rule.Target / deepShare), given: given}
+	l.waiting[id] = waiter{tried: tried, given: given}
 	l.mu.Unlock()
 	p, no := l.wait(ctx, now, id, verdict.Until, given)
 	p.kind = kind
@@ -248,10 +240,14 @@
 	return &refusal{code: code.CallOverloaded, outcome: mustardsaddle.NotRun, retryAfter: l.retryAfter()}
 }
 
+// need describes an attempt that may go to any server but those that were tried.
+func (l *lane) need(tried []string) mustardsaddle.Need {
+	return mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone, Queue: serverQueue, Bytes: int(l.answerBytes)}
+}
+
 // choose picks a server below its cap of connections, and counts the attempt in.
-// Queue is how many requests the attempt may have before it in the server.
-func (l *lane) choose(now time.Time, tried []string, queue int) (mustardsaddle.Choice, bool) {
-	need := mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone, Queue: queue}
+func (l *lane) choose(now time.Time, tried []string) (mustardsaddle.Choice, bool) {
+	need := l.need(tried)
 	for {
 		choice, ok := l.chooser.Choose(now, l.rng, need)
 		if !ok || l.limits.Admit(choice.Server.Name, l.limit(choice.Server)) {
@@ -285,7 +281,7 @@
 			return
 		}
 		w := l.waiting[id]
-		choice, ok := l.choose(now, w.tried, w.queue(now))
+		choice, ok := l.choose(now, w.tried)
 		if !ok {
 			return
 		}
@@ -303,6 +299,13 @@
 	l.latency.Add(latency)
 }
 
+// relayed takes the size of an answer.
+func (l *lane) relayed(bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answerBytes += (float64(bytes) - l.answerBytes) * answerGain
+}
+
 // alive reports whether a connection to the server came free a moment ago.
 func (l *lane) alive(now time.Time, server string) bool {
 	l.mu.Lock()
@@ -391,8 +394,8 @@
 func (l *lane) takeOther(now time.Time, server string) (mustardsaddle.Choice, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if choice, ok := l.choose(now, []string{server}, 0); ok {
+	if choice, ok := l.choose(now, []string{server}); ok {
 		return choice, true
 	}
-	return l.choose(now, nil, deepQueue)
+	return l.choose(now, nil)
 }
--- a/internal/request/gateway/log.go
+++ b/internal/request/gateway/log.go
@@ -54,6 +54,7 @@
 // logEnd writes the result line of a call that was answered.
 func (c *call) logEnd(a *attempt, bytes int64) {
 	c.m.lane.metrics.outcomes[mustardsaddle.Ran].Inc(1)
+	c.m.lane.relayed(bytes)
 	c.g.name(event.Info(c.g.cfg.Logger, event.CallEnded), c.r).Str("Attempt", a.id).Str("Service", c.m.lane.service).
 		Str("Server", a.placement.choice.Server.Name).Int("Status", a.resp.StatusCode).
 		Str("Outcome", mustardsaddle.Ran.String()).Int64("Bytes", bytes).Dur("Took", time.Since(c.start)).Send()
--- a/internal/request/gateway/question.go
+++ b/internal/request/gateway/question.go
@@ -54,8 +54,7 @@
 	}
 	now := time.Now()
 	l.mu.Lock()
-	need := mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone}
-	servers := surveyor.Ask(now, l.rng, need, l.g.cfg.Ask)
+	servers := surveyor.Ask(now, l.rng, l.need(tried), l.g.cfg.Ask)
 	for i := range servers {
 		if !l.questions.AllowN(now, 1) || !l.g.cfg.Budget.Take(now, 1, probeRequestBytes+probeAnswerBytes) {
 			surveyor.Unasked(servers[i:])
