Take the clock out of the verdict of TestCompare

Cause: its calls had a time limit of 2 s in the gateways. On a busy machine calls passed it and were told Unknown, or none was answered within the recorded time. Ruled out: servers that leave, which take no request away in that scenario. Change: the time limit is a setting of the comparison; the test takes two minutes, so that only an answer that breaks is Unknown. The checks are the same.

--- a/internal/standin/trial/front.go
+++ b/internal/standin/trial/front.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// callTimeout bounds a call in a gateway.
+	// callTimeout bounds a call in a gateway by default.
 	callTimeout = 2 * time.Second
 	// The agreed cost of measuring of one gateway.
 	probesPerSecond     = 20
@@ -34,6 +34,7 @@
 	candidate candidate
 	services  []service
 	fleet     []mustardsaddle.VM
+	timeout   time.Duration
 	seed      uint64
 }
 
@@ -59,7 +60,7 @@
 		declared[svc.name] = gateway.Service{NotRunStatus: http.StatusServiceUnavailable, NotRunHeader: server.NotRunHeader}
 	}
 	f.gateway = gateway.New(gateway.Config{
-		Name: cfg.name, Zone: cfg.zone, Deadline: callTimeout, Services: declared, Seed: cfg.seed,
+		Name: cfg.name, Zone: cfg.zone, Deadline: cfg.timeout, Services: declared, Seed: cfg.seed,
 		NewChooser: f.newChooser, RetryShare: cfg.candidate.retryShare(),
 		// Log lines are written, so that their cost is in the figures.
 		Logger: zerolog.New(io.Discard).With().Timestamp().Logger(),
--- a/internal/standin/trial/system.go
+++ b/internal/standin/trial/system.go
@@ -192,7 +192,8 @@
 	fleet := fleetOf(j.candidate)
 	for i, vm := range fleet {
 		node, err := newNode(ctx, frontConfig{
-			name: vm.Name, zone: vm.Zone, candidate: j.candidate,
+			timeout: cfg.Timeout,
+			name:    vm.Name, zone: vm.Zone, candidate: j.candidate,
 			services: sys.services, fleet: fleet, seed: cfg.Seed<<8 + uint64(i),
 		}, i%zones)
 		if err != nil {
@@ -251,7 +252,7 @@
 		Duration: cfg.Duration,
 		Work:     cfg.Work,
 		Delay:    sys.delay,
-		Timeout:  callTimeout + time.Second,
+		Timeout:  cfg.Timeout + time.Second,
 		InFlight: maxCalls,
 		Seed:     cfg.Seed + uint64(j.repetition),
 	}
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -56,6 +56,9 @@
 	Work time.Duration
 	// Queue is how many calls wait at a server beyond its slots.
 	Queue int
+	// Timeout bounds a call in a gateway; 0 means 2 s. On a machine that is busy
+	// with other things, calls pass it that a quiet machine answers.
+	Timeout time.Duration
 	// Seed seeds arrivals, targets and working times.
 	Seed uint64
 	// Progress, if set, is told each run that ended.
@@ -82,6 +85,9 @@
 	if c.Queue <= 0 {
 		c.Queue = 2
 	}
+	if c.Timeout <= 0 {
+		c.Timeout = callTimeout
+	}
 	if c.Seed == 0 {
 		c.Seed = 1
 	}
--- a/internal/standin/trial/trial_test.go
+++ b/internal/standin/trial/trial_test.go
@@ -18,6 +18,8 @@
 		report, err := trial.Compare(context.Background(), trial.CompareConfig{
 			Scenarios: []string{"steady50", "Drain"}, Candidates: []string{"CentralQueue", "PreferredSpill+Next"},
 			Duration: 900 * time.Millisecond, Repetitions: 1, Parallel: 2,
+			// No call may end by its time limit, however busy the machine is.
+			Timeout:  2 * time.Minute,
 			Progress: func(trial.Run) { told++ },
 		})
 		convey.So(err, convey.ShouldBeNil)
