--- a/cmd/mustardsaddle/main.go
+++ b/cmd/mustardsaddle/main.go
@@ -41,5 +41,5 @@
 		}
 		return instance.Run(ctx, cfg)
 	}
-	return command.Run(ctx, command.Config{Out: os.Stdout, Err: os.Stderr, Hangup: hangup, Serve: serve}, os.Args[1:])
+	return command.Run(ctx, command.Config{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Hangup: hangup, Serve: serve}, os.Args[1:])
 }
--- a/internal/product/command/command.go
+++ b/internal/product/command/command.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
@@ -34,7 +35,7 @@
 	// Mistakes means that a settings or rules file has mistakes, all of which
 	// were listed.
 	Mistakes
-	// NoMatch means that explain found no rule.
+	// NoMatch means that explain found no rule, or trace no line.
 	NoMatch
 )
 
@@ -45,16 +46,19 @@
   mustardsaddle check --settings gateway.ini --rules rules.txt
   mustardsaddle explain GET http://gateway/rosters --rules rules.txt
   mustardsaddle serve --settings gateway.ini
+  mustardsaddle trace 9c41d07be2a35f68 gateway-1.log
 
 Exit status:
   0  done
   1  failed while running
   2  mistake in the arguments
   3  mistakes in a settings or rules file, all listed
-  4  no rule matches (explain)`
+  4  no rule matches (explain), no line of the request (trace)`
 
 // Config configures a run of the command line.
 type Config struct {
+	// In is what trace reads if it is given no files; nil means nothing.
+	In io.Reader
 	// Out takes results, and the log of serve.
 	Out io.Writer
 	// Err takes messages.
@@ -77,6 +81,9 @@
 
 // Run runs the command that the arguments name.
 func Run(ctx context.Context, cfg Config, args []string) Status {
+	if cfg.In == nil {
+		cfg.In = strings.NewReader("")
+	}
 	parser := NewParser("mustardsaddle", about)
 	commands := []struct {
 		name, short, long string
@@ -85,6 +92,7 @@
 		{"serve", "Run a gateway", serveAbout, &serve{ctx: ctx, cfg: cfg}},
 		{"check", "List every mistake in settings and rules", checkAbout, &check{cfg: cfg}},
 		{"explain", "Show which rule matches a request, and why", explainAbout, &explain{cfg: cfg}},
+		{"trace", "Show what was logged about one request", traceAbout, &trace{cfg: cfg}},
 		{"settings", "Print an annotated settings file", settingsAbout, &example{cfg: cfg}},
 		{"version", "Print the version", versionAbout, &version{cfg: cfg}},
 	}
--- /dev/null
+++ b/internal/product/command/trace_test.go
@@ -0,0 +1,58 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle/internal/product/command"
+)
+
+const logText = `{"Gateway":"g1","Event":2001,"Name":"RulesInForce","Generation":4}
+{"Gateway":"g1","Event":2001,"Name":"RulesInForce","Generation":7}
+12.5 g1 {"Gateway":"g1","Event":4001,"Name":"RouteChosen","Request":"r-1","Attempt":"g1-a"}
+{"Gateway":"g1","Event":4001,"Name":"RouteChosen","Request":"r-2","Attempt":"g1-b"}
+not a log line
+{"Gateway":"g1","Event":4006,"Name":"ConnectionSilent","Attempt":"g1-a"}
+{"Gateway":"g2","Event":4002,"Name":"CallRefused","Request":"r-1"}
+`
+
+func TestTrace(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gateway.log")
+	if err := os.WriteFile(path, []byte(logText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run := func(in string, args ...string) (command.Status, string, string) {
+		var out, err bytes.Buffer
+		status := command.Run(context.Background(), command.Config{In: strings.NewReader(in), Out: &out, Err: &err}, append([]string{"trace"}, args...))
+		return status, out.String(), err.String()
+	}
+	lines := strings.SplitAfter(logText, "\n")
+	convey.Convey("Given the logs of two gateways", t, func() {
+		convey.Convey("The lines of a request come with the rules that were in force", func() {
+			status, out, err := run("", "r-1", path)
+			convey.So(status, convey.ShouldEqual, command.Done)
+			convey.So(out, convey.ShouldEqual, lines[1]+lines[2]+lines[5]+lines[6])
+			convey.So(err, convey.ShouldContainSubstring, "passed over 1 lines")
+		})
+		convey.Convey("Standard input is read if no file is named, and an attempt can be traced too", func() {
+			status, out, _ := run(logText, "g1-b")
+			convey.So(status, convey.ShouldEqual, command.Done)
+			convey.So(out, convey.ShouldEqual, lines[1]+lines[3])
+		})
+		convey.Convey("A request that no line names, and a file that is not there, are told", func() {
+			status, _, err := run("", "r-3", path)
+			convey.So(status, convey.ShouldEqual, command.NoMatch)
+			convey.So(err, convey.ShouldContainSubstring, "r-3")
+			status, _, _ = run("", "r-1", path+".old")
+			convey.So(status, convey.ShouldEqual, command.Failed)
+			status, _, _ = run("")
+			convey.So(status, convey.ShouldEqual, command.Usage)
+		})
+	})
+}
