End a graceful stop within the platform's grace

Cause: a stop had no bound. net/http waits 5 s for a connection that was opened and carries nothing, and calls may last as long as they like, so that the platform's kill could come first and cut calls without a word. Change: [Stop] Grace; shortly before its end what still runs is cut and counted. TestStopEndsWithinGrace ran into its 20 s of patience without it.

--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -198,35 +198,53 @@
 	return servers
 }
 
-// stop ends the calls gracefully and returns how many were cut, which only an
-// abort does.
+// graceMargin is the part of the platform's grace, as one part in this many, that is
+// left for the end of the process after its last call.
+const graceMargin = 12
+
+// stop ends the calls gracefully and returns how many were cut, which only an abort
+// and the end of the platform's grace do.
 func (in *instance) stop() int {
 	event.Info(in.cfg.Logger, event.StopBegun).Int("InFlight", in.gateway.InFlight()).Send()
 	in.stopping.Store(true)
 	leaving := mustardsaddle.Mark{Name: in.self.Name, Incarnation: in.self.Incarnation, Seq: roster.FinalSeq, Leaving: true}
 	in.spreadFresh("", in.membership.marks(time.Now(), []mustardsaddle.Mark{leaving}))
 	in.gateway.SetStopping()
+	settings := in.current.Load().Stop
+	var over <-chan time.Time
+	if settings.Grace > 0 {
+		timer := time.NewTimer(settings.Grace - settings.Grace/graceMargin)
+		defer timer.Stop()
+		over = timer.C
+	}
 	select {
-	case <-time.After(in.current.Load().Stop.Lag):
+	case <-time.After(settings.Lag):
 	case <-in.cfg.Abort:
 	}
+	return in.shutdown(over)
+}
+
+// shutdown waits for the last call, until an abort or until the time is over, and
+// returns how many calls were cut.
+func (in *instance) shutdown(over <-chan time.Time) int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		_ = in.front.Shutdown(ctx) // it fails only by the abort
+		_ = in.front.Shutdown(ctx) // it fails only by the end of its context
 	}()
 	select {
 	case <-stopped:
 		return 0
+	case <-over:
 	case <-in.cfg.Abort:
-		cut := in.gateway.InFlight()
-		cancel()
-		<-stopped
-		_ = in.front.Close()
-		return cut
 	}
+	cut := in.gateway.InFlight()
+	cancel()
+	<-stopped
+	_ = in.front.Close()
+	return cut
 }
 
 // close ends what is left after the last call.
--- a/internal/product/settings/list.go
+++ b/internal/product/settings/list.go
@@ -146,6 +146,9 @@
 		duration(sectionStop, "Lag", "2s", 0, 10*time.Minute,
 			"Time that a stopping gateway still accepts calls while the platform's balancer takes it out.",
 			func(s *Settings) *time.Duration { return &s.Stop.Lag }),
+		duration(sectionStop, "Grace", "0s", 0, time.Hour,
+			"Time after which the platform kills a stopping gateway; calls that still run shortly before are cut, visibly. 0s means that it never does.",
+			func(s *Settings) *time.Duration { return &s.Stop.Grace }),
 	}
 }
 
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -91,7 +91,8 @@
 
 // Stop says how a graceful stop goes.
 type Stop struct {
-	Lag time.Duration
+	Lag   time.Duration
+	Grace time.Duration
 }
 
 // Limits bound what a caller may send and how long a call may take.
