Queue in quick servers only, wait longer for answers, and tidy the gateways' entries

At a cold start the first of eight answers decided, as the others were still connecting. Nobody removed the entry of a gateway that is gone for good, and refusals did not say how long the call had waited.

--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -191,11 +191,11 @@
 	return mustardsaddle.Server{}, false
 }
 
-// Choose picks the server with the best score that has a free slot, or a place in
-// its queue if the attempt may wait there.
+// Choose picks the server with the best score that has a free slot or, if the attempt
+// may wait in a server, a place in the queue of a quick one.
 func (v *Survey) Choose(now time.Time, rng *rand.Rand, need mustardsaddle.Need) (mustardsaddle.Choice, bool) {
 	reason := reasonReport
-	best := v.best(now, rng, need, func(s *server) bool { return s.fresh(now, v.cfg.Fresh) && s.free()+need.Queue > 0 })
+	best := v.best(now, rng, need, func(s *server) bool { return s.fresh(now, v.cfg.Fresh) && s.hasRoom(need.Queue) })
 	if best == nil && !v.reporting {
 		reason = reasonOwn
 		best = v.best(now, rng, need, func(s *server) bool { return s.inFlight < s.slots() })
--- a/internal/choice/survey/survey_test.go
+++ b/internal/choice/survey/survey_test.go
@@ -52,6 +52,7 @@
 		{"a quick one with a free slot before a slow idle one", []mustardsaddle.Report{report(start, 0, 4), report(start, 1, 1)}, near, "booking-1"},
 		{"none whose slots are taken", []mustardsaddle.Report{report(start, 2, 1), report(start, 3, 1)}, near, ""},
 		{"one with a place in its queue", []mustardsaddle.Report{report(start, 3, 1), report(start, 2, 1)}, mustardsaddle.Need{Queue: 1}, "booking-1"},
+		{"none with a place in the queue of a slow one", []mustardsaddle.Report{report(start, 2, 4)}, mustardsaddle.Need{Queue: 1}, ""},
 		{"none by an old report", []mustardsaddle.Report{report(start.Add(-time.Second), 0, 1)}, near, ""},
 		{"none that was tried", []mustardsaddle.Report{report(start, 0, 1)}, mustardsaddle.Need{Exclude: []string{"booking-0"}}, ""},
 	} {
--- a/internal/product/admin/doc_test.go
+++ b/internal/product/admin/doc_test.go
@@ -64,10 +64,10 @@
 }
 
 // TestTableNamesEveryMetric compares the code with the table of
-// docs/OPERATING.md, whose rows are | `Mustardsaddle_Name` | kind | labels |
+// docs/OPERATIONS.md, whose rows are | `Mustardsaddle_Name` | kind | labels |
 // meaning |. A scope within the scope adds a part before the name.
 func TestTableNamesEveryMetric(t *testing.T) {
-	text, err := os.ReadFile("../../../docs/OPERATING.md")
+	text, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,11 +78,11 @@
 	}
 	for name, kind := range metrics(t) {
 		if rows[name] != kind {
-			t.Errorf("docs/OPERATING.md has kind %q for metric %s; add or mend the row: | `Mustardsaddle_%s` | %s | labels | meaning |", rows[name], name, name, kind)
+			t.Errorf("docs/OPERATIONS.md has kind %q for metric %s; add or mend the row: | `Mustardsaddle_%s` | %s | labels | meaning |", rows[name], name, name, kind)
 		}
 		delete(rows, name)
 	}
 	for name := range rows {
-		t.Errorf("docs/OPERATING.md has a row for metric %s, which the code lacks", name)
+		t.Errorf("docs/OPERATIONS.md has a row for metric %s, which the code lacks", name)
 	}
 }
--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -24,6 +24,7 @@
 	_ = x[StoreBack-3002]
 	_ = x[EntrySkipped-3003]
 	_ = x[ServerChanged-3004]
+	_ = x[EntryRemoved-3005]
 	_ = x[RouteChosen-4001]
 	_ = x[CallRefused-4002]
 	_ = x[CallEnded-4003]
@@ -43,7 +44,7 @@
 const (
 	_Event_name_0 = "StartedStopBegunStopEndedLinesLostSettingsReloadedSettingsRefused"
 	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailedRulesRepaired"
-	_Event_name_2 = "StoreFailedStoreBackEntrySkippedServerChanged"
+	_Event_name_2 = "StoreFailedStoreBackEntrySkippedServerChangedEntryRemoved"
 	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilentAttemptFailed"
 	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDropped"
 )
@@ -51,7 +52,7 @@
 var (
 	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34, 50, 65}
 	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66, 79}
-	_Event_index_2 = [...]uint8{0, 11, 20, 32, 45}
+	_Event_index_2 = [...]uint8{0, 11, 20, 32, 45, 57}
 	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65, 78}
 	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85}
 )
@@ -64,7 +65,7 @@
 	case 2001 <= i && i <= 2006:
 		i -= 2001
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
-	case 3001 <= i && i <= 3004:
+	case 3001 <= i && i <= 3005:
 		i -= 3001
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
 	case 4001 <= i && i <= 4007:
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -45,6 +45,9 @@
 	EntrySkipped
 	// ServerChanged is logged when an endpoint server joins, leaves or is replaced.
 	ServerChanged
+	// EntryRemoved is logged when this gateway removes the entry of another one that
+	// is gone from the platform's directory.
+	EntryRemoved
 )
 
 // Call events.
--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -112,18 +112,18 @@
 	return mustardsaddle.Machine{Name: vm.Name, Incarnation: vm.Incarnation, Zone: vm.Zone, Address: vm.Peer}
 }
 
-// meet reads which gateways there are, and enters this one in the directory, until
-// the context ends; then it closes done.
+// meet reads which gateways there are, enters this one in the directory, and removes
+// entries of gateways that are gone, until the context ends; then it closes done.
 func (in *instance) meet(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
+	var silent map[string]bool
 	looks := 0
 	for pause := time.Duration(0); in.pause(ctx, pause); {
 		// Later reads need not be exact: links tell of gateways that are new.
 		u, err := in.directory.Snapshot(ctx, mustardsaddle.GatewaysCollection, looks < 2)
-		if err == nil && looks == 0 && !in.listed(u.Machines) {
+		alone := err == nil && !in.listed(u.Machines)
+		if alone {
 			err = in.directory.Enter(ctx, in.self)
-		} else if err == nil {
-			looks = 2
 		}
 		if err != nil {
 			in.logStoreFailure(ctx, err)
@@ -133,12 +133,41 @@
 		in.spreadFresh("", in.membership.machines(time.Now(), u.Machines))
 		looks++
 		pause = secondLook
-		if looks >= 2 {
+		if looks >= 2 || !alone {
+			looks = max(looks, 2)
 			pause = lookInterval/2 + rand.N(lookInterval)
+			silent = in.tidy(ctx, u.Machines, silent)
 		}
 	}
 }
 
+// tidy removes the entries of gateways that were silent at the last look too, if it
+// is this gateway's turn, and returns those that are silent now. One that lives all
+// the same enters itself again.
+func (in *instance) tidy(ctx context.Context, listed []mustardsaddle.Machine, before map[string]bool) map[string]bool {
+	vms := in.membership.Roster().VMs()
+	turn := roster.Rank(vms, in.self.Name, mustardsaddle.GatewaysCollection.String()) == 0
+	leaving := make(map[string]bool)
+	for _, vm := range vms {
+		leaving[vm.Name] = vm.Leaving
+	}
+	silent := make(map[string]bool)
+	for _, m := range listed {
+		if !leaving[m.Name] {
+			continue
+		}
+		silent[m.Name] = true
+		if !turn || !before[m.Name] {
+			continue
+		}
+		event.Info(in.cfg.Logger, event.EntryRemoved).Str("VM", m.Name).Str("Address", m.Address).Send()
+		if err := in.directory.Remove(ctx, m.Name); err != nil {
+			in.logStoreFailure(ctx, err)
+		}
+	}
+	return silent
+}
+
 // listed reports whether this gateway is found by its entry, be it one of an earlier
 // life.
 func (in *instance) listed(machines []mustardsaddle.Machine) bool {
--- a/internal/request/gateway/answer.go
+++ b/internal/request/gateway/answer.go
@@ -17,6 +17,10 @@
 	code       code.Code
 	outcome    mustardsaddle.Outcome
 	retryAfter time.Duration
+	// service is the service that the call was for; empty if no rule matched.
+	service string
+	// waited is how long the caller has waited for the refusal.
+	waited time.Duration
 }
 
 // notRun returns the refusal of a request of which no byte was sent.
@@ -61,6 +65,9 @@
 	status := n.status()
 	line := g.name(event.Warn(g.cfg.Logger, event.CallRefused), r).Str("Method", r.Method).Str("Path", r.URL.Path).
 		Str("Attempt", attempt).Int("Status", status).Int("Code", int(n.code)).Str("Outcome", n.outcome.String())
+	if n.service != "" {
+		line = line.Str("Service", n.service).Dur("Waited", n.waited)
+	}
 	if n.retryAfter > 0 {
 		line = line.Dur("RetryAfter", n.retryAfter)
 	}
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -302,6 +302,7 @@
 	c.mu.Lock()
 	id := c.lastID
 	c.mu.Unlock()
+	no.service, no.waited = c.m.lane.service, time.Since(c.start)
 	c.g.refuse(c.w, c.r, id, no)
 }
 
--- a/internal/request/gateway/question.go
+++ b/internal/request/gateway/question.go
@@ -15,7 +15,7 @@
 const (
 	// patienceForAnswers is how long a call waits for the answers of the servers
 	// that were asked for their load.
-	patienceForAnswers = 6 * time.Millisecond
+	patienceForAnswers = 15 * time.Millisecond
 	// questionTimeout bounds one question; its connection is closed then.
 	questionTimeout = 150 * time.Millisecond
 	// questionShare is the part of the questions that running gateways plan to ask.
