Log servers that leave the choice, pause after lost histories, keep one sleep

Cause: a server taken out of the choice left no line, although later choices follow from it. A directory that keeps no history would have been called in a tight loop: 10,000 calls in half a second (TestHistoryLostAgainAndAgain, which failed first). Three packages had the same function that sleeps.

--- a/choice.go
+++ b/choice.go
@@ -84,6 +84,21 @@
 	Unasked(servers []Server)
 	// Asked tells what became of a question.
 	Asked(now time.Time, server string, reply Reply)
+	// Verdicts returns the servers that were taken out of the choice since the last
+	// call, for the log.
+	Verdicts() []Verdict
+}
+
+// Verdict says that a server is passed over for a time.
+type Verdict struct {
+	// Server is the name of the server.
+	Server string
+	// Reason names why, for example "Failures".
+	Reason string
+	// For is how long the server is passed over.
+	For time.Duration
+	// Failures is the moving mean of failed attempts, from 0 to 1.
+	Failures float64
 }
 
 //go:generate go tool -modfile=tools/go.mod stringer -type=Reply -output=reply_string.go
--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -66,10 +66,13 @@
 	awayByteCost = 8e-6
 )
 
-// Reasons of choices.
+// Reasons of choices and of verdicts.
 const (
-	reasonReport = "Report"
-	reasonOwn    = "Own"
+	reasonReport   = "Report"
+	reasonOwn      = "Own"
+	reasonFailures = "Failures"
+	reasonGone     = "OtherServer"
+	reasonSilent   = "Silent"
 )
 
 // Config configures a Survey. Zero values mean the defaults.
@@ -90,6 +93,8 @@
 	byName  map[string]*server
 	// reporting is true once any server of the service has reported its load.
 	reporting bool
+	// verdicts are the servers that were taken out since Verdicts was called.
+	verdicts []mustardsaddle.Verdict
 }
 
 var _ mustardsaddle.Surveyor = (*Survey)(nil)
@@ -179,8 +184,12 @@
 	case mustardsaddle.NoReply:
 		s.missed++
 		s.missedAt = now
+		if s.missed == silentQuestions {
+			v.tell(s, reasonSilent, silentPause)
+		}
 	case mustardsaddle.OtherReply:
 		s.gone(now)
+		v.tell(s, reasonGone, gonePause)
 	case mustardsaddle.OwnReply:
 		s.missed = 0
 	}
@@ -249,6 +258,7 @@
 	switch {
 	case r.Gone:
 		s.gone(now)
+		v.tell(s, reasonGone, gonePause)
 	case r.Failed:
 		s.fail()
 		v.takeOut(now, s)
@@ -271,10 +281,25 @@
 		}
 	}
 	if float64(out+1) <= v.cfg.MaxOut*float64(len(v.servers)) {
+		failures := s.failures
 		s.takeOut(now)
+		v.tell(s, reasonFailures, s.outUntil.Sub(now))
+		v.verdicts[len(v.verdicts)-1].Failures = failures
 	}
 }
 
+// tell notes a verdict for the log.
+func (v *Survey) tell(s *server, reason string, d time.Duration) {
+	v.verdicts = append(v.verdicts, mustardsaddle.Verdict{Server: s.Name, Reason: reason, For: d, Failures: s.failures})
+}
+
+// Verdicts returns the servers that were taken out since the last call.
+func (v *Survey) Verdicts() []mustardsaddle.Verdict {
+	verdicts := v.verdicts
+	v.verdicts = nil
+	return verdicts
+}
+
 // Observe takes a load report of a server.
 func (v *Survey) Observe(_ time.Time, name string, report mustardsaddle.Report) {
 	s := v.byName[name]
--- a/internal/choice/survey/survey_test.go
+++ b/internal/choice/survey/survey_test.go
@@ -112,6 +112,13 @@
 		}
 		convey.Convey("It leaves the choice within a few requests, though answers to questions say that it is well", func() {
 			convey.So(failed, convey.ShouldBeBetweenOrEqual, 1, 3)
+			verdicts := v.Verdicts()
+			convey.So(verdicts, convey.ShouldNotBeEmpty)
+			for _, verdict := range verdicts {
+				convey.So(verdict.Server, convey.ShouldEqual, grey)
+				convey.So(verdict.Reason, convey.ShouldEqual, "Failures")
+			}
+			convey.So(v.Verdicts(), convey.ShouldBeEmpty)
 		})
 	})
 	convey.Convey("Given that all servers fail, a part of them stays in the choice", t, func() {
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -178,40 +178,67 @@
 	return servers
 }
 
+// follower keeps one collection up to date.
+type follower struct {
+	*Catalog
+	which mustardsaddle.Collection
+	// failures counts failed calls in a row.
+	failures int
+	// losses counts lost histories since changes were last read.
+	losses int
+}
+
 // follow keeps one collection up to date until the context ends.
 func (c *Catalog) follow(ctx context.Context, which mustardsaddle.Collection) {
-	failures := 0
+	f := &follower{Catalog: c, which: which}
 	for ctx.Err() == nil {
 		action, pause, revision := c.plan(time.Now(), which)
-		if action == Watch && failures > 0 {
+		if action == Watch && f.failures > 0 {
 			// A watch shows too late that the directory is back.
 			action = ReadChanges
 		}
 		if action == Sleep {
-			sleep(ctx, min(pause, maxSleep))
+			store.Sleep(ctx, min(pause, maxSleep))
 			continue
 		}
 		err := c.act(ctx, which, action, revision)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return
+		case err == nil:
+			f.succeeded(action)
+		default:
+			f.failed(ctx, action, err)
 		}
-		if err == nil {
-			if failures > 0 {
-				event.Info(c.cfg.Logger, event.StoreBack).Stringer("Collection", which).Int("Failures", failures).Send()
-			}
-			failures = 0
-			continue
-		}
-		failures++
-		if failures == 1 {
-			c.logFailure(which, err)
-		}
-		if code.Of(err) == code.StoreHistoryLost && action != ReadWhole {
-			c.forget(which)
-			continue
+	}
+}
+
+// succeeded takes a call that was answered.
+func (f *follower) succeeded(action Action) {
+	if f.failures > 0 {
+		event.Info(f.cfg.Logger, event.StoreBack).Stringer("Collection", f.which).Int("Failures", f.failures).Send()
+	}
+	f.failures = 0
+	if action != ReadWhole {
+		f.losses = 0
+	}
+}
+
+// failed takes a call that was not answered, and waits before the next one. After
+// the first loss of the history the whole is read at once.
+func (f *follower) failed(ctx context.Context, action Action, err error) {
+	f.failures++
+	if f.failures == 1 {
+		event.Warn(f.cfg.Logger, event.StoreFailed).Stringer("Collection", f.which).Int("Code", int(code.Of(err))).Err(err).Send()
+	}
+	if code.Of(err) == code.StoreHistoryLost && action != ReadWhole {
+		f.forget(f.which)
+		f.losses++
+		if f.losses == 1 {
+			return
 		}
-		sleep(ctx, c.delay(failures))
 	}
+	store.Sleep(ctx, f.delay(max(f.failures, f.losses)))
 }
 
 // plan returns the next action about a collection, and the revision to go on from.
@@ -355,10 +382,6 @@
 	}
 }
 
-func (c *Catalog) logFailure(which mustardsaddle.Collection, err error) {
-	event.Warn(c.cfg.Logger, event.StoreFailed).Stringer("Collection", which).Int("Code", int(code.Of(err))).Err(err).Send()
-}
-
 func (c *Catalog) delay(failures int) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -413,7 +436,7 @@
 
 // expire gives up entries that stay missing after an outage.
 func (c *Catalog) expire(ctx context.Context) {
-	for sleep(ctx, expireInterval) {
+	for store.Sleep(ctx, expireInterval) {
 		c.mu.Lock()
 		if now := time.Now(); c.servers.Missing() {
 			c.publish(now, c.servers.Expire(now))
@@ -421,15 +444,3 @@
 		c.mu.Unlock()
 	}
 }
-
-// sleep waits, and returns false when the context has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/control/catalog/catalog_test.go
+++ b/internal/control/catalog/catalog_test.go
@@ -96,6 +96,28 @@
 	<-done
 }
 
+// TestHistoryLostAgainAndAgain answers the pattern of a directory that keeps no history
+// at all for a while: it is not called in a tight loop.
+func TestHistoryLostAgainAndAgain(t *testing.T) {
+	d := &directory{whole: mustardsaddle.Update{Whole: true, Revision: 5, Rules: rules(1)}}
+	for range 10_000 {
+		d.failures = append(d.failures, code.Errorf(code.StoreHistoryLost, "history is gone"))
+	}
+	c := catalog.New(catalog.Config{
+		Directory: d, InForce: func(*rule.Table) {}, Servers: func(time.Time, string, []mustardsaddle.Server) {},
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	done := make(chan struct{})
+	go c.Run(ctx, done)
+	<-done
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.calls > 20 {
+		t.Errorf("got %d calls for changes in half a second, want pauses between them", d.calls)
+	}
+}
+
 func TestMergeOf(t *testing.T) {
 	for _, c := range []struct {
 		name                   string
--- a/internal/control/registry/follow.go
+++ b/internal/control/registry/follow.go
@@ -7,6 +7,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/control/store"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
@@ -18,7 +19,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if !g.cfg.Watch() || g.large() {
-			if !sleep(ctx, g.random(g.pollDelay)) {
+			if !store.Sleep(ctx, g.random(g.pollDelay)) {
 				return
 			}
 			continue
@@ -26,7 +27,7 @@
 		o, err := g.cfg.Store.Watch(ctx, SubmittedKey, version)
 		if err != nil || o.Version == 0 {
 			failures++
-			if !sleep(ctx, g.retryDelay(failures)) {
+			if !store.Sleep(ctx, g.retryDelay(failures)) {
 				return
 			}
 			continue
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -253,15 +253,3 @@
 	defer g.mu.Unlock()
 	return f(g.rng)
 }
-
-// sleep waits, and returns false when the context has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/control/registry/status.go
+++ b/internal/control/registry/status.go
@@ -43,7 +43,7 @@
 		backoff:  store.Backoff{Base: g.cfg.Status, Max: maxStatusPause},
 		version:  -1,
 	}
-	for sleep(ctx, r.pause()) {
+	for store.Sleep(ctx, r.pause()) {
 		err := r.once(ctx)
 		if err == nil {
 			r.failures = 0
--- a/internal/product/event/event_string.go
+++ b/internal/product/event/event_string.go
@@ -32,6 +32,7 @@
 	_ = x[CallResumed-4005]
 	_ = x[ConnectionSilent-4006]
 	_ = x[AttemptFailed-4007]
+	_ = x[ServerOut-4008]
 	_ = x[LinkUp-5001]
 	_ = x[LinkDown-5002]
 	_ = x[LinkSilent-5003]
@@ -45,7 +46,7 @@
 	_Event_name_0 = "StartedStopBegunStopEndedLinesLostSettingsReloadedSettingsRefused"
 	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailedRulesRepaired"
 	_Event_name_2 = "StoreFailedStoreBackEntrySkippedServerChangedEntryRemoved"
-	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilentAttemptFailed"
+	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilentAttemptFailedServerOut"
 	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDropped"
 )
 
@@ -53,7 +54,7 @@
 	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34, 50, 65}
 	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66, 79}
 	_Event_index_2 = [...]uint8{0, 11, 20, 32, 45, 57}
-	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65, 78}
+	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65, 78, 87}
 	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85}
 )
 
@@ -68,7 +69,7 @@
 	case 3001 <= i && i <= 3005:
 		i -= 3001
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
-	case 4001 <= i && i <= 4007:
+	case 4001 <= i && i <= 4008:
 		i -= 4001
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 5001 <= i && i <= 5007:
--- a/internal/product/event/list.go
+++ b/internal/product/event/list.go
@@ -68,6 +68,8 @@
 	ConnectionSilent
 	// AttemptFailed is logged when an attempt brought no answer for the caller.
 	AttemptFailed
+	// ServerOut is logged when a server is taken out of the choice for a time.
+	ServerOut
 )
 
 // Peer events.
--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -8,6 +8,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+	"mustardsaddle.example/mustardsaddle/internal/control/store"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/event"
@@ -118,7 +119,7 @@
 	defer close(done)
 	var silent map[string]bool
 	looks := 0
-	for pause := time.Duration(0); in.pause(ctx, pause); {
+	for pause := time.Duration(0); store.Sleep(ctx, pause); {
 		// Later reads need not be exact: links tell of gateways that are new.
 		u, err := in.directory.Snapshot(ctx, mustardsaddle.GatewaysCollection, looks < 2)
 		alone := err == nil && !in.listed(u.Machines)
@@ -176,18 +177,6 @@
 	})
 }
 
-// pause waits, and returns false when the context has ended.
-func (in *instance) pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (in *instance) logStoreFailure(ctx context.Context, err error) {
 	if ctx.Err() == nil {
 		event.Warn(in.cfg.Logger, event.StoreFailed).Int("Code", int(code.Of(err))).Err(err).Send()
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -67,6 +67,7 @@
 	defaultIdlePerHost  = 4
 	defaultProbeTimeout = 500 * time.Millisecond
 	defaultLoadPath     = "/load"
+	defaultAsk          = 8
 )
 
 // Service holds what a service's operators declare about its servers.
@@ -162,6 +163,7 @@
 	setDefault(&cfg.DialTimeout, defaultDialTimeout)
 	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
 	setDefault(&cfg.ProbePath, defaultLoadPath)
+	setDefault(&cfg.Ask, defaultAsk)
 	if cfg.NewChooser == nil {
 		cfg.NewChooser = func(string) mustardsaddle.Chooser { return bench.New(bench.Config{}) }
 	}
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -144,7 +144,6 @@
 // place begins an attempt of the call and chooses its server. A first attempt and a
 // retry wait for one in the queue; a hedge takes another server now, or none.
 func (l *lane) place(ctx context.Context, now time.Time, c *call) (placement, *refusal) {
-	l.ask(ctx, c.servers())
 	l.mu.Lock()
 	kind, tried, ok := c.begin(now, &l.budgets)
 	if !ok {
@@ -322,6 +321,7 @@
 		l.reusedAt[result.Server] = now
 	}
 	l.chooser.Finish(now, result)
+	l.logVerdicts()
 	l.limits.Release(result.Server)
 	latency := result.Latency
 	if result.Outcome != mustardsaddle.Ran {
--- a/internal/request/gateway/log.go
+++ b/internal/request/gateway/log.go
@@ -59,3 +59,16 @@
 		Str("Server", a.placement.choice.Server.Name).Int("Status", a.resp.StatusCode).
 		Str("Outcome", mustardsaddle.Ran.String()).Int64("Bytes", bytes).Dur("Took", time.Since(c.start)).Send()
 }
+
+// logVerdicts writes a line for each server that was taken out of the choice. The
+// caller holds mu.
+func (l *lane) logVerdicts() {
+	surveyor, ok := l.chooser.(mustardsaddle.Surveyor)
+	if !ok {
+		return
+	}
+	for _, v := range surveyor.Verdicts() {
+		event.Info(l.g.cfg.Logger, event.ServerOut).Str("Service", l.service).Str("Server", v.Server).
+			Str("Reason", v.Reason).Dur("For", v.For).Float64("Failures", v.Failures).Send()
+	}
+}
--- a/internal/request/gateway/question.go
+++ b/internal/request/gateway/question.go
@@ -102,6 +102,7 @@
 	if surveyor, ok := l.chooser.(mustardsaddle.Surveyor); ok {
 		surveyor.Asked(now, server.Name, reply)
 	}
+	l.logVerdicts()
 	l.mu.Unlock()
 	if reply == mustardsaddle.OwnReply {
 		l.observeHeader(now, server.Name, h)
