--- a/internal/peer/news/codec_test.go
+++ b/internal/peer/news/codec_test.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/smartystreets/goconvey/convey"
@@ -32,6 +33,13 @@
 	return []news.Message{
 		hello, news.Heartbeat{Summary: summary}, news.Marks{Marks: []mustardsaddle.Mark{mark}}, change,
 		news.AskRules{Have: 40_000}, news.WholeRules{Generation: 1, Text: "# Generation 1\n"},
+		news.Listing{
+			Servers: true, After: 41, Revision: 43, Removed: []string{"booking-08"},
+			Machines: []mustardsaddle.Machine{{Name: "booking-07", Incarnation: 1_800_000_000, Service: "Booking", WarmUp: time.Second}},
+		},
+		news.Listing{Whole: true, Revision: 43, Generation: 12, Rules: "Path=/rosters Service=Booking # Mei Lin: rosters\n"},
+		news.AskListing{Servers: true},
+		news.Heartbeat{Summary: news.Summary{Rules: news.Known{Revision: 43, Age: 12}, Servers: news.Known{Revision: 44}}},
 		news.Generations{VMs: []news.Generation{{Name: "gateway-1", Generation: 41_000}}},
 		news.AskMachines{}, news.Machines{Machines: []mustardsaddle.Machine{{
 			Name: "booking-07", Incarnation: 1_800_000_000, Zone: "perth-1", Service: "Booking",
@@ -75,6 +83,8 @@
 		{"bytes after the message", append(marks(mark), 0), code.PeerBadMessage},
 		{"a field twice", []byte("\xa2\x66Format\x01\x66Format\x01"), code.PeerBadMessage},
 		{"too many bytes", make([]byte, news.MaxBytes+1), code.PeerBadMessage},
+		{"a listing without a revision", raw(t, envelope{1, "Listing", news.Listing{Whole: true}}), code.PeerBadMessage},
+		{"a negative age", raw(t, envelope{1, "Heartbeat", news.Heartbeat{Summary: news.Summary{Rules: news.Known{Age: -1}}}}), code.PeerBadMessage},
 		{"too many marks", marks(make([]mustardsaddle.Mark, news.MaxMarks+1)...), code.PeerBadMessage},
 		{"a mark of no VM", marks(mustardsaddle.Mark{}), code.PeerBadMessage},
 		{"a mark with a long name", marks(mustardsaddle.Mark{Name: strings.Repeat("x", 256)}), code.PeerBadMessage},
--- a/internal/product/instance/directory.go
+++ b/internal/product/instance/directory.go
@@ -30,8 +30,7 @@
 	})
 }
 
-// directoryInForce puts rules of a directory in force. What they declare of
-// services goes with the servers.
+// directoryInForce puts rules of a directory in force.
 func (in *instance) directoryInForce(t *rule.Table) {
 	in.gateway.SetRules(t)
 	in.generation.Store(t.File.Generation)
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -258,13 +258,17 @@
 }
 
 // limit returns how many attempts this gateway may have open at a server: its
-// share of the connections, less those that may be idle. A server that states no
-// connections has no limit here.
+// share of the connections, less those that may be idle. The rules may state the
+// connections of a service; a server of which nobody states them has no limit here.
 func (l *lane) limit(s mustardsaddle.Server) int {
-	if s.Connections == 0 {
+	connections := s.Connections
+	if table := l.g.rules.Load(); table != nil {
+		connections = cmp.Or(table.Service(l.service).Connections, connections)
+	}
+	if connections == 0 {
 		return math.MaxInt
 	}
-	return max(slot.Connections(s.Connections, int(l.g.gateways.Load()))-defaultIdlePerHost, 1)
+	return max(slot.Connections(connections, int(l.g.gateways.Load()))-defaultIdlePerHost, 1)
 }
 
 // serveWaiting gives servers to waiting calls, in order, while there are any. It
--- a/internal/request/gateway/retry_test.go
+++ b/internal/request/gateway/retry_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
@@ -34,3 +35,40 @@
 	}
 	wg.Wait()
 }
+
+// TestConnectionsByRules bounds the attempts at a server by the connections that the
+// rules state for its service.
+func TestConnectionsByRules(t *testing.T) {
+	release, arrived := make(chan struct{}), make(chan struct{}, 2)
+	j := newJudge(t, func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-release
+	})
+	front, g := newGateway(t, gateway.Config{MaxWaiting: -1, HedgeShare: -1}, j.address())
+	file, problems := rule.Parse("Path=/rosters Service=Booking # Mei Lin: rosters\nService=Booking Connections=1 # Mei Lin: servers")
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	g.SetRules(rule.Compile(file))
+	first := make(chan int, 1)
+	go func() {
+		resp, _, err := do(t, front, http.MethodGet, "/rosters", "")
+		if err != nil {
+			first <- 0
+			return
+		}
+		first <- resp.StatusCode
+	}()
+	<-arrived
+	second := time.AfterFunc(10*time.Second, func() { close(release) })
+	resp, _, err := do(t, front, http.MethodGet, "/rosters", "")
+	if err != nil || resp.StatusCode != http.StatusTooManyRequests {
+		t.Errorf("second call: got %v %v, want it refused for the one connection", resp, err)
+	}
+	if second.Stop() {
+		close(release)
+	}
+	if status := <-first; status != http.StatusOK {
+		t.Errorf("first call: got status %d, want 200", status)
+	}
+}
