Blame a server for a caller that leaves as its time ends

Cause: callers leave at their own deadline, a moment before the gateway's passes, since theirs began earlier. Change: a caller that leaves after nine tenths of its time counts as a timeout. TestCallerLeavesAtItsDeadline had Failed=false before.

--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -226,8 +226,7 @@
 		event.Info(a.c.g.cfg.Logger, event.ConnectionSilent).Str("Attempt", a.id).
 			Str("Server", a.placement.choice.Server.Name).Dur("Waited", a.latency).Send()
 	}
-	cause := context.Cause(a.ctx)
-	timedOut := errors.Is(cause, errDeadline) || errors.Is(cause, errProgress)
+	timedOut := a.timedOut()
 	l.finish(time.Now(), mustardsaddle.Result{
 		Server:   a.placement.choice.Server.Name,
 		Outcome:  a.outcome,
@@ -239,6 +238,21 @@
 	}, a.outcome == mustardsaddle.Ran && !canceled)
 }
 
+// patienceEnd is the part of a call's time, in percent, after which a caller that
+// leaves has waited as long as it said.
+const patienceEnd = 90
+
+// timedOut reports whether the attempt ended since the server took too long. A caller
+// mostly leaves a moment before its deadline passes here, and says the same by that.
+func (a *attempt) timedOut() bool {
+	cause := context.Cause(a.ctx)
+	if errors.Is(cause, errDeadline) || errors.Is(cause, errProgress) {
+		return true
+	}
+	left := a.c.r.Context().Err() != nil && a.resp == nil
+	return left && a.latency >= a.c.m.deadline*patienceEnd/100
+}
+
 // failed reports whether the attempt speaks against the server.
 func (a *attempt) failed() bool {
 	if a.err != nil || a.mismatch {
