Begin the tests' traffic when every gateway knows all servers

Cause: the tests' start. The platform's list shows each VM 300 ms after it was listed, so a gateway that reads it between the first server's turn and the second's knows one server, and is rightly ready. The test then makes just that server leave, in one case with the store down, so that the gateway keeps a list without any other server until the test ends. Beside load the servers are listed further apart, and the gap becomes likely.

Traced by a trial with a lag of 1.5 s and 400 ms between the servers: both tests fail in the same way, code and attempt ids included (the refused call's first attempt is the gateway's third or fourth). The pauses of the store client, which were suspected, play no part.

Change: the harness waits until each gateway names all servers. TestSystemKnowsAllServers lists servers 300 ms apart with a lag of 1.5 s; it fails without the wait (calls refused with 4002) and passes with it. The checks of the two tests are unchanged.

--- a/cmd/mustardsaddle/harness_test.go
+++ b/cmd/mustardsaddle/harness_test.go
@@ -168,12 +168,19 @@
 `
 
 // newSystem starts a platform, servers and gateways, and waits until every
-// gateway answers calls.
+// gateway knows all servers and answers calls.
 func newSystem(t testing.TB, servers, gateways int, serverArgs ...string) *system {
+	return newLaggingSystem(t, listLag, 0, servers, gateways, serverArgs...)
+}
+
+// newLaggingSystem is newSystem with a platform whose list lags by the given time,
+// and with servers that are listed one after another at least gap apart.
+func newLaggingSystem(t testing.TB, lag, gap time.Duration, servers, gateways int, serverArgs ...string) *system {
 	s := &system{t: t}
-	s.platform = "http://" + listening(start(t, "standin", "platform", "--listen", "127.0.0.1:0", "--lag", listLag.String()))
+	s.platform = "http://" + listening(start(t, "standin", "platform", "--listen", "127.0.0.1:0", "--lag", lag.String()))
 	for i := range servers {
 		s.addServer(i, serverArgs...)
+		time.Sleep(gap)
 	}
 	s.submit(rules)
 	for i := range gateways {
@@ -183,6 +190,7 @@
 		s.startGateway(g)
 	}
 	for _, g := range s.gateways {
+		s.wait("gateway "+g.name+" to know the servers", func() bool { return len(g.servers()) == servers })
 		s.wait("gateway "+g.name+" to answer", func() bool { return g.ready() && get(g.url+"/rosters").ok() })
 	}
 	return s
@@ -460,12 +468,18 @@
 	_ = from.Close()
 }
 
-// leaving reports whether the gateway shows a server as leaving.
-func (g *instance) leaving(name string) bool {
+// servers returns the servers that the gateway knows, or none if it does not say.
+func (g *instance) servers() []mustardsaddle.Server {
 	var servers []mustardsaddle.Server
 	if json.Unmarshal(get(g.admin+"/servers").body, &servers) != nil {
-		return false
+		return nil
 	}
+	return servers
+}
+
+// leaving reports whether the gateway shows a server as leaving.
+func (g *instance) leaving(name string) bool {
+	servers := g.servers()
 	at := slices.IndexFunc(servers, func(s mustardsaddle.Server) bool { return s.Name == name })
 	return at >= 0 && servers[at].Leaving
 }
--- a/cmd/mustardsaddle/leaving_test.go
+++ b/cmd/mustardsaddle/leaving_test.go
@@ -102,6 +102,25 @@
 	})
 }
 
+// A list that lags names servers one after another. Traffic must not begin while a
+// gateway knows only the first of them, since no gateway can do without that one.
+func TestSystemKnowsAllServers(t *testing.T) {
+	convey.Convey("Given a list that names the servers one after another, while gateways start", t, func() {
+		s := newLaggingSystem(t, 5*listLag, listLag, 4, 3)
+		convey.Convey("Calls are served when the first one leaves", func() {
+			f := newTraffic(12, targets(s.gateways...))
+			defer f.stop()
+			s.fault(platform.Fault{Down: true})
+			s.mode(s.servers[0], server.Mode{Draining: true})
+			for _, g := range s.gateways {
+				s.wait("the sign", func() bool { return g.leaving(s.servers[0].machine.Name) })
+			}
+			f.stop()
+			convey.So(f.failures(), convey.ShouldBeEmpty)
+		})
+	})
+}
+
 // listLeaving lists a server as leaving.
 func listLeaving(s *system, e *endpoint) {
 	m := e.machine
