Let no attempt wait in a server, and keep the last slot of slow servers free

Change: an attempt is sent only where a slot is free, and in a server that is slow the last slot stays free. "Slow" is twice the median of the reported slowness, so that VMs that are all slow are used whole (TestSlownessIsJudgedAmongPeers). Need.Queue goes. In TestChoosesByReport the case "one with a place in its queue" asked for what is now avoided; "none that would make it wait", "a slow one that is idle" and "none with the last slot of a slow one" take its place.

Conclusion: the wait behind a taken slot costs more than a slot that stands empty between two answers.

--- a/choice.go
+++ b/choice.go
@@ -30,8 +30,6 @@
 	Exclude []string
 	// Zone is the availability zone of the gateway.
 	Zone string
-	// Queue is how many requests may wait in the server before the attempt.
-	Queue int
 	// Bytes is the usual size of an answer of the service.
 	Bytes int
 }
--- a/internal/choice/survey/server.go
+++ b/internal/choice/survey/server.go
@@ -21,7 +21,8 @@
 	silentPause     = 500 * time.Millisecond
 	// gonePause is how long a server is passed over whose address another one has.
 	gonePause = 3 * time.Second
-	// quickSlowness is the slowness up to which a server counts as quick.
+	// quickSlowness is the multiple of the usual slowness up to which a server counts
+	// as quick.
 	quickSlowness = 2.0
 	// usualSlowness is the slowness of a server that does not state it.
 	usualSlowness = 1.0
@@ -60,13 +61,13 @@
 	return s.slots() - s.busy
 }
 
-// hasRoom reports whether an attempt may go to the server that waits behind as many
-// requests at most. In a slow server it would wait for nothing.
-func (s *server) hasRoom(queue int) bool {
-	if s.slowness() > quickSlowness {
-		queue = 0
+// hasRoom reports whether an attempt would run at once and come to an end in useful
+// time: the last slot stays free in a server that is slow against the usual slowness.
+func (s *server) hasRoom(usual float64) bool {
+	if s.slowness() > quickSlowness*usual && s.slots() > 1 {
+		return s.free() > 1
 	}
-	return s.free()+queue > 0
+	return s.free() > 0
 }
 
 // fresh reports whether the last report is young enough to decide.
--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -8,8 +8,13 @@
 // next calls for as long as it is fresh; this gateway's own attempts are counted
 // into it meanwhile.
 //
-// A server is passed over while it leaves, while all its slots are taken, or while
-// it is out: failures in a row take it out for a time that doubles, and answers to
+// A server has room while a slot is free; in a server that is slow among its peers the
+// last slot stays free, since work there would outlast what callers wait for. So no attempt waits in a
+// server: calls that find no room wait in the gateway, where their order can still
+// change and a refusal comes early.
+//
+// A server is passed over while it leaves, while it has no room, or while it is out:
+// failures in a row take it out for a time that doubles, and answers to
 // questions alone do not bring it back earlier, since a server can fail every
 // request while it says that it is well. At most a share of the servers is out.
 //
@@ -58,6 +63,8 @@
 	waitingCost = 1.0
 	// coldCost is how much longer work takes on a server that has just started.
 	coldCost = 1.0
+	// usualStep is how far one report moves the median slowness.
+	usualStep = 0.02
 	// failureCost is how much an expected failure adds to the score.
 	failureCost = 4.0
 	// awayCost is what a server in another availability zone adds, and awayByteCost
@@ -93,6 +100,8 @@
 	byName  map[string]*server
 	// reporting is true once any server of the service has reported its load.
 	reporting bool
+	// usual is the median slowness of the servers' reports.
+	usual float64
 	// verdicts are the servers that were taken out since Verdicts was called.
 	verdicts []mustardsaddle.Verdict
 }
@@ -104,7 +113,7 @@
 	cfg.Fresh = cmp.Or(cfg.Fresh, defaultFresh)
 	cfg.Current = cmp.Or(cfg.Current, defaultCurrent)
 	cfg.MaxOut = cmp.Or(cfg.MaxOut, defaultMaxOut)
-	return &Survey{cfg: cfg, byName: make(map[string]*server)}
+	return &Survey{cfg: cfg, byName: make(map[string]*server), usual: usualSlowness}
 }
 
 // SetServers replaces the set of known servers. A server with another start or
@@ -200,11 +209,10 @@
 	return mustardsaddle.Server{}, false
 }
 
-// Choose picks the server with the best score that has a free slot or, if the attempt
-// may wait in a server, a place in the queue of a quick one.
+// Choose picks the server with the best score that has room.
 func (v *Survey) Choose(now time.Time, rng *rand.Rand, need mustardsaddle.Need) (mustardsaddle.Choice, bool) {
 	reason := reasonReport
-	best := v.best(now, rng, need, func(s *server) bool { return s.fresh(now, v.cfg.Fresh) && s.hasRoom(need.Queue) })
+	best := v.best(now, rng, need, func(s *server) bool { return s.fresh(now, v.cfg.Fresh) && s.hasRoom(v.usual) })
 	if best == nil && !v.reporting {
 		reason = reasonOwn
 		best = v.best(now, rng, need, func(s *server) bool { return s.inFlight < s.slots() })
@@ -307,6 +315,18 @@
 		return
 	}
 	v.reporting = true
+	v.learnUsual(report.Slowness)
 	s.report = report
 	s.busy = report.InFlight
 }
+
+// learnUsual moves the median slowness towards a reported one by a small step, so
+// that it settles where as many reports lie above as below.
+func (v *Survey) learnUsual(slowness float64) {
+	switch {
+	case slowness > v.usual:
+		v.usual += usualStep
+	case slowness < v.usual:
+		v.usual = max(v.usual-usualStep, usualSlowness)
+	}
+}
--- a/internal/choice/survey/survey_test.go
+++ b/internal/choice/survey/survey_test.go
@@ -51,8 +51,9 @@
 		{"the idle one", []mustardsaddle.Report{report(start, 1, 1), report(start, 0, 1), report(start, 2, 1)}, near, "booking-1"},
 		{"a quick one with a free slot before a slow idle one", []mustardsaddle.Report{report(start, 0, 4), report(start, 1, 1)}, near, "booking-1"},
 		{"none whose slots are taken", []mustardsaddle.Report{report(start, 2, 1), report(start, 3, 1)}, near, ""},
-		{"one with a place in its queue", []mustardsaddle.Report{report(start, 3, 1), report(start, 2, 1)}, mustardsaddle.Need{Queue: 1}, "booking-1"},
-		{"none with a place in the queue of a slow one", []mustardsaddle.Report{report(start, 2, 4)}, mustardsaddle.Need{Queue: 1}, ""},
+		{"none that would make it wait, however quick", []mustardsaddle.Report{report(start, 3, 1), report(start, 2, 1)}, near, ""},
+		{"a slow one that is idle", []mustardsaddle.Report{report(start, 0, 4), report(start, 2, 1)}, near, "booking-0"},
+		{"none with the last slot of a slow one", []mustardsaddle.Report{report(start, 1, 4), report(start, 2, 1)}, near, ""},
 		{"none by an old report", []mustardsaddle.Report{report(start.Add(-time.Second), 0, 1)}, near, ""},
 		{"none that was tried", []mustardsaddle.Report{report(start, 0, 1)}, mustardsaddle.Need{Exclude: []string{"booking-0"}}, ""},
 	} {
@@ -67,6 +68,31 @@
 	}
 }
 
+func TestSlownessIsJudgedAmongPeers(t *testing.T) {
+	convey.Convey("Given servers on VMs that are all four times as slow as usual, one slot of each taken", t, func() {
+		v := newSurvey(3)
+		for range 200 {
+			for i := range 3 {
+				v.Observe(start, fmt.Sprintf("booking-%d", i), report(start, 1, 4))
+			}
+		}
+		convey.Convey("Their last slots are used", func() {
+			_, ok := v.Choose(start, newRand(), near)
+			convey.So(ok, convey.ShouldBeTrue)
+		})
+		convey.Convey("One that is slower still keeps its last slot free", func() {
+			v.Observe(start, "booking-0", report(start, 1, 12))
+			for range 2 {
+				choice, ok := v.Choose(start, newRand(), near)
+				convey.So(ok, convey.ShouldBeTrue)
+				convey.So(choice.Server.Name, convey.ShouldNotEqual, "booking-0")
+			}
+			_, ok := v.Choose(start, newRand(), near)
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+	})
+}
+
 func TestOwnAttemptsCount(t *testing.T) {
 	convey.Convey("Given one idle server", t, func() {
 		v, rng := newSurvey(1), newRand()
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -24,9 +24,6 @@
 	// pollInterval is how often the first waiting call asks again, since a
 	// chooser may admit a server by the passing of time alone.
 	pollInterval = 20 * time.Millisecond
-	// serverQueue is how many requests may wait in a server before one of this
-	// gateway's: a quick server with one before it beats a slow idle one.
-	serverQueue = 1
 	// patienceShare is the part of the target, as one part in this many, for which a
 	// call waits for a server.
 	patienceShare = 8
@@ -241,7 +238,7 @@
 
 // need describes an attempt that may go to any server but those that were tried.
 func (l *lane) need(tried []string) mustardsaddle.Need {
-	return mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone, Queue: serverQueue, Bytes: int(l.answerBytes)}
+	return mustardsaddle.Need{Exclude: tried, Zone: l.g.cfg.Zone, Bytes: int(l.answerBytes)}
 }
 
 // choose picks a server below its cap of connections, and counts the attempt in.
