Count sheds without a reason, ask fewer when questions run short, guess last

Changes: a server that sheds three times in a row while the report in the same answer shows a free slot is taken out like one that fails. A call asks half of the unspent questions at most, two servers at least. If it may ask nobody it goes by this gateway's own attempts, but only on arrival; a call that waits does not guess.

--- a/choice.go
+++ b/choice.go
@@ -30,10 +30,18 @@
 	Exclude []string
 	// Zone is the availability zone of the gateway.
 	Zone string
+	// Blind is true if no server could be asked, so that a guess must do.
+	Blind bool
 	// Bytes is the usual size of an answer of the service.
 	Bytes int
 }
 
+// WithBlind returns a copy of n with Blind set.
+func (n Need) WithBlind(blind bool) Need {
+	n.Blind = blind
+	return n
+}
+
 // Choice is a chosen server, with the reason for the log.
 type Choice struct {
 	Server Server
--- a/internal/choice/survey/server.go
+++ b/internal/choice/survey/server.go
@@ -11,6 +11,9 @@
 	failureGain = 0.35
 	// outFailures is the mean of failures from which a server is taken out.
 	outFailures = 0.55
+	// outRefusals is how many sheds in a row for which the load gives no reason take a
+	// server out.
+	outRefusals = 3
 	// firstOut is how long a server is out at first; each further time lasts twice
 	// as long, up to maxOutShift doublings.
 	firstOut    = time.Second
@@ -21,9 +24,6 @@
 	silentPause     = 500 * time.Millisecond
 	// gonePause is how long a server is passed over whose address another one has.
 	gonePause = 3 * time.Second
-	// quickSlowness is the multiple of the usual slowness up to which a server counts
-	// as quick.
-	quickSlowness = 2.0
 	// usualSlowness is the slowness of a server that does not state it.
 	usualSlowness = 1.0
 )
@@ -44,6 +44,8 @@
 	missedAt time.Time
 	// failures is the moving mean of failed attempts, from 0 to 1.
 	failures float64
+	// refusals counts sheds in a row for which the reported load gave no reason.
+	refusals int
 	outUntil time.Time
 	outs     int
 }
@@ -62,14 +64,20 @@
 }
 
 // hasRoom reports whether an attempt would run at once and come to an end in useful
-// time: the last slot stays free in a server that is slow against the usual slowness.
-func (s *server) hasRoom(usual float64) bool {
-	if s.slowness() > quickSlowness*usual && s.slots() > 1 {
+// time: the last slot of a server above the given slowness stays free.
+func (s *server) hasRoom(quick float64) bool {
+	if s.slowness() > quick && s.slots() > 1 {
 		return s.free() > 1
 	}
 	return s.free() > 0
 }
 
+// saysRoom reports whether the server has said after the given time that a slot is
+// free.
+func (s *server) saysRoom(since time.Time) bool {
+	return s.report.At.After(since) && s.report.InFlight < s.slots()
+}
+
 // fresh reports whether the last report is young enough to decide.
 func (s *server) fresh(now time.Time, limit time.Duration) bool {
 	return !s.report.At.IsZero() && now.Sub(s.report.At) <= limit
@@ -120,6 +128,7 @@
 }
 
 func (s *server) succeed() {
+	s.refusals = 0
 	s.failures -= s.failures * failureGain
 	if s.failures < 1-outFailures {
 		s.outs = 0
--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -39,6 +39,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -54,6 +55,9 @@
 	defaultCurrent = 4 * time.Millisecond
 	// defaultMaxOut is the largest share of servers that are out at a time.
 	defaultMaxOut = 0.4
+	// defaultSlowRatio is the multiple of the usual slowness above which a server is
+	// slow.
+	defaultSlowRatio = 2.0
 	// questionTimeout is the time after which a question without an answer is
 	// given up.
 	questionTimeout = 200 * time.Millisecond
@@ -91,6 +95,9 @@
 	// MaxOut is the largest share of servers that are out at a time; below 0 none
 	// is.
 	MaxOut float64
+	// SlowRatio is the multiple of the usual slowness above which the last slot of a
+	// server stays free; below 0 all slots are used.
+	SlowRatio float64
 }
 
 // Survey is the state of one service's servers as this gateway sees them.
@@ -113,6 +120,10 @@
 	cfg.Fresh = cmp.Or(cfg.Fresh, defaultFresh)
 	cfg.Current = cmp.Or(cfg.Current, defaultCurrent)
 	cfg.MaxOut = cmp.Or(cfg.MaxOut, defaultMaxOut)
+	cfg.SlowRatio = cmp.Or(cfg.SlowRatio, defaultSlowRatio)
+	if cfg.SlowRatio < 0 {
+		cfg.SlowRatio = math.Inf(1)
+	}
 	return &Survey{cfg: cfg, byName: make(map[string]*server), usual: usualSlowness}
 }
 
@@ -212,8 +223,8 @@
 // Choose picks the server with the best score that has room.
 func (v *Survey) Choose(now time.Time, rng *rand.Rand, need mustardsaddle.Need) (mustardsaddle.Choice, bool) {
 	reason := reasonReport
-	best := v.best(now, rng, need, func(s *server) bool { return s.fresh(now, v.cfg.Fresh) && s.hasRoom(v.usual) })
-	if best == nil && !v.reporting {
+	best := v.best(now, rng, need, func(s *server) bool { return s.fresh(now, v.cfg.Fresh) && s.hasRoom(v.cfg.SlowRatio * v.usual) })
+	if best == nil && (need.Blind || !v.reporting) {
 		reason = reasonOwn
 		best = v.best(now, rng, need, func(s *server) bool { return s.inFlight < s.slots() })
 	}
@@ -270,6 +281,13 @@
 	case r.Failed:
 		s.fail()
 		v.takeOut(now, s)
+	case r.Shed && s.saysRoom(now.Add(-r.Latency)):
+		// It sheds although it says that it has room, which is no sign of load.
+		s.refusals++
+		if s.refusals >= outRefusals {
+			s.failures = max(s.failures, outFailures)
+			v.takeOut(now, s)
+		}
 	case r.Shed:
 		s.busy = max(s.busy, s.slots())
 	case r.Outcome == mustardsaddle.Ran && !r.Canceled:
--- a/internal/choice/survey/survey_test.go
+++ b/internal/choice/survey/survey_test.go
@@ -93,6 +93,91 @@
 	})
 }
 
+func TestShedsWithoutReason(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// busy is what the server reports with each shed, in two slots.
+		busy int
+		// served is how many attempts in between run.
+		served int
+		want   bool
+	}{
+		{"servers that shed while they have room leave the choice", 0, 0, false},
+		{"full servers stay", 2, 0, true},
+		{"servers that serve in between stay", 0, 1, true},
+	} {
+		v, now := newSurvey(3), start
+		shed := func() {
+			v.Observe(now, "booking-0", report(now.Add(time.Millisecond), c.busy, 1))
+			now = now.Add(2 * time.Millisecond)
+			v.Finish(now, mustardsaddle.Result{Server: "booking-0", Outcome: mustardsaddle.NotRun, Shed: true, Latency: 2 * time.Millisecond})
+		}
+		for range 3 {
+			for range c.served {
+				v.Finish(now, mustardsaddle.Result{Server: "booking-0", Outcome: mustardsaddle.Ran})
+			}
+			shed()
+		}
+		v.Observe(now, "booking-0", report(now, 0, 1))
+		if _, ok := v.Choose(now, newRand(), near); ok != c.want {
+			t.Errorf("%s: got chosen %v, want %v", c.name, ok, c.want)
+		}
+	}
+}
+
+func TestGuessesWhenNobodyMayBeAsked(t *testing.T) {
+	convey.Convey("Given a server whose last report is old", t, func() {
+		v := newSurvey(1)
+		v.Observe(start, "booking-0", report(start, 2, 1))
+		now := start.Add(time.Second)
+		convey.Convey("It is not chosen while servers can be asked", func() {
+			_, ok := v.Choose(now, newRand(), near)
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+		convey.Convey("It is chosen without a question up to its slots", func() {
+			for range 2 {
+				choice, ok := v.Choose(now, newRand(), near.WithBlind(true))
+				convey.So(ok, convey.ShouldBeTrue)
+				convey.So(choice.Reason, convey.ShouldEqual, "Own")
+			}
+			_, ok := v.Choose(now, newRand(), near.WithBlind(true))
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+	})
+}
+
+func TestQuestionsRunShort(t *testing.T) {
+	convey.Convey("Given 20 questions a second, of which a call asks 8 at most", t, func() {
+		q, now := survey.NewQuestions(8), start
+		q.SetRate(now, 20)
+		spend := func() int {
+			n := q.Next(now)
+			for i := range n {
+				if !q.Take(now) {
+					return i
+				}
+			}
+			return n
+		}
+		now = now.Add(time.Minute)
+		convey.Convey("Calls ask fewer and fewer, and at last nobody", func() {
+			var asked []int
+			for range 10 {
+				asked = append(asked, spend())
+			}
+			convey.So(asked, convey.ShouldResemble, []int{8, 8, 8, 8, 4, 2, 2, 0, 0, 0})
+		})
+		convey.Convey("No more is asked in any time than the rate and what was saved for two seconds", func() {
+			total := 0
+			for range 600 {
+				total += spend()
+				now = now.Add(10 * time.Millisecond)
+			}
+			convey.So(total, convey.ShouldBeBetweenOrEqual, 6*20, 6*20+2*20)
+		})
+	})
+}
+
 func TestOwnAttemptsCount(t *testing.T) {
 	convey.Convey("Given one idle server", t, func() {
 		v, rng := newSurvey(1), newRand()
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -133,8 +133,8 @@
 
 // place asks for one more attempt and for a server to take it.
 func (c *call) place() (placement, *refusal) {
-	c.m.lane.ask(c.r.Context(), c.servers())
-	p, no := c.m.lane.place(c.r.Context(), time.Now(), c)
+	blind := c.m.lane.ask(c.r.Context(), c.servers())
+	p, no := c.m.lane.place(c.r.Context(), time.Now(), c, blind)
 	if no != nil {
 		if no.code != code.OK {
 			c.end(mustardsaddle.NotRun)
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -10,9 +10,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
 	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
@@ -57,7 +56,7 @@
 	// answerBytes is the moving mean of the size of answers.
 	answerBytes float64
 	// questions bounds what this gateway asks the servers of the service.
-	questions *rate.Limiter
+	questions *survey.Questions
 	reusedAt  map[string]time.Time // when a reusable connection last came free
 }
 
@@ -92,7 +91,7 @@
 		queue:     slot.New(slot.Config{MaxWaiting: cfg.MaxWaiting, MinRetryAfter: cfg.minRetryAfter()}),
 		waiting:   make(map[uint64]waiter),
 		reusedAt:  make(map[string]time.Time),
-		questions: rate.NewLimiter(0, 0),
+		questions: survey.NewQuestions(cfg.Ask),
 	}
 	if cfg.RetryWindow > 0 {
 		l.budgets.Window = booking.NewWindow(cfg.RetryWindow)
@@ -139,8 +138,9 @@
 }
 
 // place begins an attempt of the call and chooses its server. A first attempt and a
-// retry wait for one in the queue; a hedge takes another server now, or none.
-func (l *lane) place(ctx context.Context, now time.Time, c *call) (placement, *refusal) {
+// retry wait for one in the queue; a hedge takes another server now, or none. Blind
+// is true if no server could be asked.
+func (l *lane) place(ctx context.Context, now time.Time, c *call, blind bool) (placement, *refusal) {
 	l.mu.Lock()
 	kind, tried, ok := c.begin(now, &l.budgets)
 	if !ok {
@@ -148,7 +148,7 @@
 		return placement{}, &refusal{code: code.OK}
 	}
 	if kind != booking.First || l.queue.Len() == 0 {
-		choice, ok := l.choose(now, tried)
+		choice, ok := l.choose(now, l.need(tried).WithBlind(blind))
 		if ok {
 			l.mu.Unlock()
 			return placement{kind: kind, choice: choice}, nil
@@ -242,8 +242,7 @@
 }
 
 // choose picks a server below its cap of connections, and counts the attempt in.
-func (l *lane) choose(now time.Time, tried []string) (mustardsaddle.Choice, bool) {
-	need := l.need(tried)
+func (l *lane) choose(now time.Time, need mustardsaddle.Need) (mustardsaddle.Choice, bool) {
 	for {
 		choice, ok := l.chooser.Choose(now, l.rng, need)
 		if !ok || l.limits.Admit(choice.Server.Name, l.limit(choice.Server)) {
@@ -281,7 +280,7 @@
 			return
 		}
 		w := l.waiting[id]
-		choice, ok := l.choose(now, w.tried)
+		choice, ok := l.choose(now, l.need(w.tried))
 		if !ok {
 			return
 		}
@@ -395,8 +394,8 @@
 func (l *lane) takeOther(now time.Time, server string) (mustardsaddle.Choice, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if choice, ok := l.choose(now, []string{server}); ok {
+	if choice, ok := l.choose(now, l.need([]string{server})); ok {
 		return choice, true
 	}
-	return l.choose(now, nil)
+	return l.choose(now, l.need(nil))
 }
--- a/internal/request/gateway/question.go
+++ b/internal/request/gateway/question.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"mustardsaddle.example/mustardsaddle"
 )
 
@@ -20,8 +18,6 @@
 	questionTimeout = 150 * time.Millisecond
 	// questionShare is the part of the questions that running gateways plan to ask.
 	questionShare = 0.85
-	// questionBurst is the time for which unspent questions are kept.
-	questionBurst = 2 * time.Second
 	// idleQuestions is how many unused connections for questions are kept to a
 	// server.
 	idleQuestions = 1
@@ -39,26 +35,25 @@
 // service may get. The caller holds mu.
 func (l *lane) setQuestions(now time.Time) {
 	gateways := cmp.Or(l.g.gateways.Load(), assumedGateways)
-	perSecond := questionShare * l.g.cfg.ServerPerSecond * float64(l.usable) / float64(gateways)
-	l.questions.SetLimitAt(now, rate.Limit(perSecond))
-	l.questions.SetBurstAt(now, max(int(perSecond*questionBurst.Seconds()), l.g.cfg.Ask))
+	l.questions.SetRate(now, questionShare*l.g.cfg.ServerPerSecond*float64(l.usable)/float64(gateways))
 }
 
 // ask lets the chooser ask a few servers for their load, and waits for the answers
-// that come soon. It does nothing for a chooser that asks nobody, and when the
-// budget is spent; older reports decide then.
-func (l *lane) ask(ctx context.Context, tried []string) {
+// that come soon. It does nothing for a chooser that asks nobody. It returns true if
+// the budget permitted no question, so that older reports or a guess must do.
+func (l *lane) ask(ctx context.Context, tried []string) (blind bool) {
 	surveyor, ok := l.chooser.(mustardsaddle.Surveyor)
 	if !ok || l.g.cfg.Budget == nil {
-		return
+		return false
 	}
 	now := time.Now()
 	l.mu.Lock()
-	servers := surveyor.Ask(now, l.rng, l.need(tried), l.g.cfg.Ask)
+	servers := surveyor.Ask(now, l.rng, l.need(tried), l.questions.Next(now))
 	for i := range servers {
-		if !l.questions.AllowN(now, 1) || !l.g.cfg.Budget.Take(now, 1, probeRequestBytes+probeAnswerBytes) {
+		if !l.questions.Take(now) || !l.g.cfg.Budget.Take(now, 1, probeRequestBytes+probeAnswerBytes) {
 			surveyor.Unasked(servers[i:])
 			servers = servers[:i]
+			blind = i == 0
 			break
 		}
 	}
@@ -66,6 +61,7 @@
 	if len(servers) > 0 {
 		l.question(ctx, servers)
 	}
+	return blind
 }
 
 // question asks servers at the same time, and returns when all have answered or
