Add a model of the served systems, and compare policies in it side by side

internal/standin/model plays servers with slots, queue, knee, noise, cold starts and three ways to be full, troubles of servers, bursts, and callers that come back, by events and seeds alone: no network, no clock. The product's chooser, queue, call state, budgets and questions decide in it. internal/standin/experiment compares policies over seeds; `standin model` prints a table or JSON and writes SVG plots.

The policy Exact (one gateway, exact knowledge, no price) is the bound to compare with.

--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -223,7 +223,7 @@
 // Choose picks the server with the best score that has room.
 func (v *Survey) Choose(now time.Time, rng *rand.Rand, need mustardsaddle.Need) (mustardsaddle.Choice, bool) {
 	reason := reasonReport
-	best := v.best(now, rng, need, func(s *server) bool { return s.fresh(now, v.cfg.Fresh) && s.hasRoom(v.cfg.SlowRatio * v.usual) })
+	best := v.best(now, rng, need, func(s *server) bool { return s.fresh(now, v.cfg.Fresh) && s.hasRoom(v.cfg.SlowRatio*v.usual) })
 	if best == nil && (need.Blind || !v.reporting) {
 		reason = reasonOwn
 		best = v.best(now, rng, need, func(s *server) bool { return s.inFlight < s.slots() })
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -31,6 +31,7 @@
   standin load --target http://127.0.0.1:8001 --rate 200 --duration 10s
   standin trial
   standin trial --scenario all
+  standin model --pattern Surge
 
 Exit status:
   0  done
@@ -53,6 +54,7 @@
 	parser.Add("server", "Run an endpoint server stand-in", serverAbout, &serverCommand{env: env})
 	parser.Add("load", "Drive gateways with calls and measure them", loadAbout, &loadCommand{env: env})
 	parser.Add("trial", "Run a whole small system, or compare policies", trialAbout, &trialCommand{env: env})
+	parser.Add("model", "Compare policies in a simulation", modelAbout, &modelCommand{env: env})
 	return parser.Run(cfg.Out, cfg.Err, args)
 }
 
--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -43,6 +43,14 @@
 		{"trial --scenario Storm", product.Usage, "Storm"},
 		{"trial --scenario Steady50 --candidate Best", product.Usage, "Best"},
 		{"trial --scenario Steady50 --network Moon", product.Usage, "Moon"},
+		{"model --list", product.Done, "pattern Surge"},
+		{"model --pattern Storm", product.Usage, `--pattern "Storm", want one of Calm`},
+		{"model --policy Best", product.Usage, `--policy "Best", want one of Survey`},
+		{"model --seeds 0", product.Usage, "--seeds 0"},
+		{"model now", product.Usage, `got argument "now"`},
+		{"model --pattern Calm --policy Exact --seeds 1 --plot nowhere", product.Failed, "nowhere"},
+		{"model --pattern Calm --policy Exact --seeds 1", product.Done, "Exact"},
+		{"model --pattern Calm --policy Exact --seeds 1 --json", product.Done, `"Worth"`},
 		{"trial --scenario Steady50 --repetitions 0", product.Usage, "--repetitions 0"},
 	}
 	for _, c := range cases {
--- /dev/null
+++ b/internal/standin/experiment/experiment_test.go
@@ -0,0 +1,56 @@
+package experiment_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle/internal/standin/experiment"
+	"mustardsaddle.example/mustardsaddle/internal/standin/model"
+)
+
+// config returns a comparison of two short patterns under two policies.
+func config(parallel int) experiment.Config {
+	patterns := model.Patterns()[:2]
+	for i := range patterns {
+		patterns[i].Duration = 4 * time.Second
+	}
+	return experiment.Config{Patterns: patterns, Policies: model.Policies()[:2], FirstSeed: 3, Seeds: 2, Parallel: parallel}
+}
+
+func TestComparison(t *testing.T) {
+	convey.Convey("Given a comparison of two patterns under two policies", t, func() {
+		report, err := experiment.Run(context.Background(), config(1))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(report.Rows, convey.ShouldHaveLength, 4)
+		convey.Convey("It does not depend on how many runs are made at a time", func() {
+			other, err := experiment.Run(context.Background(), config(4))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(other, convey.ShouldResemble, report)
+		})
+		convey.Convey("The table has a line for each pair", func() {
+			text := report.Text()
+			convey.So(text, convey.ShouldContainSubstring, "Seeds 3 to 4")
+			convey.So(strings.Count(text, "\n"), convey.ShouldEqual, 7)
+		})
+		convey.Convey("A plot names the policies", func() {
+			var b bytes.Buffer
+			convey.So(report.Plot(&b, "Calm"), convey.ShouldBeNil)
+			convey.So(b.String(), convey.ShouldContainSubstring, "<svg")
+			convey.So(b.String(), convey.ShouldContainSubstring, "Survey4")
+		})
+		convey.Convey("A plot of a pattern that was not played is refused", func() {
+			convey.So(report.Plot(&bytes.Buffer{}, "Surge"), convey.ShouldNotBeNil)
+		})
+	})
+	convey.Convey("A comparison ends with its context", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := experiment.Run(ctx, config(1))
+		convey.So(err, convey.ShouldEqual, context.Canceled)
+	})
+}
