Move settings, events and codes below all areas, and hold the direction of imports

internal/product held both the words that every area uses and the wiring above all, so that imports ran both ways between areas. settings, event and code are now in internal/base; internal/product keeps admin pages, command line and wiring. No behaviour changes.

--- a/cmd/mustardsaddle/main.go
+++ b/cmd/mustardsaddle/main.go
@@ -10,10 +10,10 @@
 	"syscall"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
 	"mustardsaddle.example/mustardsaddle/internal/product/command"
 	"mustardsaddle.example/mustardsaddle/internal/product/instance"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 	"mustardsaddle.example/mustardsaddle/platform"
 )
 
--- a/internal/product/code/doc_test.go
+++ b/internal/base/code/doc_test.go
@@ -13,8 +13,8 @@
 	"github.com/juju/errors"
 	"github.com/smartystreets/goconvey/convey"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 // table is a list of numbered constants, and the page that explains each.
--- a/internal/product/event/event_test.go
+++ b/internal/base/event/event_test.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/smartystreets/goconvey/convey"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 func TestLines(t *testing.T) {
--- a/internal/product/event/writer_test.go
+++ b/internal/base/event/writer_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 // gate is a writer that tells when a write begins, and holds it until opened.
--- a/internal/product/settings/layout.go
+++ b/internal/base/settings/layout.go
@@ -5,7 +5,7 @@
 
 	"gopkg.in/ini.v1"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // layout is the shape of a settings file: where its sections and keys stand.
--- a/internal/product/settings/load.go
+++ b/internal/base/settings/load.go
@@ -10,7 +10,7 @@
 
 	"gopkg.in/ini.v1"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // MaxFileBytes bounds a settings file.
--- a/internal/product/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -12,9 +12,9 @@
 	"pgregory.net/rapid"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 )
 
 const docs = "../../../docs/"
--- a/internal/choice/report/counts.go
+++ b/internal/choice/report/counts.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 const (
--- a/internal/choice/report/counts_test.go
+++ b/internal/choice/report/counts_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 func TestParseCounts(t *testing.T) {
--- a/internal/choice/report/report.go
+++ b/internal/choice/report/report.go
@@ -24,7 +24,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // Header is the response header that carries a load report, in the JSON text
--- a/internal/choice/report/report_test.go
+++ b/internal/choice/report/report_test.go
@@ -9,8 +9,8 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -40,10 +40,10 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
 const (
--- a/internal/control/catalog/catalog_test.go
+++ b/internal/control/catalog/catalog_test.go
@@ -9,9 +9,9 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/catalog"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 // patience bounds waits for what has no promised time.
--- a/internal/control/registry/core.go
+++ b/internal/control/registry/core.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Action -output=action_string.go
--- a/internal/control/registry/core_test.go
+++ b/internal/control/registry/core_test.go
@@ -11,9 +11,9 @@
 	"pgregory.net/rapid"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/registry"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 // memory is the store of the model: all versions of each object.
--- a/internal/control/registry/follow.go
+++ b/internal/control/registry/follow.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
 // watch holds a watch on Rules/Submitted while this gateway is one of those that
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -43,9 +43,9 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
 const (
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -11,10 +11,10 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/registry"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
 )
 
--- a/internal/control/registry/status.go
+++ b/internal/control/registry/status.go
@@ -8,10 +8,10 @@
 
 	"golang.org/x/time/rate"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
 const (
--- a/internal/control/registry/work.go
+++ b/internal/control/registry/work.go
@@ -2,8 +2,8 @@
 
 import (
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 // work is a submission on its way to a decision.
--- a/internal/control/rule/accept.go
+++ b/internal/control/rule/accept.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // maxRefusals is how many refusals Rules/Accepted keeps.
--- a/internal/control/rule/accept_test.go
+++ b/internal/control/rule/accept_test.go
@@ -9,8 +9,8 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 const (
--- a/internal/control/rule/change.go
+++ b/internal/control/rule/change.go
@@ -5,7 +5,7 @@
 	"sort"
 	"strings"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Result,Verdict -output=enum_string.go
--- a/internal/control/rule/field.go
+++ b/internal/control/rule/field.go
@@ -8,7 +8,7 @@
 	"unicode"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 const (
--- a/internal/control/rule/header.go
+++ b/internal/control/rule/header.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // Prefixes of the header lines of Rules/Accepted and Rules/InForce.
--- a/internal/control/rule/inforce.go
+++ b/internal/control/rule/inforce.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // VM is the generation that one gateway VM has in force.
--- a/internal/control/rule/merge.go
+++ b/internal/control/rule/merge.go
@@ -1,6 +1,6 @@
 package rule
 
-import "mustardsaddle.example/mustardsaddle/internal/product/code"
+import "mustardsaddle.example/mustardsaddle/internal/base/code"
 
 // key identifies a line over all generations: a rule by its ID, any other line
 // by its text and how many equal lines stand above it.
--- a/internal/control/rule/parse.go
+++ b/internal/control/rule/parse.go
@@ -6,7 +6,7 @@
 	"unicode"
 	"unicode/utf8"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 const (
--- a/internal/control/rule/parse_test.go
+++ b/internal/control/rule/parse_test.go
@@ -7,8 +7,8 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 // mistake is a problem without its text.
--- a/internal/control/rule/problem.go
+++ b/internal/control/rule/problem.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // Problem is one mistake in a rules file, or one conflict of a submission.
--- a/internal/control/rule/split.go
+++ b/internal/control/rule/split.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // maxWeight bounds the weight of one service.
--- a/internal/control/store/call.go
+++ b/internal/control/store/call.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // Kind is the kind of a call, which decides what it counts as.
--- a/internal/control/store/client.go
+++ b/internal/control/store/client.go
@@ -25,7 +25,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // MaxValueBytes is the largest value that the platform's store holds.
--- a/internal/control/store/client_test.go
+++ b/internal/control/store/client_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
 )
 
--- a/internal/control/store/stats.go
+++ b/internal/control/store/stats.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // Stats counts the calls of a Client since it was made.
--- a/internal/peer/link/conn.go
+++ b/internal/peer/link/conn.go
@@ -8,9 +8,9 @@
 	"github.com/coder/websocket"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
 // link is one established connection to a peer that has introduced itself.
--- a/internal/peer/link/keeper.go
+++ b/internal/peer/link/keeper.go
@@ -8,8 +8,8 @@
 	"github.com/coder/websocket"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 // keeper is the state of Run, which one goroutine owns.
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -36,9 +36,9 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
 // Path is where links are accepted on the peer address.
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -6,8 +6,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 // maxNesting bounds how deep arrays and maps of a message nest.
--- a/internal/peer/news/codec_test.go
+++ b/internal/peer/news/codec_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 var (
--- a/internal/product/admin/admin.go
+++ b/internal/product/admin/admin.go
@@ -20,7 +20,7 @@
 	"github.com/gorilla/mux"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 // Headers of the answers.
--- a/internal/product/admin/admin_test.go
+++ b/internal/product/admin/admin_test.go
@@ -11,8 +11,8 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 // state is what the admin pages show.
--- a/internal/product/command/check.go
+++ b/internal/product/command/check.go
@@ -5,9 +5,9 @@
 	"io"
 	"os"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 )
 
 const checkAbout = `Checks a settings file, a rules file or both, and lists every mistake, one a
--- a/internal/product/command/command.go
+++ b/internal/product/command/command.go
@@ -17,7 +17,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Status -output=status_string.go
--- a/internal/product/command/command_test.go
+++ b/internal/product/command/command_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/product/command"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
 const (
--- a/internal/product/command/reload.go
+++ b/internal/product/command/reload.go
@@ -7,8 +7,8 @@
 
 	"github.com/rs/zerolog"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 )
 
 // reloadInterval is the time between looks at the settings file, which may change
--- a/internal/product/command/serve.go
+++ b/internal/product/command/serve.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 )
 
 const serveAbout = `Runs one gateway until SIGTERM or SIGINT, then stops gracefully: the gateway
--- a/internal/product/command/trace.go
+++ b/internal/product/command/trace.go
@@ -8,7 +8,7 @@
 	"os"
 	"strings"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 const traceAbout = `Shows what the gateways logged about one request: each choice of a server with
--- a/internal/product/command/version.go
+++ b/internal/product/command/version.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"runtime/debug"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 )
 
 const (
--- a/internal/product/instance/call_test.go
+++ b/internal/product/instance/call_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
 )
 
--- a/internal/product/instance/change_test.go
+++ b/internal/product/instance/change_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/registry"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
 )
 
--- a/internal/product/instance/directory.go
+++ b/internal/product/instance/directory.go
@@ -4,12 +4,12 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
 	"mustardsaddle.example/mustardsaddle/internal/control/catalog"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 )
 
 // newCatalog returns the follower of a directory.
--- a/internal/product/instance/grace_test.go
+++ b/internal/product/instance/grace_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 )
 
 // TestStopEndsWithinGrace stops a gateway that the platform kills after a while, with
--- a/internal/product/instance/harness_test.go
+++ b/internal/product/instance/harness_test.go
@@ -14,8 +14,8 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/product/instance"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
 	"mustardsaddle.example/mustardsaddle/internal/standin/server"
 )
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -21,6 +21,8 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/control/catalog"
@@ -30,8 +32,6 @@
 	"mustardsaddle.example/mustardsaddle/internal/peer/link"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 	"mustardsaddle.example/mustardsaddle/internal/request/claim"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 )
 
 const (
--- a/internal/product/instance/reload.go
+++ b/internal/product/instance/reload.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 )
 
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -10,11 +10,11 @@
 	"github.com/gorilla/mux"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -26,7 +26,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 const (
--- a/internal/request/claim/claim_test.go
+++ b/internal/request/claim/claim_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/claim"
 )
 
--- a/internal/request/gateway/answer.go
+++ b/internal/request/gateway/answer.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
 )
 
--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 var (
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
 )
--- a/internal/request/gateway/claim.go
+++ b/internal/request/gateway/claim.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 // IdempotencyKeyHeader is the header by which a caller names a request.
--- a/internal/request/gateway/claim_test.go
+++ b/internal/request/gateway/claim_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/claim"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
--- a/internal/request/gateway/connection.go
+++ b/internal/request/gateway/connection.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 const (
--- a/internal/request/gateway/framing.go
+++ b/internal/request/gateway/framing.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"strconv"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 // libraryHeader is the header of the answers that net/http gives by itself to a
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
 )
--- a/internal/request/gateway/log.go
+++ b/internal/request/gateway/log.go
@@ -7,7 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 // requestID returns the caller's name of a request, or "" if callers name none.
--- a/internal/request/gateway/match.go
+++ b/internal/request/gateway/match.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 )
 
 // maxPatience bounds the time that a caller may say it waits.
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -6,8 +6,8 @@
 	"strings"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 // copyBufferBytes is the size of the buffers that bodies pass through. An answer
--- a/internal/standin/command/model.go
+++ b/internal/standin/command/model.go
@@ -9,7 +9,7 @@
 	"slices"
 	"strings"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/command"
 	"mustardsaddle.example/mustardsaddle/internal/standin/experiment"
 	"mustardsaddle.example/mustardsaddle/internal/standin/model"
--- a/internal/standin/command/trial.go
+++ b/internal/standin/command/trial.go
@@ -8,9 +8,9 @@
 
 	"github.com/rs/zerolog"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/product/command"
-	"mustardsaddle.example/mustardsaddle/internal/product/event"
 	"mustardsaddle.example/mustardsaddle/internal/standin/trial"
 )
 
--- a/internal/standin/experiment/report.go
+++ b/internal/standin/experiment/report.go
@@ -13,7 +13,7 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/standin/model"
 )
 
--- a/internal/standin/trial/front.go
+++ b/internal/standin/trial/front.go
@@ -11,10 +11,10 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 	"mustardsaddle.example/mustardsaddle/internal/standin/server"
 )
--- a/internal/standin/trial/member.go
+++ b/internal/standin/trial/member.go
@@ -11,9 +11,9 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/product/instance"
-	"mustardsaddle.example/mustardsaddle/internal/product/settings"
 	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
 	"mustardsaddle.example/mustardsaddle/internal/standin/server"
 )
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -26,7 +26,7 @@
 	"strings"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 const (
--- a/internal/standin/trial/trial_test.go
+++ b/internal/standin/trial/trial_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
-	"mustardsaddle.example/mustardsaddle/internal/product/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/standin/trial"
 )
 
