Take headers and connections out of the gateway's package

The names of the project's headers stood three times and now stand once. The rest of the package (match, admit, attempt, relay) shares the state of a call and stays together. No behaviour changes.

--- a/internal/product/admin/admin.go
+++ b/internal/product/admin/admin.go
@@ -21,15 +21,11 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
-// Headers of the answers.
-const (
-	// CodeHeader carries the result code of a refusal.
-	CodeHeader = "Mustardsaddle-Code"
-	// GenerationHeader carries the generation of the rules in force.
-	GenerationHeader = "Mustardsaddle-Generation"
-)
+// GenerationHeader carries the generation of the rules in force.
+const GenerationHeader = "Mustardsaddle-Generation"
 
 const textType = "text/plain; charset=utf-8"
 
@@ -138,7 +134,7 @@
 func refuse(w http.ResponseWriter, err error) {
 	n := code.Of(err)
 	w.Header().Set("Content-Type", textType)
-	w.Header().Set(CodeHeader, strconv.Itoa(int(n)))
+	w.Header().Set(header.Code, strconv.Itoa(int(n)))
 	w.WriteHeader(http.StatusServiceUnavailable)
 	_, _ = fmt.Fprintf(w, "Code=%d Name=%s Reason=%q\n", int(n), n, err)
 }
--- a/internal/product/admin/admin_test.go
+++ b/internal/product/admin/admin_test.go
@@ -13,6 +13,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // state is what the admin pages show.
@@ -45,13 +46,13 @@
 			convey.So(get(h, http.MethodGet, "/healthz").Code, convey.ShouldEqual, http.StatusOK)
 			w := get(h, http.MethodGet, "/readyz")
 			convey.So(w.Code, convey.ShouldEqual, http.StatusServiceUnavailable)
-			convey.So(w.Header().Get(admin.CodeHeader), convey.ShouldEqual, "4006")
+			convey.So(w.Header().Get(header.Code), convey.ShouldEqual, "4006")
 			convey.So(w.Body.String(), convey.ShouldEqual, "Code=4006 Name=CallNotReady Reason=\"no rules yet (code 4006)\"\n")
 		})
 		convey.Convey("It has no rules file to show", func() {
 			w := get(h, http.MethodGet, "/rules")
 			convey.So(w.Code, convey.ShouldEqual, http.StatusServiceUnavailable)
-			convey.So(w.Header().Get(admin.CodeHeader), convey.ShouldEqual, "4006")
+			convey.So(w.Header().Get(header.Code), convey.ShouldEqual, "4006")
 		})
 		convey.Convey("Once rules are in force it is ready and shows them", func() {
 			s.ready, s.rules = nil, admin.Rules{Generation: 41, Text: "# Generation 41\n"}
--- a/internal/request/gateway/idle.go
+++ b/internal/request/connection/idle.go
@@ -1,4 +1,17 @@
-package gateway
+// Package connection holds what a gateway adds to connections: callers' ones are
+// closed when they stay without a request, and those to servers are counted, so that
+// it is known whether anything has left by them.
+//
+// # Usage
+//
+//	idle := connection.NewIdle(limit)
+//	server := &http.Server{ConnState: idle.Changed, IdleTimeout: connection.MaxIdle}
+//
+//	c := connection.NewCounted(conn)
+//	before := c.Written()
+//	...
+//	nothingLeft := c.Seal() == before
+package connection
 
 import (
 	"net"
@@ -11,13 +24,15 @@
 	// idleMargin is added to the time for which callers' connections are kept, so
 	// that none is closed as its caller is about to use it once more.
 	idleMargin = 2 * time.Second
-	// maxCallerIdle bounds that time whatever the rules say.
-	maxCallerIdle = time.Hour
+	// MaxLimit bounds that time whatever the rules say.
+	MaxLimit = time.Hour
+	// MaxIdle is longer than any connection stays open without a request.
+	MaxIdle = MaxLimit + 2*idleMargin
 )
 
-// idleConns closes callers' connections that stay without a request. The time may
+// Idle closes callers' connections that stay without a request. The time may
 // change with the rules while connections are open.
-type idleConns struct {
+type Idle struct {
 	// limit returns the time for which a connection is kept now.
 	limit func() time.Duration
 
@@ -31,12 +46,13 @@
 	timer *time.Timer
 }
 
-func newIdleConns(limit func() time.Duration) *idleConns {
-	return &idleConns{limit: limit, idle: make(map[net.Conn]*idleConn)}
+// NewIdle returns an Idle that keeps connections for the time that limit returns.
+func NewIdle(limit func() time.Duration) *Idle {
+	return &Idle{limit: limit, idle: make(map[net.Conn]*idleConn)}
 }
 
-// changed takes each change of state of a connection.
-func (i *idleConns) changed(c net.Conn, state http.ConnState) {
+// Changed takes each change of state of a connection.
+func (i *Idle) Changed(c net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if known := i.idle[c]; known != nil {
@@ -52,7 +68,7 @@
 
 // expire closes a connection that has been idle for long enough, by the time that
 // holds now.
-func (i *idleConns) expire(now time.Time, c net.Conn) {
+func (i *Idle) expire(now time.Time, c net.Conn) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	known := i.idle[c]
@@ -66,11 +82,3 @@
 	delete(i.idle, c)
 	_ = c.Close()
 }
-
-// idleLimit returns how long a caller's connection is kept without a request.
-func (g *Gateway) idleLimit() time.Duration {
-	if table := g.rules.Load(); table != nil && table.Idle() > 0 {
-		return min(table.Idle(), maxCallerIdle)
-	}
-	return defaultCallerIdle
-}
--- a/internal/request/gateway/answer.go
+++ b/internal/request/gateway/answer.go
@@ -9,6 +9,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
 )
 
@@ -73,10 +74,10 @@
 	}
 	line.Send()
 	h := w.Header()
-	h.Set(OutcomeHeader, n.outcome.String())
-	h.Set(CodeHeader, strconv.Itoa(int(n.code)))
+	h.Set(header.Outcome, n.outcome.String())
+	h.Set(header.Code, strconv.Itoa(int(n.code)))
 	if attempt != "" {
-		h.Set(AttemptHeader, attempt)
+		h.Set(header.Attempt, attempt)
 	}
 	if status == http.StatusTooManyRequests || status >= http.StatusInternalServerError {
 		h.Set("Retry-After", g.cfg.retryAfter(n.retryAfter))
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -13,6 +13,8 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/request/connection"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 var (
@@ -33,7 +35,7 @@
 	via       manner
 
 	body       io.Closer
-	conn       *conn
+	conn       *connection.Counted
 	baseWrites int64
 	baseReads  int64
 	reused     bool
@@ -60,7 +62,7 @@
 func (a *attempt) send(extra func(http.Header)) {
 	a.sent = time.Now()
 	a.roundTrip(extra)
-	if a.stale && a.err != nil && a.conn.seal() == a.baseWrites {
+	if a.stale && a.err != nil && a.conn.Seal() == a.baseWrites {
 		a.conn, a.reused, a.stale, a.via = nil, false, false, newConnection
 		a.roundTrip(extra)
 	}
@@ -96,17 +98,17 @@
 	out.Host = c.r.Host
 	out.RequestURI = ""
 	out.Close = false
-	header := c.g.forwardHeader(c.r)
-	header.set(AttemptHeader, a.id)
+	fields := header.Forward(c.r, header.Gateway{Name: c.g.cfg.Name})
+	fields.Set(header.Attempt, a.id)
 	names := c.g.cfg.Headers
 	if !c.body.streamed() && names.Deadline != "" {
 		left := max(time.Until(c.deadline).Milliseconds(), 1)
-		header.set(names.Deadline, strconv.FormatInt(left, 10))
+		fields.Set(names.Deadline, strconv.FormatInt(left, 10))
 	}
 	if names.Instance != "" {
-		header.set(names.Instance, a.placement.choice.Server.Name)
+		fields.Set(names.Instance, a.placement.choice.Server.Name)
 	}
-	out.Header = header.Header
+	out.Header = fields.Header
 	if c.body.empty {
 		delete(out.Header, "Expect")
 	}
@@ -118,19 +120,19 @@
 // silent resend of http.Transport: nothing may leave by it. Nor may anything leave
 // by a connection that has been idle too long for the attempt.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	cn, ok := info.Conn.(*conn)
+	cn, ok := info.Conn.(*connection.Counted)
 	if !ok {
 		return
 	}
 	if a.conn != nil {
-		cn.seal()
+		cn.Seal()
 		return
 	}
 	a.conn, a.reused = cn, info.Reused
-	a.baseWrites, a.baseReads = cn.written(), cn.reads.Load()
+	a.baseWrites, a.baseReads = cn.Written(), cn.Reads()
 	if a.via == aliveConnection && info.IdleTime > aliveWindow {
 		a.stale = true
-		cn.seal()
+		cn.Seal()
 	}
 }
 
@@ -146,7 +148,7 @@
 func (a *attempt) classify() {
 	if a.err != nil {
 		a.outcome = mustardsaddle.Unknown
-		if a.conn == nil || a.conn.seal() == a.baseWrites {
+		if a.conn == nil || a.conn.Seal() == a.baseWrites {
 			a.outcome = mustardsaddle.NotRun
 		}
 		return
@@ -169,7 +171,7 @@
 // and a successful one has the signature that it must have.
 func (a *attempt) ours() bool {
 	names, h := a.c.g.cfg.Headers, a.resp.Header
-	if echoed := h.Get(AttemptHeader); echoed != "" && echoed != a.id {
+	if echoed := h.Get(header.Attempt); echoed != "" && echoed != a.id {
 		return false
 	}
 	if names.RequestID != "" {
@@ -208,7 +210,7 @@
 // silent reports whether a connection that had served before carried nothing back.
 func (a *attempt) silent() bool {
 	return a.err != nil && a.reused && a.ctx.Err() != nil && a.c.r.Context().Err() == nil &&
-		a.conn.reads.Load() == a.baseReads
+		a.conn.Reads() == a.baseReads
 }
 
 // finish ends the attempt: its connection is closed unless the answer was read to
--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 var (
@@ -67,7 +68,7 @@
 	case b.kept != nil:
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(b.kept)), int64(len(b.kept))
 	default:
-		out.Trailer = trailerNames(b.c.r.Trailer)
+		out.Trailer = header.TrailerNames(b.c.r.Trailer)
 		out.Body, out.ContentLength = &bodyView{b: b, trailer: out.Trailer}, b.c.r.ContentLength
 	}
 }
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -11,6 +11,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
 )
 
@@ -344,16 +345,16 @@
 
 // relayInformational passes a 1xx answer on. 100 is left out: reading the caller's
 // body makes net/http send it.
-func (c *call) relayInformational(status int, header textproto.MIMEHeader) error {
+func (c *call) relayInformational(status int, fields textproto.MIMEHeader) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.answered || status == http.StatusContinue || !c.r.ProtoAtLeast(1, 1) {
 		return nil
 	}
 	h := c.w.Header()
-	copyEndToEnd(h, http.Header(header))
+	header.CopyEndToEnd(h, http.Header(fields))
 	c.w.WriteHeader(status)
-	for name := range header {
+	for name := range fields {
 		delete(h, name)
 	}
 	return nil
--- a/internal/request/gateway/connection.go
+++ b/internal/request/gateway/connection.go
@@ -4,11 +4,9 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
-	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 )
 
 const (
@@ -47,7 +45,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return connection.NewCounted(c), nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      !reuse,
@@ -57,58 +55,3 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
-
-// conn is a connection to a server that counts its reads and writes, and that can
-// be sealed so that nothing more leaves by it.
-type conn struct {
-	net.Conn
-	reads atomic.Int64
-
-	mu     sync.Mutex
-	writes int64
-	sealed bool
-}
-
-// Write passes a write on, or refuses it once the connection is sealed.
-func (c *conn) Write(p []byte) (int, error) {
-	if !c.begin() {
-		return 0, code.Errorf(code.Internal, "write to %v: connection is sealed", c.RemoteAddr())
-	}
-	return c.Conn.Write(p)
-}
-
-// begin counts a write before it leaves. A refused write is not counted, so that a
-// count that stays the same proves that nothing has left.
-func (c *conn) begin() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.sealed {
-		return false
-	}
-	c.writes++
-	return true
-}
-
-// Read counts the reads that bring bytes.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.reads.Add(1)
-	}
-	return n, err
-}
-
-// written returns the number of writes until now.
-func (c *conn) written() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.writes
-}
-
-// seal refuses all later writes and returns the number of writes until now.
-func (c *conn) seal() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sealed = true
-	return c.writes
-}
--- a/internal/request/gateway/framing.go
+++ b/internal/request/gateway/framing.go
@@ -8,6 +8,7 @@
 
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // libraryHeader is the header of the answers that net/http gives by itself to a
@@ -55,7 +56,7 @@
 		Str("Outcome", n.outcome.String()).Send()
 	body := n.body()
 	answer := append(bytes.Clone(status), "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: "+
-		strconv.Itoa(len(body))+"\r\n"+CodeHeader+": "+strconv.Itoa(int(n.code))+"\r\n"+OutcomeHeader+": "+n.outcome.String()+
+		strconv.Itoa(len(body))+"\r\n"+header.Code+": "+strconv.Itoa(int(n.code))+"\r\n"+header.Outcome+": "+n.outcome.String()+
 		"\r\n\r\n"+body...)
 	if _, err := c.Conn.Write(answer); err != nil {
 		return 0, err
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -48,6 +48,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // Defaults of a Config.
@@ -168,7 +169,7 @@
 		cfg.NewChooser = func(string) mustardsaddle.Chooser { return bench.New(bench.Config{}) }
 	}
 	if cfg.Headers == nil {
-		cfg.Headers = &mustardsaddle.Headers{Deadline: DeadlineHeader, Load: report.Header, ParseLoad: report.Parse}
+		cfg.Headers = &mustardsaddle.Headers{Deadline: header.Deadline, Load: report.Header, ParseLoad: report.Parse}
 	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
@@ -192,7 +193,6 @@
 	fresh    *http.Transport
 	asking   *http.Transport
 	prefix   string
-	via      string
 	attempts atomic.Uint64
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -220,7 +220,6 @@
 		fresh:  newTransport(cfg, false),
 		asking: newAskingTransport(cfg),
 		prefix: cfg.Name + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
-		via:    "1.1 " + cfg.Name,
 		lanes:  make(map[string]*lane),
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 4)),
 	}
--- a/internal/request/gateway/harness_test.go
+++ b/internal/request/gateway/harness_test.go
@@ -14,6 +14,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // judge is an endpoint server that counts executions by attempt id.
@@ -28,7 +29,7 @@
 	j := &judge{runs: make(map[string]int)}
 	j.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		j.mu.Lock()
-		j.runs[r.Header.Get(gateway.AttemptHeader)]++
+		j.runs[r.Header.Get(header.Attempt)]++
 		j.runs[r.Header.Get("Test-Call")]++
 		j.mu.Unlock()
 		if handle != nil {
--- a/internal/request/gateway/http_test.go
+++ b/internal/request/gateway/http_test.go
@@ -19,6 +19,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 func TestHeaders(t *testing.T) {
@@ -40,11 +41,11 @@
 			"Proxy-Authorization", "secret", "X-Forwarded-For", "192.0.2.7", "Via", "1.0 outer")
 		convey.So(err, convey.ShouldBeNil)
 		convey.Convey("The server gets our headers and no forged or hop-by-hop ones", func() {
-			left, err := strconv.Atoi(got.Get(gateway.DeadlineHeader))
+			left, err := strconv.Atoi(got.Get(header.Deadline))
 			convey.So(err, convey.ShouldBeNil)
 			convey.So(left, convey.ShouldBeBetween, 1, 5001)
-			convey.So(got.Get(gateway.AttemptHeader), convey.ShouldStartWith, "gateway-1-")
-			convey.So(got.Get(gateway.OutcomeHeader), convey.ShouldEqual, "")
+			convey.So(got.Get(header.Attempt), convey.ShouldStartWith, "gateway-1-")
+			convey.So(got.Get(header.Outcome), convey.ShouldEqual, "")
 			convey.So(got.Get("X-Private"), convey.ShouldEqual, "")
 			convey.So(got.Get("Proxy-Authorization"), convey.ShouldEqual, "")
 			convey.So(got.Get("Te"), convey.ShouldEqual, "trailers")
@@ -53,8 +54,8 @@
 			convey.So(host, convey.ShouldEqual, strings.TrimPrefix(front.URL, "http://"))
 		})
 		convey.Convey("The caller gets the outcome that we saw", func() {
-			convey.So(resp.Header.Get(gateway.OutcomeHeader), convey.ShouldEqual, "Ran")
-			convey.So(resp.Header.Get(gateway.CodeHeader), convey.ShouldEqual, "")
+			convey.So(resp.Header.Get(header.Outcome), convey.ShouldEqual, "Ran")
+			convey.So(resp.Header.Get(header.Code), convey.ShouldEqual, "")
 			convey.So(resp.Header.Get("Mustardsaddle-Other"), convey.ShouldEqual, "")
 			convey.So(resp.Header.Get("X-Hop"), convey.ShouldEqual, "")
 		})
@@ -107,7 +108,7 @@
 			defer func() { _ = c.Close() }()
 			_, _ = io.WriteString(c, tc.head)
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil || !strings.HasPrefix(resp.Status, tc.status) || resp.Header.Get(gateway.CodeHeader) != tc.code {
+			if err != nil || !strings.HasPrefix(resp.Status, tc.status) || resp.Header.Get(header.Code) != tc.code {
 				t.Errorf("got %v, %v, want status %s and code %q", resp, err, tc.status, tc.code)
 			}
 		})
--- a/internal/request/gateway/match.go
+++ b/internal/request/gateway/match.go
@@ -10,6 +10,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // maxPatience bounds the time that a caller may say it waits.
@@ -68,7 +69,7 @@
 // header comes from gateways alone, and is not believed of callers.
 func (g *Gateway) patience(r *http.Request) (time.Duration, bool) {
 	name := g.cfg.Headers.Deadline
-	if name == "" || name == DeadlineHeader {
+	if name == "" || name == header.Deadline {
 		return 0, false
 	}
 	millis, err := strconv.ParseInt(r.Header.Get(name), 10, 64)
--- a/internal/request/gateway/once_test.go
+++ b/internal/request/gateway/once_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // eager hedges and retries as much as it can.
@@ -46,16 +47,16 @@
 					for _, key := range []string{"", "key-1"} {
 						n++
 						call := fmt.Sprintf("%s-%d", name, n)
-						header := []string{"Test-Call", call}
+						fields := []string{"Test-Call", call}
 						if key != "" {
-							header = append(header, "Idempotency-Key", key)
+							fields = append(fields, "Idempotency-Key", key)
 						}
-						resp, _, _ := do(t, front, method, "/once", body, header...)
+						resp, _, _ := do(t, front, method, "/once", body, fields...)
 						runs := count(call, j)
 						if runs > 1 {
 							t.Errorf("%s with %d bytes, key %q: ran %d times, want at most 1", method, len(body), key, runs)
 						}
-						if resp != nil && resp.Header.Get(gateway.OutcomeHeader) == "NotRun" && runs != 0 {
+						if resp != nil && resp.Header.Get(header.Outcome) == "NotRun" && runs != 0 {
 							t.Errorf("%s with %d bytes, key %q: told NotRun, ran %d times", method, len(body), key, runs)
 						}
 					}
@@ -76,7 +77,7 @@
 			_, _, _ = do(t, front, method, "/safe", body)
 			l.lossy.Store(true)
 			resp, _, err := do(t, front, method, "/safe", body, "Test-Call", "lost", "Idempotency-Key", "key")
-			if err != nil || resp.Header.Get(gateway.OutcomeHeader) != "Unknown" || resp.StatusCode != http.StatusBadGateway {
+			if err != nil || resp.Header.Get(header.Outcome) != "Unknown" || resp.StatusCode != http.StatusBadGateway {
 				t.Errorf("%s with %q: got %v, %v, want 502 and Unknown", method, body, resp, err)
 			}
 			if runs := count("lost", j); runs != 1 {
@@ -123,7 +124,7 @@
 			if err != nil {
 				continue // visibly cut
 			}
-			outcome := resp.Header.Get(gateway.OutcomeHeader)
+			outcome := resp.Header.Get(header.Outcome)
 			if outcome == "NotRun" && runs != 0 || resp.StatusCode == http.StatusOK && (runs == 0 || text != "run") {
 				t.Fatalf("%s: told %s with %q, ran %d times", method, outcome, text, runs)
 			}
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -8,6 +8,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // copyBufferBytes is the size of the buffers that bodies pass through. An answer
@@ -46,7 +47,7 @@
 		c.cut(a, n, err)
 	}
 	for name, values := range a.resp.Trailer {
-		if !hopByHop(name) {
+		if !header.HopByHop(name) {
 			h[http.TrailerPrefix+name] = values
 		}
 	}
@@ -68,13 +69,13 @@
 
 // relayHeader copies the answer's header.
 func (c *call) relayHeader(h http.Header, a *attempt) {
-	copyEndToEnd(h, a.resp.Header)
+	header.CopyEndToEnd(h, a.resp.Header)
 	own := [...]string{mustardsaddle.Ran.String(), a.id}
-	h[OutcomeHeader], h[AttemptHeader] = own[:1:1], own[1:]
+	h[header.Outcome], h[header.Attempt] = own[:1:1], own[1:]
 	if c.g.stopping.Load() {
 		h["Connection"] = []string{"close"}
 	}
-	if names := trailerNames(a.resp.Trailer); len(names) > 0 {
+	if names := header.TrailerNames(a.resp.Trailer); len(names) > 0 {
 		list := make([]string, 0, len(names))
 		for name := range names {
 			list = append(list, name)
--- a/internal/request/gateway/server.go
+++ b/internal/request/gateway/server.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 )
 
 // Defaults of a ServerConfig.
@@ -35,7 +37,7 @@
 func NewServer(cfg ServerConfig) *http.Server {
 	setDefault(&cfg.HeaderBytes, defaultHeaderBytes)
 	setDefault(&cfg.HeaderTimeout, defaultHeaderTimeout)
-	idle := newIdleConns(cfg.Handler.idleLimit)
+	idle := connection.NewIdle(cfg.Handler.idleLimit)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -43,10 +45,18 @@
 		Handler:           cfg.Handler,
 		MaxHeaderBytes:    cfg.HeaderBytes,
 		ReadHeaderTimeout: cfg.HeaderTimeout,
-		IdleTimeout:       maxCallerIdle + 2*idleMargin,
-		ConnState:         idle.changed,
+		IdleTimeout:       connection.MaxIdle,
+		ConnState:         idle.Changed,
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ErrorLog:          log.New(cfg.Logger, "", 0),
 	}
 }
+
+// idleLimit returns how long a caller's connection is kept without a request.
+func (g *Gateway) idleLimit() time.Duration {
+	if table := g.rules.Load(); table != nil && table.Idle() > 0 {
+		return min(table.Idle(), connection.MaxLimit)
+	}
+	return defaultCallerIdle
+}
--- a/internal/request/gateway/whole_test.go
+++ b/internal/request/gateway/whole_test.go
@@ -18,6 +18,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // TestEachCallerGetsItsOwnAnswer runs callers with distinct bodies of distinct
@@ -80,7 +81,7 @@
 					break
 				}
 				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nMustardsaddle-Attempt: %s\r\nContent-Length: 6\r\n\r\nsecret", last)
-				last = r.Header.Get(gateway.AttemptHeader)
+				last = r.Header.Get(header.Attempt)
 			}
 			_ = c.Close()
 		}
--- a/internal/request/gateway/header.go
+++ b/internal/request/header/header.go
@@ -1,4 +1,12 @@
-package gateway
+// Package header says which header fields pass a gateway, and which it sets.
+//
+// # Usage
+//
+//	out := header.Forward(r, header.Gateway{Name: "gateway-1"})
+//	out.Set(header.Attempt, id)
+//	...
+//	header.CopyEndToEnd(w.Header(), resp.Header)
+package header
 
 import (
 	"net"
@@ -10,20 +18,20 @@
 // Headers of the load balancer's own. Those that a caller or a server sends are
 // removed, so that nobody can forge an outcome.
 const (
-	// OutcomeHeader tells the caller what is known about execution.
-	OutcomeHeader = "Mustardsaddle-Outcome"
-	// CodeHeader tells the caller the number of the result code.
-	CodeHeader = "Mustardsaddle-Code"
-	// AttemptHeader tells the server the attempt's id. A server may echo it.
-	AttemptHeader = "Mustardsaddle-Attempt"
-	// DeadlineHeader tells the server how many milliseconds the caller waits.
-	DeadlineHeader = "Mustardsaddle-Deadline"
+	// Outcome tells the caller what is known about execution.
+	Outcome = "Mustardsaddle-Outcome"
+	// Code tells the caller the number of the result code.
+	Code = "Mustardsaddle-Code"
+	// Attempt tells the server the attempt's id. A server may echo it.
+	Attempt = "Mustardsaddle-Attempt"
+	// Deadline tells the server how many milliseconds the caller waits.
+	Deadline = "Mustardsaddle-Deadline"
 	// ownPrefix begins the name of each of these.
 	ownPrefix = "Mustardsaddle-"
 )
 
-// hopByHop reports whether a header belongs to one connection only.
-func hopByHop(name string) bool {
+// HopByHop reports whether a header belongs to one connection only.
+func HopByHop(name string) bool {
 	switch name {
 	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Http2-Settings":
@@ -33,12 +41,12 @@
 	}
 }
 
-// copyEndToEnd adds to dst the headers of src that are not of one connection, nor
+// CopyEndToEnd adds to dst the headers of src that are not of one connection, nor
 // named by Connection, nor our own. The value slices are shared.
-func copyEndToEnd(dst, src http.Header) {
+func CopyEndToEnd(dst, src http.Header) {
 	listed := src["Connection"]
 	for name, values := range src {
-		if hopByHop(name) || (listed != nil && listsToken(listed, name)) {
+		if HopByHop(name) || (listed != nil && listsToken(listed, name)) {
 			continue
 		}
 		dst[name] = values
@@ -57,9 +65,9 @@
 	return false
 }
 
-// outgoing is the header of the request to a server. Its own fields share one
+// Outgoing is the header of the request to a server. Its own fields share one
 // array of values.
-type outgoing struct {
+type Outgoing struct {
 	http.Header
 	values []string
 }
@@ -67,35 +75,41 @@
 // ownFields is how many fields a request gains on its way.
 const ownFields = 8
 
-// set replaces a field by one value.
-func (o *outgoing) set(name, value string) {
+// Set replaces a field by one value.
+func (o *Outgoing) Set(name, value string) {
 	n := len(o.values)
 	o.values = append(o.values, value)
 	o.Header[name] = o.values[n : n+1 : n+1]
 }
 
 // add appends one element to a field that is a list.
-func (o *outgoing) add(name, value string) {
+func (o *Outgoing) add(name, value string) {
 	if known := o.Header[name]; len(known) > 0 {
 		value = strings.Join(known, ", ") + ", " + value
 	}
-	o.set(name, value)
+	o.Set(name, value)
 }
 
 // setMissing sets a field that the caller did not send.
-func (o *outgoing) setMissing(name, value string) {
+func (o *Outgoing) setMissing(name, value string) {
 	if o.Header[name] == nil {
-		o.set(name, value)
+		o.Set(name, value)
 	}
 }
 
-// forwardHeader returns the header of the request to a server, without the
-// attempt's own fields.
-func (g *Gateway) forwardHeader(r *http.Request) outgoing {
-	o := outgoing{Header: make(http.Header, len(r.Header)+ownFields), values: make([]string, 0, ownFields)}
-	copyEndToEnd(o.Header, r.Header)
+// Gateway names the gateway that forwards a request.
+type Gateway struct {
+	// Name is its name in Via.
+	Name string
+}
+
+// Forward returns the header of the request to a server, without the attempt's own
+// fields.
+func Forward(r *http.Request, g Gateway) Outgoing {
+	o := Outgoing{Header: make(http.Header, len(r.Header)+ownFields), values: make([]string, 0, ownFields)}
+	CopyEndToEnd(o.Header, r.Header)
 	if listsToken(r.Header["Te"], "trailers") {
-		o.set("Te", "trailers")
+		o.Set("Te", "trailers")
 	}
 	if _, ok := o.Header["User-Agent"]; !ok {
 		o.Header["User-Agent"] = nil // keeps net/http from adding its own
@@ -105,22 +119,26 @@
 	}
 	o.setMissing("X-Forwarded-Host", r.Host)
 	o.setMissing("X-Forwarded-Proto", "http")
-	via := g.via
+	o.add("Via", via(r, g.Name))
+	return o
+}
+
+// via returns the element of Via for a request that came to the named gateway.
+func via(r *http.Request, name string) string {
 	if r.ProtoMajor > 1 {
-		via = "2.0 " + g.cfg.Name
+		return "2.0 " + name
 	}
-	o.add("Via", via)
-	return o
+	return "1.1 " + name
 }
 
-// trailerNames returns the declared trailers that may pass, without values.
-func trailerNames(declared http.Header) http.Header {
+// TrailerNames returns the declared trailers that may pass, without values.
+func TrailerNames(declared http.Header) http.Header {
 	if len(declared) == 0 {
 		return nil
 	}
 	names := make(http.Header, len(declared))
 	for name := range declared {
-		if !hopByHop(name) && name != "Content-Length" {
+		if !HopByHop(name) && name != "Content-Length" {
 			names[name] = nil
 		}
 	}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -21,11 +21,10 @@
 	"github.com/gorilla/mux"
 
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 const (
-	// AttemptHeader carries the attempt's id; the server echoes it.
-	AttemptHeader = "Mustardsaddle-Attempt"
 	// NotRunHeader declares that the server did not run the request.
 	NotRunHeader = "Endpoint-Not-Run"
 )
@@ -200,9 +199,9 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	id := r.Header.Get(AttemptHeader)
+	id := r.Header.Get(header.Attempt)
 	fail := s.run(id)
-	w.Header().Set(AttemptHeader, id)
+	w.Header().Set(header.Attempt, id)
 	w.Header().Set("Endpoint-Server", s.cfg.Name)
 	if fail {
 		s.report(w.Header())
