--- a/internal/choice/bench/bench.go
+++ b/internal/choice/bench/bench.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/share"
 )
 
 const (
@@ -153,8 +154,8 @@
 // rebuild takes the roster and the fleet into the state, and keeps the state of
 // servers that stay.
 func (b *Bench) rebuild(now time.Time) {
-	known := subset(b.all, b.gateways, b.self, b.cfg.Subset)
-	owned := assign(staying(known), b.gateways, b.self)
+	known := share.Subset(b.all, b.gateways, b.self, b.cfg.Subset)
+	owned := share.Slots(staying(known), b.gateways, b.self)
 	byName := make(map[string]*server, len(known))
 	for name, s := range b.byName {
 		if s.inFlight > 0 {
--- a/internal/choice/bench/assign.go
+++ b/internal/choice/share/share.go
@@ -1,4 +1,12 @@
-package bench
+// Package share divides the endpoint servers of a service among the live gateways,
+// by rendezvous hashing: gateways that know the same servers and gateways come to
+// the same division without a message.
+//
+// # Usage
+//
+//	known := share.Subset(servers, gateways, "gateway-1", 64)
+//	owned := share.Slots(known, gateways, "gateway-1")
+package share
 
 import (
 	"github.com/cespare/xxhash/v2"
@@ -25,13 +33,13 @@
 	return out
 }
 
-// assign divides the slots of the servers among the gateways by rendezvous
+// Slots divides the slots of the servers among the gateways by rendezvous
 // hashing with a bound: each slot goes to the gateway with the highest score
 // that has not got its share yet, with those of the server's own zone first. It
 // returns the number of slots of each server that fall to the gateway self.
 // Servers and gateways are ordered by name, so that all gateways come to the
 // same, disjoint division.
-func assign(servers []mustardsaddle.Server, gateways []mustardsaddle.VM, self string) map[string]int {
+func Slots(servers []mustardsaddle.Server, gateways []mustardsaddle.VM, self string) map[string]int {
 	owned := make(map[string]int)
 	if len(gateways) == 0 {
 		return owned
@@ -75,10 +83,10 @@
 	return best
 }
 
-// subset returns the servers that the gateway self has to know, about limit of
+// Subset returns the servers that the gateway self has to know, about limit of
 // them. Each server is known by an equal number of gateways, those with the
 // highest scores, so that none is left out.
-func subset(servers []mustardsaddle.Server, gateways []mustardsaddle.VM, self string, limit int) []mustardsaddle.Server {
+func Subset(servers []mustardsaddle.Server, gateways []mustardsaddle.VM, self string, limit int) []mustardsaddle.Server {
 	if limit <= 0 || len(servers) <= limit || len(gateways) <= 1 {
 		return servers
 	}
--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -46,6 +46,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/share"
 )
 
 const (
@@ -58,6 +59,9 @@
 	// defaultSlowRatio is the multiple of the usual slowness above which a server is
 	// slow.
 	defaultSlowRatio = 2.0
+	// defaultSubset is about how many servers a gateway knows: enough that a few of
+	// them are idle at any load, few enough that connections to them stay in use.
+	defaultSubset = 64
 	// questionTimeout is the time after which a question without an answer is
 	// given up.
 	questionTimeout = 200 * time.Millisecond
@@ -98,12 +102,19 @@
 	// SlowRatio is the multiple of the usual slowness above which the last slot of a
 	// server stays free; below 0 all slots are used.
 	SlowRatio float64
+	// Subset is about how many servers a gateway knows of a larger service.
+	Subset int
 }
 
 // Survey is the state of one service's servers as this gateway sees them.
 type Survey struct {
-	cfg     Config
-	servers []*server
+	cfg Config
+	// all are the servers of the service, of which servers are those this gateway
+	// knows, ordered by name.
+	all      []mustardsaddle.Server
+	gateways []mustardsaddle.VM
+	self     string
+	servers  []*server
 	byName  map[string]*server
 	// reporting is true once any server of the service has reported its load.
 	reporting bool
@@ -113,13 +124,17 @@
 	verdicts []mustardsaddle.Verdict
 }
 
-var _ mustardsaddle.Surveyor = (*Survey)(nil)
+var (
+	_ mustardsaddle.Surveyor    = (*Survey)(nil)
+	_ mustardsaddle.FleetSetter = (*Survey)(nil)
+)
 
 // New returns a Survey without servers.
 func New(cfg Config) *Survey {
 	cfg.Fresh = cmp.Or(cfg.Fresh, defaultFresh)
 	cfg.Current = cmp.Or(cfg.Current, defaultCurrent)
 	cfg.MaxOut = cmp.Or(cfg.MaxOut, defaultMaxOut)
+	cfg.Subset = cmp.Or(cfg.Subset, defaultSubset)
 	cfg.SlowRatio = cmp.Or(cfg.SlowRatio, defaultSlowRatio)
 	if cfg.SlowRatio < 0 {
 		cfg.SlowRatio = math.Inf(1)
@@ -127,12 +142,28 @@
 	return &Survey{cfg: cfg, byName: make(map[string]*server), usual: usualSlowness}
 }
 
-// SetServers replaces the set of known servers. A server with another start or
-// address is another server, of which nothing is known.
+// SetServers replaces the set of servers.
 func (v *Survey) SetServers(_ time.Time, servers []mustardsaddle.Server) {
-	byName := make(map[string]*server, len(servers))
+	v.all = slices.Clone(servers)
+	slices.SortFunc(v.all, func(a, b mustardsaddle.Server) int { return strings.Compare(a.Name, b.Name) })
+	v.rebuild()
+}
+
+// SetFleet tells which gateways share the servers.
+func (v *Survey) SetFleet(_ time.Time, self string, gateways []mustardsaddle.VM) {
+	v.self, v.gateways = self, slices.Clone(gateways)
+	slices.SortFunc(v.gateways, func(a, b mustardsaddle.VM) int { return strings.Compare(a.Name, b.Name) })
+	v.rebuild()
+}
+
+// rebuild takes the servers that this gateway knows. What is known of those that
+// stay is kept; a server with another start or address is another server, of which
+// nothing is known.
+func (v *Survey) rebuild() {
+	mine := share.Subset(v.all, v.gateways, v.self, v.cfg.Subset)
+	byName := make(map[string]*server, len(mine))
 	v.servers = v.servers[:0]
-	for _, known := range servers {
+	for _, known := range mine {
 		s := v.byName[known.Name]
 		if s == nil || s.Incarnation != known.Incarnation || s.Address != known.Address {
 			s = &server{}
@@ -142,7 +173,6 @@
 		v.servers = append(v.servers, s)
 	}
 	v.byName = byName
-	slices.SortFunc(v.servers, func(a, b *server) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // Ask returns up to n servers to ask: those with the best score as last known, and
--- a/internal/choice/survey/survey_test.go
+++ b/internal/choice/survey/survey_test.go
@@ -178,6 +178,32 @@
 	})
 }
 
+func TestKnowsAPartOfALargeService(t *testing.T) {
+	convey.Convey("Given 256 servers and 16 gateways, each of which knows about 64", t, func() {
+		fleet := make([]mustardsaddle.VM, 16)
+		for i := range fleet {
+			fleet[i].Name = fmt.Sprintf("gateway-%02d", i)
+		}
+		v := newSurvey(256)
+		v.SetFleet(start, "gateway-03", fleet)
+		known := v.Ask(start, newRand(), near, 256)
+		convey.Convey("It asks those only", func() {
+			convey.So(len(known), convey.ShouldBeBetween, 32, 128)
+		})
+		convey.Convey("What it knows of them stays when another gateway leaves", func() {
+			v.Observe(start, known[0].Name, report(start, 0, 1))
+			v.SetFleet(start, "gateway-03", fleet[1:])
+			choice, ok := v.Choose(start, newRand(), near)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(choice.Server.Name, convey.ShouldEqual, known[0].Name)
+		})
+		convey.Convey("Alone it knows all", func() {
+			v.SetFleet(start, "gateway-03", fleet[3:4])
+			convey.So(v.Ask(start, newRand(), near, 256), convey.ShouldHaveLength, 256-len(known))
+		})
+	})
+}
+
 func TestOwnAttemptsCount(t *testing.T) {
 	convey.Convey("Given one idle server", t, func() {
 		v, rng := newSurvey(1), newRand()
