--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -61,7 +61,7 @@
 	defaultSlowRatio = 2.0
 	// defaultSubset is about how many servers a gateway knows: enough that a few of
 	// them are idle at any load, few enough that connections to them stay in use.
-	defaultSubset = 64
+	defaultSubset = 32
 	// questionTimeout is the time after which a question without an answer is
 	// given up.
 	questionTimeout = 200 * time.Millisecond
@@ -115,7 +115,7 @@
 	gateways []mustardsaddle.VM
 	self     string
 	servers  []*server
-	byName  map[string]*server
+	byName   map[string]*server
 	// reporting is true once any server of the service has reported its load.
 	reporting bool
 	// usual is the median slowness of the servers' reports.
