Call the addresses of gateways that have left, for what starts there next

They cannot read who else there is, and their peers drop the link when a gateway stops, so that nobody calls the process that starts at the same address next. Ruled out: slow links (up within 30 ms elsewhere), the age rule, the settings.

Change: each gateway that has left is called by two live ones, chosen by rendezvous, as long as the roster keeps it (TestReturningVMsAreCalled). Only with a directory: elsewhere the settings name seeds.

--- a/internal/control/roster/neighbor.go
+++ b/internal/control/roster/neighbor.go
@@ -22,6 +22,9 @@
 
 const defaultAcross = 2
 
+// returnCallers is how many gateways call the address of a VM that has left.
+const returnCallers = 2
+
 // Rank returns the place of self among the live VMs in the rendezvous order of
 // key, from 0. Every gateway that knows the same VMs computes the same order, so
 // that duties are shared without talking: rank 0 tries first. A self that is not
@@ -133,6 +136,20 @@
 	return sorted(found)
 }
 
+// Returning returns the VMs, of Roster.Peers, that have left and whose address self
+// goes on calling for the others. A gateway that starts there next may reach neither
+// the platform nor, not knowing any, its peers. Each such VM is called by
+// returnCallers live ones.
+func Returning(vms []mustardsaddle.VM, self string) []mustardsaddle.VM {
+	var calls []mustardsaddle.VM
+	for _, vm := range vms {
+		if vm.Leaving && vm.Name != self && Rank(vms, self, "Returning/"+vm.Name) < returnCallers {
+			calls = append(calls, vm)
+		}
+	}
+	return calls
+}
+
 // order returns the VMs in the rendezvous order of a key.
 func order(vms []mustardsaddle.VM, key string) []mustardsaddle.VM {
 	weights := make(map[string]uint64, len(vms))
--- a/internal/control/roster/neighbor_test.go
+++ b/internal/control/roster/neighbor_test.go
@@ -217,3 +217,34 @@
 		})
 	})
 }
+
+func TestReturningVMsAreCalled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var vms []mustardsaddle.VM
+		live := 0
+		for i := range rapid.IntRange(1, 20).Draw(t, "VMs") {
+			vm := mustardsaddle.VM{Name: fmt.Sprintf("gateway-%02d", i), Leaving: rapid.Bool().Draw(t, "Leaving")}
+			if !vm.Leaving {
+				live++
+			}
+			vms = append(vms, vm)
+		}
+		callers := make(map[string]int)
+		for _, self := range vms {
+			for _, vm := range roster.Returning(vms, self.Name) {
+				if self.Leaving && live >= 2 {
+					t.Fatalf("%s has left and calls %s", self.Name, vm.Name)
+				}
+				callers[vm.Name]++
+			}
+		}
+		for _, vm := range vms {
+			if !vm.Leaving && callers[vm.Name] > 0 {
+				t.Fatalf("%s is live and called %d times", vm.Name, callers[vm.Name])
+			}
+			if vm.Leaving && live >= 2 && callers[vm.Name] != 2 {
+				t.Fatalf("%s is called by %d of %d live gateways, want 2", vm.Name, callers[vm.Name], live)
+			}
+		}
+	})
+}
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -266,10 +266,14 @@
 }
 
 // neighbors returns the VMs to which links are kept: those that the roster gives,
-// or the addresses of the settings while it knows no other gateway.
+// or the addresses of the settings while it knows no other gateway. With a directory
+// there are no such addresses, and gateways that return are called by others.
 func (in *instance) neighbors(r roster.Roster) []mustardsaddle.VM {
 	peers := in.cfg.Settings.Peers
 	vms := roster.Neighbors(r.Peers(), in.self.Name, roster.NeighborConfig{Across: peers.Across})
+	if in.catalog != nil {
+		vms = append(vms, roster.Returning(r.Peers(), in.self.Name)...)
+	}
 	if len(vms) > 0 {
 		return vms
 	}
