--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -8,10 +8,12 @@
 // next calls for as long as it is fresh; this gateway's own attempts are counted
 // into it meanwhile.
 //
-// A server has room while a slot is free; in a server that is slow among its peers the
-// last slot stays free, since work there would outlast what callers wait for. So no attempt waits in a
-// server: calls that find no room wait in the gateway, where their order can still
-// change and a refusal comes early.
+// A server has room while a slot is free; in a server that is slow among its peers
+// the last slot stays free, since work there would outlast what callers wait for. So
+// no attempt waits in a server: calls that find no room wait in the gateway, where
+// their order can still change and a refusal comes early.
+//
+// A service with many servers is divided: a gateway knows and asks a part of them.
 //
 // A server is passed over while it leaves, while it has no room, or while it is out:
 // failures in a row take it out for a time that doubles, and answers to
@@ -28,6 +30,7 @@
 //
 //	s := survey.New(survey.Config{})
 //	s.SetServers(now, servers)
+//	s.SetFleet(now, "gateway-1", gateways)
 //	for _, server := range s.Ask(now, rng, need, 8) {
 //		... // ask, then s.Asked(now, server.Name, reply) and s.Observe(now, server.Name, report)
 //	}
