Keep one copy of what stood twice, and take work out of the request path

Found by reading the whole change once more; no behaviour changes.

- The split of headers from the gateway had made each attempt join "1.1 " and the gateway's name anew, and needed a struct of one field for it. header.Gateway now holds both elements of Via and forwards by itself.
- The model of the served systems had copies of the gateway's patience for answers, poll interval, part of the target and share of the questions.
They stand once, in survey and slot, and both use them.
- The check of an echoed request id read the header in a second way.
- The model's weights were a type and a global for four constants, its order of windows a switch in place of cmp.Compare; plots went through a registry of formats for the only one.
- Test programs were started by two copies of one function, patterns and policies found by two.

Looked at and left: status checks of the two dialects of the store (their rules differ), the With methods of Settings, lists of settings, and the limiter of questions beside that of the measuring budget, which treats a rate of 0 otherwise.

--- a/cmd/mustardsaddle/harness_test.go
+++ b/cmd/mustardsaddle/harness_test.go
@@ -87,20 +87,32 @@
 
 // start runs a program, which is killed when the test ends.
 func start(t testing.TB, name string, args ...string) *process {
+	p := newProcess(t, name, args...)
+	p.cmd.Stdout = p
+	p.launch()
+	return p
+}
+
+// newProcess returns a program that is not running yet, whose messages it keeps.
+func newProcess(t testing.TB, name string, args ...string) *process {
 	p := &process{t: t, cmd: exec.Command(filepath.Join(binaries, name), args...), ended: make(chan struct{})}
-	p.cmd.Stdout, p.cmd.Stderr = p, p
+	p.cmd.Stderr = p
+	return p
+}
+
+// launch runs the program, which is killed when the test ends.
+func (p *process) launch() {
 	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
 	go func() {
 		p.err = p.cmd.Wait()
 		close(p.ended)
 	}()
-	t.Cleanup(func() {
+	p.t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		<-p.ended
 	})
-	return p
 }
 
 func (p *process) signal(s syscall.Signal) {
--- a/cmd/mustardsaddle/log_test.go
+++ b/cmd/mustardsaddle/log_test.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"io"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -20,20 +18,10 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { _ = r.Close() })
-	p := &process{t: s.t, cmd: exec.Command(filepath.Join(binaries, "mustardsaddle"), "serve", "--settings", g.settings), ended: make(chan struct{})}
-	p.cmd.Stdout, p.cmd.Stderr = w, p
-	if err := p.cmd.Start(); err != nil {
-		s.t.Fatal(err)
-	}
+	p := newProcess(s.t, "mustardsaddle", "serve", "--settings", g.settings)
+	p.cmd.Stdout = w
+	p.launch()
 	_ = w.Close()
-	go func() {
-		p.err = p.cmd.Wait()
-		close(p.ended)
-	}()
-	s.t.Cleanup(func() {
-		_ = p.cmd.Process.Kill()
-		<-p.ended
-	})
 	g.process = p
 	return r
 }
--- a/internal/choice/survey/questions.go
+++ b/internal/choice/survey/questions.go
@@ -6,7 +6,13 @@
 	"golang.org/x/time/rate"
 )
 
+// AnswerPatience is how long a call waits for the answers of the servers that were
+// asked for their load.
+const AnswerPatience = 15 * time.Millisecond
+
 const (
+	// questionShare is the part of the questions that running gateways plan to ask.
+	questionShare = 0.85
 	// questionBurst is the time for which unspent questions are kept.
 	questionBurst = 2 * time.Second
 	// questionCalls is how many calls the unspent questions are to last for.
@@ -29,6 +35,12 @@
 	return &Questions{limiter: rate.NewLimiter(0, 0), most: most}
 }
 
+// Rate returns one gateway's part, in questions a second, of what each server may get
+// from all gateways together.
+func Rate(perServer float64, servers, gateways int) float64 {
+	return questionShare * perServer * float64(servers) / float64(gateways)
+}
+
 // SetRate changes the rate of questions, in questions a second.
 func (q *Questions) SetRate(now time.Time, perSecond float64) {
 	q.limiter.SetLimitAt(now, rate.Limit(perSecond))
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -143,20 +143,11 @@
 // Run follows the directory until the context ends, then closes done.
 func (c *Catalog) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	ended := make(chan struct{})
 	parts := []func(context.Context){c.expire}
 	for _, which := range followed {
 		parts = append(parts, func(ctx context.Context) { c.follow(ctx, which) })
 	}
-	for _, part := range parts {
-		go func() {
-			part(ctx)
-			ended <- struct{}{}
-		}()
-	}
-	for range parts {
-		<-ended
-	}
+	store.RunAll(ctx, parts...)
 }
 
 // Snapshot returns the text and the generation of the rules in force, 0 before
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -158,17 +158,7 @@
 // Run follows the store until the context ends, then closes done.
 func (g *Registry) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	ended := make(chan struct{})
-	parts := []func(context.Context){g.watch, g.report, g.follow}
-	for _, part := range parts {
-		go func() {
-			part(ctx)
-			ended <- struct{}{}
-		}()
-	}
-	for range parts {
-		<-ended
-	}
+	store.RunAll(ctx, g.watch, g.report, g.follow)
 }
 
 // Generation returns the generation in force, 0 before there is one.
--- a/internal/control/store/breaker.go
+++ b/internal/control/store/breaker.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -40,18 +39,6 @@
 	return full/2 + time.Duration(rng.Int64N(int64(full/2)+1))
 }
 
-// Sleep waits, and returns false when the context has ended.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Breaker is a circuit breaker: a state machine that decides whether a call may
 // go out. A Breaker is not safe for concurrent use.
 type Breaker struct {
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -98,7 +98,7 @@
 	out.Host = c.r.Host
 	out.RequestURI = ""
 	out.Close = false
-	fields := header.Forward(c.r, header.Gateway{Name: c.g.cfg.Name})
+	fields := c.g.header.Forward(c.r)
 	fields.Set(header.Attempt, a.id)
 	names := c.g.cfg.Headers
 	if !c.body.streamed() && names.Deadline != "" {
@@ -174,11 +174,8 @@
 	if echoed := h.Get(header.Attempt); echoed != "" && echoed != a.id {
 		return false
 	}
-	if names.RequestID != "" {
-		asked, echoed := a.c.r.Header.Get(names.RequestID), h.Get(names.RequestID)
-		if echoed != "" && echoed != asked {
-			return false
-		}
+	if echoed := h.Get(names.RequestID); echoed != "" && echoed != a.c.g.requestID(a.c.r) {
+		return false
 	}
 	success := a.resp.StatusCode >= http.StatusOK && a.resp.StatusCode < http.StatusMultipleChoices
 	return !success || names.Signature == "" || h.Get(names.Signature) != ""
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -66,7 +66,7 @@
 	t := slot.Ticket{ID: id, Deadline: c.deadline, Priority: c.m.rule.Priority}
 	if target := c.m.rule.Target; target > 0 {
 		t.Target = c.start.Add(target)
-		t.Patience = target / patienceShare
+		t.Patience = target / slot.PatienceShare
 	}
 	return t
 }
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -193,6 +193,7 @@
 	fresh    *http.Transport
 	asking   *http.Transport
 	prefix   string
+	header   header.Gateway
 	attempts atomic.Uint64
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -220,6 +221,7 @@
 		fresh:  newTransport(cfg, false),
 		asking: newAskingTransport(cfg),
 		prefix: cfg.Name + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
+		header: header.NewGateway(cfg.Name),
 		lanes:  make(map[string]*lane),
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 4)),
 	}
--- a/internal/request/gateway/lane.go
+++ b/internal/request/gateway/lane.go
@@ -20,12 +20,6 @@
 const (
 	// extraBurst is the number of retries, and of hedges, that can be saved up.
 	extraBurst = 10
-	// pollInterval is how often the first waiting call asks again, since a
-	// chooser may admit a server by the passing of time alone.
-	pollInterval = 20 * time.Millisecond
-	// patienceShare is the part of the target, as one part in this many, for which a
-	// call waits for a server.
-	patienceShare = 8
 	// answerGain is the weight of one answer in the mean of their sizes.
 	answerGain = 0.05
 	// slackShare is the part of the retry slack that running gateways plan to use.
@@ -176,7 +170,7 @@
 // wait returns when a server is given to the waiting call, or when its useful time
 // is over or its caller has gone.
 func (l *lane) wait(ctx context.Context, since time.Time, id uint64, until time.Time, given chan mustardsaddle.Choice) (placement, *refusal) {
-	poll := time.NewTicker(pollInterval)
+	poll := time.NewTicker(slot.PollInterval)
 	defer poll.Stop()
 	over := time.NewTimer(time.Until(until))
 	defer over.Stop()
--- a/internal/request/gateway/question.go
+++ b/internal/request/gateway/question.go
@@ -8,16 +8,12 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
 )
 
 const (
-	// patienceForAnswers is how long a call waits for the answers of the servers
-	// that were asked for their load.
-	patienceForAnswers = 15 * time.Millisecond
 	// questionTimeout bounds one question; its connection is closed then.
 	questionTimeout = 150 * time.Millisecond
-	// questionShare is the part of the questions that running gateways plan to ask.
-	questionShare = 0.85
 	// idleQuestions is how many unused connections for questions are kept to a
 	// server.
 	idleQuestions = 1
@@ -35,7 +31,7 @@
 // service may get. The caller holds mu.
 func (l *lane) setQuestions(now time.Time) {
 	gateways := cmp.Or(l.g.gateways.Load(), assumedGateways)
-	l.questions.SetRate(now, questionShare*l.g.cfg.ServerPerSecond*float64(l.usable)/float64(gateways))
+	l.questions.SetRate(now, survey.Rate(l.g.cfg.ServerPerSecond, l.usable, int(gateways)))
 }
 
 // ask lets the chooser ask a few servers for their load, and waits for the answers
@@ -79,7 +75,7 @@
 			answered <- struct{}{}
 		}()
 	}
-	patience := time.NewTimer(patienceForAnswers)
+	patience := time.NewTimer(survey.AnswerPatience)
 	defer patience.Stop()
 	for range servers {
 		select {
--- a/internal/request/header/header.go
+++ b/internal/request/header/header.go
@@ -2,7 +2,8 @@
 //
 // # Usage
 //
-//	out := header.Forward(r, header.Gateway{Name: "gateway-1"})
+//	g := header.NewGateway("gateway-1")
+//	out := g.Forward(r)
 //	out.Set(header.Attempt, id)
 //	...
 //	header.CopyEndToEnd(w.Header(), resp.Header)
@@ -97,15 +98,20 @@
 	}
 }
 
-// Gateway names the gateway that forwards a request.
+// Gateway forwards the headers of requests under its name.
 type Gateway struct {
-	// Name is its name in Via.
-	Name string
+	// via1 and via2 are its elements of Via for callers of HTTP/1 and HTTP/2.
+	via1, via2 string
+}
+
+// NewGateway returns the gateway of a name.
+func NewGateway(name string) Gateway {
+	return Gateway{via1: "1.1 " + name, via2: "2.0 " + name}
 }
 
 // Forward returns the header of the request to a server, without the attempt's own
 // fields.
-func Forward(r *http.Request, g Gateway) Outgoing {
+func (g Gateway) Forward(r *http.Request) Outgoing {
 	o := Outgoing{Header: make(http.Header, len(r.Header)+ownFields), values: make([]string, 0, ownFields)}
 	CopyEndToEnd(o.Header, r.Header)
 	if listsToken(r.Header["Te"], "trailers") {
@@ -119,16 +125,12 @@
 	}
 	o.setMissing("X-Forwarded-Host", r.Host)
 	o.setMissing("X-Forwarded-Proto", "http")
-	o.add("Via", via(r, g.Name))
-	return o
-}
-
-// via returns the element of Via for a request that came to the named gateway.
-func via(r *http.Request, name string) string {
+	via := g.via1
 	if r.ProtoMajor > 1 {
-		return "2.0 " + name
+		via = g.via2
 	}
-	return "1.1 " + name
+	o.add("Via", via)
+	return o
 }
 
 // TrailerNames returns the declared trailers that may pass, without values.
--- a/internal/request/header/header_test.go
+++ b/internal/request/header/header_test.go
@@ -20,7 +20,7 @@
 		} {
 			r.Header.Set(name, value)
 		}
-		out := header.Forward(r, header.Gateway{Name: "gateway-1"})
+		out := header.NewGateway("gateway-1").Forward(r)
 		out.Set(header.Attempt, "gateway-1-a-1")
 		convey.Convey("What belongs to the connection or is forged stays behind", func() {
 			for _, name := range []string{"Connection", "X-Hop", "Keep-Alive", header.Outcome} {
--- a/internal/request/slot/slot.go
+++ b/internal/request/slot/slot.go
@@ -24,6 +24,15 @@
 	"time"
 )
 
+const (
+	// PollInterval is how often the first waiting call asks again, since a chooser
+	// may admit a server by the passing of time alone.
+	PollInterval = 20 * time.Millisecond
+	// PatienceShare is the part of its target, as one part in this many, for which a
+	// call waits for a server.
+	PatienceShare = 8
+)
+
 const (
 	// defaultMinRetryAfter is the shortest wait that a refused caller is told.
 	defaultMinRetryAfter = time.Second
--- a/internal/standin/experiment/report.go
+++ b/internal/standin/experiment/report.go
@@ -11,6 +11,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
@@ -60,11 +61,9 @@
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return code.Wrapf(code.Internal, err, "plot pattern %q", pattern)
 	}
-	canvas, err := p.WriterTo(plotWidth, plotHeight, "svg")
-	if err != nil {
-		return code.Wrapf(code.Internal, err, "plot pattern %q", pattern)
-	}
-	_, err = canvas.WriteTo(w)
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	_, err := canvas.WriteTo(w)
 	return err
 }
 
@@ -77,5 +76,3 @@
 	}
 	return xys
 }
-
-var _ vg.Canvas = (*vgsvg.Canvas)(nil) // registers the format
--- a/internal/standin/model/gateway.go
+++ b/internal/standin/model/gateway.go
@@ -12,13 +12,6 @@
 )
 
 const (
-	// answerPatience is how long a call waits for the answers of servers that were
-	// asked for their load.
-	answerPatience = 15 * time.Millisecond
-	// pollInterval is how often the first waiting call asks again.
-	pollInterval = 20 * time.Millisecond
-	// questionShare is the part of the questions that gateways plan to ask.
-	questionShare = 0.85
 	// minRetryAfter is the shortest time after which a refused caller comes back.
 	minRetryAfter = 50 * time.Millisecond
 	// maxWaiting bounds the calls that wait in a gateway.
@@ -54,7 +47,6 @@
 
 func newGateway(w *world, vm mustardsaddle.VM, fleet []mustardsaddle.VM, servers []mustardsaddle.Server, seed uint64) *gateway {
 	n := float64(len(fleet))
-	perSecond := questionShare * w.cfg.Pattern.QuestionsPerServer * float64(len(servers)) / n
 	g := &gateway{
 		w: w, zone: vm.Zone, rng: rand.New(rand.NewPCG(w.cfg.Seed, 1000+seed)),
 		chooser:   w.cfg.Policy.New(),
@@ -66,7 +58,7 @@
 			Bounds: booking.Bounds{Share: retryShare, Slack: retrySlack / n},
 		},
 	}
-	g.questions.SetRate(start, perSecond)
+	g.questions.SetRate(start, survey.Rate(w.cfg.Pattern.QuestionsPerServer, len(servers), len(fleet)))
 	g.chooser.SetServers(start, servers)
 	if f, ok := g.chooser.(mustardsaddle.FleetSetter); ok {
 		f.SetFleet(start, vm.Name, fleet)
@@ -159,7 +151,7 @@
 		return
 	}
 	g.polling = true
-	g.w.loop.after(pollInterval, func() {
+	g.w.loop.after(slot.PollInterval, func() {
 		g.polling = false
 		id, ok := g.queue.First(g.w.loop.now)
 		if !ok {
@@ -246,7 +238,7 @@
 		settle()
 		return
 	}
-	g.w.loop.after(answerPatience, settle)
+	g.w.loop.after(survey.AnswerPatience, settle)
 	for _, known := range servers {
 		g.askOne(surveyor, g.w.byName[known.Name], func() {
 			left--
@@ -262,7 +254,7 @@
 	delay := g.delay(s)
 	g.w.loop.after(delay, func() {
 		if s.dark {
-			g.w.loop.after(answerPatience, func() { surveyor.Asked(g.w.loop.now, s.name, mustardsaddle.NoReply) })
+			g.w.loop.after(survey.AnswerPatience, func() { surveyor.Asked(g.w.loop.now, s.name, mustardsaddle.NoReply) })
 			return
 		}
 		rep := s.report()
--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,24 +35,22 @@
 
 func patternOf(t *testing.T, name string) model.Pattern {
 	t.Helper()
-	for _, p := range model.Patterns() {
-		if p.Name == name {
-			return p
-		}
-	}
-	t.Fatalf("got pattern %q, want a known one", name)
-	return model.Pattern{}
+	return named(t, model.Patterns(), func(p model.Pattern) string { return p.Name }, name)
 }
 
 func policyOf(t *testing.T, name string) model.Policy {
 	t.Helper()
-	for _, p := range model.Policies() {
-		if p.Name == name {
-			return p
-		}
+	return named(t, model.Policies(), func(p model.Policy) string { return p.Name }, name)
+}
+
+// named returns the item of the given name.
+func named[T any](t *testing.T, all []T, nameOf func(T) string, name string) T {
+	t.Helper()
+	at := slices.IndexFunc(all, func(item T) bool { return nameOf(item) == name })
+	if at < 0 {
+		t.Fatalf("got name %q, want a known one", name)
 	}
-	t.Fatalf("got policy %q, want a known one", name)
-	return model.Policy{}
+	return all[at]
 }
 
 func TestEqualSeedsGiveEqualResults(t *testing.T) {
--- a/internal/standin/model/policy.go
+++ b/internal/standin/model/policy.go
@@ -6,15 +6,11 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
 	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
+	"mustardsaddle.example/mustardsaddle/internal/request/slot"
 )
 
-const (
-	// defaultAsk is how many servers a call asks.
-	defaultAsk = 8
-	// defaultPatience is the part of its target, as one part in this many, for which
-	// a call waits for a server.
-	defaultPatience = 8
-)
+// defaultAsk is how many servers a call asks.
+const defaultAsk = 8
 
 // Policy is how the gateways decide.
 type Policy struct {
@@ -34,7 +30,7 @@
 }
 
 func (p Policy) patience() int {
-	return cmp.Or(p.Patience, defaultPatience)
+	return cmp.Or(p.Patience, slot.PatienceShare)
 }
 
 // Policies returns the policies that are compared, the product's first.
--- a/internal/standin/model/result.go
+++ b/internal/standin/model/result.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,16 +38,17 @@
 	figures = 3
 )
 
-// Weights are the parts of a result in its worth. They add up to 1.
-type Weights struct {
-	// Worst is the weight of the credit of the worst windows, Whole that of all
-	// credit, Any that of requests that are served at all, and Kind that of the kind
-	// of request with the least credit.
-	Worst, Whole, Any, Kind float64
-}
-
-// usual are the weights of both users.
-var usual = Weights{Worst: 0.4, Whole: 0.28, Any: 0.2, Kind: 0.12} //nolint:gochecknoglobals // a constant
+// Weights of the parts of a result in its worth, those of both users. They add up to 1.
+const (
+	// worstWeight is that of the credit of the worst windows.
+	worstWeight = 0.4
+	// wholeWeight is that of all credit.
+	wholeWeight = 0.28
+	// servedWeight is that of requests that are served at all.
+	servedWeight = 0.2
+	// kindWeight is that of the kind of request with the least credit.
+	kindWeight = 0.12
+)
 
 // Result is what callers got in a run.
 type Result struct {
@@ -149,16 +151,7 @@
 // Worst returns the share of credit that was earned in the worst windows.
 func (r *Result) Worst() float64 {
 	sorted := slices.Clone(r.windows)
-	slices.SortFunc(sorted, func(a, b credit) int {
-		switch {
-		case a.share() < b.share():
-			return -1
-		case a.share() > b.share():
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortFunc(sorted, func(a, b credit) int { return cmp.Compare(a.share(), b.share()) })
 	var sum credit
 	for _, c := range sorted[:min(worstWindows, len(sorted))] {
 		sum.earned += c.earned
@@ -182,7 +175,7 @@
 	for _, c := range r.kinds {
 		kind = min(kind, c.share())
 	}
-	return usual.Worst*r.Worst() + usual.Whole*r.Credit() + usual.Any*r.ServedShare() + usual.Kind*kind
+	return worstWeight*r.Worst() + wholeWeight*r.Credit() + servedWeight*r.ServedShare() + kindWeight*kind
 }
 
 // Quantile returns a quantile, in percent, of the latencies of served requests,
