--- a/cmd/mustardsaddle/harness_test.go
+++ b/cmd/mustardsaddle/harness_test.go
@@ -24,6 +24,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
 	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
+	"mustardsaddle.example/mustardsaddle/internal/standin/relay"
 	"mustardsaddle.example/mustardsaddle/internal/standin/server"
 )
 
@@ -162,7 +163,7 @@
 	name, url, admin, settings string
 	machine                    mustardsaddle.Machine
 	// store is the gateway's own way to the platform.
-	store *relay
+	store *relay.Relay
 }
 
 // system is a small whole system of processes.
@@ -271,7 +272,7 @@
 [Service Booking]
 NotRunStatus = 503
 NotRunHeader = Endpoint-Not-Run
-`, g.name, zone, listen, admin, peer, g.store.address())
+`, g.name, zone, listen, admin, peer, g.store.Address())
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -403,83 +404,16 @@
 	return answer{err: err, status: resp.StatusCode, header: resp.Header, body: b}
 }
 
-// relay passes bytes to a target, and can be shut, which cuts what is open and
-// refuses what is new.
-type relay struct {
-	listener net.Listener
-	target   string
-
-	mu    sync.Mutex
-	shut  bool
-	conns []net.Conn
-}
-
-func newRelay(t testing.TB, target string) *relay {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newRelay starts a relay to a target, which ends with the test.
+func newRelay(t testing.TB, target string) *relay.Relay {
+	r, err := relay.New(context.Background(), target)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &relay{listener: l, target: target}
-	t.Cleanup(func() {
-		_ = l.Close()
-		r.setShut(true)
-	})
-	go r.accept()
+	t.Cleanup(r.Close)
 	return r
 }
 
-func (r *relay) address() string {
-	return r.listener.Addr().String()
-}
-
-func (r *relay) accept() {
-	for {
-		client, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		far, err := net.Dial("tcp", r.target)
-		if err != nil || !r.keep(client, far) {
-			_ = client.Close()
-			if err == nil {
-				_ = far.Close()
-			}
-			continue
-		}
-		go pass(client, far)
-		go pass(far, client)
-	}
-}
-
-// keep notes two connections, unless the relay is shut.
-func (r *relay) keep(conns ...net.Conn) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.shut {
-		return false
-	}
-	r.conns = append(r.conns, conns...)
-	return true
-}
-
-func (r *relay) setShut(shut bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.shut = shut
-	if shut {
-		for _, c := range r.conns {
-			_ = c.Close()
-		}
-		r.conns = nil
-	}
-}
-
-func pass(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
-	_ = to.Close()
-	_ = from.Close()
-}
-
 // servers returns the servers that the gateway knows, or none if it does not say.
 func (g *instance) servers() []mustardsaddle.Server {
 	var servers []mustardsaddle.Server
--- a/cmd/mustardsaddle/leaving_test.go
+++ b/cmd/mustardsaddle/leaving_test.go
@@ -7,6 +7,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
+	"mustardsaddle.example/mustardsaddle/internal/standin/relay"
 	"mustardsaddle.example/mustardsaddle/internal/standin/server"
 )
 
@@ -54,7 +55,8 @@
 			name: "one gateway's list says so and the others hear it from that peer",
 			leave: func(s *system, e *endpoint) {
 				for _, g := range s.gateways[1:] {
-					g.store.setShut(true)
+					g.store.Set(relay.Fault{Refuse: true})
+					g.store.Reset()
 				}
 				listLeaving(s, e)
 			},
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -22,6 +22,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
 	"mustardsaddle.example/mustardsaddle/internal/peer/link"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
+	"mustardsaddle.example/mustardsaddle/internal/standin/relay"
 )
 
 // patience bounds waits for what must happen at some time.
@@ -177,11 +178,21 @@
 	return time.Since(begin)
 }
 
+// newRelay starts a relay to a peer, which ends with the test.
+func newRelay(t testing.TB, target string) *relay.Relay {
+	r, err := relay.New(context.Background(), target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
 // pair links a to b through a relay; only a dials.
-func pair(t testing.TB, timing link.Timing) (a, b *node, r *relay) {
+func pair(t testing.TB, timing link.Timing) (a, b *node, r *relay.Relay) {
 	a, b = newNode(t, "gateway-a", "1", timing), newNode(t, "gateway-b", "1", timing)
 	r = newRelay(t, b.vm.Peer)
-	a.links.SetNeighbors([]mustardsaddle.VM{{Name: "gateway-b", Peer: r.address()}})
+	a.links.SetNeighbors([]mustardsaddle.VM{{Name: "gateway-b", Peer: r.Address()}})
 	wait(t, "the link", func() bool { return a.linked("gateway-b") && b.linked("gateway-a") })
 	return a, b, r
 }
@@ -189,7 +200,7 @@
 func TestSilentLinkIsReplaced(t *testing.T) {
 	convey.Convey("Given a link at the default timing that goes silent, and no other path", t, func() {
 		a, b, r := pair(t, link.Timing{})
-		convey.So(r.freeze(), convey.ShouldEqual, 1)
+		convey.So(r.Silence(), convey.ShouldEqual, 1)
 		a.change()
 		convey.Convey("A change arrives over a new connection within the promised time", func() {
 			took := wait(t, "the change", func() bool { return b.at() == 1 })
@@ -204,7 +215,7 @@
 	convey.Convey("Given a link that is cut while messages are sent", t, func() {
 		a, b, r := pair(t, quick())
 		for range 5 {
-			r.cut()
+			r.Reset()
 			a.change()
 			wait(t, "the change", func() bool { return b.at() == a.at() })
 		}
@@ -215,8 +226,7 @@
 func TestLostNeighbor(t *testing.T) {
 	convey.Convey("Given a neighbor whose VM is gone", t, func() {
 		a, _, r := pair(t, quick())
-		_ = r.listener.Close()
-		r.cut()
+		r.Close()
 		wait(t, "the loss", func() bool {
 			a.mu.Lock()
 			defer a.mu.Unlock()
@@ -374,9 +384,9 @@
 }
 
 // mesh starts n nodes with the links that Neighbors gives, each over a relay.
-func mesh(t testing.TB, n int, timing link.Timing) ([]*node, []*relay) {
+func mesh(t testing.TB, n int, timing link.Timing) ([]*node, []*relay.Relay) {
 	var nodes []*node
-	var relays []*relay
+	var relays []*relay.Relay
 	var vms []mustardsaddle.VM
 	for i := range n {
 		nodes = append(nodes, newNode(t, fmt.Sprintf("gateway-%02d", i), fmt.Sprintf("zone-%d", i%3), timing))
@@ -387,7 +397,7 @@
 		for i, to := range neighbors {
 			r := newRelay(t, to.Peer)
 			relays = append(relays, r)
-			neighbors[i].Peer = r.address()
+			neighbors[i].Peer = r.Address()
 		}
 		from.links.SetNeighbors(neighbors)
 	}
@@ -401,8 +411,8 @@
 func TestSeventeenGatewaysConverge(t *testing.T) {
 	convey.Convey("Given seventeen gateways at the default timing, one link silent and one cut", t, func() {
 		nodes, relays := mesh(t, 17, link.Timing{})
-		silent := slices.IndexFunc(relays, func(r *relay) bool { return r.freeze() > 0 })
-		relays[(silent+7)%len(relays)].cut()
+		silent := slices.IndexFunc(relays, func(r *relay.Relay) bool { return r.Silence() > 0 })
+		relays[(silent+7)%len(relays)].Reset()
 		convey.Convey("Changes from several gateways are in force on all within the promised time", func() {
 			for i := range 3 {
 				begin := time.Now()
