Bring servers back that only said for a time that they leave, and soak the real programs

Nobody ever heard that the server serves again: no request in 30 s. The prober's rounds came to nothing, since Survey.Probe picked no server.

Change: Survey.Probe picks servers that leave by their reports alone, each at this gateway's part of the interval that ServerPerSecond states. TestProbesServersThatMayReturn got no probe before, and passes.

The soak: internal/standin/soak plans faults from a seed and judges what callers and servers saw, without I/O; cmd/mustardsaddle carries a plan out on real processes, with relays on every link. [Gateway] PeerListen lets links come by another address than the one that others are told, which relays need, and gateways behind an address translation. Servers record what they run in a file, which a kill does not lose.

--- a/cmd/mustardsaddle/harness_test.go
+++ b/cmd/mustardsaddle/harness_test.go
@@ -38,6 +38,9 @@
 // listLag is how late the platform's list shows a change.
 const listLag = 300 * time.Millisecond
 
+// stopLag is how long a gateway that stops still accepts calls.
+const stopLag = time.Second
+
 // binaries is the directory of the programs, built once.
 var binaries string
 
@@ -154,7 +157,12 @@
 // endpoint is a stand-in server process.
 type endpoint struct {
 	*process
+	// address is its own, which the list need not show, and args are those of its
+	// program.
+	address string
+	args    []string
 	machine mustardsaddle.Machine
+	link    *relay.Relay
 }
 
 // instance is a gateway process.
@@ -162,14 +170,21 @@
 	*process
 	name, url, admin, settings string
 	machine                    mustardsaddle.Machine
-	// store is the gateway's own way to the platform.
-	store *relay.Relay
+	// store is the gateway's own way to the platform. Callers and other gateways
+	// come over relays too if the system is relayed.
+	store, callers, peers *relay.Relay
+	// former are the earlier lives of its process.
+	former []*process
 }
 
 // system is a small whole system of processes.
 type system struct {
 	t        testing.TB
 	platform string
+	// relayed puts a relay before each server and gateway, and extra holds more
+	// sections of the gateways' settings.
+	relayed bool
+	extra   string
 	servers  []*endpoint
 	gateways []*instance
 }
@@ -225,18 +240,30 @@
 	return ""
 }
 
+// addServer starts a server and lists it.
 func (s *system) addServer(i int, args ...string) *endpoint {
 	name := fmt.Sprintf("booking-%02d", i)
-	args = append([]string{"server", "--listen", "127.0.0.1:0", "--name", name, "--queue", "50"}, args...)
-	p := start(s.t, "standin", args...)
-	e := &endpoint{process: p, machine: mustardsaddle.Machine{
-		Name: name, Incarnation: 1, Zone: "zone-a", Service: "Booking", Address: listening(p), Slots: 2, Connections: 200,
+	e := &endpoint{address: freeAddress(s.t), machine: mustardsaddle.Machine{
+		Name: name, Incarnation: 1, Zone: "zone-a", Service: "Booking", Slots: 2, Connections: 200,
 	}}
+	e.args = append([]string{"server", "--listen", e.address, "--name", name, "--queue", "50"}, args...)
+	s.startServer(e)
+	e.machine.Address = e.address
+	if s.relayed {
+		e.link = newRelay(s.t, e.address)
+		e.machine.Address = e.link.Address()
+	}
 	s.servers = append(s.servers, e)
 	s.list(e.machine)
 	return e
 }
 
+// startServer starts a server's program and waits until it listens.
+func (s *system) startServer(e *endpoint) {
+	e.process = start(s.t, "standin", e.args...)
+	listening(e.process)
+}
+
 // freeAddress returns an address for a gateway. Its IP number, on the loopback
 // network, is drawn at random, so that no outgoing connection, whose number is
 // 127.0.0.1, can take the port before the gateway does.
@@ -253,8 +280,13 @@
 // addGateway writes the settings of a gateway and lists its VM.
 func (s *system) addGateway(i int) *instance {
 	g := &instance{name: fmt.Sprintf("gateway-%d", i+1), store: newRelay(s.t, strings.TrimPrefix(s.platform, "http://"))}
-	listen, admin, peer := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
-	g.url, g.admin = "http://"+listen, "http://"+admin
+	listen, admin, links := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
+	callers, peer := listen, links
+	if s.relayed {
+		g.callers, g.peers = newRelay(s.t, listen), newRelay(s.t, links)
+		callers, peer = g.callers.Address(), g.peers.Address()
+	}
+	g.url, g.admin = "http://"+callers, "http://"+admin
 	zone := fmt.Sprintf("zone-%c", 'a'+i%3)
 	g.settings = filepath.Join(s.t.TempDir(), g.name+".ini")
 	text := fmt.Sprintf(`[Gateway]
@@ -263,16 +295,17 @@
 Listen = %s
 Admin = %s
 Peer = %s
+PeerListen = %s
 [Platform]
 URL = http://%s
 Timeout = 500ms
 Poll = 500ms
 [Stop]
-Lag = 1s
+Lag = %v
 [Service Booking]
 NotRunStatus = 503
 NotRunHeader = Endpoint-Not-Run
-`, g.name, zone, listen, admin, peer, g.store.Address())
+%s`, g.name, zone, listen, admin, peer, links, g.store.Address(), stopLag, s.extra)
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -283,9 +316,21 @@
 }
 
 func (s *system) startGateway(g *instance) {
+	if g.process != nil {
+		g.former = append(g.former, g.process)
+	}
 	g.process = start(s.t, "mustardsaddle", "serve", "--settings", g.settings)
 }
 
+// history returns what all lives of the gateway wrote.
+func (g *instance) history() string {
+	var b strings.Builder
+	for _, p := range append(slices.Clone(g.former), g.process) {
+		b.WriteString(p.output())
+	}
+	return b.String()
+}
+
 // list puts a VM into the platform's list.
 func (s *system) list(m mustardsaddle.Machine) {
 	s.putJSON(s.platform+"/machines/"+m.Name, m)
@@ -300,7 +345,7 @@
 }
 
 func (s *system) mode(e *endpoint, m server.Mode) {
-	s.putJSON("http://"+e.machine.Address+"/mode", m)
+	s.putJSON("http://"+e.address+"/mode", m)
 }
 
 // requests returns how many requests a server received, run or refused. Load
@@ -311,7 +356,7 @@
 }
 
 func (s *system) count(e *endpoint) server.Count {
-	a := get("http://" + e.machine.Address + "/count")
+	a := get("http://" + e.address + "/count")
 	var c server.Count
 	if err := json.Unmarshal(a.body, &c); err != nil {
 		s.t.Fatalf("count of %s: %v %v", e.machine.Name, err, a)
@@ -328,12 +373,15 @@
 }
 
 func (s *system) put(url string, b []byte) {
-	a := call(context.Background(), http.DefaultClient, http.MethodPut, url, bytes.NewReader(b))
-	if a.err != nil || a.status >= 300 {
+	if a := s.tryPut(url, b); a.err != nil || a.status >= 300 {
 		s.t.Fatalf("put %s: %v", url, a)
 	}
 }
 
+func (s *system) tryPut(url string, b []byte) answer {
+	return call(context.Background(), http.DefaultClient, http.MethodPut, url, bytes.NewReader(b))
+}
+
 // wait polls until the condition holds, and returns how long it took.
 func (s *system) wait(what string, ok func() bool) time.Duration {
 	s.t.Helper()
--- a/internal/base/settings/list.go
+++ b/internal/base/settings/list.go
@@ -85,6 +85,8 @@
 			func(s *Settings) *string { return &s.Gateway.Admin }),
 		required(ownAddress(sectionGateway, "Peer", "Address for links from other gateways, which learn it from here and dial it.",
 			func(s *Settings) *string { return &s.Gateway.Peer }), "10.0.0.7:8082"),
+		optionalAddress(sectionGateway, "PeerListen", "Address on which links are accepted, if it is not Peer, as behind an address translation.",
+			func(s *Settings) *string { return &s.Gateway.PeerListen }),
 		integer(sectionGateway, "Incarnation", "0", 0, 1<<62, "starts",
 			"Number of this life of the VM, which must grow with each start; 0 means the start time in milliseconds.",
 			func(s *Settings) *int64 { return &s.Gateway.Incarnation }),
--- a/internal/base/settings/load.go
+++ b/internal/base/settings/load.go
@@ -162,8 +162,12 @@
 	if same(g.Listen, g.Admin) {
 		c.add(code.SettingsConflict, sectionGateway, "Admin", g.Admin, "an address other than Listen")
 	}
-	if same(g.Listen, g.Peer) || same(g.Admin, g.Peer) {
-		c.add(code.SettingsConflict, sectionGateway, "Peer", g.Peer, "an address other than Listen and Admin")
+	key := "Peer"
+	if g.PeerListen != "" {
+		key = "PeerListen"
+	}
+	if links := g.LinkAddress(); same(g.Listen, links) || same(g.Admin, links) {
+		c.add(code.SettingsConflict, sectionGateway, key, links, "an address other than Listen and Admin")
 	}
 }
 
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -57,9 +57,18 @@
 	Listen      string
 	Admin       string
 	Peer        string
+	PeerListen  string
 	Incarnation int64
 }
 
+// LinkAddress returns the address on which links are accepted.
+func (g Gateway) LinkAddress() string {
+	if g.PeerListen != "" {
+		return g.PeerListen
+	}
+	return g.Peer
+}
+
 // Platform says how to reach the platform. The rates are those of the whole
 // fleet of gateways.
 type Platform struct {
--- a/internal/base/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -111,6 +111,7 @@
 		{"no port", head + "Listen = 127.0.0.1\n", code.SettingsBadValue, 7, "Gateway", "Listen"},
 		{"own address", "[Platform]\nURL = http://a:1\n[Gateway]\nName = g1\nZone = a\nPeer = 0.0.0.0:1\n", code.SettingsBadValue, 6, "Gateway", "Peer"},
 		{"one address twice", head + "Listen = 127.0.0.1:9\nAdmin = 127.0.0.1:9\n", code.SettingsConflict, 8, "Gateway", "Admin"},
+		{"links on the admin address", head + "PeerListen = 127.0.0.1:8081\n", code.SettingsConflict, 7, "Gateway", "PeerListen"},
 		{"no unit", head + "[Stop]\nLag = 2\n", code.SettingsBadValue, 8, "Stop", "Lag"},
 		{"below range", head + "[Limits]\nDeadline = 0s\n", code.SettingsBadValue, 8, "Limits", "Deadline"},
 		{"above range", head + "[Retry]\nHedgeShare = 1.5\n", code.SettingsBadValue, 8, "Retry", "HedgeShare"},
--- a/internal/base/settings/value.go
+++ b/internal/base/settings/value.go
@@ -66,6 +66,16 @@
 	return text(Info{Section: section, Key: key, Default: def, Want: want, Meaning: meaning}, ok, field)
 }
 
+// optionalAddress is a setting that holds an address of this VM, or none.
+func optionalAddress[T any](section, key, meaning string, field func(*T) *string) setting[T] {
+	ok := func(value string) bool {
+		_, err := netip.ParseAddrPort(value)
+		return value == "" || err == nil
+	}
+	want := "an IP number and port such as 10.0.0.7:8080, or nothing"
+	return text(Info{Section: section, Key: key, Want: want, Meaning: meaning}, ok, field)
+}
+
 // ownAddress is a setting that holds an address by which others reach this VM.
 func ownAddress[T any](section, key, meaning string, field func(*T) *string) setting[T] {
 	ok := func(value string) bool {
--- a/internal/choice/survey/server.go
+++ b/internal/choice/survey/server.go
@@ -39,6 +39,8 @@
 	report mustardsaddle.Report
 	// asked is when an open question was sent; zero if there is none.
 	asked time.Time
+	// probed is when the last probe was sent that no call needed.
+	probed time.Time
 	// missed counts questions in a row without an answer, the last at missedAt.
 	missed   int
 	missedAt time.Time
--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -20,6 +20,9 @@
 // questions alone do not bring it back earlier, since a server can fail every
 // request while it says that it is well. At most a share of the servers is out.
 //
+// A server that leaves by its own reports alone is probed now and then, and is back
+// when its reports say so.
+//
 // A server whose address another one has is passed over until a question shows that
 // it is back.
 //
@@ -65,6 +68,8 @@
 	// defaultSubset is about how many servers a gateway knows: enough that a few of
 	// them are idle at any load, few enough that connections to them stay in use.
 	defaultSubset = 32
+	// defaultProbeInterval is the least time between two probes of one server.
+	defaultProbeInterval = 500 * time.Millisecond
 	// questionTimeout is the time after which a question without an answer is
 	// given up.
 	questionTimeout = 200 * time.Millisecond
@@ -107,6 +112,9 @@
 	SlowRatio float64
 	// Subset is about how many servers a gateway knows of a larger service.
 	Subset int
+	// ProbeInterval is the least time between two probes of one server by all
+	// gateways together.
+	ProbeInterval time.Duration
 }
 
 // Survey is the state of one service's servers as this gateway sees them.
@@ -139,6 +147,7 @@
 	cfg.MaxOut = cmp.Or(cfg.MaxOut, defaultMaxOut)
 	cfg.Subset = cmp.Or(cfg.Subset, defaultSubset)
 	cfg.SlowRatio = cmp.Or(cfg.SlowRatio, defaultSlowRatio)
+	cfg.ProbeInterval = cmp.Or(cfg.ProbeInterval, defaultProbeInterval)
 	if cfg.SlowRatio < 0 {
 		cfg.SlowRatio = math.Inf(1)
 	}
@@ -248,9 +257,25 @@
 	}
 }
 
-// Probe picks no server: all questions come with calls.
-func (v *Survey) Probe(time.Time, *rand.Rand) (mustardsaddle.Server, bool) {
-	return mustardsaddle.Server{}, false
+// Probe picks the server with the oldest probe among those that leave by their
+// reports alone: no call asks them, and only reports can bring them back. All other
+// questions come with calls.
+func (v *Survey) Probe(now time.Time, _ *rand.Rand) (mustardsaddle.Server, bool) {
+	gap := v.cfg.ProbeInterval * time.Duration(max(len(v.gateways), 1))
+	var next *server
+	for _, s := range v.servers {
+		if !s.Leaving || !s.MayReturn || now.Sub(s.probed) < gap {
+			continue
+		}
+		if next == nil || s.probed.Before(next.probed) {
+			next = s
+		}
+	}
+	if next == nil {
+		return mustardsaddle.Server{}, false
+	}
+	next.probed = now
+	return next.Server, true
 }
 
 // Choose picks the server with the best score that has room.
--- a/internal/choice/survey/survey_test.go
+++ b/internal/choice/survey/survey_test.go
@@ -395,3 +395,31 @@
 		}
 	}
 }
+
+// A server that leaves by its reports alone gets no calls and so no questions; only
+// probes show that it is back.
+func TestProbesServersThatMayReturn(t *testing.T) {
+	convey.Convey("Given three servers that leave, two of them by their reports alone, and two gateways", t, func() {
+		const interval = 500 * time.Millisecond
+		v := survey.New(survey.Config{ProbeInterval: interval})
+		list := servers(4)
+		for i := range 3 {
+			list[i].Leaving = true
+			list[i].MayReturn = i < 2
+		}
+		v.SetServers(start, list)
+		v.SetFleet(start, "gateway-1", []mustardsaddle.VM{{Name: "gateway-1"}, {Name: "gateway-2"}})
+		convey.Convey("Those two are probed in turn, each at this gateway's part of the interval", func() {
+			seen := make(map[string]int)
+			rng := newRand()
+			const span = 10 * time.Second
+			for at := time.Duration(0); at < span; at += 50 * time.Millisecond {
+				if s, ok := v.Probe(start.Add(at), rng); ok {
+					seen[s.Name]++
+				}
+			}
+			want := int(span / (2 * interval))
+			convey.So(seen, convey.ShouldResemble, map[string]int{list[0].Name: want, list[1].Name: want})
+		})
+	})
+}
--- a/internal/product/instance/directory.go
+++ b/internal/product/instance/directory.go
@@ -45,7 +45,10 @@
 func (in *instance) newChooser(string) mustardsaddle.Chooser {
 	s := in.cfg.Settings
 	if s.Choice.Policy == settings.PolicySurvey {
-		return survey.New(survey.Config{MaxOut: orNone(s.Choice.EjectShare)})
+		return survey.New(survey.Config{
+			MaxOut:        orNone(s.Choice.EjectShare),
+			ProbeInterval: interval(s.Measuring.ServerPerSecond),
+		})
 	}
 	return bench.New(bench.Config{
 		Policy:        policy(s.Choice.Policy),
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -111,10 +111,14 @@
 	if err != nil {
 		return err
 	}
-	return newInstance(time.Now(), cfg, l.peer.Addr().String()).run(ctx, l)
+	peer := l.peer.Addr().String()
+	if cfg.Settings.Gateway.PeerListen != "" {
+		peer = cfg.Settings.Gateway.Peer
+	}
+	return newInstance(time.Now(), cfg, peer).run(ctx, l)
 }
 
-// newInstance joins the parts of a gateway that accepts links on the peer address.
+// newInstance joins the parts of a gateway that others reach at the peer address.
 func newInstance(now time.Time, cfg Config, peer string) *instance {
 	s := cfg.Settings
 	incarnation := s.Gateway.Incarnation
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -32,7 +32,7 @@
 	}{
 		{"callers'", g.Listen, &l.callers},
 		{"admin", g.Admin, &l.admin},
-		{"peer", g.Peer, &l.peer},
+		{"peer", g.LinkAddress(), &l.peer},
 	}
 	for _, o := range opens {
 		opened, err := (&net.ListenConfig{}).Listen(ctx, "tcp", o.address)
--- a/internal/standin/command/serve.go
+++ b/internal/standin/command/serve.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"os"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle/internal/product/command"
@@ -46,6 +47,9 @@
 	return c.env.serve("platform", c.Listen, platform.New(platform.Config{Lag: c.Lag}).Handler())
 }
 
+// recordMode is the permission of a new record.
+const recordMode = 0o600
+
 type serverCommand struct {
 	Listen string        `long:"listen" value-name:"ADDRESS" description:"address to listen on" default:"127.0.0.1:7101"`
 	Name   string        `long:"name" value-name:"NAME" description:"name of the server" default:"server-01"`
@@ -54,6 +58,7 @@
 	Work   time.Duration `long:"work" value-name:"TIME" description:"mean working time of a request" default:"10ms"`
 	Cold   time.Duration `long:"cold" value-name:"TIME" description:"how long the server is slow after its start"`
 	Seed   uint64        `long:"seed" value-name:"N" description:"seed of the working times" default:"1"`
+	Record string        `long:"record" value-name:"FILE" description:"file to which each execution is appended as a line of JSON"`
 
 	env env
 }
@@ -67,8 +72,14 @@
 		return command.Failf(command.Usage, "got --slots %d --queue %d --work %v --cold %v, want at least 1 slot and nothing below 0",
 			c.Slots, c.Queue, c.Work, c.Cold)
 	}
-	s := server.New(server.Config{
-		Name: c.Name, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Cold: c.Cold, Seed: c.Seed,
-	})
-	return c.env.serve(c.Name, c.Listen, s.Handler())
+	cfg := server.Config{Name: c.Name, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Cold: c.Cold, Seed: c.Seed}
+	if c.Record != "" {
+		f, err := os.OpenFile(c.Record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, recordMode)
+		if err != nil {
+			return command.Failf(command.Usage, "open --record: %v", err)
+		}
+		defer func() { _ = f.Close() }()
+		cfg.Record = f
+	}
+	return c.env.serve(c.Name, c.Listen, server.New(cfg).Handler())
 }
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/juju/errors"
 
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
@@ -27,6 +28,8 @@
 const (
 	// NotRunHeader declares that the server did not run the request.
 	NotRunHeader = "Endpoint-Not-Run"
+	// RequestHeader names a caller's request.
+	RequestHeader = "Request-ID"
 )
 
 // coldFactor multiplies working times during a cold start.
@@ -49,6 +52,9 @@
 	Neighbour Neighbour
 	// Seed seeds the spread of working times.
 	Seed uint64
+	// Record, if set, receives a line of JSON with an Execution before each one
+	// begins, so that it is known even if the process is killed at once.
+	Record io.Writer
 }
 
 // Mode changes how the server behaves while it runs.
@@ -139,6 +145,17 @@
 	s.report(w.Header())
 }
 
+// Execution is one time that a server began to run a request.
+type Execution struct {
+	// Server is the name of the server.
+	Server string
+	// Request is the caller's name of the request, and Attempt the gateway's name
+	// of the attempt.
+	Request, Attempt string
+	// At is when it began.
+	At time.Time
+}
+
 // Count is what the server has counted.
 type Count struct {
 	// Runs is the number of executions by attempt id.
@@ -200,7 +217,12 @@
 	}
 	defer func() { <-s.slots }()
 	id := r.Header.Get(header.Attempt)
-	fail := s.run(id)
+	fail, err := s.run(time.Now(), id, r.Header.Get(RequestHeader))
+	if err != nil {
+		w.Header().Set(NotRunHeader, "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set(header.Attempt, id)
 	w.Header().Set("Endpoint-Server", s.cfg.Name)
 	if fail {
@@ -232,13 +254,20 @@
 	s.inFlight--
 }
 
-// run counts an execution and tells whether it fails at once.
-func (s *Server) run(id string) bool {
+// run records and counts an execution, and tells whether it fails at once. One
+// that cannot be recorded does not happen.
+func (s *Server) run(now time.Time, attempt, request string) (fail bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.cfg.Record != nil {
+		line := Execution{Server: s.cfg.Name, Request: request, Attempt: attempt, At: now}
+		if err := json.NewEncoder(s.cfg.Record).Encode(line); err != nil {
+			return false, errors.Annotatef(err, "record attempt %s", attempt)
+		}
+	}
 	s.total++
-	s.runs[id]++
-	return s.mode.FailFast
+	s.runs[attempt]++
+	return s.mode.FailFast, nil
 }
 
 // sleep takes the working time, and returns false if the request was canceled.
--- /dev/null
+++ b/internal/standin/soak/plan_test.go
@@ -0,0 +1,42 @@
+package soak_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"mustardsaddle.example/mustardsaddle/internal/standin/soak"
+)
+
+func TestPlan(t *testing.T) {
+	convey.Convey("Given plans of many seeds", t, func() {
+		cfg := soak.Config{Length: 10 * time.Second, Gateways: 3, Servers: 5}
+		kinds := make(map[soak.Kind]bool)
+		places := make(map[soak.Place]bool)
+		overlaps := 0
+		for seed := range uint64(200) {
+			plan := soak.NewPlan(cfg, seed)
+			convey.So(plan, convey.ShouldResemble, soak.NewPlan(cfg, seed))
+			for i, s := range plan.Steps {
+				kinds[s.Kind] = true
+				places[s.Place] = true
+				convey.So(s.End(), convey.ShouldBeLessThanOrEqualTo, cfg.Length)
+				convey.So(s.Target, convey.ShouldBeBetween, -1, cfg.Servers)
+				if i > 0 {
+					convey.So(s.At, convey.ShouldBeGreaterThanOrEqualTo, plan.Steps[i-1].At)
+				}
+				if i > 0 && s.At < plan.Steps[i-1].End() {
+					overlaps++
+				}
+			}
+		}
+		convey.Convey("Every kind and place comes, and faults overlap", func() {
+			for k := soak.GatewayKilled; k <= soak.RulesChanged; k++ {
+				convey.So(kinds[k], convey.ShouldBeTrue)
+			}
+			convey.So(len(places), convey.ShouldEqual, 4)
+			convey.So(overlaps, convey.ShouldBeGreaterThan, 200)
+		})
+	})
+}
