--- a/cmd/mustardsaddle/soak_caller_test.go
+++ b/cmd/mustardsaddle/soak_caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"time"
@@ -99,6 +100,11 @@
 func (c *callers) try(client *http.Client, call soak.Call, work string) soak.Call {
 	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
 	defer cancel()
+	// No connection means that none could be made.
+	call.Fresh = true
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { call.Fresh = !info.Reused },
+	})
 	r, body := newSoakRequest(ctx, c.gateways[call.Gateway].url, call, work)
 	call.Sent = time.Now()
 	resp, err := client.Do(r)
--- a/internal/standin/soak/judge_test.go
+++ b/internal/standin/soak/judge_test.go
@@ -96,6 +96,15 @@
 			name: "a broken call that was sent before the address closed", calls: []soak.Call{broken},
 			troubles: []soak.Trouble{{From: at(50), To: at(300), Breaks: true, FromSend: true}}, broken: []soak.Rule{soak.Unbroken},
 		},
+		{
+			name: "a broken call on an open connection just before the address closes", calls: []soak.Call{broken},
+			troubles: []soak.Trouble{{From: at(0), To: at(300), Breaks: true, FromSend: true, Fresh: true}}, broken: []soak.Rule{soak.Unbroken},
+		},
+		{
+			name:     "a broken call on a new connection just before the address closes",
+			calls:    []soak.Call{change(broken, func(c *soak.Call) { c.Fresh = true })},
+			troubles: []soak.Trouble{{From: at(0), To: at(300), Breaks: true, FromSend: true, Fresh: true}},
+		},
 		{
 			name:  "a download that is cut",
 			calls: []soak.Call{change(ran("r", soak.Download), func(c *soak.Call) { c.End = soak.Cut })}, executions: once,
