--- a/cmd/mustardsaddle/harness_test.go
+++ b/cmd/mustardsaddle/harness_test.go
@@ -183,8 +183,8 @@
 	platform string
 	// relayed puts a relay before each server and gateway, and extra holds more
 	// sections of the gateways' settings.
-	relayed bool
-	extra   string
+	relayed  bool
+	extra    string
 	servers  []*endpoint
 	gateways []*instance
 }
--- a/internal/control/store/client.go
+++ b/internal/control/store/client.go
@@ -8,7 +8,7 @@
 //	c := store.New(store.Config{URL: "http://127.0.0.1:7000", Timeout: time.Second})
 //	o, err := c.Get(ctx, "Rules/Accepted")
 //	c.SetFleet(17)
-//	status := c.Status()
+//	status := c.For(store.Status)
 //
 // The decisions, in Breaker and Budget, take the present time as an argument.
 package store
@@ -83,11 +83,11 @@
 	cfg  Config
 	http *http.Client
 	core *core
-	// status marks a client whose calls are the first to be dropped.
-	status bool
+	// use says what its calls are for.
+	use Use
 }
 
-// core is what a client and its status client share.
+// core is what the clients of all uses share.
 type core struct {
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -112,12 +112,12 @@
 	}
 }
 
-// Status returns a client for status reports, which shares everything with c. Its
-// calls are refused while half of the budget is spent.
-func (c *Client) Status() *Client {
-	status := *c
-	status.status = true
-	return &status
+// For returns a client for one use, which shares everything with c. A client serves
+// the rules unless it is made for another use.
+func (c *Client) For(use Use) *Client {
+	other := *c
+	other.use = use
+	return &other
 }
 
 // SetFleet sets how many gateways share the platform's rates.
--- a/internal/control/store/stats.go
+++ b/internal/control/store/stats.go
@@ -49,9 +49,9 @@
 		s.stats.BackedOff++
 		return code.Errorf(code.StoreBackoff, "%s: the store failed and is not called yet", k)
 	}
-	if !s.budget.Take(now, k == Writing, c.status) {
+	if !s.budget.Take(now, k == Writing, c.use) {
 		s.breaker.Cancel(now)
-		if c.status {
+		if c.use == Status {
 			s.stats.StatusDropped++
 		} else {
 			s.stats.OverBudget++
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -198,7 +198,7 @@
 	if in.cfg.Directory != nil {
 		return nil
 	}
-	return claim.New(claim.Config{Store: in.store})
+	return claim.New(claim.Config{Store: in.store.For(store.Claims)})
 }
 
 // orNone maps the setting 0, which means none, to what the request path takes as
--- a/internal/product/instance/rules.go
+++ b/internal/product/instance/rules.go
@@ -6,6 +6,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/control/registry"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/control/store"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
 )
@@ -17,7 +18,7 @@
 	return registry.New(registry.Config{
 		Name:        in.self.Name,
 		Store:       in.store,
-		StatusStore: in.store.Status(),
+		StatusStore: in.store.For(store.Status),
 		InForce:     in.inForce,
 		Spread:      in.spreadChange,
 		Rank: func() int {
