--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -39,6 +39,8 @@
 	Broken
 	// TimedOut is no answer within the caller's own patience.
 	TimedOut
+	// GaveUp is a caller that left before its time.
+	GaveUp
 )
 
 // Call is one call that a caller made.
--- a/internal/standin/soak/judge_test.go
+++ b/internal/standin/soak/judge_test.go
@@ -115,6 +115,15 @@
 		},
 		{name: "a late answer", calls: []soak.Call{late}, executions: once, broken: []soak.Rule{soak.InTime}},
 		{name: "a late answer in a pause", calls: []soak.Call{late}, executions: once, troubles: []soak.Trouble{{From: at(50), To: at(60), Delays: true}}},
+		{
+			name: "a caller that left", executions: once,
+			calls: []soak.Call{change(ran("r", soak.Booking), func(c *soak.Call) { c.End = soak.GaveUp })},
+		},
+		{
+			name: "a booking that ran twice although its caller left", executions: twice,
+			calls:  []soak.Call{change(ran("r", soak.Booking), func(c *soak.Call) { c.End = soak.GaveUp })},
+			broken: []soak.Rule{soak.RequestOnce},
+		},
 		{
 			name: "no answer", calls: []soak.Call{change(ran("r", soak.Read), func(c *soak.Call) { c.End = soak.TimedOut })},
 			broken: []soak.Rule{soak.InTime},
