Ask and send on the same connections

Cause: questions had connections of their own, so that each gateway held two to each server, and a request that must not be repeated took a new one unless an answer to a call had come within the last 100 ms.

Change: questions go over the connections of calls. An answered question is the sign of life that a request which must not be repeated wants, and it comes just before the call. Nothing is sent again that was not before: a connection that breaks all the same leaves the outcome Unknown, as a new one does. Probes use them too.

--- a/internal/request/admission/lanes.go
+++ b/internal/request/admission/lanes.go
@@ -65,8 +65,9 @@
 	// MinHedge the shortest time.
 	HedgeQuantile float64
 	MinHedge      time.Duration
-	// DialTimeout and IdleTimeout are those of connections for questions.
-	DialTimeout, IdleTimeout time.Duration
+	// Transport carries questions. Calls use the same connections, of which an
+	// answered question is a sign of life.
+	Transport *http.Transport
 	// Headers names what servers say in headers.
 	Headers *mustardsaddle.Headers
 	// Ask is how many servers are asked for their load before a call is sent, if
@@ -95,8 +96,7 @@
 
 // Lanes are the lanes of all services. They are safe for concurrent use.
 type Lanes struct {
-	cfg    Config
-	asking *http.Transport
+	cfg Config
 	// gateways is the size of the fleet; 0 while it is not known.
 	gateways atomic.Int64
 	// retry bounds the retries of the whole fleet.
@@ -110,7 +110,7 @@
 
 // NewLanes returns Lanes without services.
 func NewLanes(cfg Config) *Lanes {
-	s := &Lanes{cfg: cfg, asking: newAskingTransport(cfg), lanes: make(map[string]*Lane)}
+	s := &Lanes{cfg: cfg, lanes: make(map[string]*Lane)}
 	s.retry.Store(&booking.Bounds{Share: max(cfg.RetryShare, 0), Slack: cfg.RetrySlack})
 	return s
 }
@@ -178,11 +178,6 @@
 	}
 }
 
-// Close closes the idle connections for questions.
-func (s *Lanes) Close() {
-	s.asking.CloseIdleConnections()
-}
-
 // setFleet passes the live gateways on to a chooser that divides servers.
 func (l *Lane) setFleet(now time.Time, live []mustardsaddle.VM) {
 	l.mu.Lock()
--- a/internal/request/admission/prober.go
+++ b/internal/request/admission/prober.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 )
 
 const (
@@ -15,8 +14,6 @@
 	// and to bring, TCP and IP headers included.
 	probeRequestBytes = 300
 	probeAnswerBytes  = 500
-	// probeHeaderBytes bounds the header of the answer to a probe.
-	probeHeaderBytes = 4 << 10
 	// maxOpenProbes bounds the probes without an answer.
 	maxOpenProbes = 64
 	// DefaultLoadPath is where servers tell their load if nobody states it.
@@ -43,32 +40,24 @@
 
 // Prober asks servers for load reports within a budget.
 type Prober struct {
-	cfg    ProberConfig
-	client *http.Transport
+	cfg ProberConfig
 	// paid is true while a probe is paid for that no server was worth yet.
 	paid bool
 	// open is the number of probes without an answer.
 	open int
 }
 
-// NewProber returns a prober that has its own connections.
+// NewProber returns a prober that uses the connections of questions.
 func NewProber(cfg ProberConfig) *Prober {
 	cfg.Path = cmp.Or(cfg.Path, DefaultLoadPath)
 	cfg.Interval = cmp.Or(cfg.Interval, defaultProbeInterval)
 	cfg.Timeout = cmp.Or(cfg.Timeout, defaultProbeTimeout)
-	lanes := cfg.Lanes.cfg
-	client := connection.NewTransport(connection.TransportConfig{
-		DialTimeout: lanes.DialTimeout, IdleTimeout: lanes.IdleTimeout, Reuse: true,
-	})
-	client.MaxIdleConnsPerHost = 1
-	client.MaxResponseHeaderBytes = probeHeaderBytes
-	return &Prober{cfg: cfg, client: client}
+	return &Prober{cfg: cfg}
 }
 
 // Run probes until the context ends, then closes done.
 func (p *Prober) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	defer p.client.CloseIdleConnections()
 	ended := make(chan struct{}, maxOpenProbes)
 	ticker := time.NewTicker(p.cfg.Interval)
 	defer ticker.Stop()
@@ -117,7 +106,7 @@
 	if err != nil {
 		return
 	}
-	h, err := answerHeader(p.client, r)
+	h, err := answerHeader(p.cfg.Lanes.cfg.Transport, r)
 	if err != nil {
 		return
 	}
--- a/internal/request/admission/question.go
+++ b/internal/request/admission/question.go
@@ -12,23 +12,8 @@
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 )
 
-const (
-	// questionTimeout bounds one question; its connection is closed then.
-	questionTimeout = 150 * time.Millisecond
-	// idleQuestions is how many unused connections for questions are kept to a
-	// server.
-	idleQuestions = 1
-)
-
-// newAskingTransport returns the connection library for questions.
-func newAskingTransport(cfg Config) *http.Transport {
-	t := connection.NewTransport(connection.TransportConfig{
-		DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.IdleTimeout, Reuse: true,
-	})
-	t.MaxIdleConnsPerHost = idleQuestions
-	t.MaxResponseHeaderBytes = probeHeaderBytes
-	return t
-}
+// questionTimeout bounds one question; its connection is closed then.
+const questionTimeout = 150 * time.Millisecond
 
 // setQuestions takes this gateway's part of the questions that the servers of the
 // service may get. The caller holds mu.
@@ -97,6 +82,9 @@
 	if surveyor, ok := l.chooser.(mustardsaddle.Surveyor); ok {
 		surveyor.Asked(now, server.Name, reply)
 	}
+	if reply == mustardsaddle.OwnReply {
+		l.reusedAt[server.Name] = now
+	}
 	l.logVerdicts()
 	l.mu.Unlock()
 	if reply == mustardsaddle.OwnReply {
@@ -111,7 +99,7 @@
 		return nil, mustardsaddle.NoReply
 	}
 	r.Header["User-Agent"] = nil
-	h, err := answerHeader(s.asking, r)
+	h, err := answerHeader(s.cfg.Transport, r)
 	if err != nil {
 		return nil, mustardsaddle.NoReply
 	}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -185,13 +185,13 @@
 }
 
 // admission returns the part of the configuration that concerns admission.
-func (cfg Config) admission(rules func() *rule.Table) admission.Config {
+func (cfg Config) admission(rules func() *rule.Table, transport *http.Transport) admission.Config {
 	return admission.Config{
 		Name: cfg.Name, Zone: cfg.Zone,
 		MaxWaiting: cfg.MaxWaiting, MinRetryAfter: cfg.minRetryAfter(),
 		RetryShare: cfg.RetryShare, RetryWindow: cfg.RetryWindow, RetrySlack: cfg.RetrySlack,
 		HedgeShare: cfg.HedgeShare, HedgeQuantile: cfg.HedgeQuantile, MinHedge: cfg.MinHedge,
-		DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.IdleTimeout, Headers: cfg.Headers,
+		Transport: transport, Headers: cfg.Headers,
 		Ask: cfg.Ask, ProbePath: cfg.ProbePath, ServerPerSecond: cfg.ServerPerSecond, Budget: cfg.Budget,
 		NewChooser: cfg.NewChooser, OnReport: cfg.OnReport, Rules: rules,
 		Metrics: cfg.Metrics, Logger: cfg.Logger, Seed: cfg.Seed,
@@ -238,7 +238,7 @@
 		header: header.NewGateway(cfg.Name),
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 4)),
 	}
-	g.lanes = admission.NewLanes(cfg.admission(g.Rules))
+	g.lanes = admission.NewLanes(cfg.admission(g.Rules, g.reuse))
 	g.buffers.New = func() any { return new([copyBufferBytes]byte) }
 	return g
 }
@@ -295,7 +295,6 @@
 func (g *Gateway) Close() {
 	g.reuse.CloseIdleConnections()
 	g.fresh.CloseIdleConnections()
-	g.lanes.Close()
 }
 
 // ServeHTTP answers one caller's request.
