Pass on what a whole read has changed, and read for others once the fleet is known

A reader that read the whole told nobody, since a whole collection is not passed on.

Change: what a whole read changes against what was known is passed on like any change, and its revision alone if nothing was known; listings carry their age, so that a whole one from a peer counts as fresh as it is; a peer that lacks more asks its sender at once. A gateway reads for others once it has looked who is there.

TestReadersSpareTheDirectory and TestPeers: without the change no confirmation came.

--- a/directory.go
+++ b/directory.go
@@ -46,6 +46,9 @@
 	// Whole is true if the update lists all there is, and false if it lists what
 	// has changed.
 	Whole bool
+	// Age is for how long the directory may have changed unnoticed by whoever tells
+	// of the update.
+	Age time.Duration
 	// Rules are the newest rules; nil if the update brings none.
 	Rules *RulesText
 	// Machines are the VMs that are new or have changed.
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -34,6 +34,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,6 +62,8 @@
 	confirmInterval = 200 * time.Millisecond
 	// askInterval is the least time between two questions to peers for a collection.
 	askInterval = 300 * time.Millisecond
+	// maxNews is how many changed and removed VMs one update passes on at most.
+	maxNews = 512
 	// expireInterval is the time between checks of entries that are missing.
 	expireInterval = 100 * time.Millisecond
 	// firstPause and maxPause bound the pause after a failed call.
@@ -286,13 +289,12 @@
 	p := &c.known[which]
 	p.fresh = now
 	p.lost = p.lost && !u.Whole
+	news := c.news(which, u)
 	c.servers.Contact(began, now)
 	if MergeOf(p.revision, u.After, u.Revision, u.Whole) == Fits {
 		c.apply(now, which, u, "Directory")
 	}
-	if !u.Whole {
-		c.cfg.Spread("", which, u)
-	}
+	c.cfg.Spread("", which, news)
 }
 
 // Known returns how much is known of a collection.
@@ -316,11 +318,7 @@
 		return false
 	}
 	if k.Revision > p.revision {
-		ask := now.Sub(p.asked) >= askInterval
-		if ask {
-			p.asked = now
-		}
-		return ask
+		return p.ask(now)
 	}
 	if fresh := now.Add(-k.Age); fresh.After(p.fresh) {
 		p.fresh = fresh
@@ -330,31 +328,93 @@
 }
 
 // Receive takes an update of a peer and passes it on if it is new, be it that it
-// only confirms that nothing has changed.
-func (c *Catalog) Receive(now time.Time, from string, which mustardsaddle.Collection, u mustardsaddle.Update) {
+// only confirms that nothing has changed. It returns true if changes before the
+// update are missing here, so that the peer is to be asked for the whole collection.
+func (c *Catalog) Receive(now time.Time, from string, which mustardsaddle.Collection, u mustardsaddle.Update) (ask bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := &c.known[which]
-	merge := MergeOf(p.revision, u.After, u.Revision, u.Whole)
-	confirms := merge == Old && !u.Whole && now.Sub(p.fresh) >= confirmInterval
-	if merge != Fits && !confirms {
-		return
-	}
-	c.servers.Contact(now, now)
-	if merge == Fits {
+	fresh := now.Add(-u.Age)
+	news := c.news(which, u)
+	switch MergeOf(p.revision, u.After, u.Revision, u.Whole) {
+	case Gap:
+		return p.ask(now)
+	case Old:
+		if fresh.Sub(p.fresh) < confirmInterval {
+			return false
+		}
+		p.lost = p.lost && u.Revision < p.revision
+	case Fits:
+		p.lost = false
 		c.apply(now, which, u, "Peer")
 	}
+	c.servers.Contact(fresh, fresh)
+	if fresh.After(p.fresh) {
+		p.fresh = fresh
+	}
+	c.cfg.Spread(from, which, news)
+	return false
+}
+
+// news returns what is passed on of an update that is not applied yet: changes as they
+// are, and of a whole collection what has changed since the known revision, which is
+// what peers lack that followed the same readers. The caller holds mu.
+func (c *Catalog) news(which mustardsaddle.Collection, u mustardsaddle.Update) mustardsaddle.Update {
 	if !u.Whole {
-		p.fresh = now
-		c.cfg.Spread(from, which, u)
+		return u
+	}
+	// Peers that lack more learn the revision from it, and ask.
+	news := mustardsaddle.Update{After: u.Revision, Revision: u.Revision, Age: u.Age}
+	known := c.known[which].revision
+	if known == 0 || u.Revision <= known {
+		return news
+	}
+	var changed []mustardsaddle.Machine
+	var removed []string
+	if which == mustardsaddle.ServersCollection {
+		changed, removed = difference(c.servers.Machines(), u.Machines)
+	}
+	if len(changed)+len(removed) <= maxNews {
+		news.After, news.Rules, news.Machines, news.Removed = known, u.Rules, changed, removed
 	}
+	return news
+}
+
+// difference returns the VMs of after that are not in before as they are now, and the
+// names of those of before that are not in after.
+func difference(before, after []mustardsaddle.Machine) (changed []mustardsaddle.Machine, removed []string) {
+	old := make(map[string]mustardsaddle.Machine, len(before))
+	for _, m := range before {
+		old[m.Name] = m
+	}
+	for _, m := range after {
+		if old[m.Name] != m {
+			changed = append(changed, m)
+		}
+		delete(old, m.Name)
+	}
+	for name := range old {
+		removed = append(removed, name)
+	}
+	slices.Sort(removed)
+	return changed, removed
+}
+
+// ask reports whether a peer is to be asked for the collection now.
+func (p *progress) ask(now time.Time) bool {
+	if now.Sub(p.asked) < askInterval {
+		return false
+	}
+	p.asked = now
+	return true
 }
 
 // Whole returns a collection for a peer that lacks it, or false if nothing is known.
-func (c *Catalog) Whole(which mustardsaddle.Collection) (mustardsaddle.Update, bool) {
+func (c *Catalog) Whole(now time.Time, which mustardsaddle.Collection) (mustardsaddle.Update, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	u := mustardsaddle.Update{Whole: true, Revision: c.known[which].revision}
+	p := c.known[which]
+	u := mustardsaddle.Update{Whole: true, Revision: p.revision, Age: max(now.Sub(p.fresh), 0)}
 	if which == mustardsaddle.ServersCollection {
 		u.Machines = c.servers.Machines()
 	} else if c.rules.Generation > 0 {
--- a/internal/control/catalog/catalog_test.go
+++ b/internal/control/catalog/catalog_test.go
@@ -180,8 +180,15 @@
 		})
 		which := mustardsaddle.ServersCollection
 		machine := mustardsaddle.Machine{Name: "booking-1", Service: "Booking", Address: "10.0.0.1:80", Incarnation: 1}
-		c.Receive(now, "peer", which, mustardsaddle.Update{Whole: true, Revision: 5, Machines: []mustardsaddle.Machine{machine}})
+		const age = 500 * time.Millisecond
+		whole := mustardsaddle.Update{Whole: true, Revision: 5, Age: age, Machines: []mustardsaddle.Machine{machine}}
+		convey.So(c.Receive(now, "peer", which, whole), convey.ShouldBeFalse)
 		convey.So(servers, convey.ShouldHaveLength, 1)
+		convey.So(c.Known(now, which), convey.ShouldResemble, mustardsaddle.Known{Revision: 5, Age: age})
+		convey.So(passed, convey.ShouldResemble, []spread{{
+			from: "peer", updates: []mustardsaddle.Update{{After: 5, Revision: 5, Age: age}},
+		}})
+		passed = nil
 		convey.Convey("The next change is applied and passed on once", func() {
 			u := mustardsaddle.Update{After: 5, Revision: 6, Removed: []string{"booking-1"}}
 			c.Receive(now, "peer", which, u)
@@ -191,10 +198,15 @@
 			convey.So(passed[0].from, convey.ShouldEqual, "peer")
 		})
 		convey.Convey("A change after a gap is not applied, and the peer is asked for the whole", func() {
-			c.Receive(now, "peer", which, mustardsaddle.Update{After: 7, Revision: 8, Removed: []string{"booking-1"}})
+			change := mustardsaddle.Update{After: 7, Revision: 8, Removed: []string{"booking-1"}}
+			convey.So(c.Receive(now, "peer", which, change), convey.ShouldBeTrue)
 			convey.So(servers, convey.ShouldHaveLength, 1)
-			convey.So(c.Heard(now, which, mustardsaddle.Known{Revision: 8}), convey.ShouldBeTrue)
+			convey.So(passed, convey.ShouldBeEmpty)
+			convey.So(c.Receive(now, "other", which, change), convey.ShouldBeFalse)
 			convey.So(c.Heard(now, which, mustardsaddle.Known{Revision: 8}), convey.ShouldBeFalse)
+			later := now.Add(time.Second)
+			convey.So(c.Heard(later, which, mustardsaddle.Known{Revision: 8}), convey.ShouldBeTrue)
+			convey.So(c.Heard(later, which, mustardsaddle.Known{Revision: 8}), convey.ShouldBeFalse)
 		})
 		convey.Convey("A peer that knows as much tells how fresh the knowledge is", func() {
 			convey.So(c.Heard(now, which, mustardsaddle.Known{Revision: 5, Age: 300 * time.Millisecond}), convey.ShouldBeFalse)
@@ -251,3 +263,72 @@
 		})
 	})
 }
+
+// TestReadersSpareTheDirectory answers the pattern of a directory that was down for all
+// and has lost its history: what the first gateway reads then keeps the others from
+// reading it too.
+func TestReadersSpareTheDirectory(t *testing.T) {
+	convey.Convey("Given a gateway that has read a whole collection, and a peer that knew as much", t, func() {
+		d := &directory{whole: mustardsaddle.Update{Whole: true, Revision: 5, Rules: rules(1)}}
+		told := make(chan mustardsaddle.Update, 8)
+		c := catalog.New(catalog.Config{
+			Directory: d, InForce: func(*rule.Table) {}, Servers: func(time.Time, string, []mustardsaddle.Server) {},
+			Spread: func(_ string, which mustardsaddle.Collection, u mustardsaddle.Update) {
+				if which == mustardsaddle.RulesCollection {
+					told <- u
+				}
+			},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go c.Run(ctx, done)
+		var confirmation mustardsaddle.Update
+		select {
+		case confirmation = <-told:
+		case <-time.After(patience):
+		}
+		cancel()
+		<-done
+		convey.So(confirmation, convey.ShouldResemble, mustardsaddle.Update{After: 5, Revision: 5})
+
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		peer := catalog.New(catalog.Config{InForce: func(*rule.Table) {}})
+		which := mustardsaddle.RulesCollection
+		peer.Receive(now, "reader", which, mustardsaddle.Update{Whole: true, Revision: 5, Rules: rules(1)})
+		convey.Convey("The peer is as fresh as the gateway", func() {
+			later := now.Add(time.Minute)
+			convey.So(peer.Receive(later, "reader", which, confirmation), convey.ShouldBeFalse)
+			convey.So(peer.Known(later, which), convey.ShouldResemble, mustardsaddle.Known{Revision: 5})
+		})
+		convey.Convey("What it reads later is passed on as the changes since, with the rules", func() {
+			var passed []mustardsaddle.Update
+			next := catalog.New(catalog.Config{
+				Servers: func(time.Time, string, []mustardsaddle.Server) {},
+				Spread: func(_ string, _ mustardsaddle.Collection, u mustardsaddle.Update) {
+					passed = append(passed, u)
+				},
+			})
+			machine := func(name, address string) mustardsaddle.Machine {
+				return mustardsaddle.Machine{Name: name, Service: "Booking", Address: address, Incarnation: 1}
+			}
+			for _, u := range []mustardsaddle.Update{
+				{Revision: 5, Machines: []mustardsaddle.Machine{machine("a", "10.0.0.1:80"), machine("b", "10.0.0.2:80"), machine("c", "10.0.0.3:80")}},
+				{Revision: 9, Machines: []mustardsaddle.Machine{machine("a", "10.0.0.1:80"), machine("b", "10.0.0.9:80"), machine("d", "10.0.0.4:80")}},
+			} {
+				u.Whole = true
+				next.Receive(now, "reader", mustardsaddle.ServersCollection, u)
+			}
+			convey.So(passed, convey.ShouldResemble, []mustardsaddle.Update{
+				{After: 5, Revision: 5},
+				{
+					After: 5, Revision: 9, Removed: []string{"c"},
+					Machines: []mustardsaddle.Machine{machine("b", "10.0.0.9:80"), machine("d", "10.0.0.4:80")},
+				},
+			})
+		})
+		convey.Convey("A peer that knows less asks for the whole", func() {
+			confirmation.After, confirmation.Revision = 9, 9
+			convey.So(peer.Receive(now, "reader", which, confirmation), convey.ShouldBeTrue)
+		})
+	})
+}
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -195,6 +195,9 @@
 	After int64
 	// Revision is the revision up to which the listing holds.
 	Revision int64
+	// Age is for how many milliseconds the directory may have changed unnoticed by
+	// the sender.
+	Age int64
 	// Generation is the generation of Rules; 0 if the listing has none.
 	Generation int64
 	// Rules is a rules file of at most MaxRulesBytes.
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -86,8 +86,10 @@
 	links      *link.Links
 	registry   *registry.Registry
 	// directory and catalog are nil where the gateways agree on rules in a store.
-	directory  mustardsaddle.Directory
-	catalog    *catalog.Catalog
+	directory mustardsaddle.Directory
+	catalog   *catalog.Catalog
+	// met is true once the gateways of the directory are known.
+	met        atomic.Bool
 	generation atomic.Int64
 	// pages are the pages of the platform's list that the rules in force need.
 	pages    atomic.Pointer[[]string]
--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -28,9 +28,11 @@
 )
 
 // reads reports whether this gateway reads a collection for the others. It is one
-// of the first in an order on which all gateways agree that know the same VMs.
+// of the first in an order on which all gateways agree that know the same VMs. Until
+// it knows them, it is none: of many that start together each would take itself for
+// the first.
 func (in *instance) reads(c mustardsaddle.Collection) bool {
-	return roster.Rank(in.membership.Roster().VMs(), in.self.Name, c.String()) < readers
+	return in.met.Load() && roster.Rank(in.membership.Roster().VMs(), in.self.Name, c.String()) < readers
 }
 
 // spreadListing passes an update of the directory on to the peers.
@@ -50,10 +52,12 @@
 	}
 	switch m := msg.(type) {
 	case news.Listing:
-		in.catalog.Receive(now, from, collectionOf(m.Servers), updateOf(m))
+		if in.catalog.Receive(now, from, collectionOf(m.Servers), updateOf(m)) {
+			in.links.Send(from, news.AskListing{Servers: m.Servers})
+		}
 	case news.AskListing:
 		c := collectionOf(m.Servers)
-		if u, ok := in.catalog.Whole(c); ok {
+		if u, ok := in.catalog.Whole(now, c); ok {
 			in.links.Send(from, listingOf(c, u))
 		}
 	}
@@ -89,7 +93,7 @@
 func listingOf(c mustardsaddle.Collection, u mustardsaddle.Update) news.Listing {
 	m := news.Listing{
 		Servers: c == mustardsaddle.ServersCollection, Whole: u.Whole, After: u.After, Revision: u.Revision,
-		Machines: u.Machines, Removed: u.Removed,
+		Age: u.Age.Milliseconds(), Machines: u.Machines, Removed: u.Removed,
 	}
 	if u.Rules != nil {
 		m.Generation, m.Rules = u.Rules.Generation, u.Rules.Text
@@ -100,7 +104,8 @@
 // updateOf returns the update that a message carries.
 func updateOf(m news.Listing) mustardsaddle.Update {
 	u := mustardsaddle.Update{
-		Whole: m.Whole, After: m.After, Revision: m.Revision, Machines: m.Machines, Removed: m.Removed,
+		Whole: m.Whole, After: m.After, Revision: m.Revision, Age: time.Duration(m.Age) * time.Millisecond,
+		Machines: m.Machines, Removed: m.Removed,
 	}
 	if m.Generation > 0 {
 		u.Rules = &mustardsaddle.RulesText{Generation: m.Generation, Text: m.Rules}
@@ -136,6 +141,7 @@
 		pause = secondLook
 		if looks >= 2 || !alone {
 			looks = max(looks, 2)
+			in.met.Store(true)
 			pause = lookInterval/2 + rand.N(lookInterval)
 			silent = in.tidy(ctx, u.Machines, silent)
 		}
