--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -15,9 +15,10 @@
 //
 // A request leaves only by a decision of package booking. http.Transport resends
 // a request without a body, or with an Idempotency-Key, by itself when a reused
-// connection breaks. Two things prevent that: a request that runs at most once
-// takes a new connection, and an idempotent one has a body without GetBody. A
-// second connection within one attempt refuses to write.
+// connection breaks. Two things prevent that: what goes over a reused connection
+// has a body without GetBody, and a second connection within one attempt refuses to
+// write. A request that runs at most once takes a new connection, or one that has
+// just carried an answer.
 //
 // # Usage
 //
