Tell missing servers from removed ones in what a peer passes on, too

Found in reading the diff: since a peer's update sets the age of what is known, the contact with the directory was noted after the update was applied, and not before. A server that had lapsed while the directory was away would have gone at once where a peer told of it, in place of 2 s later.

TestPeerTellsOfMissingServers fails on the commit before, and passes. The window in which a connection counts as alive has one constant.

--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -346,9 +346,12 @@
 		p.lost = p.lost && u.Revision < p.revision
 	case Fits:
 		p.lost = false
-		c.apply(now, which, u, "Peer")
 	}
+	// What is missing after an outage is told from what leaves by the contact before.
 	c.servers.Contact(fresh, fresh)
+	if u.Revision > p.revision {
+		c.apply(now, which, u, "Peer")
+	}
 	if fresh.After(p.fresh) {
 		p.fresh = fresh
 	}
--- a/internal/control/catalog/catalog_test.go
+++ b/internal/control/catalog/catalog_test.go
@@ -332,3 +332,28 @@
 		})
 	})
 }
+
+// TestPeerTellsOfMissingServers answers the pattern of entries that lapse while the
+// directory is away: what a peer reads afterwards does not take the servers away at once.
+func TestPeerTellsOfMissingServers(t *testing.T) {
+	convey.Convey("Given a server that a peer no longer finds after an outage", t, func() {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		var servers []mustardsaddle.Server
+		c := catalog.New(catalog.Config{
+			Core:    catalog.CoreConfig{Return: 2 * time.Second, Outage: 2 * time.Second},
+			Servers: func(_ time.Time, _ string, list []mustardsaddle.Server) { servers = list },
+		})
+		which := mustardsaddle.ServersCollection
+		machine := mustardsaddle.Machine{Name: "booking-1", Service: "Booking", Address: "10.0.0.1:80", Incarnation: 1}
+		c.Receive(now, "peer", which, mustardsaddle.Update{Whole: true, Revision: 5, Machines: []mustardsaddle.Machine{machine}})
+		removal := mustardsaddle.Update{After: 5, Revision: 6, Removed: []string{machine.Name}}
+		convey.Convey("It is still used", func() {
+			c.Receive(now.Add(8*time.Second), "peer", which, removal)
+			convey.So(servers, convey.ShouldHaveLength, 1)
+		})
+		convey.Convey("Without an outage it is gone", func() {
+			c.Receive(now.Add(time.Second), "peer", which, removal)
+			convey.So(servers, convey.ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/request/admission/lane.go
+++ b/internal/request/admission/lane.go
@@ -29,8 +29,6 @@
 	slackShare = 0.6
 	// assumedGateways is the size of a fleet that is not known yet.
 	assumedGateways = 32
-	// aliveWindow is how long a connection counts as proved alive by an answer.
-	aliveWindow = 100 * time.Millisecond
 	// unmeasuredHedge is the hedge delay while too few latencies are known.
 	unmeasuredHedge = 100 * time.Millisecond
 )
@@ -321,7 +319,7 @@
 func (l *Lane) Alive(now time.Time, server string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Sub(l.reusedAt[server]) < aliveWindow
+	return now.Sub(l.reusedAt[server]) < connection.AliveWindow
 }
 
 // Finish tells how an attempt ended, and passes its place on. Kept is true if its
--- a/internal/request/connection/transport.go
+++ b/internal/request/connection/transport.go
@@ -19,6 +19,9 @@
 	keepAliveInterval = 5 * time.Second
 )
 
+// AliveWindow is how long a connection counts as proved alive by an answer.
+const AliveWindow = 100 * time.Millisecond
+
 // IdlePerHost is how many unused connections to one server are kept.
 const IdlePerHost = 4
 
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -131,7 +131,7 @@
 	}
 	a.conn, a.reused = cn, info.Reused
 	a.baseWrites, a.baseReads = cn.Written(), cn.Reads()
-	if a.via == aliveConnection && info.IdleTime > aliveWindow {
+	if a.via == aliveConnection && info.IdleTime > connection.AliveWindow {
 		a.stale = true
 		cn.Seal()
 	}
--- a/internal/request/gateway/manner.go
+++ b/internal/request/gateway/manner.go
@@ -1,7 +1,5 @@
 package gateway
 
-import "time"
-
 // manner says by which connection an attempt goes.
 type manner int
 
@@ -10,9 +8,7 @@
 	newConnection manner = iota
 	// anyConnection may be one that has served before.
 	anyConnection
-	// aliveConnection may be one that carried an answer within aliveWindow.
+	// aliveConnection may be one that carried an answer within
+	// connection.AliveWindow.
 	aliveConnection
 )
-
-// aliveWindow is how long a connection counts as proved alive by an answer.
-const aliveWindow = 100 * time.Millisecond
