State the options of admission once, and take out what the reading found needless

- gateway.Config and admission.Config had fourteen fields twice, with their comments, and a function that copied one into the other.
They are admission.Options now, with their defaults in package admission; gateway.Config and admission.Config both hold them.
- The prober had a path of its own, always that of the options.
- catalog.Receive asked twice whether an update fits, and set one flag in two branches; one condition after the update is applied says both.
- Survey.takeOut changed the verdict that it had just noted; the verdict is told its failures.
- soak.Rules served its tests alone, and lies there.

--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -247,11 +247,11 @@
 		s.missed++
 		s.missedAt = now
 		if s.missed == silentQuestions {
-			v.tell(s, reasonSilent, silentPause)
+			v.tell(s.Name, reasonSilent, silentPause, s.failures)
 		}
 	case mustardsaddle.OtherReply:
 		s.gone(now)
-		v.tell(s, reasonGone, gonePause)
+		v.tell(s.Name, reasonGone, gonePause, s.failures)
 	case mustardsaddle.OwnReply:
 		s.missed = 0
 	}
@@ -335,7 +335,7 @@
 	switch {
 	case r.Gone:
 		s.gone(now)
-		v.tell(s, reasonGone, gonePause)
+		v.tell(s.Name, reasonGone, gonePause, s.failures)
 	case r.Failed:
 		s.fail()
 		v.takeOut(now, s)
@@ -367,14 +367,13 @@
 	if float64(out+1) <= v.cfg.MaxOut*float64(len(v.servers)) {
 		failures := s.failures
 		s.takeOut(now)
-		v.tell(s, reasonFailures, s.outUntil.Sub(now))
-		v.verdicts[len(v.verdicts)-1].Failures = failures
+		v.tell(s.Name, reasonFailures, s.outUntil.Sub(now), failures)
 	}
 }
 
 // tell notes a verdict for the log.
-func (v *Survey) tell(s *server, reason string, d time.Duration) {
-	v.verdicts = append(v.verdicts, mustardsaddle.Verdict{Server: s.Name, Reason: reason, For: d, Failures: s.failures})
+func (v *Survey) tell(server, reason string, d time.Duration, failures float64) {
+	v.verdicts = append(v.verdicts, mustardsaddle.Verdict{Server: server, Reason: reason, For: d, Failures: failures})
 }
 
 // Verdicts returns the servers that were taken out since the last call.
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -336,22 +336,19 @@
 	p := &c.known[which]
 	fresh := now.Add(-u.Age)
 	news := c.news(which, u)
-	switch MergeOf(p.revision, u.After, u.Revision, u.Whole) {
-	case Gap:
+	merge := MergeOf(p.revision, u.After, u.Revision, u.Whole)
+	if merge == Gap {
 		return p.ask(now)
-	case Old:
-		if fresh.Sub(p.fresh) < confirmInterval {
-			return false
-		}
-		p.lost = p.lost && u.Revision < p.revision
-	case Fits:
-		p.lost = false
+	}
+	if merge == Old && fresh.Sub(p.fresh) < confirmInterval {
+		return false
 	}
 	// What is missing after an outage is told from what leaves by the contact before.
 	c.servers.Contact(fresh, fresh)
-	if u.Revision > p.revision {
+	if merge == Fits {
 		c.apply(now, which, u, "Peer")
 	}
+	p.lost = p.lost && u.Revision < p.revision
 	if fresh.After(p.fresh) {
 		p.fresh = fresh
 	}
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -147,7 +147,7 @@
 	})
 	in.budget = report.NewBudget(measuringRates(s))
 	in.gateway = in.newGateway(seed)
-	in.prober = admission.NewProber(admission.ProberConfig{Lanes: in.gateway.Lanes(), Budget: in.budget, Path: s.Measuring.Path})
+	in.prober = admission.NewProber(admission.ProberConfig{Lanes: in.gateway.Lanes(), Budget: in.budget})
 	in.membership = newMembership(in.rosterChanged)
 	in.links = in.newLinks(seed)
 	if cfg.Directory != nil {
@@ -168,29 +168,31 @@
 		services[v.Name] = gateway.Service{NotRunStatus: v.NotRunStatus, NotRunHeader: v.NotRunHeader}
 	}
 	return gateway.New(gateway.Config{
-		Name:            s.Gateway.Name,
-		Zone:            s.Gateway.Zone,
-		Deadline:        s.Limits.Deadline,
-		Progress:        s.Limits.Progress,
-		BodyBytes:       s.Limits.BodyBytes,
-		MaxWaiting:      orNone(s.Limits.QueueLength),
-		RetryShare:      orNone(s.Retry.RetryShare),
-		HedgeShare:      orNone(s.Retry.HedgeShare),
-		HedgeQuantile:   s.Retry.HedgeQuantile,
-		Services:        services,
-		RetryWindow:     s.Retry.Window,
-		RetrySlack:      s.Retry.Slack,
-		Headers:         headers(s.Headers),
-		Ask:             s.Choice.Ask,
-		ProbePath:       s.Measuring.Path,
-		ServerPerSecond: s.Measuring.ServerPerSecond,
-		Budget:          in.budget,
-		NewChooser:      in.newChooser,
-		OnReport:        in.reported,
-		Claims:          in.claims(),
-		Metrics:         in.metrics.Scope(),
-		Logger:          in.cfg.Logger,
-		Seed:            seed,
+		Name:      s.Gateway.Name,
+		Deadline:  s.Limits.Deadline,
+		Progress:  s.Limits.Progress,
+		BodyBytes: s.Limits.BodyBytes,
+		Headers:   headers(s.Headers),
+		Services:  services,
+		Admission: admission.Options{
+			Zone:            s.Gateway.Zone,
+			MaxWaiting:      orNone(s.Limits.QueueLength),
+			RetryShare:      orNone(s.Retry.RetryShare),
+			RetryWindow:     s.Retry.Window,
+			RetrySlack:      s.Retry.Slack,
+			HedgeShare:      orNone(s.Retry.HedgeShare),
+			HedgeQuantile:   s.Retry.HedgeQuantile,
+			Ask:             s.Choice.Ask,
+			ProbePath:       s.Measuring.Path,
+			ServerPerSecond: s.Measuring.ServerPerSecond,
+			Budget:          in.budget,
+			NewChooser:      in.newChooser,
+			OnReport:        in.reported,
+		},
+		Claims:  in.claims(),
+		Metrics: in.metrics.Scope(),
+		Logger:  in.cfg.Logger,
+		Seed:    seed,
 	})
 }
 
--- a/internal/request/admission/lanes.go
+++ b/internal/request/admission/lanes.go
@@ -35,55 +35,18 @@
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 )
 
-// Budget bounds the cost of measuring.
-type Budget interface {
-	// Take spends messages and bytes, or returns false and spends nothing.
-	Take(now time.Time, messages, bytes int) bool
-}
-
-// Config configures Lanes. All fields but Budget and OnReport are needed.
+// Config configures Lanes.
 type Config struct {
-	// Name and Zone are this gateway's name and availability zone.
-	Name, Zone string
-	// MaxWaiting bounds the calls of one service that wait for a server; below 0
-	// for none.
-	MaxWaiting int
+	Options
+	// Name is this gateway's name.
+	Name string
 	// MinRetryAfter is the shortest wait that a refused caller can be told.
 	MinRetryAfter time.Duration
-	// RetryShare is the number of retries that one call earns; below 0 for none.
-	RetryShare float64
-	// RetryWindow is the time over which retries and hedges together are bounded
-	// by RetryShare of the calls and RetrySlack; 0 means that each call earns its
-	// share instead.
-	RetryWindow time.Duration
-	// RetrySlack is how many retries and hedges all gateways together may send in
-	// a window beyond the share.
-	RetrySlack float64
-	// HedgeShare is the number of hedges that one call earns; below 0 for none.
-	HedgeShare float64
-	// HedgeQuantile is the quantile of latencies after which a hedge is sent, and
-	// MinHedge the shortest time.
-	HedgeQuantile float64
-	MinHedge      time.Duration
 	// Transport carries questions. Calls use the same connections, of which an
 	// answered question is a sign of life.
 	Transport *http.Transport
 	// Headers names what servers say in headers.
 	Headers *mustardsaddle.Headers
-	// Ask is how many servers are asked for their load before a call is sent, if
-	// the chooser wants to know.
-	Ask int
-	// ProbePath is where servers tell their load if the rules do not say.
-	ProbePath string
-	// ServerPerSecond is how many questions one server may get each second from all
-	// gateways together.
-	ServerPerSecond float64
-	// Budget pays for what servers are asked; nil means that nothing is asked.
-	Budget Budget
-	// NewChooser returns the chooser of a service.
-	NewChooser func(service string) mustardsaddle.Chooser
-	// OnReport, if set, is told each load report. It must not block.
-	OnReport func(now time.Time, service, server string, rep mustardsaddle.Report)
 	// Rules returns the table in force, or nil.
 	Rules func() *rule.Table
 	// Metrics takes counters and histograms.
@@ -110,6 +73,7 @@
 
 // NewLanes returns Lanes without services.
 func NewLanes(cfg Config) *Lanes {
+	cfg.Options = cfg.Options.withDefaults()
 	s := &Lanes{cfg: cfg, lanes: make(map[string]*Lane)}
 	s.retry.Store(&booking.Bounds{Share: max(cfg.RetryShare, 0), Slack: cfg.RetrySlack})
 	return s
--- a/internal/request/admission/prober.go
+++ b/internal/request/admission/prober.go
@@ -16,8 +16,6 @@
 	probeAnswerBytes  = 500
 	// maxOpenProbes bounds the probes without an answer.
 	maxOpenProbes = 64
-	// DefaultLoadPath is where servers tell their load if nobody states it.
-	DefaultLoadPath = "/load"
 	// defaultProbeTimeout bounds one probe.
 	defaultProbeTimeout = 500 * time.Millisecond
 	// defaultProbeInterval is the time between two rounds of probes.
@@ -30,8 +28,6 @@
 	Lanes *Lanes
 	// Budget pays for each probe.
 	Budget Budget
-	// Path is where servers answer probes.
-	Path string
 	// Interval is the time between two rounds, each of one probe a service.
 	Interval time.Duration
 	// Timeout bounds one probe.
@@ -49,7 +45,6 @@
 
 // NewProber returns a prober that uses the connections of questions.
 func NewProber(cfg ProberConfig) *Prober {
-	cfg.Path = cmp.Or(cfg.Path, DefaultLoadPath)
 	cfg.Interval = cmp.Or(cfg.Interval, defaultProbeInterval)
 	cfg.Timeout = cmp.Or(cfg.Timeout, defaultProbeTimeout)
 	return &Prober{cfg: cfg}
@@ -102,7 +97,7 @@
 func (p *Prober) probe(ctx context.Context, l *Lane, server mustardsaddle.Server) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+p.cfg.Path, http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+p.cfg.Lanes.cfg.ProbePath, http.NoBody)
 	if err != nil {
 		return
 	}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -46,7 +46,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
@@ -61,15 +60,9 @@
 	defaultProgress    = 15 * time.Second
 	defaultBodyBytes   = 1 << 30
 	defaultReplayBytes = 64 << 10
-	defaultMaxWaiting  = 1024
 	defaultMaxAttempts = 3
-	defaultRetryShare  = 0.2
-	defaultHedgeShare  = 0.05
-	defaultQuantile    = 0.95
-	defaultMinHedge    = 5 * time.Millisecond
 	defaultDialTimeout = time.Second
 	defaultIdleTimeout = 15 * time.Second
-	defaultAsk         = 8
 )
 
 // Service holds what a service's operators declare about its servers.
@@ -85,8 +78,6 @@
 type Config struct {
 	// Name identifies this gateway in attempt ids and in Via.
 	Name string
-	// Zone is this gateway's availability zone.
-	Zone string
 	// Deadline bounds the time to the response header where a rule states none.
 	Deadline time.Duration
 	// Progress bounds how long a body, in either direction, may stand still.
@@ -95,26 +86,8 @@
 	BodyBytes int64
 	// ReplayBytes bounds the body that is kept so that it can be sent again.
 	ReplayBytes int64
-	// MaxWaiting bounds the calls of one service that wait for a server; below 0
-	// for none.
-	MaxWaiting int
 	// MaxAttempts bounds the attempts of one call.
 	MaxAttempts int
-	// RetryShare is the number of retries that one call earns; below 0 for none.
-	RetryShare float64
-	// RetryWindow is the time over which retries and hedges together are bounded
-	// by RetryShare of the calls and RetrySlack; 0 means that each call earns its
-	// share instead.
-	RetryWindow time.Duration
-	// RetrySlack is how many retries and hedges all gateways together may send in
-	// a window beyond the share.
-	RetrySlack float64
-	// HedgeShare is the number of hedges that one call earns; below 0 for none.
-	HedgeShare float64
-	// HedgeQuantile is the quantile of latencies after which a hedge is sent.
-	HedgeQuantile float64
-	// MinHedge is the shortest time after which a hedge is sent.
-	MinHedge time.Duration
 	// DialTimeout bounds the opening of a connection to a server.
 	DialTimeout time.Duration
 	// IdleTimeout is how long an unused connection to a server is kept.
@@ -122,23 +95,10 @@
 	// Headers names what callers and servers say in headers; nil means the
 	// project's own names.
 	Headers *mustardsaddle.Headers
-	// Ask is how many servers are asked for their load before a call is sent, if
-	// the chooser wants to know.
-	Ask int
-	// ProbePath is where servers tell their load if the rules do not say; empty
-	// means /load.
-	ProbePath string
-	// ServerPerSecond is how many questions one server may get each second from all
-	// gateways together.
-	ServerPerSecond float64
-	// Budget pays for what servers are asked; nil means that nothing is asked.
-	Budget admission.Budget
+	// Admission says when attempts may go, and where.
+	Admission admission.Options
 	// Services holds the declarations by service.
 	Services map[string]Service
-	// NewChooser returns the chooser of a service; nil means package bench.
-	NewChooser func(service string) mustardsaddle.Chooser
-	// OnReport, if set, is told each load report. It must not block.
-	OnReport func(now time.Time, service, server string, rep mustardsaddle.Report)
 	// Claims, if set, keeps the claims of rules with Repeat=Claim; otherwise
 	// such requests are refused.
 	Claims mustardsaddle.Claims
@@ -156,19 +116,9 @@
 	setDefault(&cfg.Progress, defaultProgress)
 	setDefault(&cfg.BodyBytes, defaultBodyBytes)
 	setDefault(&cfg.ReplayBytes, defaultReplayBytes)
-	setDefault(&cfg.MaxWaiting, defaultMaxWaiting)
 	setDefault(&cfg.MaxAttempts, defaultMaxAttempts)
-	setDefault(&cfg.RetryShare, defaultRetryShare)
-	setDefault(&cfg.HedgeShare, defaultHedgeShare)
-	setDefault(&cfg.HedgeQuantile, defaultQuantile)
-	setDefault(&cfg.MinHedge, defaultMinHedge)
 	setDefault(&cfg.DialTimeout, defaultDialTimeout)
 	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
-	setDefault(&cfg.ProbePath, admission.DefaultLoadPath)
-	setDefault(&cfg.Ask, defaultAsk)
-	if cfg.NewChooser == nil {
-		cfg.NewChooser = func(string) mustardsaddle.Chooser { return bench.New(bench.Config{}) }
-	}
 	if cfg.Headers == nil {
 		cfg.Headers = &mustardsaddle.Headers{Deadline: header.Deadline, Load: report.Header, ParseLoad: report.Parse}
 	}
@@ -185,20 +135,6 @@
 	})
 }
 
-// admission returns the part of the configuration that concerns admission.
-func (cfg Config) admission(rules func() *rule.Table, transport *http.Transport) admission.Config {
-	return admission.Config{
-		Name: cfg.Name, Zone: cfg.Zone,
-		MaxWaiting: cfg.MaxWaiting, MinRetryAfter: cfg.minRetryAfter(),
-		RetryShare: cfg.RetryShare, RetryWindow: cfg.RetryWindow, RetrySlack: cfg.RetrySlack,
-		HedgeShare: cfg.HedgeShare, HedgeQuantile: cfg.HedgeQuantile, MinHedge: cfg.MinHedge,
-		Transport: transport, Headers: cfg.Headers,
-		Ask: cfg.Ask, ProbePath: cfg.ProbePath, ServerPerSecond: cfg.ServerPerSecond, Budget: cfg.Budget,
-		NewChooser: cfg.NewChooser, OnReport: cfg.OnReport, Rules: rules,
-		Metrics: cfg.Metrics, Logger: cfg.Logger, Seed: cfg.Seed,
-	}
-}
-
 // setDefault replaces a zero value.
 func setDefault[T comparable](p *T, value T) {
 	var zero T
@@ -239,7 +175,10 @@
 		header: header.NewGateway(cfg.Name),
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 4)),
 	}
-	g.lanes = admission.NewLanes(cfg.admission(g.Rules, g.reuse))
+	g.lanes = admission.NewLanes(admission.Config{
+		Options: cfg.Admission, Name: cfg.Name, MinRetryAfter: cfg.minRetryAfter(), Transport: g.reuse,
+		Headers: cfg.Headers, Rules: g.Rules, Metrics: cfg.Metrics, Logger: cfg.Logger, Seed: cfg.Seed,
+	})
 	g.buffers.New = func() any { return new([copyBufferBytes]byte) }
 	return g
 }
--- a/internal/request/gateway/http_test.go
+++ b/internal/request/gateway/http_test.go
@@ -18,6 +18,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
@@ -218,7 +219,7 @@
 		release := make(chan struct{})
 		j := newJudge(t, func(http.ResponseWriter, *http.Request) { <-release })
 		t.Cleanup(func() { close(release) })
-		front, g := newGateway(t, gateway.Config{Deadline: 200 * time.Millisecond, MaxWaiting: 1}, j.address())
+		front, g := newGateway(t, gateway.Config{Deadline: 200 * time.Millisecond, Admission: admission.Options{MaxWaiting: 1}}, j.address())
 		g.SetFleet(time.Now(), make([]mustardsaddle.VM, 1000)) // a cap of one connection
 		first := make(chan string, 1)
 		go func() {
@@ -253,7 +254,7 @@
 			<-release
 			_, _ = fmt.Fprint(w, "whole")
 		})
-		front, g := newGateway(t, gateway.Config{HedgeShare: -1}, j.address())
+		front, g := newGateway(t, gateway.Config{Admission: admission.Options{HedgeShare: -1}}, j.address())
 		type answer struct {
 			resp *http.Response
 			text string
--- a/internal/request/gateway/once_test.go
+++ b/internal/request/gateway/once_test.go
@@ -10,12 +10,16 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // eager hedges and retries as much as it can.
-var eager = gateway.Config{MaxAttempts: 5, RetryShare: 5, HedgeShare: 5, MinHedge: time.Millisecond, Deadline: time.Second}
+var eager = gateway.Config{
+	MaxAttempts: 5, Deadline: time.Second,
+	Admission: admission.Options{RetryShare: 5, HedgeShare: 5, MinHedge: time.Millisecond},
+}
 
 func TestAtMostOnce(t *testing.T) {
 	faults := map[string]func(l *link){
--- a/internal/request/gateway/patience_test.go
+++ b/internal/request/gateway/patience_test.go
@@ -8,6 +8,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
+	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
@@ -38,8 +39,11 @@
 		j := newJudge(t, func(http.ResponseWriter, *http.Request) { <-release })
 		results := make(chan mustardsaddle.Result, 1)
 		front, _ := newGateway(t, gateway.Config{
-			HedgeShare: -1, Deadline: c.deadline,
-			NewChooser: func(string) mustardsaddle.Chooser { return told{bench.New(bench.Config{}), results} },
+			Deadline: c.deadline,
+			Admission: admission.Options{
+				HedgeShare: -1,
+				NewChooser: func(string) mustardsaddle.Chooser { return told{bench.New(bench.Config{}), results} },
+			},
 		}, j.address())
 		ctx, cancel := context.WithTimeout(context.Background(), c.waits)
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost, front.URL+"/bookings", http.NoBody)
--- a/internal/request/gateway/prober_test.go
+++ b/internal/request/gateway/prober_test.go
@@ -30,7 +30,9 @@
 			w.Header().Set(report.Header, report.Format(1, 2, true))
 		})
 		heard := make(chan mustardsaddle.Report, 100)
-		_, g := newGateway(t, gateway.Config{OnReport: func(_ time.Time, _, _ string, rep mustardsaddle.Report) { heard <- rep }}, j.address())
+		_, g := newGateway(t, gateway.Config{Admission: admission.Options{
+			OnReport: func(_ time.Time, _, _ string, rep mustardsaddle.Report) { heard <- rep },
+		}}, j.address())
 		budget := &purse{}
 		budget.left.Store(5)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -53,7 +55,7 @@
 	silent := newLink(t, j.address(), func(int) fault { return fault{up: 1, freeze: true} })
 	heard := make(chan string, 1000)
 	onReport := func(_ time.Time, _, server string, _ mustardsaddle.Report) { heard <- server }
-	_, g := newGateway(t, gateway.Config{OnReport: onReport}, silent.Addr().String(), j.address())
+	_, g := newGateway(t, gateway.Config{Admission: admission.Options{OnReport: onReport}}, silent.Addr().String(), j.address())
 	budget := &purse{}
 	budget.left.Store(100)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/request/gateway/question_test.go
+++ b/internal/request/gateway/question_test.go
@@ -12,6 +12,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
+	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
@@ -40,11 +41,11 @@
 	}
 	host.Start()
 	t.Cleanup(host.Close)
-	front, _ := newGateway(t, gateway.Config{
+	front, _ := newGateway(t, gateway.Config{Admission: admission.Options{
 		NewChooser:      func(string) mustardsaddle.Chooser { return survey.New(survey.Config{}) },
 		ServerPerSecond: agreed,
 		Budget:          report.NewBudget(report.BudgetConfig{MessagesPerSecond: agreed, BytesPerSecond: bytes}),
-	}, strings.TrimPrefix(host.URL, "http://"))
+	}}, strings.TrimPrefix(host.URL, "http://"))
 	for range calls {
 		resp, text, err := do(t, front, http.MethodPost, "/bookings", "a lathe")
 		if err != nil || resp.StatusCode != http.StatusOK {
--- a/internal/request/gateway/retry_test.go
+++ b/internal/request/gateway/retry_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
@@ -23,7 +24,7 @@
 	refuses := closed.Addr().String()
 	_ = closed.Close()
 	busy := newJudge(t, func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
-	front, _ := newGateway(t, gateway.Config{Deadline: 10 * time.Second, RetryShare: 1}, refuses, busy.address())
+	front, _ := newGateway(t, gateway.Config{Deadline: 10 * time.Second, Admission: admission.Options{RetryShare: 1}}, refuses, busy.address())
 	var wg sync.WaitGroup
 	for i := range calls {
 		wg.Go(func() {
@@ -44,7 +45,7 @@
 		arrived <- struct{}{}
 		<-release
 	})
-	front, g := newGateway(t, gateway.Config{MaxWaiting: -1, HedgeShare: -1}, j.address())
+	front, g := newGateway(t, gateway.Config{Admission: admission.Options{MaxWaiting: -1, HedgeShare: -1}}, j.address())
 	file, problems := rule.Parse("Path=/rosters Service=Booking # Mei Lin: rosters\nService=Booking Connections=1 # Mei Lin: servers")
 	if len(problems) > 0 {
 		t.Fatal(problems)
--- a/internal/request/gateway/whole_test.go
+++ b/internal/request/gateway/whole_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
@@ -30,7 +31,7 @@
 		_, _ = w.Write(append(body, r.URL.RawQuery...))
 	})
 	a, b := newLink(t, j.address(), nil), newLink(t, j.address(), nil)
-	cfg := gateway.Config{MinHedge: time.Millisecond, HedgeShare: 1, RetryShare: 1}
+	cfg := gateway.Config{Admission: admission.Options{MinHedge: time.Millisecond, HedgeShare: 1, RetryShare: 1}}
 	front, _ := newGateway(t, cfg, a.Addr().String(), b.Addr().String())
 	var wg sync.WaitGroup
 	for caller := range 16 {
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -220,13 +219,3 @@
 	n, _ := slices.BinarySearchFunc(times, t, time.Time.Compare)
 	return n
 }
-
-// Rules returns the rules that violations break, each once, in order.
-func Rules(violations []Violation) []Rule {
-	var rules []Rule
-	for _, v := range violations {
-		rules = append(rules, v.Rule)
-	}
-	slices.SortFunc(rules, cmp.Compare)
-	return slices.Compact(rules)
-}
--- a/internal/standin/soak/judge_test.go
+++ b/internal/standin/soak/judge_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +39,16 @@
 	return server.Execution{Server: "booking-00", Request: request, Attempt: attempt, At: at(ms)}
 }
 
+// rulesOf returns the rules that violations break, each once, in order.
+func rulesOf(violations []soak.Violation) []soak.Rule {
+	var rules []soak.Rule
+	for _, v := range violations {
+		rules = append(rules, v.Rule)
+	}
+	slices.Sort(rules)
+	return slices.Compact(rules)
+}
+
 func TestJudge(t *testing.T) {
 	promise := soak.Promise{Deadline: time.Second, Progress: time.Second, RetryShare: 0.5, Window: 10 * time.Second, Slack: 1}
 	once := []server.Execution{execution("r", "a", 10)}
@@ -139,7 +150,7 @@
 	} {
 		convey.Convey(c.name, t, func() {
 			got := soak.Judge(soak.History{Calls: c.calls, Executions: c.executions, Troubles: c.troubles}, promise)
-			convey.So(soak.Rules(got), convey.ShouldResemble, c.broken)
+			convey.So(rulesOf(got), convey.ShouldResemble, c.broken)
 		})
 	}
 }
--- a/internal/standin/trial/front.go
+++ b/internal/standin/trial/front.go
@@ -61,8 +61,8 @@
 		declared[svc.name] = gateway.Service{NotRunStatus: http.StatusServiceUnavailable, NotRunHeader: server.NotRunHeader}
 	}
 	f.gateway = gateway.New(gateway.Config{
-		Name: cfg.name, Zone: cfg.zone, Deadline: cfg.timeout, Services: declared, Seed: cfg.seed,
-		NewChooser: f.newChooser, RetryShare: cfg.candidate.retryShare(),
+		Name: cfg.name, Deadline: cfg.timeout, Services: declared, Seed: cfg.seed,
+		Admission: admission.Options{Zone: cfg.zone, NewChooser: f.newChooser, RetryShare: cfg.candidate.retryShare()},
 		// Log lines are written, so that their cost is in the figures.
 		Logger: zerolog.New(io.Discard).With().Timestamp().Logger(),
 	})
