--- a/internal/request/admission/lanes.go
+++ b/internal/request/admission/lanes.go
@@ -73,7 +73,7 @@
 
 // NewLanes returns Lanes without services.
 func NewLanes(cfg Config) *Lanes {
-	cfg.Options = cfg.Options.withDefaults()
+	cfg.Options = cfg.withDefaults()
 	s := &Lanes{cfg: cfg, lanes: make(map[string]*Lane)}
 	s.retry.Store(&booking.Bounds{Share: max(cfg.RetryShare, 0), Slack: cfg.RetrySlack})
 	return s
