--- a/directory.go
+++ b/directory.go
@@ -28,10 +28,12 @@
 	// false the read costs less and may return a state that is some seconds old.
 	Snapshot(ctx context.Context, c Collection, exact bool) (Update, error)
 	// Changes waits up to the given time for changes to a collection after a
-	// revision. An update without changes has the revision from which to continue.
+	// position. An update without changes has the position from which to continue.
 	// The error has code.StoreHistoryLost if the changes are no longer available
-	// and a Snapshot is needed.
-	Changes(ctx context.Context, c Collection, after int64, wait time.Duration) (Update, error)
+	// and a Snapshot is needed. If the directory was restored meanwhile, the update has
+	// the new era, and a Snapshot is needed too: its changes may continue from a
+	// revision that was assigned twice.
+	Changes(ctx context.Context, c Collection, after Position, wait time.Duration) (Update, error)
 	// Register writes the entry of a gateway VM and replaces any entry of the same
 	// name.
 	Register(ctx context.Context, vm VM) error
@@ -41,18 +43,24 @@
 
 // Update is a snapshot or a list of changes of one collection.
 type Update struct {
-	// After is the revision that an update continues from, if it is not whole.
-	After int64
-	// Revision is the revision of the directory up to which the update is complete.
-	Revision int64
+	// After is the position that an update continues from, if it is not whole.
+	After Position
+	// Position is the position of the directory up to which the update is complete. Its
+	// era is 0 if the directory did not state the era.
+	Position Position
+	// EraError is set if the directory stated an era that could not be read.
+	EraError error
 	// Whole is true for a snapshot, which lists all entries, and false for a list
 	// of changes.
 	Whole bool
 	// Age is the time for which the directory may have changed without notice to
 	// the sender of the update.
 	Age time.Duration
-	// Rules holds the newest rules; nil if the update contains none.
+	// Rules holds the newest rules as a whole; nil if the update does not.
 	Rules *RulesText
+	// RuleChange leads to the newest rules; nil if the update contains no change. A
+	// directory returns Rules, and gateways forward a RuleChange among each other.
+	RuleChange *RuleChange
 	// Machines holds the VMs that are new or have changed.
 	Machines []Machine
 	// Removed holds the names of the VMs that are no longer listed.
@@ -62,19 +70,15 @@
 }
 
 // CollectionState describes the state of a collection that a gateway has: it is
-// complete up to Revision, and was current Age ago.
+// complete up to Position, and was current Age ago.
 type CollectionState struct {
-	// Revision is 0 if nothing is known.
-	Revision int64
+	// Position is the zero value if nothing is known.
+	Position Position
 	// Age is an upper bound of the time for which the collection may have changed
 	// unnoticed.
 	Age time.Duration
-}
-
-// RulesText is a rules file as returned by a Directory.
-type RulesText struct {
-	// Generation orders the versions of the rules. It may grow by any step.
+	// Generation is the generation of the rules in force; 0 for other collections. It may
+	// be higher than that of the rules at Position, if the directory was restored from a
+	// copy with older rules.
 	Generation int64
-	// Text is the content of the rules file.
-	Text string
 }
--- a/internal/base/code/code_string.go
+++ b/internal/base/code/code_string.go
@@ -44,6 +44,7 @@
 	_ = x[StoreNewerFormat-3007]
 	_ = x[StoreBackoff-3008]
 	_ = x[StoreHistoryLost-3009]
+	_ = x[StoreOldEra-3010]
 	_ = x[CallNoRule-4001]
 	_ = x[CallNoServer-4002]
 	_ = x[CallOverloaded-4003]
@@ -68,7 +69,7 @@
 	_Code_name_0 = "OKInternal"
 	_Code_name_1 = "SettingsUnreadableSettingsUnknownSectionSettingsUnknownKeySettingsBadValueSettingsMissingSettingsSyntaxSettingsDuplicateSettingsTooLargeSettingsConflict"
 	_Code_name_2 = "RuleSyntaxRuleUnknownFieldRuleBadValueRuleMissingFieldRuleNoWhoRuleDuplicateRuleBadEncodingRuleTooLargeRuleLineTooLongRuleRepeatedFieldRuleBadPatternRuleBadGenerationRuleUnknownBaseRuleConflictChangeRuleConflictRemovalRuleSubmissionLost"
-	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudgetStoreNewerFormatStoreBackoffStoreHistoryLost"
+	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudgetStoreNewerFormatStoreBackoffStoreHistoryLostStoreOldEra"
 	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceledCallUpgradeCallMismatchCallClaimedCallStopping"
 	_Code_name_5 = "PeerBadMessagePeerNewerFormatPeerUnavailable"
 	_Code_name_6 = "ReportBad"
@@ -79,7 +80,7 @@
 	_Code_index_0 = [...]uint8{0, 2, 10}
 	_Code_index_1 = [...]uint8{0, 18, 40, 58, 74, 89, 103, 120, 136, 152}
 	_Code_index_2 = [...]uint8{0, 10, 26, 38, 54, 63, 76, 91, 103, 118, 135, 149, 166, 181, 199, 218, 236}
-	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79, 95, 107, 123}
+	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79, 95, 107, 123, 134}
 	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108, 119, 131, 142, 154}
 	_Code_index_5 = [...]uint8{0, 14, 29, 44}
 )
@@ -94,7 +95,7 @@
 	case 2001 <= i && i <= 2016:
 		i -= 2001
 		return _Code_name_2[_Code_index_2[i]:_Code_index_2[i+1]]
-	case 3001 <= i && i <= 3009:
+	case 3001 <= i && i <= 3010:
 		i -= 3001
 		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
 	case 4001 <= i && i <= 4013:
--- a/internal/base/code/list.go
+++ b/internal/base/code/list.go
@@ -97,6 +97,8 @@
 	// StoreHistoryLost means that the store no longer has the changes since a
 	// revision, so that a full read is needed.
 	StoreHistoryLost
+	// StoreOldEra means a response from before the store was restored, which is not used.
+	StoreOldEra
 )
 
 // Call codes.
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -49,6 +49,12 @@
 	// EntryRemoved is logged when this gateway removes the entry of another gateway,
 	// which is gone, from the platform's directory.
 	EntryRemoved
+	// StoreRestored is logged when the platform's store was restored from an older copy
+	// of its data.
+	StoreRestored
+	// StoreEraIgnored is logged for the first response of the platform's store that does
+	// not state its era as expected.
+	StoreEraIgnored
 )
 
 // Call events.
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -31,20 +31,27 @@
 //
 // While the directory does not respond, the last known state stays in use. Core
 // decides about entries that are missing after the outage; it performs no I/O.
+//
+// # Restores
+//
+// A directory may be restored from an older copy of its data. It then starts a new era, in
+// which it assigns revisions of the previous era again and has lost the latest writes. All
+// positions contain the era. The first gateway that sees a new era, in a response or a
+// message of a peer, reads or requests snapshots. Peers with the same position receive the
+// difference to it; others request a snapshot. Rules stay in force, and for some time Core
+// does not let an entry of the copy overrule a newer statement known before.
 package catalog
 
 import (
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
@@ -96,6 +103,9 @@
 	Stale time.Duration
 	// Wait is the maximum duration of one watch; 0 means 1.2 s.
 	Wait time.Duration
+	// Restored is called when the directory was found to be restored from an older copy of
+	// its data, with the new era. A nil Restored is not called.
+	Restored func(now time.Time, era int64)
 	// Core configures the handling of entries that are missing after an outage.
 	Core CoreConfig
 	// Logger receives the log events.
@@ -116,15 +126,15 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	table   *rule.Table
-	rules   mustardsaddle.RulesText
 	servers *Core
 	known   [len(followed)]progress
+	eras    EraTracker
 }
 
 // progress is the replication state of one collection.
 type progress struct {
-	revision int64
-	// historyLost is true if the directory has discarded the changes since revision.
+	position mustardsaddle.Position
+	// historyLost is true if the directory has discarded the changes since position.
 	historyLost bool
 	// freshAt is the latest time at which the collection was known to be up to date.
 	freshAt time.Time
@@ -142,6 +152,9 @@
 	if cfg.Forward == nil {
 		cfg.Forward = func(string, mustardsaddle.Collection, mustardsaddle.Update) {}
 	}
+	if cfg.Restored == nil {
+		cfg.Restored = func(time.Time, int64) {}
+	}
 	return &Catalog{
 		cfg:     cfg,
 		backoff: store.Backoff{Base: minBackoff, Max: maxBackoff},
@@ -176,282 +189,73 @@
 	return c.servers.AllServers()
 }
 
-// Empty reports whether no endpoint server is known.
-func (c *Catalog) Empty() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.servers.Empty()
-}
-
-// follower keeps one collection up to date.
-type follower struct {
-	*Catalog
-	collection mustardsaddle.Collection
-	// failures counts consecutive failed calls.
-	failures int
-	// historyLosses counts the times the directory had discarded its history since
-	// changes were last read.
-	historyLosses int
-}
-
-// follow keeps one collection up to date until the context ends.
-func (c *Catalog) follow(ctx context.Context, collection mustardsaddle.Collection) {
-	f := &follower{Catalog: c, collection: collection}
-	for ctx.Err() == nil {
-		action, pause, revision := c.nextAction(time.Now(), collection)
-		if action == Watch && f.failures > 0 {
-			// A watch returns only after a change or its full wait, so it would detect
-			// the recovery of the directory too late.
-			action = ReadChanges
-		}
-		if action == Sleep {
-			store.Sleep(ctx, min(pause, maxSleep))
-			continue
-		}
-		err := c.read(ctx, collection, action, revision)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case err == nil:
-			f.succeeded(action)
-		default:
-			f.failed(ctx, action, err)
-		}
-	}
-}
-
-// succeeded records a successful call and resets the failure counters.
-func (f *follower) succeeded(action Action) {
-	if f.failures > 0 {
-		event.Info(f.cfg.Logger, event.StoreBack).Stringer("Collection", f.collection).Int("Failures", f.failures).Send()
-	}
-	f.failures = 0
-	if action != ReadWhole {
-		f.historyLosses = 0
-	}
-}
-
-// failed records a failed call and waits before the next one. After the first loss of
-// the history the snapshot is read without delay.
-func (f *follower) failed(ctx context.Context, action Action, err error) {
-	f.failures++
-	if f.failures == 1 {
-		event.Warn(f.cfg.Logger, event.StoreFailed).Stringer("Collection", f.collection).Int("Code", int(code.Of(err))).Err(err).Send()
-	}
-	if code.Of(err) == code.StoreHistoryLost && action != ReadWhole {
-		f.requireSnapshot(f.collection)
-		f.historyLosses++
-		if f.historyLosses == 1 {
-			return
-		}
-	}
-	store.Sleep(ctx, f.backoffDelay(max(f.failures, f.historyLosses)))
-}
-
-// nextAction returns the next action on a collection, the duration of a sleep, and the
-// revision to continue from.
-func (c *Catalog) nextAction(now time.Time, collection mustardsaddle.Collection) (Action, time.Duration, int64) {
-	reader := c.cfg.Reader(collection)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.known[collection]
-	if p.historyLost {
-		return ReadWhole, 0, 0
-	}
-	staleAge := c.cfg.Stale + time.Duration(c.rng.Int64N(int64(staleJitter)))
-	action, pause := Plan(now, State{Revision: p.revision, FreshAt: p.freshAt, Reader: reader, StaleAge: staleAge})
-	return action, pause, p.revision
-}
-
-// read performs an action and applies the result.
-func (c *Catalog) read(ctx context.Context, collection mustardsaddle.Collection, action Action, revision int64) error {
-	started := time.Now()
-	var u mustardsaddle.Update
-	var err error
-	switch action {
-	case ReadWhole:
-		u, err = c.cfg.Directory.Snapshot(ctx, collection, true)
-	case Watch:
-		u, err = c.cfg.Directory.Changes(ctx, collection, revision, c.cfg.Wait)
-	default:
-		u, err = c.cfg.Directory.Changes(ctx, collection, revision, 0)
-	}
-	if err != nil {
-		return err
-	}
-	c.applyRead(started, time.Now(), collection, u)
-	return nil
-}
-
-// requireSnapshot makes the next action read a snapshot of the collection.
-func (c *Catalog) requireSnapshot(collection mustardsaddle.Collection) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.known[collection].historyLost = true
-}
-
-// applyRead applies an update that this gateway read in a call that started at started,
-// and forwards what is new.
-func (c *Catalog) applyRead(started, now time.Time, collection mustardsaddle.Collection, u mustardsaddle.Update) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, err := range u.Skipped {
-		event.Warn(c.cfg.Logger, event.EntrySkipped).Stringer("Collection", collection).Err(err).Send()
-	}
-	p := &c.known[collection]
-	p.freshAt = now
-	p.historyLost = p.historyLost && !u.Whole
-	forwardable := c.forwardable(collection, u)
-	c.servers.Contact(started, now)
-	if CompareRevision(p.revision, u.After, u.Revision, u.Whole) == Applicable {
-		c.apply(now, collection, u, "Directory")
-	}
-	c.cfg.Forward("", collection, forwardable)
-}
-
-// Known returns the known revision of a collection and its age.
-func (c *Catalog) Known(now time.Time, collection mustardsaddle.Collection) mustardsaddle.CollectionState {
+// Eras returns the newest known era of the directory, and how many responses stated none
+// that could be used.
+func (c *Catalog) Eras() (newest, ignored int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.known[collection]
-	if p.revision == 0 {
-		return mustardsaddle.CollectionState{}
-	}
-	return mustardsaddle.CollectionState{Revision: p.revision, Age: max(now.Sub(p.freshAt), 0)}
+	return c.eras.Newest(), c.eras.Ignored()
 }
 
-// ReceiveState processes the revision and age that a peer advertises. It returns true
-// if the peer has a newer revision and is to be asked for a snapshot of the collection.
-func (c *Catalog) ReceiveState(now time.Time, collection mustardsaddle.Collection, k mustardsaddle.CollectionState) bool {
+// ObserveResponse processes the era of a response of the directory that another component
+// received.
+func (c *Catalog) ObserveResponse(now time.Time, u mustardsaddle.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := &c.known[collection]
-	if k.Revision == 0 {
-		return false
-	}
-	if k.Revision > p.revision {
-		return p.shouldRequest(now)
-	}
-	if freshAt := now.Add(-k.Age); freshAt.After(p.freshAt) {
-		p.freshAt = freshAt
-		c.servers.Contact(freshAt, freshAt)
-	}
-	return false
+	c.resolveEra(now, u)
 }
 
-// Receive applies an update of a peer and forwards it if it is new. An update that
-// merely confirms that nothing has changed is new too if it makes the local copy
-// fresher. Receive returns true if changes before the update are missing here, so that
-// the peer is to be asked for a snapshot of the collection.
-func (c *Catalog) Receive(now time.Time, from string, collection mustardsaddle.Collection, u mustardsaddle.Update) (shouldRequest bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := &c.known[collection]
-	freshAt := now.Add(-u.Age)
-	forwardable := c.forwardable(collection, u)
-	order := CompareRevision(p.revision, u.After, u.Revision, u.Whole)
-	if order == Gap {
-		return p.shouldRequest(now)
-	}
-	if order == Outdated && freshAt.Sub(p.freshAt) < confirmInterval {
-		return false
-	}
-	// Contact must come first: Core uses the previous contact to distinguish entries
-	// that expired during an outage from entries that were removed.
-	c.servers.Contact(freshAt, freshAt)
-	if order == Applicable {
-		c.apply(now, collection, u, "Peer")
-	}
-	p.historyLost = p.historyLost && u.Revision < p.revision
-	if freshAt.After(p.freshAt) {
-		p.freshAt = freshAt
-	}
-	c.cfg.Forward(from, collection, forwardable)
-	return false
-}
-
-// forwardable returns the part of an update, not applied yet, that is forwarded to
-// peers. Incremental updates are forwarded as they are. A snapshot is reduced to the
-// changes since the known revision, which is what peers that followed the same readers
-// lack. The caller holds mu.
-func (c *Catalog) forwardable(collection mustardsaddle.Collection, u mustardsaddle.Update) mustardsaddle.Update {
-	if !u.Whole {
-		return u
-	}
-	// Without the changes, the update still announces the revision, so that peers with
-	// an older one request a snapshot.
-	forwardable := mustardsaddle.Update{After: u.Revision, Revision: u.Revision, Age: u.Age}
-	known := c.known[collection].revision
-	if known == 0 || u.Revision <= known {
-		return forwardable
-	}
-	var changed []mustardsaddle.Machine
-	var removed []string
-	if collection == mustardsaddle.ServersCollection {
-		changed, removed = diffMachines(c.servers.Machines(), u.Machines)
-	}
-	if len(changed)+len(removed) <= maxForwarded {
-		forwardable.After, forwardable.Rules, forwardable.Machines, forwardable.Removed = known, u.Rules, changed, removed
+// resolveEra returns an update of the directory with the era that it belongs to. If the
+// era shows that the directory was restored, it records this. The caller holds mu.
+func (c *Catalog) resolveEra(now time.Time, u mustardsaddle.Update) mustardsaddle.Update {
+	before := c.eras.Newest()
+	position, change := c.eras.Resolve(u.Position, u.EraError)
+	switch change {
+	case EraUnchanged:
+	case EraRaised:
+		c.recordRestore(now, before, "Directory")
+	case EraMissing, EraUnreadable, EraLowered:
+		if c.eras.Ignored() == 1 {
+			event.Warn(c.cfg.Logger, event.StoreEraIgnored).Stringer("Reason", change).Int64("Era", u.Position.Era).
+				Int64("Known", before).AnErr("Error", u.EraError).Send()
+		}
 	}
-	return forwardable
+	u.Position = position
+	return u
 }
 
-// diffMachines returns the VMs of after that are new or differ from before, and the
-// names of those of before that are not in after.
-func diffMachines(before, after []mustardsaddle.Machine) (changed []mustardsaddle.Machine, removed []string) {
-	old := make(map[string]mustardsaddle.Machine, len(before))
-	for _, m := range before {
-		old[m.Name] = m
+// raiseEra records an era that a peer states. The caller holds mu.
+func (c *Catalog) raiseEra(now time.Time, era int64) {
+	before := c.eras.Newest()
+	if c.eras.Raise(era) == EraRaised {
+		c.recordRestore(now, before, "Peer")
 	}
-	for _, m := range after {
-		if old[m.Name] != m {
-			changed = append(changed, m)
-		}
-		delete(old, m.Name)
-	}
-	for name := range old {
-		removed = append(removed, name)
-	}
-	slices.Sort(removed)
-	return changed, removed
 }
 
-// shouldRequest reports whether a peer is to be asked for a snapshot of the collection
-// now, and if so records the time.
-func (p *progress) shouldRequest(now time.Time) bool {
-	if now.Sub(p.requestedAt) < requestInterval {
-		return false
-	}
-	p.requestedAt = now
-	return true
+// recordRestore reacts to a new era: the directory was restored from an older copy of its
+// data. The caller holds mu.
+func (c *Catalog) recordRestore(now time.Time, before int64, source string) {
+	era := c.eras.Newest()
+	c.servers.Restored(now)
+	event.Warn(c.cfg.Logger, event.StoreRestored).Int64("Era", era).Int64("Before", before).Str("Source", source).Send()
+	c.cfg.Restored(now, era)
 }
 
-// CollectionSnapshot returns a snapshot of a collection for a peer, or false if nothing
-// is known.
-func (c *Catalog) CollectionSnapshot(now time.Time, collection mustardsaddle.Collection) (mustardsaddle.Update, bool) {
+// Empty reports whether no endpoint server is known.
+func (c *Catalog) Empty() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.known[collection]
-	u := mustardsaddle.Update{Whole: true, Revision: p.revision, Age: max(now.Sub(p.freshAt), 0)}
-	if collection == mustardsaddle.ServersCollection {
-		u.Machines = c.servers.Machines()
-	} else if c.rules.Generation > 0 {
-		rules := c.rules
-		u.Rules = &rules
-	}
-	return u, u.Revision > 0
+	return c.servers.Empty()
 }
 
-// apply applies an update to the local copy. The caller holds mu.
-func (c *Catalog) apply(now time.Time, collection mustardsaddle.Collection, u mustardsaddle.Update, source string) {
-	c.known[collection].revision = u.Revision
+// apply applies an update to the local copy; rules holds its rules. The caller holds mu.
+func (c *Catalog) apply(now time.Time, collection mustardsaddle.Collection, u mustardsaddle.Update, rules nextRules, source string) {
+	c.known[collection].position = u.Position
 	if collection == mustardsaddle.ServersCollection {
 		c.publish(now, c.servers.Apply(now, u))
 		return
 	}
-	if u.Rules != nil {
-		c.applyRules(*u.Rules, u.Revision, source)
-	}
+	c.putInForce(rules, u.Position, source)
 }
 
 func (c *Catalog) backoffDelay(failures int) time.Duration {
@@ -460,24 +264,6 @@
 	return c.backoff.Delay(c.rng, failures)
 }
 
-// applyRules puts rules in force if their generation is higher than the one in force.
-// The caller holds mu.
-func (c *Catalog) applyRules(r mustardsaddle.RulesText, revision int64, source string) {
-	if r.Generation <= c.table.File.Generation {
-		return
-	}
-	file, problems := rule.Parse(r.Text)
-	for _, p := range problems {
-		event.Warn(c.cfg.Logger, event.RulesIgnored).Int64("Generation", r.Generation).Int("Line", p.Line).
-			Int("Code", int(p.Code)).Str("Problem", p.Text).Send()
-	}
-	c.rules = r
-	c.table = c.table.Recompile(file.WithGeneration(r.Generation))
-	c.cfg.InForce(c.table)
-	event.Info(c.cfg.Logger, event.RulesInForce).Int64("Generation", r.Generation).Int64("Revision", revision).
-		Str("Source", source).Send()
-}
-
 // publish reports the servers of each changed service. The caller holds mu.
 func (c *Catalog) publish(now time.Time, list []Change) {
 	changed := make(map[string]bool)
@@ -507,13 +293,19 @@
 		Bool("Known", old.Name != "").Bool("Listed", now.Name != "").Bool("Leaving", now.Leaving).Send()
 }
 
-// expire periodically removes the entries that stayed missing after an outage.
+// expire calls ExpireEntries periodically until the context ends.
 func (c *Catalog) expire(ctx context.Context) {
 	for store.Sleep(ctx, expireInterval) {
-		c.mu.Lock()
-		if now := time.Now(); c.servers.HasMissing() {
-			c.publish(now, c.servers.Expire(now))
-		}
-		c.mu.Unlock()
+		c.ExpireEntries(time.Now())
+	}
+}
+
+// ExpireEntries removes the entries that stayed missing after an outage, and applies those
+// that were held back after a restore, when their time has passed.
+func (c *Catalog) ExpireEntries(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.servers.HasPending() {
+		c.publish(now, c.servers.Expire(now, c.known[mustardsaddle.ServersCollection].freshAt))
 	}
 }
--- a/internal/control/catalog/core.go
+++ b/internal/control/catalog/core.go
@@ -25,6 +25,9 @@
 	RetainMissing time.Duration
 	// Outage is the minimum time without a response that counts as an outage.
 	Outage time.Duration
+	// RestoreGuard is how long after a restore of the directory its entries do not
+	// overrule newer statements that were known before.
+	RestoreGuard time.Duration
 }
 
 // Core holds the state of the servers collection. It performs no I/O and takes the
@@ -32,6 +35,7 @@
 type Core struct {
 	cfg     CoreConfig
 	entries map[string]entry
+	guard   restoreGuard
 	// lastContact is the latest time at which the directory is known to have
 	// responded, to this gateway or to one whose update reached it.
 	lastContact time.Time
@@ -52,7 +56,8 @@
 func NewCore(cfg CoreConfig) *Core {
 	cfg.RetainMissing = cmp.Or(cfg.RetainMissing, defaultRetainMissing)
 	cfg.Outage = cmp.Or(cfg.Outage, defaultOutage)
-	return &Core{cfg: cfg, entries: make(map[string]entry)}
+	cfg.RestoreGuard = cmp.Or(cfg.RestoreGuard, defaultRestoreGuard)
+	return &Core{cfg: cfg, entries: make(map[string]entry), guard: newRestoreGuard()}
 }
 
 // Change describes a VM that was added, modified or removed.
@@ -72,19 +77,19 @@
 	listed := make(map[string]bool, len(u.Machines))
 	for _, m := range u.Machines {
 		listed[m.Name] = true
-		c.entries[m.Name] = entry{Machine: m, warmAt: warmAt(now, m)}
+		c.list(now, m)
 	}
 	for _, name := range u.Removed {
 		c.markMissing(name)
 	}
 	if u.Whole {
-		for name := range before {
-			if !listed[name] {
-				c.markMissing(name)
+		for _, m := range c.Machines() {
+			if !listed[m.Name] {
+				c.markMissing(m.Name)
 			}
 		}
 	}
-	c.expire(now)
+	c.expire(now, now)
 	return changes(before, c.entries)
 }
 
@@ -98,11 +103,19 @@
 	}
 }
 
-// Machines returns the listed VMs, ordered by name.
+// Restored records that the directory was found at now to be restored from an older copy
+// of its data. Entries that are missing since may return, as after an outage, and for
+// CoreConfig.RestoreGuard newer statements that were known before stay in effect.
+func (c *Core) Restored(now time.Time) {
+	c.recoveredAt = now
+	c.guard.begin(now, c.cfg.RestoreGuard)
+}
+
+// Machines returns the VMs as listed by the directory, ordered by name.
 func (c *Core) Machines() []mustardsaddle.Machine {
-	var machines []mustardsaddle.Machine
-	for _, e := range c.entries {
-		if e.expiresAt.IsZero() {
+	machines := slices.Collect(maps.Values(c.guard.held))
+	for name, e := range c.entries {
+		if _, held := c.guard.held[name]; !held && e.expiresAt.IsZero() {
 			machines = append(machines, e.Machine)
 		}
 	}
@@ -119,8 +132,27 @@
 	return now.Add(m.WarmUp)
 }
 
+// list applies a listed VM. Under the guard after a restore, what was known before may
+// stay in effect instead.
+func (c *Core) list(now time.Time, m mustardsaddle.Machine) {
+	e, known := c.entries[m.Name]
+	if !known {
+		if !c.guard.holdRemoved(now, m) {
+			c.entries[m.Name] = entry{Machine: m, warmAt: warmAt(now, m)}
+		}
+		return
+	}
+	if inEffect := c.guard.holdOlder(now, m, e.Machine); inEffect != m {
+		e.Machine, e.expiresAt = inEffect, time.Time{}
+		c.entries[m.Name] = e
+		return
+	}
+	c.entries[m.Name] = entry{Machine: m, warmAt: warmAt(now, m)}
+}
+
 // markMissing records that an entry is no longer listed, and sets its expiry time.
 func (c *Core) markMissing(name string) {
+	c.guard.release(name)
 	e, known := c.entries[name]
 	if !known || !e.expiresAt.IsZero() {
 		return
@@ -130,20 +162,33 @@
 	c.entries[name] = e
 }
 
-// Expire removes the missing entries whose retention time has passed.
-func (c *Core) Expire(now time.Time) []Change {
+// Expire removes the missing entries whose retention time has passed, and applies the
+// entries that were held back after a restore once RestoreGuard has passed. The entries
+// were last known to be current at freshAt.
+func (c *Core) Expire(now, freshAt time.Time) []Change {
 	before := maps.Clone(c.entries)
-	c.expire(now)
+	c.expire(now, freshAt)
 	return changes(before, c.entries)
 }
 
-func (c *Core) expire(now time.Time) {
-	maps.DeleteFunc(c.entries, func(_ string, e entry) bool { return !e.expiresAt.IsZero() && !now.Before(e.expiresAt) })
+func (c *Core) expire(now, freshAt time.Time) {
+	for name, e := range c.entries {
+		if !e.expiresAt.IsZero() && !now.Before(e.expiresAt) {
+			delete(c.entries, name)
+			c.guard.recordRemoval(now, e.Machine)
+		}
+	}
+	for _, m := range c.guard.expire(now, freshAt) {
+		c.entries[m.Name] = entry{Machine: m}
+	}
 }
 
-// HasMissing reports whether any entry is retained although it is no longer listed, so
-// that Expire has to be called.
-func (c *Core) HasMissing() bool {
+// HasPending reports whether any entry is retained although it is no longer listed, or
+// held back although it is listed, so that Expire has to be called.
+func (c *Core) HasPending() bool {
+	if len(c.guard.held) > 0 {
+		return true
+	}
 	for _, e := range c.entries {
 		if !e.expiresAt.IsZero() {
 			return true
--- /dev/null
+++ b/internal/control/catalog/forward.go
@@ -0,0 +1,57 @@
+package catalog
+
+import (
+	"slices"
+
+	"mustardsaddle.example/mustardsaddle"
+)
+
+// forwardable returns the part of an update, not applied yet, that is forwarded to
+// peers; rules holds its rules. Incremental updates are forwarded as they are, but with
+// the change of the rules instead of all rules. A snapshot is reduced to the changes
+// since the known position, which is what peers that followed the same readers lack. The
+// caller holds mu.
+func (c *Catalog) forwardable(collection mustardsaddle.Collection, u mustardsaddle.Update, rules nextRules) mustardsaddle.Update {
+	if !u.Whole {
+		if u.Rules != nil {
+			u.Rules, u.RuleChange = nil, c.changeTo(rules)
+		}
+		return u
+	}
+	// Without the changes, the update still announces the position, so that peers with
+	// an older one request a snapshot.
+	forwardable := mustardsaddle.Update{After: u.Position, Position: u.Position, Age: u.Age}
+	known := c.known[collection].position
+	if known.IsZero() || !known.Before(u.Position) {
+		return forwardable
+	}
+	var changed []mustardsaddle.Machine
+	var removed []string
+	if collection == mustardsaddle.ServersCollection {
+		changed, removed = diffMachines(c.servers.Machines(), u.Machines)
+	}
+	if len(changed)+len(removed) <= maxForwarded {
+		forwardable.After, forwardable.RuleChange, forwardable.Machines, forwardable.Removed = known, c.changeTo(rules), changed, removed
+	}
+	return forwardable
+}
+
+// diffMachines returns the VMs of after that are new or differ from before, and the
+// names of those of before that are not in after.
+func diffMachines(before, after []mustardsaddle.Machine) (changed []mustardsaddle.Machine, removed []string) {
+	old := make(map[string]mustardsaddle.Machine, len(before))
+	for _, m := range before {
+		old[m.Name] = m
+	}
+	for _, m := range after {
+		if old[m.Name] != m {
+			changed = append(changed, m)
+		}
+		delete(old, m.Name)
+	}
+	for name := range old {
+		removed = append(removed, name)
+	}
+	slices.Sort(removed)
+	return changed, removed
+}
--- /dev/null
+++ b/internal/control/catalog/peer.go
@@ -0,0 +1,112 @@
+package catalog
+
+import (
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+)
+
+// Known returns the state of a collection.
+func (c *Catalog) Known(now time.Time, collection mustardsaddle.Collection) mustardsaddle.CollectionState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.known[collection]
+	if p.position.IsZero() {
+		return mustardsaddle.CollectionState{}
+	}
+	state := mustardsaddle.CollectionState{Position: p.position, Age: max(now.Sub(p.freshAt), 0)}
+	if collection == mustardsaddle.RulesCollection {
+		state.Generation = c.table.File.Generation
+	}
+	return state
+}
+
+// ReceiveState processes the state of a collection that a peer advertises. It returns true
+// if the peer has a newer position, or newer rules, and is to be asked for a snapshot of
+// the collection.
+func (c *Catalog) ReceiveState(now time.Time, collection mustardsaddle.Collection, s mustardsaddle.CollectionState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := &c.known[collection]
+	if s.Position.IsZero() {
+		return false
+	}
+	c.raiseEra(now, s.Position.Era)
+	if p.position.Before(s.Position) || s.Generation > c.table.File.Generation {
+		return p.shouldRequest(now)
+	}
+	if s.Position.Era < c.eras.Newest() {
+		return false
+	}
+	if freshAt := now.Add(-s.Age); freshAt.After(p.freshAt) {
+		p.freshAt = freshAt
+		c.servers.Contact(freshAt, freshAt)
+	}
+	return false
+}
+
+// Receive applies an update of a peer and forwards it if it is new. An update that
+// merely confirms that nothing has changed is new too if it makes the local copy
+// fresher. Receive returns true if changes before the update are missing here, so that
+// the peer is to be asked for a snapshot of the collection.
+func (c *Catalog) Receive(now time.Time, from string, collection mustardsaddle.Collection, u mustardsaddle.Update) (shouldRequest bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.raiseEra(now, u.Position.Era)
+	p := &c.known[collection]
+	freshAt := now.Add(-u.Age)
+	if u.Position.Era < c.eras.Newest() {
+		// What was current before a restore says nothing about the time after it.
+		freshAt = p.freshAt
+	}
+	rules, result := c.nextRules(u)
+	forwardable := c.forwardable(collection, u, rules)
+	order := Compare(p.position, u)
+	if order == Gap || order == Applicable && result.Err() != nil {
+		return p.shouldRequest(now)
+	}
+	if order == Outdated {
+		// After a restore a peer may have newer rules in force than the directory has.
+		c.putInForce(rules, u.Position, "Peer")
+	}
+	if order == Outdated && freshAt.Sub(p.freshAt) < confirmInterval {
+		return false
+	}
+	// Contact must come first: Core uses the previous contact to distinguish entries
+	// that expired during an outage from entries that were removed.
+	c.servers.Contact(freshAt, freshAt)
+	if order == Applicable {
+		c.apply(now, collection, u, rules, "Peer")
+	}
+	p.historyLost = p.historyLost && u.Position.Before(p.position)
+	if freshAt.After(p.freshAt) {
+		p.freshAt = freshAt
+	}
+	c.cfg.Forward(from, collection, forwardable)
+	return false
+}
+
+// CollectionSnapshot returns a snapshot of a collection for a peer, or false if nothing
+// is known.
+func (c *Catalog) CollectionSnapshot(now time.Time, collection mustardsaddle.Collection) (mustardsaddle.Update, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.known[collection]
+	u := mustardsaddle.Update{Whole: true, Position: p.position, Age: max(now.Sub(p.freshAt), 0)}
+	if collection == mustardsaddle.ServersCollection {
+		u.Machines = c.servers.Machines()
+	} else if file := c.table.File; file.Generation > 0 {
+		u.Rules = &mustardsaddle.RulesText{Generation: file.Generation, Text: file.Format()}
+	}
+	return u, !p.position.IsZero()
+}
+
+// shouldRequest reports whether a peer is to be asked for a snapshot of the collection
+// now, and if so records the time.
+func (p *progress) shouldRequest(now time.Time) bool {
+	if now.Sub(p.requestedAt) < requestInterval {
+		return false
+	}
+	p.requestedAt = now
+	return true
+}
--- a/internal/control/catalog/plan.go
+++ b/internal/control/catalog/plan.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+)
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Action -output=action_string.go
 
@@ -20,8 +24,10 @@
 
 // State is the input of Plan.
 type State struct {
-	// Revision is the revision known locally, 0 for none.
-	Revision int64
+	// Position is the position known locally.
+	Position mustardsaddle.Position
+	// Era is the newest known era of the directory.
+	Era int64
 	// FreshAt is the latest time at which the collection was known to be up to
 	// date.
 	FreshAt time.Time
@@ -36,38 +42,16 @@
 func Plan(now time.Time, s State) (Action, time.Duration) {
 	age := now.Sub(s.FreshAt)
 	switch {
-	case s.Revision == 0:
+	case s.Position.IsZero():
+		return ReadWhole, 0
+	case age < s.StaleAge && !s.Reader:
+		return Sleep, s.StaleAge - age
+	case s.Position.Era < s.Era:
+		// The revision is of an earlier era, so no changes can be read after it.
 		return ReadWhole, 0
 	case s.Reader:
 		return Watch, 0
-	case age >= s.StaleAge:
-		return ReadChanges, 0
-	default:
-		return Sleep, s.StaleAge - age
-	}
-}
-
-// RevisionOrder is the result of comparing an update with the revision known
-// locally.
-type RevisionOrder int
-
-const (
-	// Outdated means that the update contains nothing new.
-	Outdated RevisionOrder = iota
-	// Applicable means that the update can be applied.
-	Applicable
-	// Gap means that changes between the known revision and the update are missing.
-	Gap
-)
-
-// CompareRevision compares an update with the revision known locally.
-func CompareRevision(known, after, revision int64, whole bool) RevisionOrder {
-	switch {
-	case revision <= known:
-		return Outdated
-	case whole || after <= known && known > 0:
-		return Applicable
 	default:
-		return Gap
+		return ReadChanges, 0
 	}
 }
--- /dev/null
+++ b/internal/control/catalog/restore_test.go
@@ -0,0 +1,445 @@
+package catalog_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/control/catalog"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/standin/directory"
+)
+
+func TestEraTracker(t *testing.T) {
+	unreadable := fmt.Errorf("not a number")
+	for _, c := range []struct {
+		name     string
+		newest   int64
+		stated   int64
+		eraError error
+		era      int64
+		change   catalog.EraChange
+		ignored  int64
+	}{
+		{"directory without eras", 0, 0, nil, 0, catalog.EraUnchanged, 0},
+		{"first era", 0, 7, nil, 7, catalog.EraUnchanged, 0},
+		{"same era", 7, 7, nil, 7, catalog.EraUnchanged, 0},
+		{"raised", 7, 8, nil, 8, catalog.EraRaised, 0},
+		{"missing", 7, 0, nil, 7, catalog.EraMissing, 1},
+		{"unreadable", 7, 0, unreadable, 7, catalog.EraUnreadable, 1},
+		{"lowered", 7, 6, nil, 6, catalog.EraLowered, 1},
+	} {
+		var tracker catalog.EraTracker
+		tracker.Raise(c.newest)
+		p, change := tracker.Resolve(mustardsaddle.Position{Era: c.stated, Revision: 3}, c.eraError)
+		if want := (mustardsaddle.Position{Era: c.era, Revision: 3}); p != want || change != c.change || tracker.Ignored() != c.ignored {
+			t.Errorf("%s: got %v, %v, %d ignored, want %v, %v, %d ignored", c.name, p, change, tracker.Ignored(), want, c.change, c.ignored)
+		}
+		if tracker.Newest() < c.newest {
+			t.Errorf("%s: the newest era fell from %d to %d", c.name, c.newest, tracker.Newest())
+		}
+	}
+}
+
+// TestRestoredCopyIsOlder guards against the use of a server that had left, or of an
+// incarnation that had ended, because the directory was restored from a copy that still
+// lists it; and against dropping a server that the copy does not contain yet.
+func TestRestoredCopyIsOlder(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	at := start.Add
+	server := func(name string, incarnation int64, leaving bool) mustardsaddle.Machine {
+		return mustardsaddle.Machine{Name: name, Service: "Booking", Address: "10.0.0.1:80", Incarnation: incarnation, Leaving: leaving}
+	}
+	whole := func(servers ...mustardsaddle.Machine) mustardsaddle.Update {
+		return mustardsaddle.Update{Whole: true, Position: revision(1), Machines: servers}
+	}
+	serving := func(c *catalog.Core) string {
+		text := ""
+		for _, s := range c.Servers("Booking") {
+			if !s.Leaving {
+				text += fmt.Sprintf("%s%d ", s.Name, s.Incarnation)
+			}
+		}
+		return text
+	}
+	convey.Convey("Given servers of which one left, one is leaving, one restarted and one joined before the restore", t, func() {
+		c := catalog.NewCore(catalog.CoreConfig{RetainMissing: 2 * time.Second, RestoreGuard: 10 * time.Second})
+		c.Contact(start, start)
+		copied := whole(server("gone", 1, false), server("leaving", 1, false), server("restarted", 1, false), server("stays", 1, false))
+		c.Apply(start, copied)
+		c.Apply(at(time.Second), whole(server("joined", 1, false), server("leaving", 1, true), server("restarted", 2, false), server("stays", 1, false)))
+		convey.So(serving(c), convey.ShouldEqual, "joined1 restarted2 stays1 ")
+		c.Restored(at(2 * time.Second))
+		c.Apply(at(2*time.Second), copied)
+		convey.Convey("The newer statements stay in effect, but the entries count as listed", func() {
+			convey.So(serving(c), convey.ShouldEqual, "joined1 restarted2 stays1 ")
+			convey.So(c.Machines(), convey.ShouldResemble, copied.Machines)
+			convey.So(c.HasPending(), convey.ShouldBeTrue)
+		})
+		convey.Convey("What is written again confirms them", func() {
+			c.Apply(at(3*time.Second), mustardsaddle.Update{
+				Removed:  []string{"gone"},
+				Machines: []mustardsaddle.Machine{server("joined", 1, false), server("leaving", 1, true), server("restarted", 2, false)},
+			})
+			c.Expire(at(time.Minute), at(time.Minute))
+			convey.So(serving(c), convey.ShouldEqual, "joined1 restarted2 stays1 ")
+			convey.So(c.HasPending(), convey.ShouldBeFalse)
+		})
+		convey.Convey("A new incarnation is used at once", func() {
+			c.Apply(at(3*time.Second), mustardsaddle.Update{Machines: []mustardsaddle.Machine{server("gone", 2, false), server("leaving", 2, false)}})
+			convey.So(serving(c), convey.ShouldEqual, "gone2 joined1 leaving2 restarted2 stays1 ")
+		})
+		convey.Convey("An entry that is still listed after the guard is used, and a missing one is dropped", func() {
+			c.Expire(at(11900*time.Millisecond), at(11900*time.Millisecond))
+			convey.So(serving(c), convey.ShouldEqual, "restarted2 stays1 ")
+			c.Expire(at(12*time.Second), at(12*time.Second))
+			convey.So(serving(c), convey.ShouldEqual, "gone1 leaving1 restarted1 stays1 ")
+			convey.So(c.HasPending(), convey.ShouldBeFalse)
+		})
+	})
+}
+
+// TestLateResponseOfAnOldEra guards against the use of a response that was sent before the
+// directory was restored and arrives after a response of the new era.
+func TestLateResponseOfAnOldEra(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	convey.Convey("Given a catalog that has read rules of era 2", t, func() {
+		restores := 0
+		c := catalog.New(catalog.Config{
+			InForce: func(*rule.Table) {}, Servers: func(time.Time, string, []mustardsaddle.Server) {},
+			Restored: func(time.Time, int64) { restores++ },
+		})
+		collection := mustardsaddle.RulesCollection
+		old := mustardsaddle.Update{Whole: true, Position: mustardsaddle.Position{Era: 1, Revision: 90}, Rules: rules(3)}
+		restored := mustardsaddle.Update{Whole: true, Position: mustardsaddle.Position{Era: 2, Revision: 40}, Rules: rules(2)}
+		convey.So(c.ReceiveResponse(now, now, collection, old), convey.ShouldBeNil)
+		convey.So(c.ReceiveResponse(now, now, collection, restored), convey.ShouldBeNil)
+		convey.So(restores, convey.ShouldEqual, 1)
+		convey.Convey("The newer rules stay in force and are advertised to peers", func() {
+			_, generation := c.Snapshot()
+			convey.So(generation, convey.ShouldEqual, 3)
+			convey.So(c.Known(now, collection), convey.ShouldResemble, mustardsaddle.CollectionState{Position: restored.Position, Generation: 3})
+		})
+		convey.Convey("A late response of era 1 is refused and counted", func() {
+			old.Position.Revision = 95
+			err := c.ReceiveResponse(now, now, collection, old)
+			convey.So(code.Of(err), convey.ShouldEqual, code.StoreOldEra)
+			newest, ignored := c.Eras()
+			convey.So(newest, convey.ShouldEqual, 2)
+			convey.So(ignored, convey.ShouldEqual, 1)
+		})
+		convey.Convey("Changes after a revision of era 1 in a response of era 2 require a snapshot", func() {
+			u := mustardsaddle.Update{After: old.Position, Position: mustardsaddle.Position{Era: 2, Revision: 95}}
+			convey.So(code.Of(c.ReceiveResponse(now, now, collection, u)), convey.ShouldEqual, code.StoreHistoryLost)
+		})
+		convey.Convey("A response without an era counts as one of era 2", func() {
+			u := mustardsaddle.Update{After: restored.Position, Position: mustardsaddle.Position{Revision: 41}, Rules: rules(4)}
+			convey.So(c.ReceiveResponse(now, now, collection, u), convey.ShouldBeNil)
+			_, generation := c.Snapshot()
+			convey.So(generation, convey.ShouldEqual, 4)
+		})
+		convey.Convey("A gateway that started after the restore requests the newer rules", func() {
+			started := catalog.New(catalog.Config{InForce: func(*rule.Table) {}})
+			convey.So(started.ReceiveResponse(now, now, collection, restored), convey.ShouldBeNil)
+			convey.So(started.ReceiveState(now, collection, c.Known(now, collection)), convey.ShouldBeTrue)
+			u, known := c.CollectionSnapshot(now, collection)
+			convey.So(known, convey.ShouldBeTrue)
+			started.Receive(now, "peer", collection, u)
+			_, generation := started.Snapshot()
+			convey.So(generation, convey.ShouldEqual, 3)
+		})
+	})
+}
+
+// modelGuard is the RestoreGuard in the model, in steps of modelStep.
+const (
+	modelStep  = 100 * time.Millisecond
+	modelGuard = 60 * modelStep
+	// modelRewriteLimit is the time, in steps, in which the model writes again what a
+	// restore has lost.
+	modelRewriteLimit = 20
+	// modelStale is the age from which a gateway reads the directory, and modelDelay the
+	// largest delay of a message.
+	modelStale = 14 * modelStep
+	modelDelay = 15 * modelStep
+	// maxModelSteps is the largest number of actions of one run of the model.
+	maxModelSteps = 150
+)
+
+// collections are the collections of the model.
+var collections = []mustardsaddle.Collection{mustardsaddle.RulesCollection, mustardsaddle.ServersCollection}
+
+// modelGateway is one gateway of the model.
+type modelGateway struct {
+	*catalog.Catalog
+	// generation is the generation in force.
+	generation int64
+	// known holds the servers in use, by name and incarnation, and ended those that had
+	// left when the gateway stopped to use them.
+	known, ended map[string]bool
+}
+
+// modelMessage is a message that was sent and not delivered yet.
+type modelMessage struct {
+	sentAt  time.Time
+	deliver func()
+}
+
+// restoreModel is a directory with gateways that exchange messages in any order. Messages
+// may be lost or delivered twice.
+type restoreModel struct {
+	t         *rapid.T
+	now       time.Time
+	directory *directory.Directory
+	copies    []directory.Copy
+	gateways  []*modelGateway
+	messages  []modelMessage
+	servers   map[string]mustardsaddle.Machine
+	// started counts the starts of servers, and gives each its incarnation.
+	started int64
+	rules   int64
+	// rewriteAt is when lost writes are repeated; zero if none are lost.
+	rewriteAt time.Time
+}
+
+func newRestoreModel(t *rapid.T, gateways int) *restoreModel {
+	m := &restoreModel{
+		t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), directory: directory.New(), servers: make(map[string]mustardsaddle.Machine),
+	}
+	for i := range gateways {
+		g := &modelGateway{known: make(map[string]bool), ended: make(map[string]bool)}
+		g.Catalog = catalog.New(catalog.Config{
+			InForce: func(table *rule.Table) {
+				if table.File.Generation <= g.generation {
+					t.Fatalf("gateway %d: rules fell back from generation %d to %d", i, g.generation, table.File.Generation)
+				}
+				g.generation = table.File.Generation
+			},
+			Servers: func(time.Time, string, []mustardsaddle.Server) {},
+			Forward: func(from string, c mustardsaddle.Collection, u mustardsaddle.Update) { m.forward(i, from, c, u) },
+			Core:    catalog.CoreConfig{RestoreGuard: modelGuard},
+		})
+		m.gateways = append(m.gateways, g)
+	}
+	return m
+}
+
+func (m *restoreModel) queue(deliver func()) {
+	m.messages = append(m.messages, modelMessage{sentAt: m.now, deliver: deliver})
+}
+
+// send queues an update for a gateway, which requests a snapshot if it has a gap.
+func (m *restoreModel) send(from, to int, c mustardsaddle.Collection, u mustardsaddle.Update) {
+	m.queue(func() {
+		if m.gateways[to].Receive(m.now, fmt.Sprint(from), c, u) {
+			m.sendSnapshot(to, from, c)
+		}
+	})
+}
+
+func (m *restoreModel) sendSnapshot(to, from int, c mustardsaddle.Collection) {
+	m.queue(func() {
+		if u, known := m.gateways[from].CollectionSnapshot(m.now, c); known {
+			m.send(from, to, c, u)
+		}
+	})
+}
+
+func (m *restoreModel) forward(self int, from string, c mustardsaddle.Collection, u mustardsaddle.Update) {
+	for to := range m.gateways {
+		if to != self && fmt.Sprint(to) != from {
+			m.send(self, to, c, u)
+		}
+	}
+}
+
+// heartbeat sends the state of a collection from one gateway to another.
+func (m *restoreModel) heartbeat(from, to int, c mustardsaddle.Collection) {
+	state := m.gateways[from].Known(m.now, c)
+	m.queue(func() {
+		if m.gateways[to].ReceiveState(m.now, c, state) {
+			m.sendSnapshot(to, from, c)
+		}
+	})
+}
+
+// read lets a gateway read a collection as Catalog.Run does.
+func (m *restoreModel) read(i int, c mustardsaddle.Collection) {
+	ctx := context.Background()
+	g := m.gateways[i]
+	known := g.Known(m.now, c)
+	newest, _ := g.Eras()
+	u, err := m.directory.Changes(ctx, c, known.Position, 0)
+	if known.Position.IsZero() || known.Position.Era < newest || code.Of(err) == code.StoreHistoryLost {
+		u, err = m.directory.Snapshot(ctx, c, true)
+	}
+	if err == nil {
+		err = g.ReceiveResponse(m.now, m.now, c, u)
+	}
+	if code.Of(err) == code.StoreHistoryLost {
+		u, _ = m.directory.Snapshot(ctx, c, true)
+		err = g.ReceiveResponse(m.now, m.now, c, u)
+	}
+	if err != nil {
+		m.t.Fatalf("gateway %d: read %s: %v", i, c, err)
+	}
+}
+
+// check fails if a gateway uses a server that it knows to be leaving or gone.
+func (m *restoreModel) check() {
+	alive := make(map[string]bool)
+	for _, s := range m.servers {
+		alive[fmt.Sprintf("%s/%d", s.Name, s.Incarnation)] = !s.Leaving
+	}
+	for i, g := range m.gateways {
+		serving := make(map[string]bool)
+		for _, s := range g.Servers() {
+			key := fmt.Sprintf("%s/%d", s.Name, s.Incarnation)
+			if s.Leaving {
+				continue
+			}
+			serving[key] = true
+			if g.ended[key] {
+				m.t.Fatalf("gateway %d: server %s is used again after it left", i, key)
+			}
+		}
+		for key := range g.known {
+			g.ended[key] = g.ended[key] || !serving[key] && !alive[key]
+		}
+		g.known = serving
+	}
+}
+
+// advance lets time pass: it repeats lost writes when they are due, drops messages that
+// are too old, and lets gateways read what is stale.
+func (m *restoreModel) advance(steps int) {
+	m.now = m.now.Add(time.Duration(steps) * modelStep)
+	if !m.rewriteAt.IsZero() && !m.now.Before(m.rewriteAt) {
+		m.directory.Rewrite()
+		m.rewriteAt = time.Time{}
+	}
+	m.messages = slices.DeleteFunc(m.messages, func(message modelMessage) bool { return m.now.Sub(message.sentAt) > modelDelay })
+	for i, g := range m.gateways {
+		for _, c := range collections {
+			if state := g.Known(m.now, c); state.Age >= modelStale {
+				m.read(i, c)
+			}
+		}
+		g.ExpireEntries(m.now)
+	}
+}
+
+// changeServer starts, drains, removes or restarts a server.
+func (m *restoreModel) changeServer(name string) {
+	s, listed := m.servers[name]
+	switch {
+	case !listed:
+		m.started++
+		s = mustardsaddle.Machine{Name: name, Service: "Booking", Address: "10.0.0.1:80", Incarnation: m.started}
+	case !s.Leaving && rapid.Bool().Draw(m.t, "drain"):
+		s.Leaving = true
+	case rapid.Bool().Draw(m.t, "restart"):
+		m.started++
+		s.Incarnation, s.Leaving = m.started, false
+	default:
+		delete(m.servers, name)
+		m.directory.RemoveServer(name)
+		return
+	}
+	m.servers[name] = s
+	m.directory.PutServer(s)
+}
+
+// deliver delivers one queued message, which may stay queued or be dropped.
+func (m *restoreModel) deliver() {
+	if len(m.messages) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.messages)-1).Draw(m.t, "message")
+	message := m.messages[i]
+	fate := rapid.IntRange(0, 9).Draw(m.t, "fate")
+	if fate != 0 {
+		m.messages = append(m.messages[:i], m.messages[i+1:]...)
+	}
+	if fate != 1 {
+		message.deliver()
+	}
+}
+
+// settle delivers everything until no gateway lacks anything.
+func (m *restoreModel) settle() {
+	for range 4 {
+		m.advance(int(modelGuard/modelStep) + modelRewriteLimit)
+		for i := range m.gateways {
+			for _, c := range collections {
+				m.read(i, c)
+				for to := range m.gateways {
+					m.heartbeat(i, to, c)
+				}
+			}
+		}
+		for len(m.messages) > 0 {
+			message := m.messages[0]
+			m.messages = m.messages[1:]
+			message.deliver()
+		}
+	}
+}
+
+// TestPropertyRestores checks with random writes, restores, losses and orders of messages
+// that rules never fall back, that no gateway uses a server again that it knew to be
+// leaving or gone, and that all gateways end up with the state of the directory.
+func TestPropertyRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newRestoreModel(t, 3)
+		names := []string{"a", "b", "c", "d"}
+		gateway := rapid.IntRange(0, len(m.gateways)-1)
+		m.copies = append(m.copies, m.directory.Copy())
+		read := func() { m.read(gateway.Draw(t, "reader"), rapid.SampledFrom(collections).Draw(t, "collection")) }
+		steps := rapid.IntRange(10, maxModelSteps).Draw(t, "steps")
+		for range steps {
+			switch action := rapid.IntRange(0, 15).Draw(t, "action"); {
+			case action == 0:
+				m.rules++
+				m.directory.PutRules(*rules(m.rules))
+			case action <= 4:
+				m.changeServer(rapid.SampledFrom(names).Draw(t, "name"))
+			case action == 5:
+				m.copies = append(m.copies, m.directory.Copy())
+			case action == 6:
+				// The copy is one of the last two, so that it is some writes old.
+				m.directory.Restore(m.copies[max(0, len(m.copies)-1-rapid.IntRange(0, 1).Draw(t, "copy"))])
+				m.rewriteAt = m.now.Add(time.Duration(rapid.IntRange(1, modelRewriteLimit).Draw(t, "rewrite")) * modelStep)
+				read()
+			case action <= 9:
+				read()
+			case action == 10:
+				m.heartbeat(gateway.Draw(t, "from"), gateway.Draw(t, "to"), rapid.SampledFrom(collections).Draw(t, "collection"))
+			case action <= 14:
+				m.deliver()
+			default:
+				m.advance(rapid.IntRange(1, 5).Draw(t, "time"))
+			}
+			m.check()
+		}
+		m.settle()
+		want, _ := m.directory.Snapshot(context.Background(), mustardsaddle.ServersCollection, true)
+		for i, g := range m.gateways {
+			u, _ := g.CollectionSnapshot(m.now, mustardsaddle.ServersCollection)
+			if fmt.Sprint(u.Machines) != fmt.Sprint(want.Machines) || u.Position != want.Position {
+				t.Fatalf("gateway %d: got %v at %v, want %v at %v", i, u.Machines, u.Position, want.Machines, want.Position)
+			}
+			if len(g.Servers()) != len(want.Machines) || g.generation != m.rules {
+				t.Fatalf("gateway %d: got %d servers in use and generation %d, want %d and %d",
+					i, len(g.Servers()), g.generation, len(want.Machines), m.rules)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/catalog/rules.go
@@ -0,0 +1,60 @@
+package catalog
+
+import (
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+)
+
+// nextRules is the rules file that an update leads to. It is newer than the one in force,
+// or empty if newer is false.
+type nextRules struct {
+	file  rule.File
+	newer bool
+}
+
+// nextRules returns the rules that an update contains as a whole or as a change. The
+// result is rule.Gap or rule.BadDigest if the change does not apply to the rules in
+// force, so that all rules are needed. The caller holds mu.
+func (c *Catalog) nextRules(u mustardsaddle.Update) (nextRules, rule.Result) {
+	switch {
+	case u.Rules != nil && u.Rules.Generation > c.table.File.Generation:
+		return nextRules{file: c.parseRules(*u.Rules), newer: true}, rule.Applied
+	case u.RuleChange != nil:
+		file, result := rule.Change(*u.RuleChange).Apply(c.table.File)
+		return nextRules{file: file, newer: result == rule.Applied}, result
+	default:
+		return nextRules{}, rule.Stale
+	}
+}
+
+// parseRules parses rules and logs the lines that are not used.
+func (c *Catalog) parseRules(r mustardsaddle.RulesText) rule.File {
+	file, problems := rule.Parse(r.Text)
+	for _, p := range problems {
+		event.Warn(c.cfg.Logger, event.RulesIgnored).Int64("Generation", r.Generation).Int("Line", p.Line).
+			Int("Code", int(p.Code)).Str("Problem", p.Text).Send()
+	}
+	return file.WithGeneration(r.Generation)
+}
+
+// putInForce puts rules in force if they are newer. The caller holds mu.
+func (c *Catalog) putInForce(next nextRules, at mustardsaddle.Position, source string) {
+	if !next.newer {
+		return
+	}
+	c.table = c.table.Recompile(next.file)
+	c.cfg.InForce(c.table)
+	event.Info(c.cfg.Logger, event.RulesInForce).Int64("Generation", next.file.Generation).Int64("Era", at.Era).
+		Int64("Revision", at.Revision).Str("Source", source).Send()
+}
+
+// changeTo returns the change from the rules in force to newer ones; nil if they are not
+// newer. The caller holds mu.
+func (c *Catalog) changeTo(next nextRules) *mustardsaddle.RuleChange {
+	if !next.newer {
+		return nil
+	}
+	change := mustardsaddle.RuleChange(rule.Diff(c.table.File, next.file))
+	return &change
+}
--- a/internal/control/rule/change.go
+++ b/internal/control/rule/change.go
@@ -5,35 +5,17 @@
 	"sort"
 	"strings"
 
+	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Result,Verdict -output=enum_string.go
 
-// Change is a line diff between two generations of a file. Its size depends only
-// on the lines that differ.
-type Change struct {
-	// From is the generation that the change applies to.
-	From int64
-	// To is the resulting generation.
-	To int64
-	// Submission is the store's version of the submission that caused the change.
-	Submission int64
-	// Out are the deleted lines, with their positions in the old file.
-	Out []Edit
-	// In are the inserted lines, with their positions in the new file.
-	In []Edit
-	// Digest is the digest of the new file.
-	Digest uint64
-}
+// Change is a line diff between two generations of a file.
+type Change mustardsaddle.RuleChange
 
 // Edit is one deleted or inserted line.
-type Edit struct {
-	// At is the position, counted from 0 below the header.
-	At int
-	// Text is the text of the line.
-	Text string
-}
+type Edit = mustardsaddle.RuleEdit
 
 // Result is the outcome of applying a change.
 type Result int
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -23,7 +23,9 @@
 type envelope struct {
 	Format int
 	Type   string
-	Body   cbor.RawMessage
+	Body   cbor.RawMessage `cbor:",omitempty"`
+	// Compressed is the compressed body of a message of FormatCompressed.
+	Compressed []byte `cbor:",omitempty"`
 }
 
 // header is the part of an envelope that is the same in every format version. It
@@ -63,9 +65,13 @@
 	if err != nil {
 		return nil, code.Wrapf(code.PeerBadMessage, err, "encode message %s", typeName(msg.Type()))
 	}
-	b, err := c.encMode.Marshal(envelope{Format: Format, Type: typeName(msg.Type()), Body: body})
+	e := envelope{Format: Format, Type: typeName(msg.Type()), Body: body}
+	if len(body) >= minCompressedBytes {
+		e.Format, e.Body, e.Compressed = FormatCompressed, nil, compress(body)
+	}
+	b, err := c.encMode.Marshal(e)
 	if err != nil {
-		return nil, code.Wrapf(code.PeerBadMessage, err, "encode message %s", typeName(msg.Type()))
+		return nil, code.Wrapf(code.PeerBadMessage, err, "encode message %s", e.Type)
 	}
 	return b, nil
 }
@@ -82,8 +88,8 @@
 	if err := c.decMode.Unmarshal(b, &h); err != nil {
 		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message")
 	}
-	if h.Format > Format {
-		return nil, code.Errorf(code.PeerNewerFormat, "decode message: got format %d, want at most %d", h.Format, Format)
+	if h.Format > FormatCompressed {
+		return nil, code.Errorf(code.PeerNewerFormat, "decode message: got format %d, want at most %d", h.Format, FormatCompressed)
 	}
 	if h.Format < 1 {
 		return nil, code.Errorf(code.PeerBadMessage, "decode message: got format %d, want at least 1", h.Format)
@@ -92,6 +98,13 @@
 	if err := c.decMode.Unmarshal(b, &e); err != nil {
 		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message")
 	}
+	if h.Format == FormatCompressed {
+		body, err := decompress(e.Compressed, MaxBytes)
+		if err != nil {
+			return nil, code.Wrapf(code.PeerBadMessage, err, "decompress message %s", e.Type)
+		}
+		e.Body = body
+	}
 	return c.decodeBody(e)
 }
 
@@ -191,8 +204,8 @@
 		n     int64
 	}{
 		{"Generation", s.Generation},
-		{"Rules.Revision", s.Rules.Revision}, {"Rules.Age", s.Rules.Age},
-		{"Servers.Revision", s.Servers.Revision}, {"Servers.Age", s.Servers.Age},
+		{"Rules.Era", s.Rules.Era}, {"Rules.Revision", s.Rules.Revision}, {"Rules.Age", s.Rules.Age}, {"Rules.Generation", s.Rules.Generation},
+		{"Servers.Era", s.Servers.Era}, {"Servers.Revision", s.Servers.Revision}, {"Servers.Age", s.Servers.Age},
 	}
 	for _, number := range numbers {
 		if err := checkNonNegative(m, number.field, number.n); err != nil {
@@ -287,13 +300,21 @@
 }
 
 func checkListing(m Listing) error {
-	if m.After < 0 || m.Revision <= 0 || m.Generation < 0 {
-		return code.Errorf(code.PeerBadMessage, "message Listing: got After=%d Revision=%d Generation=%d, want After >= 0, Revision > 0 and Generation >= 0",
-			m.After, m.Revision, m.Generation)
+	if m.After < 0 || m.Revision <= 0 || m.Generation < 0 || m.Age < 0 {
+		return code.Errorf(code.PeerBadMessage, "message Listing: got After=%d Revision=%d Generation=%d Age=%d, want Revision > 0 and the others at least 0",
+			m.After, m.Revision, m.Generation, m.Age)
+	}
+	if m.AfterEra < 0 || m.Era < m.AfterEra {
+		return code.Errorf(code.PeerBadMessage, "message Listing: got AfterEra=%d Era=%d, want 0 <= AfterEra <= Era", m.AfterEra, m.Era)
 	}
 	if len(m.Rules) > MaxRulesBytes {
 		return code.Errorf(code.PeerBadMessage, "message Listing: got a rules text of %d bytes, want at most %d", len(m.Rules), MaxRulesBytes)
 	}
+	if m.RuleChange != nil {
+		if err := checkRuleChange(*m.RuleChange); err != nil {
+			return err
+		}
+	}
 	if len(m.Removed) > MaxMachines {
 		return code.Errorf(code.PeerBadMessage, "message Listing: got %d removed names, want at most %d", len(m.Removed), MaxMachines)
 	}
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -1,7 +1,8 @@
 // Package news defines the messages that gateways exchange over their links, their
 // encoding, and the rules by which a gateway forwards them.
 //
-// A message is a CBOR map {"Format", "Type", "Body"}. Format is the version of
+// A message is a CBOR map {"Format", "Type", "Body"}, or with "Compressed", which is the
+// body in the DEFLATE format, if the body is large. Format is the version of
 // the whole message set: a message of a newer format is rejected as a whole with
 // code.PeerNewerFormat. Within a format, types and fields may be added: an unknown
 // type decodes as Unknown, which receivers log and ignore, and an unknown field is
@@ -43,10 +44,17 @@
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Type -output=type_string.go
 
-// Format is the version of the messages that this package encodes.
-const Format = 1
+const (
+	// Format is the version of the messages that this package encodes with a plain body.
+	Format = 1
+	// FormatCompressed is the version of the messages with a compressed body, the newest
+	// one that this package decodes. A gateway that knows only Format rejects them.
+	FormatCompressed = 2
+)
 
 const (
+	// minCompressedBytes is the size of a body from which it is compressed.
+	minCompressedBytes = 8 << 10
 	// MaxBytes is the maximum size of an encoded message.
 	MaxBytes = MaxRulesBytes + 4096
 	// MaxRulesBytes is the maximum size of the rules text, or of all lines of a rule
@@ -115,11 +123,15 @@
 
 // Known states how current a gateway's copy of a collection of a directory is.
 type Known struct {
+	// Era is the era of the directory that Revision belongs to; 0 if it states none.
+	Era int64 `cbor:",omitempty"`
 	// Revision is the revision of the directory up to which the copy is complete.
 	Revision int64
 	// Age is the time, in milliseconds, since the copy was last known to be up to
 	// date.
 	Age int64
+	// Generation is the generation of the rules in force, for the collection of rules.
+	Generation int64 `cbor:",omitempty"`
 }
 
 // Hello is the first message in each direction of a link.
@@ -143,28 +155,10 @@
 }
 
 // RuleEdit is one line that a rule change removes or inserts.
-type RuleEdit struct {
-	// At is the zero-based index of the line in the rules file.
-	At int
-	// Text is the line.
-	Text string
-}
+type RuleEdit = mustardsaddle.RuleEdit
 
 // RuleChange is the difference between one generation of the rules and a later one.
-type RuleChange struct {
-	// From is the generation to which the change applies.
-	From int64
-	// To is the generation that results.
-	To int64
-	// Submission is the submission that caused the change.
-	Submission int64
-	// Out holds the removed lines, with their indexes in generation From.
-	Out []RuleEdit
-	// In holds the inserted lines, with their indexes in generation To.
-	In []RuleEdit
-	// Digest is the digest of the rules text of generation To.
-	Digest uint64
-}
+type RuleChange mustardsaddle.RuleChange
 
 // AskRules requests the rules that follow generation Have. The reply is a series
 // of changes or the complete rules.
@@ -198,10 +192,14 @@
 	// Servers is true for the servers and false for the rules.
 	Servers bool
 	// Whole is true for a snapshot of the collection and false for the changes since
-	// revision After.
+	// After.
 	Whole bool
-	// After is the revision on which the changes are based. A snapshot has none.
-	After int64
+	// AfterEra and After are the era and the revision on which the changes are based. A
+	// snapshot has none.
+	AfterEra int64 `cbor:",omitempty"`
+	After    int64
+	// Era is the era of Revision; 0 if the directory states none.
+	Era int64 `cbor:",omitempty"`
 	// Revision is the revision of the directory that the listing brings a receiver
 	// up to.
 	Revision int64
@@ -212,6 +210,8 @@
 	Generation int64
 	// Rules is a rules file of at most MaxRulesBytes.
 	Rules string
+	// RuleChange is the difference to the newest rules; nil if the listing contains none.
+	RuleChange *RuleChange `cbor:",omitempty"`
 	// Machines holds at most MaxMachines servers that are new or have changed.
 	Machines []mustardsaddle.Machine
 	// Removed holds the names of at most MaxMachines servers that are no longer
--- a/internal/product/admin/state.go
+++ b/internal/product/admin/state.go
@@ -36,6 +36,10 @@
 	// platform. StoreFailures is the total of those without a usable response, and
 	// StoreUnsent of those that the budget or the circuit breaker held back.
 	StoreReads, StoreWatches, StoreWrites, StoreFailures, StoreUnsent int64
+	// StoreEra is the newest known era of the platform's store, which rises when the store
+	// is restored from an older copy. StoreErasIgnored is the total of responses whose era
+	// could not be used.
+	StoreEra, StoreErasIgnored int64
 }
 
 // stateMetrics are the gauges and counters that show a State.
@@ -45,6 +49,8 @@
 	probes, probeBytes, probesRefused                                 tally.Counter
 	probesAgreed, probeBytesAgreed                                    tally.Gauge
 	storeReads, storeWatches, storeWrites, storeFailures, storeUnsent tally.Counter
+	storeEra                                                          tally.Gauge
+	storeErasIgnored                                                  tally.Counter
 }
 
 func newStateMetrics(scope tally.Scope) stateMetrics {
@@ -68,6 +74,8 @@
 		storeWrites:      scope.Counter("StoreWrites"),
 		storeFailures:    scope.Counter("StoreFailures"),
 		storeUnsent:      scope.Counter("StoreUnsent"),
+		storeEra:         scope.Gauge("StoreEra"),
+		storeErasIgnored: scope.Counter("StoreErasIgnored"),
 	}
 }
 
@@ -97,6 +105,8 @@
 	m.storeWrites.Inc(next.StoreWrites - old.StoreWrites)
 	m.storeFailures.Inc(next.StoreFailures - old.StoreFailures)
 	m.storeUnsent.Inc(next.StoreUnsent - old.StoreUnsent)
+	m.storeEra.Update(float64(next.StoreEra))
+	m.storeErasIgnored.Inc(next.StoreErasIgnored - old.StoreErasIgnored)
 }
 
 // ReportState updates the metrics page with the state at each interval until the
--- a/internal/product/instance/directory.go
+++ b/internal/product/instance/directory.go
@@ -21,12 +21,13 @@
 		Servers: func(now time.Time, service string, servers []mustardsaddle.Server) {
 			in.gateway.SetServers(now, service, in.completeServers(service, servers))
 		},
-		Reader:  in.isReader,
-		Forward: in.forwardUpdate,
-		Wait:    s.Platform.Watch,
-		Core:    catalog.CoreConfig{RetainMissing: s.Platform.Return},
-		Logger:  in.cfg.Logger,
-		Seed:    seed,
+		Reader:   in.isReader,
+		Forward:  in.forwardUpdate,
+		Restored: func(time.Time, int64) { in.signalRestore() },
+		Wait:     s.Platform.Watch,
+		Core:     catalog.CoreConfig{RetainMissing: s.Platform.Return},
+		Logger:   in.cfg.Logger,
+		Seed:     seed,
 	})
 }
 
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -91,6 +91,8 @@
 	// registry is nil if there is a directory.
 	directory mustardsaddle.Directory
 	catalog   *catalog.Catalog
+	// restored signals that the directory was restored from an older copy of its data.
+	restored chan struct{}
 	// gatewaysKnown is true once the list of gateways has been read from the directory.
 	gatewaysKnown atomic.Bool
 	generation    atomic.Int64
@@ -138,6 +140,7 @@
 		metrics:          admin.NewMetrics(admin.MetricsConfig{}),
 		relay:            news.NewRelay(news.RelayConfig{}),
 		fleetGenerations: news.NewGenerationTracker(),
+		restored:         make(chan struct{}, 1),
 		rng:              rand.New(rand.NewPCG(seed, 1)),
 	}
 	in.current.Store(&s)
--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -1,16 +1,11 @@
 package instance
 
 import (
-	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/base/code"
-	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
-	"mustardsaddle.example/mustardsaddle/internal/control/store"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 )
 
@@ -18,15 +13,6 @@
 	// readersPerCollection is how many gateways of the fleet watch each collection of a
 	// directory.
 	readersPerCollection = 2
-	// secondReadDelay is the delay before the list of gateways is read again after this
-	// gateway has registered itself: others that start at the same time register, too.
-	secondReadDelay = 700 * time.Millisecond
-	// gatewayReadInterval is the mean time between later reads of the list of gateways.
-	// They can be rare because links also announce new gateways.
-	gatewayReadInterval = 30 * time.Second
-	// gatewayRetryDelay is the delay before the next read of the list of gateways after
-	// a failure.
-	gatewayRetryDelay = time.Second
 )
 
 // isReader reports whether this gateway reads a collection for the others. The readers
@@ -40,12 +26,8 @@
 // forwardUpdate sends an update of the directory to all peers except the one it came
 // from.
 func (in *instance) forwardUpdate(from string, c mustardsaddle.Collection, u mustardsaddle.Update) {
-	m := listingFromUpdate(c, u)
-	for _, peer := range in.links.Peers() {
-		if peer != from {
-			in.links.Send(peer, m)
-		}
-	}
+	peers := slices.DeleteFunc(in.links.Peers(), func(peer string) bool { return peer == from })
+	in.links.SendAll(peers, listingFromUpdate(c, u))
 }
 
 // receiveDirectoryMessage handles an update of the directory from a peer, or a peer's
@@ -76,8 +58,7 @@
 	for c, known := range map[mustardsaddle.Collection]news.Known{
 		mustardsaddle.RulesCollection: theirs.Rules, mustardsaddle.ServersCollection: theirs.Servers,
 	} {
-		k := mustardsaddle.CollectionState{Revision: known.Revision, Age: time.Duration(known.Age) * time.Millisecond}
-		if in.catalog.ReceiveState(now, c, k) {
+		if in.catalog.ReceiveState(now, c, stateFromKnown(known)) {
 			in.links.Send(from, news.AskListing{Servers: c == mustardsaddle.ServersCollection})
 		}
 	}
@@ -90,31 +71,42 @@
 	return mustardsaddle.RulesCollection
 }
 
-func knownMessage(k mustardsaddle.CollectionState) news.Known {
-	return news.Known{Revision: k.Revision, Age: k.Age.Milliseconds()}
+// knownFromState converts the state of a collection to its part of a summary.
+func knownFromState(s mustardsaddle.CollectionState) news.Known {
+	return news.Known{Era: s.Position.Era, Revision: s.Position.Revision, Age: s.Age.Milliseconds(), Generation: s.Generation}
+}
+
+// stateFromKnown converts the part of a summary that describes a collection to its state.
+func stateFromKnown(k news.Known) mustardsaddle.CollectionState {
+	return mustardsaddle.CollectionState{
+		Position: mustardsaddle.Position{Era: k.Era, Revision: k.Revision}, Age: time.Duration(k.Age) * time.Millisecond, Generation: k.Generation,
+	}
 }
 
 // listingFromUpdate converts an update to a message.
 func listingFromUpdate(c mustardsaddle.Collection, u mustardsaddle.Update) news.Listing {
 	m := news.Listing{
-		Servers: c == mustardsaddle.ServersCollection, Whole: u.Whole, After: u.After, Revision: u.Revision,
-		Age: u.Age.Milliseconds(), Machines: u.Machines, Removed: u.Removed,
+		Servers: c == mustardsaddle.ServersCollection, Whole: u.Whole, AfterEra: u.After.Era, After: u.After.Revision,
+		Era: u.Position.Era, Revision: u.Position.Revision, Age: u.Age.Milliseconds(), Machines: u.Machines, Removed: u.Removed,
 	}
 	if u.Rules != nil {
 		m.Generation, m.Rules = u.Rules.Generation, u.Rules.Text
 	}
+	m.RuleChange = (*news.RuleChange)(u.RuleChange)
 	return m
 }
 
 // updateFromListing converts a message to an update.
 func updateFromListing(m news.Listing) mustardsaddle.Update {
 	u := mustardsaddle.Update{
-		Whole: m.Whole, After: m.After, Revision: m.Revision, Age: time.Duration(m.Age) * time.Millisecond,
-		Machines: m.Machines, Removed: m.Removed,
+		Whole: m.Whole, After: mustardsaddle.Position{Era: m.AfterEra, Revision: m.After},
+		Position: mustardsaddle.Position{Era: m.Era, Revision: m.Revision},
+		Age:      time.Duration(m.Age) * time.Millisecond, Machines: m.Machines, Removed: m.Removed,
 	}
 	if m.Generation > 0 {
 		u.Rules = &mustardsaddle.RulesText{Generation: m.Generation, Text: m.Rules}
 	}
+	u.RuleChange = (*mustardsaddle.RuleChange)(m.RuleChange)
 	return u
 }
 
@@ -122,76 +114,3 @@
 func machineFromVM(vm mustardsaddle.VM) mustardsaddle.Machine {
 	return mustardsaddle.Machine{Name: vm.Name, Incarnation: vm.Incarnation, Zone: vm.Zone, Address: vm.Peer}
 }
-
-// syncGateways reads the gateways from the directory, registers this one there, and
-// removes the entries of gateways that are gone, until the context ends; then it
-// closes done.
-func (in *instance) syncGateways(ctx context.Context, done chan<- struct{}) {
-	defer close(done)
-	var gone map[string]bool
-	reads := 0
-	for pause := time.Duration(0); store.Sleep(ctx, pause); {
-		// Only the first reads must be exact: later, links announce new gateways.
-		u, err := in.directory.Snapshot(ctx, mustardsaddle.GatewaysCollection, reads < 2)
-		unlisted := err == nil && !in.isListed(u.Machines)
-		if unlisted {
-			err = in.directory.Register(ctx, in.self)
-		}
-		if err != nil {
-			in.logStoreFailure(ctx, err)
-			pause = gatewayRetryDelay
-			continue
-		}
-		in.floodNew("", in.membership.applyMachines(time.Now(), u.Machines))
-		reads++
-		pause = secondReadDelay
-		if reads >= 2 || !unlisted {
-			reads = max(reads, 2)
-			in.gatewaysKnown.Store(true)
-			pause = gatewayReadInterval/2 + rand.N(gatewayReadInterval)
-			gone = in.removeStaleEntries(ctx, u.Machines, gone)
-		}
-	}
-}
-
-// removeStaleEntries returns the names of the listed gateways that are gone: those that
-// are leaving, or are unreachable from this gateway. If this gateway ranks first, it
-// removes the entries of those that were also gone at the previous read. A gateway that
-// is alive after all registers itself again.
-func (in *instance) removeStaleEntries(ctx context.Context, listed []mustardsaddle.Machine, goneBefore map[string]bool) map[string]bool {
-	vms := in.membership.Roster().VMs()
-	responsible := roster.Rank(vms, in.self.Name, mustardsaddle.GatewaysCollection.String()) == 0
-	leaving := make(map[string]bool)
-	for _, vm := range vms {
-		leaving[vm.Name] = vm.Leaving
-	}
-	gone := make(map[string]bool)
-	for _, m := range listed {
-		if !leaving[m.Name] {
-			continue
-		}
-		gone[m.Name] = true
-		if !responsible || !goneBefore[m.Name] {
-			continue
-		}
-		event.Info(in.cfg.Logger, event.EntryRemoved).Str("VM", m.Name).Str("Address", m.Address).Send()
-		if err := in.directory.Remove(ctx, m.Name); err != nil {
-			in.logStoreFailure(ctx, err)
-		}
-	}
-	return gone
-}
-
-// isListed reports whether the directory has an entry with this gateway's name, zone
-// and address. The entry may be that of an earlier incarnation.
-func (in *instance) isListed(machines []mustardsaddle.Machine) bool {
-	return slices.ContainsFunc(machines, func(m mustardsaddle.Machine) bool {
-		return m.Name == in.self.Name && m.Zone == in.self.Zone && m.Address == in.self.Peer
-	})
-}
-
-func (in *instance) logStoreFailure(ctx context.Context, err error) {
-	if ctx.Err() == nil {
-		event.Warn(in.cfg.Logger, event.StoreFailed).Int("Code", int(code.Of(err))).Err(err).Send()
-	}
-}
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -33,8 +33,8 @@
 		return s
 	}
 	now := time.Now()
-	s.Rules = knownMessage(in.catalog.Known(now, mustardsaddle.RulesCollection))
-	s.Servers = knownMessage(in.catalog.Known(now, mustardsaddle.ServersCollection))
+	s.Rules = knownFromState(in.catalog.Known(now, mustardsaddle.RulesCollection))
+	s.Servers = knownFromState(in.catalog.Known(now, mustardsaddle.ServersCollection))
 	return s
 }
 
--- /dev/null
+++ b/internal/product/instance/registration.go
@@ -0,0 +1,175 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/control/roster"
+)
+
+const (
+	// secondReadDelay is the delay before the list of gateways is read again after this
+	// gateway has registered itself: others that start at the same time register, too.
+	secondReadDelay = 700 * time.Millisecond
+	// gatewayReadInterval is the mean time between later reads of the list of gateways.
+	// They can be rare because links also announce new gateways.
+	gatewayReadInterval = 30 * time.Second
+	// gatewayRetryDelay is the delay before the next read of the list of gateways after
+	// a failure.
+	gatewayRetryDelay = time.Second
+	// restoreReadSpacing is multiplied by the number of gateways to give the time over
+	// which they read the list after the directory was restored.
+	restoreReadSpacing = 10 * time.Millisecond
+	// recentRegistration is the age up to which the entry of this gateway may be lost when
+	// the directory is restored from an older copy.
+	recentRegistration = time.Minute
+)
+
+// firstReads is the number of exact reads of the list of gateways at the start. Later
+// reads may be stale, because links announce new gateways.
+const firstReads = 2
+
+// registration is the state of this gateway's entry in the directory.
+type registration struct {
+	// reads counts the reads of the list of gateways, up to firstReads.
+	reads int
+	// registeredAt is when the entry was last written; zero if it was found listed.
+	registeredAt time.Time
+	// restored is true if the directory was restored since the last read.
+	restored bool
+	// gone holds the gateways that were gone at the last read.
+	gone map[string]bool
+}
+
+// exact reports whether the next read of the list must not be stale.
+func (r *registration) exact() bool {
+	return r.reads < firstReads || r.restored
+}
+
+// mayBeLost reports whether a directory that was restored from an older copy at now may
+// lack the entry.
+func (r *registration) mayBeLost(now time.Time) bool {
+	return !r.registeredAt.IsZero() && now.Sub(r.registeredAt) < recentRegistration
+}
+
+// syncGateways reads the gateways from the directory, registers this one there, and
+// removes the entries of gateways that are gone, until the context ends; then it
+// closes done. After a restore of the directory, a gateway whose entry may be lost reads
+// the list again at a random time, so that the gateways do not all read at once.
+func (in *instance) syncGateways(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	var r registration
+	for next := time.Now(); in.waitForSync(ctx, &r, next); {
+		next = time.Now().Add(in.syncOnce(ctx, &r))
+	}
+}
+
+// signalRestore makes syncGateways check the entry of this gateway.
+func (in *instance) signalRestore() {
+	select {
+	case in.restored <- struct{}{}:
+	default:
+	}
+}
+
+// waitForSync waits until the list of gateways is to be read: at next, or earlier if the
+// directory was restored. It returns false if the context ends first.
+func (in *instance) waitForSync(ctx context.Context, r *registration, next time.Time) bool {
+	for {
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-timer.C:
+			return true
+		case <-in.restored:
+			timer.Stop()
+			now := time.Now()
+			if r.mayBeLost(now) {
+				r.restored = true
+				spread := time.Duration(max(in.membership.Roster().Gateways(), 1)) * restoreReadSpacing
+				next = now.Add(rand.N(spread))
+			}
+		}
+	}
+}
+
+// syncOnce reads the list of gateways, registers this gateway if it is not listed, and
+// returns the pause until the next read.
+func (in *instance) syncOnce(ctx context.Context, r *registration) time.Duration {
+	exact := r.exact()
+	u, err := in.directory.Snapshot(ctx, mustardsaddle.GatewaysCollection, exact)
+	if err == nil && exact {
+		in.catalog.ObserveResponse(time.Now(), u)
+	}
+	unlisted := err == nil && !in.isListed(u.Machines)
+	if unlisted {
+		err = in.directory.Register(ctx, in.self)
+	}
+	if err != nil {
+		in.logStoreFailure(ctx, err)
+		return gatewayRetryDelay
+	}
+	now := time.Now()
+	if unlisted {
+		r.registeredAt = now
+	}
+	in.floodNew("", in.membership.applyMachines(now, u.Machines))
+	r.restored = false
+	r.reads++
+	if r.reads < firstReads && unlisted {
+		return secondReadDelay
+	}
+	r.reads = firstReads
+	in.gatewaysKnown.Store(true)
+	r.gone = in.removeStaleEntries(ctx, u.Machines, r.gone)
+	return gatewayReadInterval/2 + rand.N(gatewayReadInterval)
+}
+
+// removeStaleEntries returns the names of the listed gateways that are gone: those that
+// are leaving, or are unreachable from this gateway. If this gateway ranks first, it
+// removes the entries of those that were also gone at the previous read. A gateway that
+// is alive after all registers itself again.
+func (in *instance) removeStaleEntries(ctx context.Context, listed []mustardsaddle.Machine, goneBefore map[string]bool) map[string]bool {
+	vms := in.membership.Roster().VMs()
+	responsible := roster.Rank(vms, in.self.Name, mustardsaddle.GatewaysCollection.String()) == 0
+	leaving := make(map[string]bool)
+	for _, vm := range vms {
+		leaving[vm.Name] = vm.Leaving
+	}
+	gone := make(map[string]bool)
+	for _, m := range listed {
+		if !leaving[m.Name] {
+			continue
+		}
+		gone[m.Name] = true
+		if !responsible || !goneBefore[m.Name] {
+			continue
+		}
+		event.Info(in.cfg.Logger, event.EntryRemoved).Str("VM", m.Name).Str("Address", m.Address).Send()
+		if err := in.directory.Remove(ctx, m.Name); err != nil {
+			in.logStoreFailure(ctx, err)
+		}
+	}
+	return gone
+}
+
+// isListed reports whether the directory has an entry with this gateway's name, zone
+// and address. The entry may be that of an earlier incarnation.
+func (in *instance) isListed(machines []mustardsaddle.Machine) bool {
+	return slices.ContainsFunc(machines, func(m mustardsaddle.Machine) bool {
+		return m.Name == in.self.Name && m.Zone == in.self.Zone && m.Address == in.self.Peer
+	})
+}
+
+func (in *instance) logStoreFailure(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		event.Warn(in.cfg.Logger, event.StoreFailed).Int("Code", int(code.Of(err))).Err(err).Send()
+	}
+}
--- a/internal/product/instance/rules.go
+++ b/internal/product/instance/rules.go
@@ -55,7 +55,7 @@
 
 // floodRuleChange floods a change of the rules that this gateway has put in force.
 func (in *instance) floodRuleChange(c rule.Change) {
-	in.flood("", c.From, changeToMessage(c))
+	in.flood("", c.From, news.RuleChange(c))
 }
 
 // receiveRuleChange forwards a change from a peer and applies it. The registry buffers
@@ -64,7 +64,7 @@
 // the digest of the result differs, the whole file is requested.
 func (in *instance) receiveRuleChange(now time.Time, from string, m news.RuleChange) {
 	in.flood(from, in.generation.Load(), m)
-	if in.registry.Receive(now, changeFromMessage(m)) == rule.BadDigest {
+	if in.registry.Receive(now, rule.Change(m)) == rule.BadDigest {
 		in.links.Send(from, news.AskRules{Have: in.generation.Load()})
 	}
 }
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -173,6 +173,9 @@
 		StoreFailures:    storeCalls.Failures,
 		StoreUnsent:      storeCalls.OverBudget + storeCalls.BackedOff + storeCalls.StatusDropped,
 	}
+	if in.catalog != nil {
+		s.StoreEra, s.StoreErasIgnored = in.catalog.Eras()
+	}
 	for _, server := range in.servers() {
 		s.Servers++
 		if server.Leaving {
