Read the rest of a request body before the handler returns

With full duplex, net/http discards the unread rest of a body after the handler has returned, starts its background read at the end of the body and then fails to read the next request: the caller's connection is closed. Each upload that was refused or answered before its body had been read ended like that.

Ruled out: a read of the body by a transport goroutine that outlives its attempt; these reads are serialized, and the test fails without any attempt too.

Change: the gateway flushes its response and reads the rest itself, for a second at most, before the handler returns.

Test: TestConnectionAfterUnreadUpload, three requests on one connection, answered early by the server or refused by the gateway; it failed before (unexpected EOF).

--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -143,3 +143,19 @@
 	defer b.mu.Unlock()
 	return b.consumed, b.tooLarge
 }
+
+// drainTimeout bounds the time in which the rest of a request body is discarded.
+const drainTimeout = time.Second
+
+// drain sends what is left of the response and discards the rest of the request body.
+// net/http does the latter after the handler has returned, too, but with full duplex it
+// then fails to read the next request and closes the connection. It also does so if the
+// time does not suffice.
+func drain(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	_ = rc.Flush()
+	_ = rc.SetReadDeadline(time.Now().Add(drainTimeout))
+	if _, err := io.Copy(io.Discard, r.Body); err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
+}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -249,11 +249,19 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if r.ContentLength != 0 {
-		// Without full duplex, net/http discards up to 256 KiB of the request body when
-		// the response starts. HTTP/2 is always full duplex and returns an error here.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+	if r.ContentLength == 0 {
+		g.serve(w, r)
+		return
 	}
+	// Without full duplex, net/http discards up to 256 KiB of the request body when
+	// the response starts. HTTP/2 is always full duplex and returns an error here.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	g.serve(w, r)
+	drain(w, r)
+}
+
+// serve sends the final response to one request.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	m, refused := g.match(r)
 	if refused != nil {
