Adopt a newer position of a collection whose content is the same

Cause: the store's revision advances with every write, also to other collections. A gateway that heard of a newer position of its rules or servers from one peer before the confirmation arrived from another requested the whole collection.

Change: states and updates contain a digest of the content.

--- a/directory.go
+++ b/directory.go
@@ -65,6 +65,9 @@
 	Machines []Machine
 	// Removed holds the names of the VMs that are no longer listed.
 	Removed []string
+	// Digest identifies the content of the collection at Position, as the gateway that
+	// sent the update has it; 0 if it is unknown, as in updates of a directory.
+	Digest uint64
 	// Skipped holds one error for each entry that could not be used.
 	Skipped []error
 }
@@ -77,6 +80,8 @@
 	// Age is an upper bound of the time for which the collection may have changed
 	// unnoticed.
 	Age time.Duration
+	// Digest identifies the content of the collection at Position; 0 if it is unknown.
+	Digest uint64
 	// Generation is the generation of the rules in force; 0 for other collections. It may
 	// be higher than that of the rules at Position, if the directory was restored from a
 	// copy with older rules.
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -134,6 +134,8 @@
 // progress is the replication state of one collection.
 type progress struct {
 	position mustardsaddle.Position
+	// digest identifies the content of the collection; 0 if nothing is known.
+	digest uint64
 	// historyLost is true if the directory has discarded the changes since position.
 	historyLost bool
 	// freshAt is the latest time at which the collection was known to be up to date.
@@ -250,9 +252,13 @@
 
 // apply applies an update to the local copy; rules holds its rules. The caller holds mu.
 func (c *Catalog) apply(now time.Time, collection mustardsaddle.Collection, u mustardsaddle.Update, rules nextRules, source string) {
-	c.known[collection].position = u.Position
+	p := &c.known[collection]
+	p.position = u.Position
 	if collection == mustardsaddle.ServersCollection {
 		c.publish(now, c.servers.Apply(now, u))
+		if u.Whole || len(u.Machines)+len(u.Removed) > 0 {
+			p.digest = digestMachines(c.servers.Machines())
+		}
 		return
 	}
 	c.putInForce(rules, u.Position, source)
--- a/internal/control/catalog/catalog_test.go
+++ b/internal/control/catalog/catalog_test.go
@@ -181,6 +181,13 @@
 	}
 }
 
+// undigested returns a state of a collection without its digest, which
+// TestSameContentAtNewerPosition checks.
+func undigested(s mustardsaddle.CollectionState) mustardsaddle.CollectionState {
+	s.Digest = 0
+	return s
+}
+
 // forwarded is an update passed to Config.Forward.
 type forwarded struct {
 	from    string
@@ -195,6 +202,7 @@
 		c := catalog.New(catalog.Config{
 			Servers: func(_ time.Time, _ string, list []mustardsaddle.Server) { servers = list },
 			Forward: func(from string, _ mustardsaddle.Collection, u mustardsaddle.Update) {
+				u.Digest = 0
 				passed = append(passed, forwarded{from: from, updates: []mustardsaddle.Update{u}})
 			},
 		})
@@ -204,7 +212,7 @@
 		whole := mustardsaddle.Update{Whole: true, Position: revision(5), Age: age, Machines: []mustardsaddle.Machine{machine}}
 		convey.So(c.Receive(now, "peer", collection, whole), convey.ShouldBeFalse)
 		convey.So(servers, convey.ShouldHaveLength, 1)
-		convey.So(c.Known(now, collection), convey.ShouldResemble, mustardsaddle.CollectionState{Position: revision(5), Age: age})
+		convey.So(undigested(c.Known(now, collection)), convey.ShouldResemble, mustardsaddle.CollectionState{Position: revision(5), Age: age})
 		convey.So(passed, convey.ShouldResemble, []forwarded{{
 			from: "peer", updates: []mustardsaddle.Update{{After: revision(5), Position: revision(5), Age: age}},
 		}})
@@ -230,7 +238,7 @@
 		})
 		convey.Convey("A peer with the same revision and a lower age makes the collection fresher", func() {
 			convey.So(c.ReceiveState(now, collection, mustardsaddle.CollectionState{Position: revision(5), Age: 300 * time.Millisecond}), convey.ShouldBeFalse)
-			convey.So(c.Known(now, collection), convey.ShouldResemble, mustardsaddle.CollectionState{Position: revision(5), Age: 300 * time.Millisecond})
+			convey.So(undigested(c.Known(now, collection)), convey.ShouldResemble, mustardsaddle.CollectionState{Position: revision(5), Age: 300 * time.Millisecond})
 		})
 		convey.Convey("A confirmation of the known revision is forwarded only if it is newer", func() {
 			later := now.Add(time.Second)
@@ -312,6 +320,8 @@
 		}
 		cancel()
 		<-done
+		convey.So(confirmation.Digest, convey.ShouldNotEqual, 0)
+		confirmation.Digest = 0
 		convey.So(confirmation, convey.ShouldResemble, mustardsaddle.Update{After: revision(5), Position: revision(5)})
 
 		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -321,13 +331,14 @@
 		convey.Convey("The confirmation makes the peer as fresh as the gateway", func() {
 			later := now.Add(time.Minute)
 			convey.So(peer.Receive(later, "reader", collection, confirmation), convey.ShouldBeFalse)
-			convey.So(peer.Known(later, collection), convey.ShouldResemble, mustardsaddle.CollectionState{Position: revision(5), Generation: 1})
+			convey.So(undigested(peer.Known(later, collection)), convey.ShouldResemble, mustardsaddle.CollectionState{Position: revision(5), Generation: 1})
 		})
 		convey.Convey("A later snapshot is forwarded as the changes since the known revision", func() {
 			var passed []mustardsaddle.Update
 			next := catalog.New(catalog.Config{
 				Servers: func(time.Time, string, []mustardsaddle.Server) {},
 				Forward: func(_ string, _ mustardsaddle.Collection, u mustardsaddle.Update) {
+					u.Digest = 0
 					passed = append(passed, u)
 				},
 			})
--- a/internal/control/catalog/core.go
+++ b/internal/control/catalog/core.go
@@ -47,6 +47,8 @@
 type entry struct {
 	mustardsaddle.Machine
 	warmAt time.Time
+	// era is the era of the directory in which the entry was stated or found missing.
+	era int64
 	// expiresAt is when an entry that is no longer listed is removed; zero for a
 	// listed entry.
 	expiresAt time.Time
@@ -77,15 +79,15 @@
 	listed := make(map[string]bool, len(u.Machines))
 	for _, m := range u.Machines {
 		listed[m.Name] = true
-		c.list(now, m)
+		c.list(now, m, u.Position.Era)
 	}
 	for _, name := range u.Removed {
-		c.markMissing(name)
+		c.markMissing(name, u.Position.Era)
 	}
 	if u.Whole {
 		for _, m := range c.Machines() {
 			if !listed[m.Name] {
-				c.markMissing(m.Name)
+				c.markMissing(m.Name, u.Position.Era)
 			}
 		}
 	}
@@ -113,7 +115,7 @@
 
 // Machines returns the VMs as listed by the directory, ordered by name.
 func (c *Core) Machines() []mustardsaddle.Machine {
-	machines := slices.Collect(maps.Values(c.guard.held))
+	machines := c.guard.listed()
 	for name, e := range c.entries {
 		if _, held := c.guard.held[name]; !held && e.expiresAt.IsZero() {
 			machines = append(machines, e.Machine)
@@ -132,33 +134,34 @@
 	return now.Add(m.WarmUp)
 }
 
-// list applies a listed VM. Under the guard after a restore, what was known before may
-// stay in effect instead.
-func (c *Core) list(now time.Time, m mustardsaddle.Machine) {
+// list applies a VM that is listed in an era. Under the guard after a restore, what was
+// known from an earlier era may stay in effect instead.
+func (c *Core) list(now time.Time, m mustardsaddle.Machine, era int64) {
 	e, known := c.entries[m.Name]
 	if !known {
-		if !c.guard.holdRemoved(now, m) {
-			c.entries[m.Name] = entry{Machine: m, warmAt: warmAt(now, m)}
+		if !c.guard.holdRemoved(now, m, era) {
+			c.entries[m.Name] = entry{Machine: m, warmAt: warmAt(now, m), era: era}
 		}
 		return
 	}
-	if inEffect := c.guard.holdOlder(now, m, e.Machine); inEffect != m {
+	if inEffect := c.guard.holdOlder(now, m, era, e); inEffect != m {
 		e.Machine, e.expiresAt = inEffect, time.Time{}
 		c.entries[m.Name] = e
 		return
 	}
-	c.entries[m.Name] = entry{Machine: m, warmAt: warmAt(now, m)}
+	c.entries[m.Name] = entry{Machine: m, warmAt: warmAt(now, m), era: era}
 }
 
-// markMissing records that an entry is no longer listed, and sets its expiry time.
-func (c *Core) markMissing(name string) {
+// markMissing records that an entry is no longer listed in an era, and sets its expiry
+// time.
+func (c *Core) markMissing(name string, era int64) {
 	c.guard.release(name)
 	e, known := c.entries[name]
 	if !known || !e.expiresAt.IsZero() {
 		return
 	}
 	// Without a recent outage this time has passed, so that the entry is removed at once.
-	e.expiresAt = c.recoveredAt.Add(c.cfg.RetainMissing)
+	e.expiresAt, e.era = c.recoveredAt.Add(c.cfg.RetainMissing), era
 	c.entries[name] = e
 }
 
@@ -175,11 +178,11 @@
 	for name, e := range c.entries {
 		if !e.expiresAt.IsZero() && !now.Before(e.expiresAt) {
 			delete(c.entries, name)
-			c.guard.recordRemoval(now, e.Machine)
+			c.guard.recordRemoval(now, e)
 		}
 	}
 	for _, m := range c.guard.expire(now, freshAt) {
-		c.entries[m.Name] = entry{Machine: m}
+		c.entries[m.Name] = entry{Machine: m.Machine, era: m.era}
 	}
 }
 
--- a/internal/control/catalog/follow.go
+++ b/internal/control/catalog/follow.go
@@ -144,6 +144,6 @@
 	if Compare(p.position, u) == Applicable {
 		c.apply(now, collection, u, rules, "Directory")
 	}
-	c.cfg.Forward("", collection, forwardable)
+	c.forward("", collection, forwardable)
 	return nil
 }
--- a/internal/control/catalog/forward.go
+++ b/internal/control/catalog/forward.go
@@ -36,6 +36,17 @@
 	return forwardable
 }
 
+// forward forwards an update that has been applied. If the update leads to the known
+// position, it states the digest of the content, so that peers with the same content at
+// an older position need no snapshot. The caller holds mu.
+func (c *Catalog) forward(from string, collection mustardsaddle.Collection, u mustardsaddle.Update) {
+	u.Digest = 0
+	if p := c.known[collection]; p.position == u.Position {
+		u.Digest = p.digest
+	}
+	c.cfg.Forward(from, collection, u)
+}
+
 // diffMachines returns the VMs of after that are new or differ from before, and the
 // names of those of before that are not in after.
 func diffMachines(before, after []mustardsaddle.Machine) (changed []mustardsaddle.Machine, removed []string) {
--- a/internal/control/catalog/forward_test.go
+++ b/internal/control/catalog/forward_test.go
@@ -73,3 +73,42 @@
 		})
 	})
 }
+
+// TestSameContentAtNewerPosition plays the pattern of a busy store: its revision advances
+// with writes to other collections. A gateway that hears of a newer position of a
+// collection whose content it has must not request the whole collection again.
+func TestSameContentAtNewerPosition(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	later := now.Add(time.Second)
+	convey.Convey("Given two gateways with the same rules and servers, one at a newer position", t, func() {
+		newCatalog := func(at mustardsaddle.Position) *catalog.Catalog {
+			c := catalog.New(catalog.Config{InForce: func(*rule.Table) {}, Servers: func(time.Time, string, []mustardsaddle.Server) {}})
+			machines := []mustardsaddle.Machine{{Name: "booking-1", Service: "Booking", Address: "10.0.0.1:80", Incarnation: 1}}
+			c.Receive(now, "reader", mustardsaddle.RulesCollection, mustardsaddle.Update{Whole: true, Position: at, Rules: rules(1)})
+			c.Receive(now, "reader", mustardsaddle.ServersCollection, mustardsaddle.Update{Whole: true, Position: at, Machines: machines})
+			return c
+		}
+		behind, ahead := newCatalog(revision(5)), newCatalog(revision(9))
+		for _, c := range []mustardsaddle.Collection{mustardsaddle.RulesCollection, mustardsaddle.ServersCollection} {
+			state := ahead.Known(later, c)
+			confirmation := mustardsaddle.Update{After: revision(8), Position: revision(9), Digest: state.Digest}
+			convey.Convey(fmt.Sprintf("%s: a heartbeat of the other lets the gateway adopt the position", c), func() {
+				convey.So(behind.ReceiveState(later, c, state), convey.ShouldBeFalse)
+				convey.So(behind.Known(later, c), convey.ShouldResemble, state)
+			})
+			convey.Convey(fmt.Sprintf("%s: a confirmation that does not continue from its position does so too", c), func() {
+				convey.So(behind.Receive(later, "peer", c, confirmation), convey.ShouldBeFalse)
+				convey.So(behind.Known(later, c).Position, convey.ShouldResemble, revision(9))
+				convey.So(behind.Known(later, c).Age, convey.ShouldEqual, 0)
+			})
+			for _, digest := range []uint64{0, state.Digest + 1} {
+				convey.Convey(fmt.Sprintf("%s: with unknown or other content, digest %d, a snapshot is requested", c, digest), func() {
+					state.Digest, confirmation.Digest = digest, digest
+					convey.So(behind.ReceiveState(later, c, state), convey.ShouldBeTrue)
+					convey.So(behind.Receive(later.Add(time.Second), "peer", c, confirmation), convey.ShouldBeTrue)
+					convey.So(behind.Known(later, c).Position, convey.ShouldResemble, revision(5))
+				})
+			}
+		}
+	})
+}
--- a/internal/control/catalog/peer.go
+++ b/internal/control/catalog/peer.go
@@ -14,7 +14,7 @@
 	if p.position.IsZero() {
 		return mustardsaddle.CollectionState{}
 	}
-	state := mustardsaddle.CollectionState{Position: p.position, Age: max(now.Sub(p.freshAt), 0)}
+	state := mustardsaddle.CollectionState{Position: p.position, Age: max(now.Sub(p.freshAt), 0), Digest: p.digest}
 	if collection == mustardsaddle.RulesCollection {
 		state.Generation = c.table.File.Generation
 	}
@@ -22,8 +22,8 @@
 }
 
 // ReceiveState processes the state of a collection that a peer advertises. It returns true
-// if the peer has a newer position, or newer rules, and is to be asked for a snapshot of
-// the collection.
+// if the peer has newer content and is to be asked for a snapshot of the collection. If
+// the peer has the same content at a newer position, the position is adopted.
 func (c *Catalog) ReceiveState(now time.Time, collection mustardsaddle.Collection, s mustardsaddle.CollectionState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -32,9 +32,13 @@
 		return false
 	}
 	c.raiseEra(now, s.Position.Era)
-	if p.position.Before(s.Position) || s.Generation > c.table.File.Generation {
+	newer := p.position.Before(s.Position)
+	if newer && !p.sameContent(s.Digest) || s.Generation > c.table.File.Generation {
 		return p.shouldRequest(now)
 	}
+	if newer {
+		p.adopt(s.Position)
+	}
 	if s.Position.Era < c.eras.Newest() {
 		return false
 	}
@@ -62,6 +66,10 @@
 	rules, result := c.nextRules(u)
 	forwardable := c.forwardable(collection, u, rules)
 	order := Compare(p.position, u)
+	if order == Gap && p.sameContent(u.Digest) {
+		p.adopt(u.Position)
+		order = Outdated
+	}
 	if order == Gap || order == Applicable && result.Err() != nil {
 		return p.shouldRequest(now)
 	}
@@ -82,17 +90,27 @@
 	if freshAt.After(p.freshAt) {
 		p.freshAt = freshAt
 	}
-	c.cfg.Forward(from, collection, forwardable)
+	c.forward(from, collection, forwardable)
 	return false
 }
 
+// sameContent reports whether a digest is that of the known content.
+func (p *progress) sameContent(digest uint64) bool {
+	return digest != 0 && digest == p.digest
+}
+
+// adopt records that the known content is also that of a newer position.
+func (p *progress) adopt(newer mustardsaddle.Position) {
+	p.position, p.historyLost = newer, false
+}
+
 // CollectionSnapshot returns a snapshot of a collection for a peer, or false if nothing
 // is known.
 func (c *Catalog) CollectionSnapshot(now time.Time, collection mustardsaddle.Collection) (mustardsaddle.Update, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.known[collection]
-	u := mustardsaddle.Update{Whole: true, Position: p.position, Age: max(now.Sub(p.freshAt), 0)}
+	u := mustardsaddle.Update{Whole: true, Position: p.position, Age: max(now.Sub(p.freshAt), 0), Digest: p.digest}
 	if collection == mustardsaddle.ServersCollection {
 		u.Machines = c.servers.Machines()
 	} else if file := c.table.File; file.Generation > 0 {
--- a/internal/control/catalog/restore_test.go
+++ b/internal/control/catalog/restore_test.go
@@ -57,9 +57,10 @@
 	server := func(name string, incarnation int64, leaving bool) mustardsaddle.Machine {
 		return mustardsaddle.Machine{Name: name, Service: "Booking", Address: "10.0.0.1:80", Incarnation: incarnation, Leaving: leaving}
 	}
-	whole := func(servers ...mustardsaddle.Machine) mustardsaddle.Update {
-		return mustardsaddle.Update{Whole: true, Position: revision(1), Machines: servers}
+	whole := func(era int64, servers ...mustardsaddle.Machine) mustardsaddle.Update {
+		return mustardsaddle.Update{Whole: true, Position: mustardsaddle.Position{Era: era, Revision: 1}, Machines: servers}
 	}
+	rewritten := mustardsaddle.Position{Era: 2, Revision: 2}
 	serving := func(c *catalog.Core) string {
 		text := ""
 		for _, s := range c.Servers("Booking") {
@@ -72,11 +73,12 @@
 	convey.Convey("Given servers of which one left, one is leaving, one restarted and one joined before the restore", t, func() {
 		c := catalog.NewCore(catalog.CoreConfig{RetainMissing: 2 * time.Second, RestoreGuard: 10 * time.Second})
 		c.Contact(start, start)
-		copied := whole(server("gone", 1, false), server("leaving", 1, false), server("restarted", 1, false), server("stays", 1, false))
+		copied := whole(1, server("gone", 1, false), server("leaving", 1, false), server("restarted", 1, false), server("stays", 1, false))
 		c.Apply(start, copied)
-		c.Apply(at(time.Second), whole(server("joined", 1, false), server("leaving", 1, true), server("restarted", 2, false), server("stays", 1, false)))
+		c.Apply(at(time.Second), whole(1, server("joined", 1, false), server("leaving", 1, true), server("restarted", 2, false), server("stays", 1, false)))
 		convey.So(serving(c), convey.ShouldEqual, "joined1 restarted2 stays1 ")
 		c.Restored(at(2 * time.Second))
+		copied.Position.Era = 2
 		c.Apply(at(2*time.Second), copied)
 		convey.Convey("The newer statements stay in effect, but the entries count as listed", func() {
 			convey.So(serving(c), convey.ShouldEqual, "joined1 restarted2 stays1 ")
@@ -85,6 +87,7 @@
 		})
 		convey.Convey("What is written again confirms them", func() {
 			c.Apply(at(3*time.Second), mustardsaddle.Update{
+				Position: rewritten,
 				Removed:  []string{"gone"},
 				Machines: []mustardsaddle.Machine{server("joined", 1, false), server("leaving", 1, true), server("restarted", 2, false)},
 			})
@@ -93,7 +96,7 @@
 			convey.So(c.HasPending(), convey.ShouldBeFalse)
 		})
 		convey.Convey("A new incarnation is used at once", func() {
-			c.Apply(at(3*time.Second), mustardsaddle.Update{Machines: []mustardsaddle.Machine{server("gone", 2, false), server("leaving", 2, false)}})
+			c.Apply(at(3*time.Second), mustardsaddle.Update{Position: rewritten, Machines: []mustardsaddle.Machine{server("gone", 2, false), server("leaving", 2, false)}})
 			convey.So(serving(c), convey.ShouldEqual, "gone2 joined1 leaving2 restarted2 stays1 ")
 		})
 		convey.Convey("An entry that is still listed after the guard is used, and a missing one is dropped", func() {
@@ -125,7 +128,7 @@
 		convey.Convey("The newer rules stay in force and are advertised to peers", func() {
 			_, generation := c.Snapshot()
 			convey.So(generation, convey.ShouldEqual, 3)
-			convey.So(c.Known(now, collection), convey.ShouldResemble, mustardsaddle.CollectionState{Position: restored.Position, Generation: 3})
+			convey.So(undigested(c.Known(now, collection)), convey.ShouldResemble, mustardsaddle.CollectionState{Position: restored.Position, Generation: 3})
 		})
 		convey.Convey("A late response of era 1 is refused and counted", func() {
 			old.Position.Revision = 95
--- a/internal/control/catalog/rules.go
+++ b/internal/control/catalog/rules.go
@@ -44,6 +44,7 @@
 		return
 	}
 	c.table = c.table.Recompile(next.file)
+	c.known[mustardsaddle.RulesCollection].digest = digestRules(next.file)
 	c.cfg.InForce(c.table)
 	event.Info(c.cfg.Logger, event.RulesInForce).Int64("Generation", next.file.Generation).Int64("Era", at.Era).
 		Int64("Revision", at.Revision).Str("Source", source).Send()
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -132,6 +132,8 @@
 	Age int64
 	// Generation is the generation of the rules in force, for the collection of rules.
 	Generation int64 `cbor:",omitempty"`
+	// Digest identifies the content of the collection; 0 if it is unknown.
+	Digest uint64 `cbor:",omitempty"`
 }
 
 // Hello is the first message in each direction of a link.
@@ -206,6 +208,8 @@
 	// Age is the time, in milliseconds, during which the directory may have changed
 	// without the sender's knowledge.
 	Age int64
+	// Digest identifies the content of the collection at Revision; 0 if it is unknown.
+	Digest uint64 `cbor:",omitempty"`
 	// Generation is the generation of Rules; 0 if the listing carries no rules.
 	Generation int64
 	// Rules is a rules file of at most MaxRulesBytes.
--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -73,13 +73,14 @@
 
 // knownFromState converts the state of a collection to its part of a summary.
 func knownFromState(s mustardsaddle.CollectionState) news.Known {
-	return news.Known{Era: s.Position.Era, Revision: s.Position.Revision, Age: s.Age.Milliseconds(), Generation: s.Generation}
+	return news.Known{Era: s.Position.Era, Revision: s.Position.Revision, Age: s.Age.Milliseconds(), Generation: s.Generation, Digest: s.Digest}
 }
 
 // stateFromKnown converts the part of a summary that describes a collection to its state.
 func stateFromKnown(k news.Known) mustardsaddle.CollectionState {
 	return mustardsaddle.CollectionState{
-		Position: mustardsaddle.Position{Era: k.Era, Revision: k.Revision}, Age: time.Duration(k.Age) * time.Millisecond, Generation: k.Generation,
+		Position: mustardsaddle.Position{Era: k.Era, Revision: k.Revision}, Age: time.Duration(k.Age) * time.Millisecond,
+		Generation: k.Generation, Digest: k.Digest,
 	}
 }
 
@@ -87,7 +88,8 @@
 func listingFromUpdate(c mustardsaddle.Collection, u mustardsaddle.Update) news.Listing {
 	m := news.Listing{
 		Servers: c == mustardsaddle.ServersCollection, Whole: u.Whole, AfterEra: u.After.Era, After: u.After.Revision,
-		Era: u.Position.Era, Revision: u.Position.Revision, Age: u.Age.Milliseconds(), Machines: u.Machines, Removed: u.Removed,
+		Era: u.Position.Era, Revision: u.Position.Revision, Age: u.Age.Milliseconds(), Digest: u.Digest,
+		Machines: u.Machines, Removed: u.Removed,
 	}
 	if u.Rules != nil {
 		m.Generation, m.Rules = u.Rules.Generation, u.Rules.Text
@@ -101,7 +103,7 @@
 	u := mustardsaddle.Update{
 		Whole: m.Whole, After: mustardsaddle.Position{Era: m.AfterEra, Revision: m.After},
 		Position: mustardsaddle.Position{Era: m.Era, Revision: m.Revision},
-		Age:      time.Duration(m.Age) * time.Millisecond, Machines: m.Machines, Removed: m.Removed,
+		Age:      time.Duration(m.Age) * time.Millisecond, Digest: m.Digest, Machines: m.Machines, Removed: m.Removed,
 	}
 	if m.Generation > 0 {
 		u.Rules = &mustardsaddle.RulesText{Generation: m.Generation, Text: m.Rules}
