--- a/internal/request/admission/lane.go
+++ b/internal/request/admission/lane.go
@@ -26,6 +26,9 @@
 	// responseSizeWeight is the weight of a new sample in the moving average of response
 	// sizes.
 	responseSizeWeight = 0.05
+	// plannedSlackShare is the fraction of the fleet's retry slack that is divided among the
+	// known gateways.
+	plannedSlackShare = 0.6
 	// defaultFleetSize is the fleet size used until the real one is known.
 	defaultFleetSize = 32
 	// initialHedgeDelay is the hedge delay used until enough latencies are recorded.
@@ -113,10 +116,14 @@
 	return c
 }
 
-// updateRetryBounds updates the retry bounds to this gateway's part of those of the fleet.
+// updateRetryBounds updates the retry bounds and divides the fleet's slack by the number
+// of gateways. Part of the slack is held back for gateways that start without a record
+// of the retries they have sent.
 func (c *Controller) updateRetryBounds() {
 	gateways := cmp.Or(c.controllers.gateways.Load(), defaultFleetSize)
-	c.budgets.Bounds = c.controllers.retry.Load().WithPart(int(gateways))
+	bounds := *c.controllers.retry.Load()
+	bounds.Slack *= plannedSlackShare / float64(gateways)
+	c.budgets.Bounds = bounds
 }
 
 // newBudget returns a budget for the given share of calls. A negative share grants
--- a/internal/request/booking/window.go
+++ b/internal/request/booking/window.go
@@ -13,18 +13,6 @@
 	Slack float64
 }
 
-// plannedSlackShare is the fraction of the fleet's slack that is divided among the known
-// gateways. The rest is held back for gateways that start without a record of the extra
-// attempts that they have sent, and for the share of calls that do not count outside,
-// such as the operator's test requests.
-const plannedSlackShare = 0.3
-
-// WithPart returns the bounds of one gateway of a fleet with the bounds b.
-func (b Bounds) WithPart(gateways int) Bounds {
-	b.Slack *= plannedSlackShare / float64(max(gateways, 1))
-	return b
-}
-
 // Window limits the extra attempts in every sliding window of time to Share × the calls
 // in the window + Slack. Extra attempts are counted over one interval more than calls,
 // so that the limit holds for every window, including those that begin within an
