--- a/headers.go
+++ b/headers.go
@@ -24,6 +24,9 @@
 	NotRun string
 	// Signature is the header that is present in each successful response.
 	Signature string
+	// Limit is the header with the number of requests per second that the responding
+	// server takes from all gateways together.
+	Limit string
 	// ParseLoad parses a load report received at now.
 	ParseLoad func(now time.Time, text string) (Report, error)
 	// FractionalRetryAfter is true if callers accept a fraction of a second in
--- a/internal/base/code/code_string.go
+++ b/internal/base/code/code_string.go
@@ -63,6 +63,7 @@
 	_ = x[PeerNewerFormat-5002]
 	_ = x[PeerUnavailable-5003]
 	_ = x[ReportBad-6001]
+	_ = x[StatementBad-6002]
 }
 
 const (
@@ -72,7 +73,7 @@
 	_Code_name_3 = "StoreConflictStoreUnavailableStoreTooLargeStoreBadObjectStoreRefusedStoreBudgetStoreNewerFormatStoreBackoffStoreHistoryLostStoreOldEra"
 	_Code_name_4 = "CallNoRuleCallNoServerCallOverloadedCallDeadlineCallBrokenCallNotReadyCallBadRequestCallTooLargeCallCanceledCallUpgradeCallMismatchCallClaimedCallStopping"
 	_Code_name_5 = "PeerBadMessagePeerNewerFormatPeerUnavailable"
-	_Code_name_6 = "ReportBad"
+	_Code_name_6 = "ReportBadStatementBad"
 	_Code_name_7 = "StopCut"
 )
 
@@ -83,6 +84,7 @@
 	_Code_index_3 = [...]uint8{0, 13, 29, 42, 56, 68, 79, 95, 107, 123, 134}
 	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108, 119, 131, 142, 154}
 	_Code_index_5 = [...]uint8{0, 14, 29, 44}
+	_Code_index_6 = [...]uint8{0, 9, 21}
 )
 
 func (i Code) String() string {
@@ -104,8 +106,9 @@
 	case 5001 <= i && i <= 5003:
 		i -= 5001
 		return _Code_name_5[_Code_index_5[i]:_Code_index_5[i+1]]
-	case i == 6001:
-		return _Code_name_6
+	case 6001 <= i && i <= 6002:
+		i -= 6001
+		return _Code_name_6[_Code_index_6[i]:_Code_index_6[i+1]]
 	case i == 7001:
 		return _Code_name_7
 	default:
--- a/internal/base/code/list.go
+++ b/internal/base/code/list.go
@@ -152,4 +152,7 @@
 const (
 	// ReportBad means a load report that cannot be parsed or is out of range.
 	ReportBad Code = iota + 6001
+	// StatementBad means a statement of a server about the requests that it takes that
+	// cannot be parsed or is out of range.
+	StatementBad
 )
--- a/internal/base/event/event_string.go
+++ b/internal/base/event/event_string.go
@@ -14,6 +14,7 @@
 	_ = x[LinesLost-1004]
 	_ = x[SettingsReloaded-1005]
 	_ = x[SettingsRefused-1006]
+	_ = x[MetricsUnavailable-1007]
 	_ = x[RulesInForce-2001]
 	_ = x[RulesRefused-2002]
 	_ = x[RulesAccepted-2003]
@@ -35,6 +36,8 @@
 	_ = x[ConnectionSilent-4006]
 	_ = x[AttemptFailed-4007]
 	_ = x[ServerOut-4008]
+	_ = x[ServerStatement-4009]
+	_ = x[ServerStatementBad-4010]
 	_ = x[LinkUp-5001]
 	_ = x[LinkDown-5002]
 	_ = x[LinkSilent-5003]
@@ -45,24 +48,24 @@
 }
 
 const (
-	_Event_name_0 = "StartedStopBegunStopEndedLinesLostSettingsReloadedSettingsRefused"
+	_Event_name_0 = "StartedStopBegunStopEndedLinesLostSettingsReloadedSettingsRefusedMetricsUnavailable"
 	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailedRulesRepaired"
 	_Event_name_2 = "StoreFailedStoreBackEntrySkippedServerChangedEntryRemovedStoreRestoredStoreEraIgnored"
-	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilentAttemptFailedServerOut"
+	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilentAttemptFailedServerOutServerStatementServerStatementBad"
 	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDropped"
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34, 50, 65}
+	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34, 50, 65, 83}
 	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66, 79}
 	_Event_index_2 = [...]uint8{0, 11, 20, 32, 45, 57, 70, 85}
-	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65, 78, 87}
+	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65, 78, 87, 102, 120}
 	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85}
 )
 
 func (i Event) String() string {
 	switch {
-	case 1001 <= i && i <= 1006:
+	case 1001 <= i && i <= 1007:
 		i -= 1001
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 2001 <= i && i <= 2006:
@@ -71,7 +74,7 @@
 	case 3001 <= i && i <= 3007:
 		i -= 3001
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
-	case 4001 <= i && i <= 4008:
+	case 4001 <= i && i <= 4010:
 		i -= 4001
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 5001 <= i && i <= 5007:
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -17,6 +17,9 @@
 	// SettingsRefused is logged when changed settings are invalid and the previous
 	// ones stay in effect.
 	SettingsRefused
+	// MetricsUnavailable is logged when the address for the metrics page alone cannot be
+	// listened on.
+	MetricsUnavailable
 )
 
 // Rule events.
@@ -77,6 +80,12 @@
 	AttemptFailed
 	// ServerOut is logged when a server is temporarily ejected.
 	ServerOut
+	// ServerStatement is logged when what a server states about the requests that it
+	// takes has changed.
+	ServerStatement
+	// ServerStatementBad is logged for the first unreadable statement of each
+	// incarnation of a server.
+	ServerStatementBad
 )
 
 // Peer events.
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -59,6 +59,7 @@
 	Admin       string
 	Peer        string
 	PeerListen  string
+	Metrics     string
 	Incarnation int64
 }
 
@@ -162,6 +163,7 @@
 	Server     string
 	Load       string
 	LoadFormat string
+	Limit      string
 	NotRun     string
 	Signature  string
 	RetryAfter string
--- a/internal/product/admin/state.go
+++ b/internal/product/admin/state.go
@@ -21,6 +21,8 @@
 	// Servers is the number of known endpoint servers, and Leaving the number of those
 	// that are leaving.
 	Servers, Leaving int
+	// ServersLimited is the number of endpoint servers that limit the rate of their requests.
+	ServersLimited int
 	// Links is the number of links to other gateways.
 	Links int
 	// PeerMessages and PeerBytes are the totals sent and received over links.
@@ -48,6 +50,7 @@
 	peerMessages, peerBytes                                           tally.Counter
 	probes, probeBytes, probesRefused                                 tally.Counter
 	probesAgreed, probeBytesAgreed                                    tally.Gauge
+	serversLimited                                                    tally.Gauge
 	storeReads, storeWatches, storeWrites, storeFailures, storeUnsent tally.Counter
 	storeEra                                                          tally.Gauge
 	storeErasIgnored                                                  tally.Counter
@@ -61,6 +64,7 @@
 		gateways:         scope.Gauge("Gateways"),
 		servers:          scope.Gauge("Servers"),
 		leaving:          scope.Gauge("ServersLeaving"),
+		serversLimited:   scope.Gauge("ServersLimited"),
 		links:            scope.Gauge("PeerLinks"),
 		peerMessages:     scope.Counter("PeerMessages"),
 		peerBytes:        scope.Counter("PeerBytes"),
@@ -92,6 +96,7 @@
 	m.gateways.Update(float64(next.Gateways))
 	m.servers.Update(float64(next.Servers))
 	m.leaving.Update(float64(next.Leaving))
+	m.serversLimited.Update(float64(next.ServersLimited))
 	m.links.Update(float64(next.Links))
 	m.peerMessages.Inc(next.PeerMessages - old.PeerMessages)
 	m.peerBytes.Inc(next.PeerBytes - old.PeerBytes)
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -82,11 +82,13 @@
 	callerServer *http.Server
 	adminServer  *http.Server
 	peerServer   *http.Server
-	probeBudget  *report.Budget
-	prober       *admission.Prober
-	membership   *membership
-	links        *link.Links
-	registry     *registry.Registry
+	// metricsServer is nil if there is no address for the metrics page alone.
+	metricsServer *http.Server
+	probeBudget   *report.Budget
+	prober        *admission.Prober
+	membership    *membership
+	links         *link.Links
+	registry      *registry.Registry
 	// directory and catalog are nil if the gateways agree on rules through a store;
 	// registry is nil if there is a directory.
 	directory mustardsaddle.Directory
@@ -115,7 +117,7 @@
 // Run serves until the context ends, then shuts down gracefully. It returns an error
 // with code.StopCut if calls in flight were aborted.
 func Run(ctx context.Context, cfg Config) error {
-	l, err := listen(ctx, cfg.Settings.Gateway)
+	l, err := listen(ctx, cfg.Settings.Gateway, cfg.Logger)
 	if err != nil {
 		return err
 	}
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
@@ -21,10 +22,13 @@
 // listeners are the listeners of an instance.
 type listeners struct {
 	callers, admin, peer net.Listener
+	// metrics is nil if there is no address for the metrics page alone.
+	metrics net.Listener
 }
 
-// listen opens all listeners, or none if one of them fails.
-func listen(ctx context.Context, g settings.Gateway) (listeners, error) {
+// listen opens all listeners, or none if one of them fails. The listener for metrics may
+// be missing.
+func listen(ctx context.Context, g settings.Gateway, logger zerolog.Logger) (listeners, error) {
 	var l listeners
 	specs := []struct {
 		name, address string
@@ -42,15 +46,30 @@
 		}
 		*spec.listener = opened
 	}
+	l.metrics = listenMetrics(ctx, g.Metrics, logger)
 	return l, nil
 }
 
+// listenMetrics opens the listener for the metrics page alone. It returns nil if the
+// address is empty or taken.
+func listenMetrics(ctx context.Context, address string, logger zerolog.Logger) net.Listener {
+	if address == "" {
+		return nil
+	}
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		event.Warn(logger, event.MetricsUnavailable).Str("Address", address).Err(err).Send()
+		return nil
+	}
+	return l
+}
+
 func (l listeners) addresses() Addresses {
 	return Addresses{Callers: l.callers.Addr().String(), Admin: l.admin.Addr().String(), Peer: l.peer.Addr().String()}
 }
 
 func (l listeners) close() {
-	for _, open := range []net.Listener{l.callers, l.admin, l.peer} {
+	for _, open := range []net.Listener{l.callers, l.admin, l.peer, l.metrics} {
 		if open != nil {
 			_ = open.Close()
 		}
@@ -101,10 +120,14 @@
 	peers := mux.NewRouter()
 	in.links.Mount(peers)
 	in.peerServer = &http.Server{Handler: peers, ReadHeaderTimeout: s.Limits.Progress}
-	serveErrors := make(chan error, 3)
+	serveErrors := make(chan error, 4)
 	go func() { serveErrors <- in.callerServer.Serve(in.gateway.Listener(l.callers)) }()
 	go func() { serveErrors <- in.adminServer.Serve(l.admin) }()
 	go func() { serveErrors <- in.peerServer.Serve(l.peer) }()
+	if l.metrics != nil {
+		in.metricsServer = &http.Server{Handler: in.metricsHandler(), ReadHeaderTimeout: s.Limits.Progress}
+		go func() { serveErrors <- in.metricsServer.Serve(l.metrics) }()
+	}
 	return serveErrors
 }
 
@@ -150,6 +173,13 @@
 	})
 }
 
+// metricsHandler serves the metrics page alone.
+func (in *instance) metricsHandler() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", in.metrics.Handler())
+	return r
+}
+
 // state returns the state of the control plane for the metrics page.
 func (in *instance) state() admin.State {
 	r := in.membership.Roster()
@@ -159,6 +189,7 @@
 		Generation:       in.generation.Load(),
 		InFlight:         in.gateway.InFlight(),
 		Gateways:         r.Gateways(),
+		ServersLimited:   in.gateway.Controllers().LimitedServers(),
 		Links:            links.Links,
 		PeerMessages:     links.SentMessages + links.ReceivedMessages,
 		PeerBytes:        links.SentBytes + links.ReceivedBytes,
@@ -257,6 +288,9 @@
 func (in *instance) close() {
 	_ = in.peerServer.Close()
 	_ = in.adminServer.Close()
+	if in.metricsServer != nil {
+		_ = in.metricsServer.Close()
+	}
 	in.gateway.Close()
 	_ = in.metrics.Close()
 }
--- a/internal/request/admission/lane.go
+++ b/internal/request/admission/lane.go
@@ -5,7 +5,6 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -368,10 +367,12 @@
 	}
 }
 
-// ObserveHeader processes the load report in a response header, if there is one.
-func (c *Controller) ObserveHeader(now time.Time, server string, h http.Header) {
+// ObserveResponse processes the load report and the statement in a response header, if
+// there are any.
+func (c *Controller) ObserveResponse(now time.Time, r Response) {
+	c.observeStatement(now, r)
 	names := c.controllers.cfg.Headers
-	text := h.Get(names.Load)
+	text := r.Header.Get(names.Load)
 	if text == "" {
 		return
 	}
@@ -380,7 +381,7 @@
 		c.Metrics.BadReports.Inc(1)
 		return
 	}
-	c.observe(now, server, rep)
+	c.observe(now, r.Server.Name, rep)
 }
 
 // HedgeDelay returns how long to wait for a response before sending a hedge. It
--- a/internal/request/admission/lanes.go
+++ b/internal/request/admission/lanes.go
@@ -65,7 +65,8 @@
 	// gateways is the fleet size, or 0 if unknown.
 	gateways atomic.Int64
 	// retry holds the retry bounds of the whole fleet.
-	retry atomic.Pointer[booking.Bounds]
+	retry      atomic.Pointer[booking.Bounds]
+	statements *statements
 
 	mu          sync.RWMutex
 	controllers map[string]*Controller
@@ -76,7 +77,7 @@
 // NewControllers returns Controllers without services.
 func NewControllers(cfg Config) *Controllers {
 	cfg.Options = cfg.withDefaults()
-	cs := &Controllers{cfg: cfg, controllers: make(map[string]*Controller)}
+	cs := &Controllers{cfg: cfg, statements: newStatements(), controllers: make(map[string]*Controller)}
 	cs.retry.Store(&booking.Bounds{Share: max(cfg.RetryShare, 0), Slack: cfg.RetrySlack})
 	return cs
 }
--- a/internal/request/admission/metrics.go
+++ b/internal/request/admission/metrics.go
@@ -29,6 +29,8 @@
 	Truncated  tally.Counter
 	// BadReports counts load reports that could not be parsed.
 	BadReports tally.Counter
+	// BadStatements counts statements of servers that could not be parsed.
+	BadStatements tally.Counter
 	// LoadQueries counts load queries sent before an attempt.
 	LoadQueries tally.Counter
 	// Queued measures the time that calls spend in the queue, and Header the time to
@@ -41,16 +43,17 @@
 	s := scope.Tagged(map[string]string{"Service": service})
 	times := tally.MustMakeExponentialDurationBuckets(firstBucket, 2, buckets)
 	m := &Metrics{
-		Attempts:    s.Counter("Attempts"),
-		Retries:     s.Counter("Retries"),
-		Hedges:      s.Counter("Hedges"),
-		NoResponse:  s.Counter("SilentConnections"),
-		Resumed:     s.Counter("ResumedDownloads"),
-		Truncated:   s.Counter("CutAnswers"),
-		BadReports:  s.Counter("BadReports"),
-		LoadQueries: s.Counter("Questions"),
-		Queued:      s.Histogram("QueueTime", times),
-		Header:      s.Histogram("HeaderTime", times),
+		Attempts:      s.Counter("Attempts"),
+		Retries:       s.Counter("Retries"),
+		Hedges:        s.Counter("Hedges"),
+		NoResponse:    s.Counter("SilentConnections"),
+		Resumed:       s.Counter("ResumedDownloads"),
+		Truncated:     s.Counter("CutAnswers"),
+		BadReports:    s.Counter("BadReports"),
+		BadStatements: s.Counter("BadStatements"),
+		LoadQueries:   s.Counter("Questions"),
+		Queued:        s.Histogram("QueueTime", times),
+		Header:        s.Histogram("HeaderTime", times),
 	}
 	for _, o := range []mustardsaddle.Outcome{mustardsaddle.Unknown, mustardsaddle.NotRun, mustardsaddle.Ran} {
 		m.Outcomes[o] = s.Tagged(map[string]string{"Outcome": o.String()}).Counter("Calls")
--- a/internal/request/admission/prober.go
+++ b/internal/request/admission/prober.go
@@ -104,9 +104,10 @@
 	if err != nil {
 		return
 	}
+	sentAt := time.Now()
 	h, err := fetchHeader(p.cfg.Controllers.cfg.Transport, r)
 	if err != nil {
 		return
 	}
-	c.ObserveHeader(time.Now(), server.Name, h)
+	c.ObserveResponse(time.Now(), Response{Server: server, Header: h, SentAt: sentAt, LoadQuery: true})
 }
--- a/internal/request/admission/question.go
+++ b/internal/request/admission/question.go
@@ -77,6 +77,7 @@
 
 // queryServer queries one server and processes its response.
 func (c *Controller) queryServer(ctx context.Context, server mustardsaddle.Server, path string) {
+	sentAt := time.Now()
 	h, reply := c.controllers.sendQuery(ctx, server, path)
 	now := time.Now()
 	c.mu.Lock()
@@ -89,7 +90,7 @@
 	c.logExclusions()
 	c.mu.Unlock()
 	if reply == mustardsaddle.OwnReply {
-		c.ObserveHeader(now, server.Name, h)
+		c.ObserveResponse(now, Response{Server: server, Header: h, SentAt: sentAt, LoadQuery: true})
 	}
 }
 
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -204,12 +204,14 @@
 	return a.c.g.cfg.Headers.Instance != "" && a.resp.StatusCode == http.StatusMisdirectedRequest
 }
 
-// observeLoadReport passes on the load report in the response header.
-func (a *attempt) observeLoadReport() {
+// observeResponse passes on the load report and the statement in the response header.
+func (a *attempt) observeResponse() {
 	if a.resp == nil || a.mismatch || a.misdirected() {
 		return
 	}
-	a.c.match.controller.ObserveHeader(time.Now(), a.assignment.Choice.Server.Name, a.resp.Header)
+	a.c.match.controller.ObserveResponse(time.Now(), admission.Response{
+		Server: a.assignment.Choice.Server, Header: a.resp.Header, SentAt: a.sentAt,
+	})
 }
 
 // silent reports whether a reused connection returned nothing while the caller was
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -275,10 +275,10 @@
 	a.send(nil)
 	if c.setWinner(a) {
 		c.match.controller.RecordLatency(a.latency)
-		a.observeLoadReport()
+		a.observeResponse()
 		return
 	}
-	a.observeLoadReport()
+	a.observeResponse()
 	outcome := a.outcome
 	c.logAttempt(a)
 	if outcome == mustardsaddle.Ran {
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -48,6 +48,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/choice/statement"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
@@ -124,7 +125,7 @@
 	setDefault(&cfg.DialTimeout, defaultDialTimeout)
 	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
 	if cfg.Headers == nil {
-		cfg.Headers = &mustardsaddle.Headers{Deadline: header.Deadline, Load: report.Header, ParseLoad: report.Parse}
+		cfg.Headers = &mustardsaddle.Headers{Deadline: header.Deadline, Load: report.Header, ParseLoad: report.Parse, Limit: statement.LimitHeader}
 	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
--- a/internal/request/gateway/log.go
+++ b/internal/request/gateway/log.go
@@ -37,6 +37,9 @@
 		line = line.Int("Busy", choice.Report.InFlight).Int("Slots", choice.Report.Slots).
 			Float64("Slowness", choice.Report.Slowness).Dur("ReportAge", time.Since(choice.Report.At))
 	}
+	if stated, age := c.match.controller.Statement(time.Now(), choice.Server); stated.Limited {
+		line = line.Float64("Limit", stated.PerSecond).Dur("LimitAge", age)
+	}
 	line.Send()
 }
 
