Add a failing test of a server's limit over thirteen gateways

Thirteen gateways with links, four servers, a call every 40 ms at each gateway; one server states a limit of 1 request a second.

--- /dev/null
+++ b/internal/product/instance/limit_test.go
@@ -0,0 +1,159 @@
+package instance_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/settings"
+	"mustardsaddle.example/mustardsaddle/internal/standin/directory"
+	"mustardsaddle.example/mustardsaddle/internal/standin/server"
+)
+
+// arrivals records when requests reach a server.
+type arrivals struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+// recordArrivals returns a handler that records each request before next handles it: in
+// all, and in calls unless it is a load query.
+func recordArrivals(all, calls *arrivals, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		now := time.Now()
+		all.record(now)
+		if r.URL.Path != "/load" {
+			calls.record(now)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (a *arrivals) record(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, now)
+}
+
+// since returns the number of requests that arrived after start.
+func (a *arrivals) since(start time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	first, _ := slices.BinarySearchFunc(a.times, start, time.Time.Compare)
+	return len(a.times) - first
+}
+
+// most returns the largest number of requests in any window that begins after start.
+func (a *arrivals) most(start time.Time, window time.Duration) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range a.times {
+		for a.times[first].Before(start) && first < i || at.Sub(a.times[first]) >= window {
+			first++
+		}
+		if !at.Before(start) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+// callers sends GET requests to all gateways at a fixed rate each, until stop is called.
+type callers struct {
+	calls, failures atomic.Int64
+	cancel          context.CancelFunc
+	wg              sync.WaitGroup
+}
+
+func startCallers(t *testing.T, gateways []*runningGateway, interval time.Duration) *callers {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &callers{cancel: cancel}
+	for _, g := range gateways {
+		c.wg.Go(func() {
+			for ctx.Err() == nil {
+				c.calls.Add(1)
+				if status, _ := get(t, "http://"+g.addresses.Callers+"/rosters"); status != http.StatusOK {
+					c.failures.Add(1)
+				}
+				time.Sleep(interval)
+			}
+		})
+	}
+	t.Cleanup(c.stop)
+	return c
+}
+
+func (c *callers) stop() {
+	c.cancel()
+	c.wg.Wait()
+}
+
+// TestServerLimitHoldsOverFleet guards against a server that limits its requests getting
+// more of them from all gateways together than the limit allows, and against such a
+// server getting none, or no more than before once it has withdrawn the limit.
+func TestServerLimitHoldsOverFleet(t *testing.T) {
+	const (
+		gateways     = 13
+		servers      = 4
+		callInterval = 40 * time.Millisecond
+		perSecond    = 1.0
+		// notice is the time after which every gateway must keep to a new limit.
+		notice = 500 * time.Millisecond
+		window = 4 * time.Second
+		// allowed is one and a half times the limit, and 5 requests more.
+		allowed = 11
+		limited = 7 * time.Second
+		minUse  = 3
+	)
+	s := newCluster(t, 0)
+	s.directory = directory.New()
+	s.directory.PutRules(mustardsaddle.RulesText{Generation: 1, Text: initialRules})
+	s.configure = func(cfg *settings.Settings) {
+		cfg.Choice.Policy = settings.PolicySurvey
+		cfg.Measuring.MessagesPerSecond, cfg.Measuring.BytesPerSecond, cfg.Measuring.ServerPerSecond = 1000, 1<<20, 100
+	}
+	var all, calls arrivals
+	e := server.New(server.Config{Name: "booking-01", Slots: 2, Queue: 2, Work: time.Millisecond})
+	s.startServer("booking-01", recordArrivals(&all, &calls, e.Handler()))
+	for i := range servers - 1 {
+		s.addServer(fmt.Sprintf("booking-%02d", i+2))
+	}
+	for i := range gateways {
+		s.addGateway(fmt.Sprintf("gateway-%02d", i+1))
+	}
+	for _, g := range s.gateways {
+		eventually(t, waitTimeout, "ready: "+g.name, func() bool { return g.ready(t) })
+	}
+	c := startCallers(t, s.gateways, callInterval)
+	eventually(t, waitTimeout, "server is used", func() bool { return calls.since(time.Time{}) > 0 })
+
+	limit := perSecond
+	e.SetMode(server.Mode{Limit: &limit})
+	named := time.Now()
+	time.Sleep(limited)
+	if n := calls.most(named.Add(notice), window); n > allowed {
+		t.Errorf("limited server: got %d requests in %s, want at most %d", n, window, allowed)
+	}
+	if n := all.most(named.Add(notice), window); n > allowed {
+		t.Errorf("limited server: got %d requests and load queries in %s, want at most %d", n, window, allowed)
+	}
+	if n := calls.since(named.Add(notice)); n < minUse {
+		t.Errorf("limited server: got %d requests in %s, want at least %d", n, limited-notice, minUse)
+	}
+
+	e.SetMode(server.Mode{})
+	eventually(t, waitTimeout, "server is used by all gateways again", func() bool {
+		return calls.since(time.Now().Add(-time.Second)) > 2*gateways
+	})
+	c.stop()
+	if failed := c.failures.Load(); failed > 0 {
+		t.Errorf("got %d calls of %d that were not answered with 200, want 0", failed, c.calls.Load())
+	}
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/juju/errors"
 
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/choice/statement"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
@@ -73,6 +74,9 @@
 	// FailFast makes the server respond to requests with 500 without doing any
 	// work.
 	FailFast bool
+	// Limit, if not nil, is the number of requests per second that the server states
+	// in each response as its limit. The server does not enforce it.
+	Limit *float64
 	// ReportInFlight, if not nil, replaces the reported number of requests in
 	// flight.
 	ReportInFlight *int
@@ -193,11 +197,14 @@
 	_ = json.NewEncoder(w).Encode(s.Count())
 }
 
-// setReportHeader sets the load report header.
+// setReportHeader sets the headers with the load report and the limit.
 func (s *Server) setReportHeader(h http.Header) {
 	s.mu.Lock()
-	inFlight, draining := s.loadToReport(time.Now()), s.mode.Draining
+	inFlight, draining, limit := s.loadToReport(time.Now()), s.mode.Draining, s.mode.Limit
 	s.mu.Unlock()
+	if limit != nil {
+		h.Set(statement.LimitHeader, strconv.FormatFloat(*limit, 'f', -1, 64))
+	}
 	h.Set(report.Header, report.Format(inFlight, s.cfg.Slots, draining))
 }
 
