--- a/internal/product/instance/limit_test.go
+++ b/internal/product/instance/limit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -111,6 +112,8 @@
 		allowed = 11
 		limited = 7 * time.Second
 		minUse  = 3
+		// metricsDelay covers notice and the interval at which the metrics page is updated.
+		metricsDelay = 2 * time.Second
 	)
 	s := newCluster(t, 0)
 	s.directory = directory.New()
@@ -137,7 +140,13 @@
 	limit := perSecond
 	e.SetMode(server.Mode{Limit: &limit})
 	named := time.Now()
-	time.Sleep(limited)
+	for _, g := range s.gateways {
+		eventually(t, metricsDelay, "limit known: "+g.name, func() bool {
+			_, page := get(t, "http://"+g.addresses.Admin+"/metrics")
+			return strings.Contains(page, "Mustardsaddle_ServersLimited 1")
+		})
+	}
+	time.Sleep(time.Until(named.Add(limited)))
 	if n := calls.most(named.Add(notice), window); n > allowed {
 		t.Errorf("limited server: got %d requests in %s, want at most %d", n, window, allowed)
 	}
