Keep to the limits that servers state, over all gateways together

Cause: the gateways did not read the header. The class of fault is a bound on the sum over all gateways for which no gateway, or each gateway by itself, is responsible. Ruled out: slow news of the limit (all gateways show it within 2 s, and the first one that did continued undiminished), and a division by gateway (there was none).

Change: a few gateways, the first ones in a rendezvous order, hold a server's limit, two more than its requests per second; the others send it nothing. Each saves one token at most, and begins without one. What a server states has a version of its own, is flooded over the links when it changes, and a digest in the heartbeats finds what was lost. Limited servers get no load query: holders choose them without a recent report, and first after 5 s without a response, since only a response shows that the limit has ended.

--- a/choice.go
+++ b/choice.go
@@ -33,6 +33,10 @@
 	// Unqueried is true if no server could be queried, so that the choice may use
 	// servers without a recent load report.
 	Unqueried bool
+	// Limited holds the names of the servers that limit the rate of their requests and
+	// may get one now. They are not queried for their load, since a load query would use
+	// up the limit, and may be chosen without a recent load report.
+	Limited []string
 	// Bytes is the typical response size of the service.
 	Bytes int
 }
--- a/internal/base/code/list.go
+++ b/internal/base/code/list.go
@@ -129,6 +129,9 @@
 	CallClaimed
 	// CallStopping means that the gateway is shutting down and accepts no new calls.
 	CallStopping
+	// CallLimited means that every server limits the rate of its requests and none may
+	// get one now.
+	CallLimited
 )
 
 // Process codes.
--- a/internal/choice/share/share.go
+++ b/internal/choice/share/share.go
@@ -94,16 +94,27 @@
 	var subset []mustardsaddle.Server
 	gatewayHashes, selfHash := hashes(gateways), xxhash.Sum64String(self)
 	for _, s := range servers {
-		serverHash := xxhash.Sum64String(s.Name)
-		selfScore, higher := rendezvous(serverHash, selfHash), 0
-		for _, g := range gatewayHashes {
-			if rendezvous(serverHash, g) > selfScore {
-				higher++
-			}
-		}
-		if higher < gatewaysPerServer {
+		if rank(xxhash.Sum64String(s.Name), selfHash, gatewayHashes) < gatewaysPerServer {
 			subset = append(subset, s)
 		}
 	}
 	return subset
 }
+
+// Rank returns how many of the gateways have a higher score for a server than the
+// gateway self. The gateways of the lowest ranks are those that have the server in their
+// Subset.
+func Rank(server string, gateways []mustardsaddle.VM, self string) int {
+	return rank(xxhash.Sum64String(server), xxhash.Sum64String(self), hashes(gateways))
+}
+
+// rank is Rank for the hashes of the names.
+func rank(server, self uint64, gateways []uint64) int {
+	selfScore, higher := rendezvous(server, self), 0
+	for _, g := range gateways {
+		if rendezvous(server, g) > selfScore {
+			higher++
+		}
+	}
+	return higher
+}
--- a/internal/choice/statement/statement.go
+++ b/internal/choice/statement/statement.go
@@ -10,7 +10,6 @@
 package statement
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 
@@ -22,12 +21,10 @@
 // second, unless the settings name another one.
 const LimitHeader = "Endpoint-Limit"
 
-// maxPerSecond is the highest limit that is read, in requests per second.
-const maxPerSecond = 1e6
-
 // Parse returns the statement in a response header. Headers of which names has no name
-// are not read. A value that is not a number from 0 to maxPerSecond returns an error
-// with code.StatementBad, and the response then counts as one without a statement.
+// are not read. For a value that is not a number from 0 to mustardsaddle.MaxStatedLimit
+// it returns an error with code.StatementBad; the last statement that could be read then
+// stays in effect.
 func Parse(names *mustardsaddle.Headers, h http.Header) (mustardsaddle.Statement, error) {
 	var stated mustardsaddle.Statement
 	if names.Limit == "" {
@@ -38,8 +35,10 @@
 		return stated, nil
 	}
 	perSecond, err := strconv.ParseFloat(text, 64)
-	if err != nil || math.IsNaN(perSecond) || perSecond < 0 || perSecond > maxPerSecond {
-		return stated, code.Errorf(code.StatementBad, "parse server limit: got %.64q, want 0 to %g requests per second", text, float64(maxPerSecond))
+	limited := stated.WithLimit(perSecond)
+	if err != nil || !limited.Valid() {
+		return stated, code.Errorf(code.StatementBad, "parse server limit: got %.64q, want 0 to %g requests per second",
+			text, float64(mustardsaddle.MaxStatedLimit))
 	}
-	return stated.WithLimit(perSecond), nil
+	return limited, nil
 }
--- a/internal/choice/survey/server.go
+++ b/internal/choice/survey/server.go
@@ -27,6 +27,13 @@
 	// addressTakenPause is how long a server is excluded after another server
 	// answered at its address.
 	addressTakenPause = 3 * time.Second
+	// limitedReportAge is the age from which the last report of a server that may not be
+	// queried is discarded.
+	limitedReportAge = 2 * time.Second
+	// recheckInterval is the time without a response after which a limited server is
+	// preferred, and recheckScore its score, which is lower than any other.
+	recheckInterval = 5 * time.Second
+	recheckScore    = 0
 	// nominalSlowness is the slowness assumed for a server that does not report it.
 	nominalSlowness = 1.0
 )
@@ -40,6 +47,8 @@
 	// adjusted by the attempts of this gateway that began or ended since.
 	load   int
 	report mustardsaddle.Report
+	// respondedAt is when the server last responded to an attempt or a load query.
+	respondedAt time.Time
 	// queriedAt is when the pending load query was sent; zero if there is none.
 	queriedAt time.Time
 	// probedAt is when the server was last picked for a probe.
@@ -105,6 +114,23 @@
 	return s.missedQueries >= unresponsiveQueries && now.Sub(s.missedAt) < unresponsivePause
 }
 
+// discardOldReport makes the choice of a server that may not be queried independent of a
+// report that is out of date: its load from one older than maxLoadAge, and all of one
+// older than limitedReportAge.
+func (s *server) discardOldReport(now time.Time, maxLoadAge time.Duration) {
+	if !s.fresh(now, maxLoadAge) {
+		s.load = s.inFlight
+	}
+	if !s.fresh(now, limitedReportAge) {
+		s.report = mustardsaddle.Report{}
+	}
+}
+
+// needsRecheck reports whether the server has not responded for recheckInterval.
+func (s *server) needsRecheck(now time.Time) bool {
+	return now.Sub(s.respondedAt) >= recheckInterval
+}
+
 // slowness returns the last reported processing time as a multiple of the usual
 // one.
 func (s *server) slowness() float64 {
--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -29,6 +29,10 @@
 // A server whose address is used by another server is excluded for some seconds,
 // and after that until a load query reaches it again.
 //
+// A server that limits its requests is not queried. It is chosen without a recent
+// report, as a server with a nominal load, and before the others if it has not responded
+// to this gateway for a while: only a response shows that the limit has changed.
+//
 // If no server of a service reports its load, the choice depends on this gateway's
 // own attempts in flight.
 //
@@ -98,6 +102,7 @@
 // Reasons of choices and exclusions, as logged.
 const (
 	reasonReport       = "Report"
+	reasonLimited      = "Limited"
 	reasonOwnInFlight  = "Own"
 	reasonFailures     = "Failures"
 	reasonAddressTaken = "OtherServer"
@@ -200,7 +205,7 @@
 func (c *Chooser) SelectQueries(now time.Time, rng *rand.Rand, reqs mustardsaddle.Requirements, n int) []mustardsaddle.Server {
 	var candidates []*server
 	for _, s := range c.servers {
-		if c.eligible(now, s, reqs) && s.needsQuery(now, c.cfg.RequeryAge) {
+		if c.eligible(now, s, reqs) && !slices.Contains(reqs.Limited, s.Name) && s.needsQuery(now, c.cfg.RequeryAge) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -288,10 +293,19 @@
 
 // Choose picks the server with the best score among those with capacity.
 func (c *Chooser) Choose(now time.Time, rng *rand.Rand, reqs mustardsaddle.Requirements) (mustardsaddle.Choice, bool) {
-	reason := reasonReport
+	for _, name := range reqs.Limited {
+		if s := c.byName[name]; s != nil {
+			s.discardOldReport(now, c.cfg.MaxReportAge)
+		}
+	}
 	best := c.lowestScore(now, rng, reqs, func(s *server) bool {
-		return s.fresh(now, c.cfg.MaxReportAge) && s.hasCapacity(c.cfg.SlowRatio*c.medianSlowness)
+		return s.fresh(now, c.cfg.MaxReportAge) && s.hasCapacity(c.cfg.SlowRatio*c.medianSlowness) ||
+			slices.Contains(reqs.Limited, s.Name) && s.inFlight < s.slots()
 	})
+	reason := reasonReport
+	if best != nil && slices.Contains(reqs.Limited, best.Name) {
+		reason = reasonLimited
+	}
 	if best == nil && (reqs.Unqueried || !c.hasReports) {
 		reason = reasonOwnInFlight
 		best = c.lowestScore(now, rng, reqs, func(s *server) bool { return s.inFlight < s.slots() })
@@ -316,6 +330,9 @@
 			continue
 		}
 		score := s.score(now, reqs)
+		if slices.Contains(reqs.Limited, s.Name) && s.needsRecheck(now) {
+			score = recheckScore
+		}
 		switch {
 		case best == nil || score < lowest:
 			best, lowest, ties = s, score, 1
@@ -361,6 +378,7 @@
 	case r.Shed:
 		s.load = max(s.load, s.slots())
 	case r.Outcome == mustardsaddle.Ran && !r.Canceled:
+		s.respondedAt = now
 		s.recordSuccess()
 	}
 }
@@ -397,13 +415,14 @@
 }
 
 // Observe records a load report of a server.
-func (c *Chooser) Observe(_ time.Time, name string, report mustardsaddle.Report) {
+func (c *Chooser) Observe(now time.Time, name string, report mustardsaddle.Report) {
 	s := c.byName[name]
 	if s == nil {
 		return
 	}
 	c.hasReports = true
 	c.updateMedianSlowness(report.Slowness)
+	s.respondedAt = now
 	s.report = report
 	s.load = report.InFlight
 }
--- a/internal/choice/survey/survey_test.go
+++ b/internal/choice/survey/survey_test.go
@@ -146,6 +146,54 @@
 	})
 }
 
+// A server that limits its requests must not be queried, since queries would use up its
+// limit, and must still be chosen, since only a response shows that the limit has changed.
+func TestLimitedServer(t *testing.T) {
+	limited := sameZone
+	limited.Limited = []string{"booking-0"}
+	convey.Convey("Given an idle server and a limited one whose last report is stale", t, func() {
+		chooser := newChooser(2)
+		chooser.Observe(start, "booking-0", report(start, 2, 4))
+		now := start.Add(3 * time.Second)
+		chooser.Observe(now, "booking-1", report(now, 0, 1))
+		convey.Convey("Only the other one is queried", func() {
+			queried := chooser.SelectQueries(now.Add(time.Second), newRand(), limited, 8)
+			convey.So(queried, convey.ShouldHaveLength, 1)
+			convey.So(queried[0].Name, convey.ShouldEqual, "booking-1")
+		})
+		convey.Convey("The limited one counts as idle and takes its turn", func() {
+			chosen := make(map[string]int)
+			rng := newRand()
+			for range 100 {
+				choice, ok := chooser.Choose(now, rng, limited)
+				convey.So(ok, convey.ShouldBeTrue)
+				chosen[choice.Server.Name]++
+				chooser.Finish(now, mustardsaddle.Result{Server: choice.Server.Name, Outcome: mustardsaddle.Ran})
+			}
+			convey.So(chosen["booking-0"], convey.ShouldBeBetween, 20, 80)
+		})
+		convey.Convey("It is chosen alone, up to its number of slots", func() {
+			limited.Exclude = []string{"booking-1"}
+			for range 2 {
+				choice, ok := chooser.Choose(now, newRand(), limited)
+				convey.So(ok, convey.ShouldBeTrue)
+				convey.So(choice.Reason, convey.ShouldEqual, "Limited")
+			}
+			_, ok := chooser.Choose(now, newRand(), limited)
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+		convey.Convey("Without a response for long, it is preferred to a server in the gateway's zone", func() {
+			remote := servers(2)
+			remote[0].Zone = "zone-b"
+			chooser.SetServers(now, remote)
+			later := start.Add(5 * time.Second)
+			chooser.Observe(later, "booking-1", report(later, 0, 1))
+			choice, _ := chooser.Choose(later, newRand(), limited)
+			convey.So(choice.Server.Name, convey.ShouldEqual, "booking-0")
+		})
+	})
+}
+
 func TestQueryLimit(t *testing.T) {
 	convey.Convey("Given a limit of 20 queries per second and 8 per call", t, func() {
 		q, now := survey.NewQueryLimiter(8), start
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -133,6 +133,8 @@
 		return decode[Listing](c, e)
 	case typeName(TypeAskListing):
 		return decode[AskListing](c, e)
+	case typeName(TypeStatements):
+		return decode[Statements](c, e)
 	case "":
 		return nil, code.Errorf(code.PeerBadMessage, "decode message: the type is missing")
 	default:
@@ -181,6 +183,8 @@
 		return checkListing(m)
 	case AskListing:
 		return nil
+	case Statements:
+		return checkStatements(m)
 	default:
 		return code.Errorf(code.PeerBadMessage, "message %s cannot be sent", typeName(msg.Type()))
 	}
@@ -237,6 +241,28 @@
 	return checkNameLength(m, mark.Name)
 }
 
+func checkStatements(m Statements) error {
+	if len(m.Servers) > MaxMarks {
+		return code.Errorf(code.PeerBadMessage, "message Statements: got %d statements, want at most %d", len(m.Servers), MaxMarks)
+	}
+	for _, s := range m.Servers {
+		if s.Name == "" {
+			return code.Errorf(code.PeerBadMessage, "message Statements: a statement has no server name")
+		}
+		if err := checkNameLength(m, s.Name); err != nil {
+			return err
+		}
+		if s.Seq <= 0 {
+			return code.Errorf(code.PeerBadMessage, "message Statements: got Seq=%d, want at least 1", s.Seq)
+		}
+		if !s.Statement.Valid() {
+			return code.Errorf(code.PeerBadMessage, "message Statements: got PerSecond=%g, want 0 to %g",
+				s.Statement.PerSecond, float64(mustardsaddle.MaxStatedLimit))
+		}
+	}
+	return nil
+}
+
 func checkGenerations(m Generations) error {
 	if len(m.VMs) > MaxMarks {
 		return code.Errorf(code.PeerBadMessage, "message Generations: got %d VMs, want at most %d", len(m.VMs), MaxMarks)
--- a/internal/peer/news/codec_test.go
+++ b/internal/peer/news/codec_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"fmt"
+	"math"
 	"reflect"
 	"strings"
 	"testing"
@@ -44,6 +45,10 @@
 		news.AskListing{Servers: true},
 		news.Heartbeat{Summary: news.Summary{Rules: news.Known{Revision: 43, Age: 12}, Servers: news.Known{Revision: 44}}},
 		news.Generations{VMs: []news.Generation{{Name: "gateway-1", Generation: 41_000}}},
+		news.Statements{Servers: []mustardsaddle.ServerStatement{
+			{Name: "booking-07", Incarnation: 1_800_000_000, Seq: 3, Statement: mustardsaddle.Statement{}.WithLimit(1.3)},
+		}},
+		news.Heartbeat{Summary: news.Summary{StatementsDigest: 0xfedcba9876543210}},
 		news.AskMachines{}, news.Machines{Machines: []mustardsaddle.Machine{{
 			Name: "booking-07", Incarnation: 1_800_000_000, Zone: "perth-1", Service: "Booking",
 			Address: "10.0.0.7:8080", Slots: 2, Connections: 200,
@@ -70,6 +75,12 @@
 	marks := func(m ...mustardsaddle.Mark) []byte {
 		return mustMarshal(t, envelope{1, "Marks", news.Marks{Marks: m}})
 	}
+	statements := func(s ...mustardsaddle.ServerStatement) []byte {
+		return mustMarshal(t, envelope{1, "Statements", news.Statements{Servers: s}})
+	}
+	limited := func(perSecond float64) mustardsaddle.ServerStatement {
+		return mustardsaddle.ServerStatement{Name: "x", Seq: 1, Statement: mustardsaddle.Statement{}.WithLimit(perSecond)}
+	}
 	for _, c := range []struct {
 		name string
 		in   []byte
@@ -96,6 +107,12 @@
 		{"a rule change with a negative line position", mustMarshal(t, envelope{1, "RuleChange", news.RuleChange{To: 1, In: []news.RuleEdit{{At: -1}}}}), code.PeerBadMessage},
 		{"a Hello without the name of a VM", mustMarshal(t, envelope{1, "Hello", news.Hello{}}), code.PeerBadMessage},
 		{"a VM without a name", mustMarshal(t, envelope{1, "Machines", news.Machines{Machines: make([]mustardsaddle.Machine, 1)}}), code.PeerBadMessage},
+		{"too many statements", statements(make([]mustardsaddle.ServerStatement, news.MaxMarks+1)...), code.PeerBadMessage},
+		{"a statement without the name of a server", statements(mustardsaddle.ServerStatement{Seq: 1}), code.PeerBadMessage},
+		{"a statement without Seq", statements(mustardsaddle.ServerStatement{Name: "x"}), code.PeerBadMessage},
+		{"a statement with a negative limit", statements(limited(-1)), code.PeerBadMessage},
+		{"a statement with a limit that is no number", statements(limited(math.NaN())), code.PeerBadMessage},
+		{"a valid statement", statements(limited(0)), code.OK},
 		{"a negative generation", mustMarshal(t, envelope{1, "AskRules", news.AskRules{Have: -1}}), code.PeerBadMessage},
 		{"an unknown field", mustMarshal(t, envelope{1, "AskRules", map[string]any{"Have": 1, "Why": "x"}}), code.OK},
 		{"an unknown type", mustMarshal(t, envelope{1, "Weather", 7}), code.OK},
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -60,7 +60,8 @@
 	// MaxRulesBytes is the maximum size of the rules text, or of all lines of a rule
 	// change, in one message.
 	MaxRulesBytes = 1 << 20
-	// MaxMarks is the maximum number of marks, or of generations, in one message.
+	// MaxMarks is the maximum number of marks, of generations or of statements in one
+	// message.
 	MaxMarks = 4096
 	// MaxMachines is the maximum number of VMs in one message.
 	MaxMachines = 1024
@@ -100,6 +101,8 @@
 	TypeListing
 	// TypeAskListing is the type of AskListing.
 	TypeAskListing
+	// TypeStatements is the type of Statements.
+	TypeStatements
 )
 
 // Message is one of the message types of this package. A Message is immutable.
@@ -119,6 +122,9 @@
 	// a directory are; both are zero in a deployment without a directory.
 	Rules   Known `cbor:",omitzero"`
 	Servers Known `cbor:",omitzero"`
+	// StatementsDigest is equal for gateways that know the same limits of servers; 0 if
+	// there are none.
+	StatementsDigest uint64 `cbor:",omitempty"`
 }
 
 // Known states how current a gateway's copy of a collection of a directory is.
@@ -229,6 +235,12 @@
 	Servers bool
 }
 
+// Statements announces what endpoint servers state about the requests that they take.
+type Statements struct {
+	// Servers holds at most MaxMarks statements.
+	Servers []mustardsaddle.ServerStatement
+}
+
 // Unknown stands for a message of a type that this version does not know.
 type Unknown struct {
 	// Name is the name of the type, cut to 255 bytes.
@@ -247,6 +259,7 @@
 	_ Message = Machines{}
 	_ Message = Listing{}
 	_ Message = AskListing{}
+	_ Message = Statements{}
 	_ Message = Unknown{}
 )
 
@@ -292,6 +305,9 @@
 // Type returns TypeAskListing.
 func (AskListing) Type() Type { return TypeAskListing }
 
+// Type returns TypeStatements.
+func (Statements) Type() Type { return TypeStatements }
+
 // Type returns TypeUnknown.
 func (Unknown) Type() Type { return TypeUnknown }
 
@@ -304,6 +320,15 @@
 	return messages
 }
 
+// SplitStatements divides statements into messages of at most MaxMarks statements each.
+func SplitStatements(statements []mustardsaddle.ServerStatement) []Statements {
+	var messages []Statements
+	for part := range slices.Chunk(statements, MaxMarks) {
+		messages = append(messages, Statements{Servers: part})
+	}
+	return messages
+}
+
 // SplitMachines divides a list of VMs into messages of at most MaxMachines VMs
 // each.
 func SplitMachines(machines []mustardsaddle.Machine) []Machines {
--- a/internal/peer/news/relay.go
+++ b/internal/peer/news/relay.go
@@ -20,7 +20,7 @@
 	// MinAskInterval is the minimum time between two requests for rules to one peer.
 	MinAskInterval time.Duration
 	// MinMarksInterval is the minimum time between two transfers of all marks to one
-	// peer.
+	// peer, and likewise of all statements of servers.
 	MinMarksInterval time.Duration
 }
 
@@ -45,10 +45,12 @@
 	digest   uint64
 }
 
-// peerState holds when a peer was last asked for rules and last sent all marks.
+// peerState holds when a peer was last asked for rules and last sent all marks and all
+// statements of servers.
 type peerState struct {
-	rulesAskedAt time.Time
-	marksSentAt  time.Time
+	rulesAskedAt     time.Time
+	marksSentAt      time.Time
+	statementsSentAt time.Time
 }
 
 // SyncActions states what a gateway has to do after it compared its summary with a
@@ -58,6 +60,9 @@
 	AskRules bool
 	// SendMarks is true if the marks differ and all own marks are to be sent.
 	SendMarks bool
+	// SendStatements is true if the limits of servers differ and all own statements are to
+	// be sent.
+	SendStatements bool
 }
 
 // NewRelay returns a Relay that has forwarded nothing.
@@ -76,7 +81,7 @@
 // that sent it, or empty for a message that originates here. Generation is the
 // generation in force before the message is applied.
 //
-// Marks and VMs are forwarded on every link except the one they arrived on. The
+// Marks, statements of servers and VMs are forwarded on every link except the one they arrived on. The
 // caller must pass only entries that were new to it: nothing else ends the flood. A
 // rule change is forwarded once, whether or not it applies to the rules in force
 // here, unless these already have its resulting generation or a higher one. For all
@@ -88,6 +93,10 @@
 		if len(m.Marks) == 0 {
 			return nil
 		}
+	case Statements:
+		if len(m.Servers) == 0 {
+			return nil
+		}
 	case Machines:
 		if len(m.Machines) == 0 {
 			return nil
@@ -134,6 +143,10 @@
 		actions.SendMarks = true
 		state.marksSentAt = now
 	}
+	if theirs.StatementsDigest != own.StatementsDigest && now.Sub(state.statementsSentAt) >= r.cfg.MinMarksInterval {
+		actions.SendStatements = true
+		state.statementsSentAt = now
+	}
 	if actions != (SyncActions{}) {
 		r.peers[from] = state
 	}
--- a/internal/peer/news/relay_test.go
+++ b/internal/peer/news/relay_test.go
@@ -73,6 +73,11 @@
 			convey.So(relay.ForwardTargets("b", news.Marks{Marks: []mustardsaddle.Mark{mark}}, 0, links), convey.ShouldResemble, []string{"a", "c"})
 			convey.So(relay.ForwardTargets("b", news.Marks{}, 0, links), convey.ShouldBeEmpty)
 		})
+		convey.Convey("Statements of servers are forwarded to all peers except the sender, and an empty message to none", func() {
+			msg := news.Statements{Servers: []mustardsaddle.ServerStatement{{Name: "booking-07", Seq: 1}}}
+			convey.So(relay.ForwardTargets("b", msg, 0, links), convey.ShouldResemble, []string{"a", "c"})
+			convey.So(relay.ForwardTargets("b", news.Statements{}, 0, links), convey.ShouldBeEmpty)
+		})
 		convey.Convey("A rule change is forwarded once, and not at all if its generation is in force", func() {
 			convey.So(relay.ForwardTargets("", change, change.From, links), convey.ShouldResemble, links)
 			convey.So(relay.ForwardTargets("a", change, change.From, links), convey.ShouldBeEmpty)
@@ -100,6 +105,14 @@
 		convey.So(compare(900*time.Millisecond), convey.ShouldResemble, news.SyncActions{})
 		convey.So(compare(time.Second), convey.ShouldResemble, news.SyncActions{AskRules: true})
 		convey.So(compare(5*time.Second), convey.ShouldResemble, news.SyncActions{AskRules: true, SendMarks: true})
+		convey.Convey("Different limits of servers are sent at most at the same interval", func() {
+			relay, theirs := news.NewRelay(news.RelayConfig{}), news.Summary{Generation: 1, StatementsDigest: 7}
+			send := news.SyncActions{SendStatements: true}
+			convey.So(relay.Compare(start, "a", own, theirs), convey.ShouldResemble, send)
+			convey.So(relay.Compare(start.Add(time.Second), "a", own, theirs), convey.ShouldResemble, news.SyncActions{})
+			convey.So(relay.Compare(start.Add(5*time.Second), "a", own, theirs), convey.ShouldResemble, send)
+			convey.So(relay.Compare(start.Add(10*time.Second), "a", theirs, theirs), convey.ShouldResemble, news.SyncActions{})
+		})
 		convey.Convey("After its link is re-established, it is asked without delay", func() {
 			relay.ResetPeer("a")
 			convey.So(compare(5*time.Second), convey.ShouldResemble, news.SyncActions{AskRules: true, SendMarks: true})
--- a/internal/peer/news/type_string.go
+++ b/internal/peer/news/type_string.go
@@ -20,11 +20,12 @@
 	_ = x[TypeGenerations-9]
 	_ = x[TypeListing-10]
 	_ = x[TypeAskListing-11]
+	_ = x[TypeStatements-12]
 }
 
-const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRulesTypeAskMachinesTypeMachinesTypeGenerationsTypeListingTypeAskListing"
+const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRulesTypeAskMachinesTypeMachinesTypeGenerationsTypeListingTypeAskListingTypeStatements"
 
-var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82, 97, 109, 124, 135, 149}
+var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82, 97, 109, 124, 135, 149, 163}
 
 func (i Type) String() string {
 	idx := int(i) - 0
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -196,6 +196,7 @@
 			Budget:               in.probeBudget,
 			NewChooser:           in.newChooser,
 			OnReport:             in.handleReport,
+			OnStatement:          in.handleStatement,
 		},
 		Claims:  in.claims(),
 		Metrics: in.metrics.Scope(),
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -27,7 +27,9 @@
 
 // summary returns the summary of this gateway's state for Hello and Heartbeat messages.
 func (in *instance) summary() news.Summary {
-	s := news.Summary{MarksDigest: in.membership.Roster().MarksDigest()}
+	s := news.Summary{
+		MarksDigest: in.membership.Roster().MarksDigest(), StatementsDigest: in.gateway.Controllers().StatementsDigest(),
+	}
 	if in.catalog == nil {
 		s.Generation = in.generation.Load()
 		return s
@@ -58,6 +60,8 @@
 		in.floodNew(from, in.membership.applyMachines(now, m.Machines))
 	case news.Generations:
 		in.mergeGenerations(m)
+	case news.Statements:
+		in.floodStatements(from, in.gateway.Controllers().MergeStatements(now, m.Servers))
 	case news.Listing, news.AskListing:
 		in.receiveDirectoryMessage(now, from, msg)
 	case news.RuleChange, news.AskRules, news.WholeRules:
@@ -96,6 +100,23 @@
 			in.links.Send(from, part)
 		}
 	}
+	if actions.SendStatements {
+		for _, part := range news.SplitStatements(in.gateway.Controllers().Statements()) {
+			in.links.Send(from, part)
+		}
+	}
+}
+
+// handleStatement floods a statement of a server that this gateway has observed.
+func (in *instance) handleStatement(s mustardsaddle.ServerStatement) {
+	in.floodStatements("", []mustardsaddle.ServerStatement{s})
+}
+
+// floodStatements floods statements of servers that were new to this gateway.
+func (in *instance) floodStatements(from string, statements []mustardsaddle.ServerStatement) {
+	for _, part := range news.SplitStatements(statements) {
+		in.flood(from, in.generation.Load(), part)
+	}
 }
 
 // floodNew floods what was new to this gateway. More than maxFloodedMachines VMs, such
--- a/internal/request/admission/lane.go
+++ b/internal/request/admission/lane.go
@@ -12,6 +12,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/choice/quota"
 	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
@@ -156,7 +157,8 @@
 // Admit starts an attempt of the call and chooses its server. A first attempt is queued
 // if other calls are queued or no server has capacity. A retry is queued only if no
 // server has capacity, and a hedge is refused then. A call that has tried every usable
-// server is refused instead of queued. If Begin permits no attempt, the refusal has
+// server is refused instead of queued, and so is a call if all servers limit their
+// requests and none may get one in time. If Begin permits no attempt, the refusal has
 // code.OK. Unqueried is true if the budgets allowed no load query before this attempt.
 func (c *Controller) Admit(ctx context.Context, now time.Time, r Request, unqueried bool) (Assignment, *refusal.Refusal) {
 	c.mu.Lock()
@@ -166,7 +168,7 @@
 		return Assignment{}, &refusal.Refusal{Code: code.OK}
 	}
 	if kind != booking.First || c.queue.Len() == 0 {
-		choice, ok := c.choose(now, c.requirements(tried).WithUnqueried(unqueried))
+		choice, ok := c.choose(now, c.requirements(now, tried).WithUnqueried(unqueried))
 		if ok {
 			c.mu.Unlock()
 			return Assignment{Kind: kind, Choice: choice}, nil
@@ -178,7 +180,12 @@
 	}
 	c.lastID++
 	id := c.lastID
-	joined := c.queue.Join(now, r.Entry(id))
+	entry := r.Entry(id)
+	if refused := c.refuseLimited(now, entry); refused != nil {
+		c.mu.Unlock()
+		return Assignment{}, refused
+	}
+	joined := c.queue.Join(now, entry)
 	if !joined.Queued {
 		c.mu.Unlock()
 		return Assignment{}, &refusal.Refusal{Code: code.CallOverloaded, Outcome: mustardsaddle.NotRun, RetryAfter: joined.RetryAfter}
@@ -191,6 +198,27 @@
 	return assignment, refused
 }
 
+// refuseLimited refuses a call if every server limits its requests and none may get one
+// before the call's wait in the queue would expire. The caller holds mu.
+func (c *Controller) refuseLimited(now time.Time, e slot.Entry) *refusal.Refusal {
+	limited := c.controllers.statements.limitedServers(now, c.Service)
+	if len(limited.exhausted) < c.usable {
+		return nil
+	}
+	maxWait := e.Deadline.Sub(now)
+	if e.MaxWait > 0 {
+		maxWait = min(maxWait, e.MaxWait)
+	}
+	if limited.wait <= maxWait {
+		return nil
+	}
+	retryAfter := c.queue.RetryAfter()
+	if limited.wait != quota.Never {
+		retryAfter = max(retryAfter, limited.wait)
+	}
+	return &refusal.Refusal{Code: code.CallLimited, Outcome: mustardsaddle.NotRun, RetryAfter: retryAfter}
+}
+
 // wait blocks until a server is assigned to the queued call, its wait expires or its
 // context is done.
 func (c *Controller) wait(ctx context.Context, since time.Time, id uint64, expiresAt time.Time, assigned chan mustardsaddle.Choice) (Assignment, *refusal.Refusal) {
@@ -257,18 +285,27 @@
 }
 
 // requirements returns the requirements of an attempt that excludes the servers already
-// tried.
-func (c *Controller) requirements(tried []string) mustardsaddle.Requirements {
-	return mustardsaddle.Requirements{Exclude: tried, Zone: c.controllers.cfg.Zone, Bytes: int(c.responseBytes)}
+// tried and those that limit their requests and may not get one now.
+func (c *Controller) requirements(now time.Time, tried []string) mustardsaddle.Requirements {
+	limited := c.controllers.statements.limitedServers(now, c.Service)
+	return mustardsaddle.Requirements{
+		Exclude: append(slices.Clip(tried), limited.exhausted...), Limited: limited.available,
+		Zone: c.controllers.cfg.Zone, Bytes: int(c.responseBytes),
+	}
 }
 
-// choose picks a server that is below its concurrency limit and counts the attempt
-// as in flight.
+// choose picks a server that is below its limits and counts the attempt as in flight.
 func (c *Controller) choose(now time.Time, reqs mustardsaddle.Requirements) (mustardsaddle.Choice, bool) {
 	for {
 		choice, ok := c.chooser.Choose(now, c.rng, reqs)
-		if !ok || c.limits.Acquire(choice.Server.Name, c.limit(choice.Server)) {
-			return choice, ok
+		if !ok {
+			return choice, false
+		}
+		if c.limits.Acquire(choice.Server.Name, c.limit(choice.Server)) {
+			if c.controllers.statements.take(now, choice.Server.Name) {
+				return choice, true
+			}
+			c.limits.Release(choice.Server.Name)
 		}
 		c.chooser.Finish(now, mustardsaddle.Result{Server: choice.Server.Name, Outcome: mustardsaddle.NotRun, Canceled: true})
 		reqs.Exclude = append(slices.Clip(reqs.Exclude), choice.Server.Name)
@@ -303,7 +340,7 @@
 			return
 		}
 		queued := c.waiting[id]
-		choice, ok := c.choose(now, c.requirements(queued.tried))
+		choice, ok := c.choose(now, c.requirements(now, queued.tried))
 		if !ok {
 			return
 		}
@@ -416,7 +453,8 @@
 func (c *Controller) probe(now time.Time) (mustardsaddle.Server, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.chooser.Probe(now, c.rng)
+	server, ok := c.chooser.Probe(now, c.rng)
+	return server, ok && c.controllers.statements.take(now, server.Name)
 }
 
 // ChooseOther picks a server other than the named one, or the named one if no other
@@ -424,10 +462,10 @@
 func (c *Controller) ChooseOther(now time.Time, server string) (mustardsaddle.Choice, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if choice, ok := c.choose(now, c.requirements([]string{server})); ok {
+	if choice, ok := c.choose(now, c.requirements(now, []string{server})); ok {
 		return choice, true
 	}
-	return c.choose(now, c.requirements(nil))
+	return c.choose(now, c.requirements(now, nil))
 }
 
 // logExclusions logs each server that the chooser has excluded since the last call. The
--- a/internal/request/admission/lanes.go
+++ b/internal/request/admission/lanes.go
@@ -114,6 +114,7 @@
 	if added {
 		c.setFleet(now, fleet)
 	}
+	cs.statements.setServers(now, service, servers)
 	c.setServers(now, servers)
 }
 
@@ -128,6 +129,7 @@
 	same := slices.EqualFunc(cs.fleet, live, func(a, b mustardsaddle.VM) bool { return a.Name == b.Name })
 	cs.fleet = live
 	cs.mu.Unlock()
+	cs.statements.setFleet(now, cs.cfg.Name, live)
 	for _, c := range cs.all() {
 		c.updateLimits(now)
 		if !same {
--- a/internal/request/admission/question.go
+++ b/internal/request/admission/question.go
@@ -32,7 +32,7 @@
 	}
 	now := time.Now()
 	c.mu.Lock()
-	servers := querier.SelectQueries(now, c.rng, c.requirements(tried), c.queryLimit.CallLimit(now))
+	servers := querier.SelectQueries(now, c.rng, c.requirements(now, tried), c.queryLimit.CallLimit(now))
 	for i := range servers {
 		if !c.queryLimit.Allow(now) || !c.controllers.cfg.Budget.Allow(now, 1, probeRequestBytes+probeResponseBytes) {
 			querier.CancelQueries(servers[i:])
