Never give a caller the response to a load query

What callers saw: a caller got status 503 without a body, the response to a load query of the gateway, instead of its own (operators of other systems reported such answers; it was not seen here before).

Cause: load queries and calls share connections. A server that sends a second copy of a response late, when a load query waits on the connection, made the gateway take the copy for the response to the query; the connection went back to the pool, and the next request on it got the response to the query, which names no request and was accepted. Likewise a late copy of the response to a load query was accepted as the response to the next request, if it was not a success. Ruled out: copies of a response that meet another call, which the request ID has always told apart.

Change: a response to a load query that names a request closes its connection and counts as missing. A response that names its server but no request, and is no rejection, does not belong to a request with an ID. A connection with a response of another request is closed at once; one without a body went back to the pool before.

Evidence: TestCopyOfResponseReadByLoadQuery and TestCopyOfLoadResponse failed before (every second call, 503), pass now. What remains: a server that echoes no ID at all, with no signature configured, cannot be told apart.

--- a/internal/request/admission/prober.go
+++ b/internal/request/admission/prober.go
@@ -105,7 +105,7 @@
 		return
 	}
 	sentAt := time.Now()
-	h, err := fetchHeader(p.cfg.Controllers.cfg.Transport, r)
+	h, err := p.cfg.Controllers.fetchHeader(r)
 	if err != nil {
 		return
 	}
--- a/internal/request/admission/question.go
+++ b/internal/request/admission/question.go
@@ -3,13 +3,17 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
 // queryTimeout is the timeout of a load query, after which its connection is closed.
@@ -102,7 +106,7 @@
 		return nil, mustardsaddle.NoReply
 	}
 	r.Header["User-Agent"] = nil
-	h, err := fetchHeader(cs.cfg.Transport, r)
+	h, err := cs.fetchHeader(r)
 	if err != nil {
 		return nil, mustardsaddle.NoReply
 	}
@@ -114,19 +118,41 @@
 	return h, mustardsaddle.OwnReply
 }
 
+// errOtherRequest is returned for a response that belongs to another request.
+var errOtherRequest = errors.New("query load: server sent the response to another request")
+
 // fetchHeader sends a load request without retrying it, and returns the response
-// header. It reads a short body so that the connection can be reused.
-func fetchHeader(t *http.Transport, r *http.Request) (http.Header, error) {
+// header. It reads a short body so that the connection can be reused. A response that
+// names the request it belongs to is a late copy of that one's, since a load request has
+// no ID: the connection is closed, because the response to the load request would follow.
+func (cs *Controllers) fetchHeader(r *http.Request) (http.Header, error) {
 	connection.DisableResend(r)
-	resp, err := t.RoundTrip(r)
+	var conn net.Conn
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+	}))
+	resp, err := cs.cfg.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
+	defer func() { _ = resp.Body.Close() }()
+	if cs.namesRequest(resp.Header) {
+		_ = conn.Close()
+		return nil, errOtherRequest
+	}
 	_, _ = io.CopyN(io.Discard, resp.Body, probeResponseBytes)
-	_ = resp.Body.Close()
 	return resp.Header, nil
 }
 
+// namesRequest reports whether a response names the request that it belongs to.
+func (cs *Controllers) namesRequest(h http.Header) bool {
+	if h.Get(header.Attempt) != "" {
+		return true
+	}
+	name := cs.cfg.Headers.RequestID
+	return name != "" && h.Get(name) != ""
+}
+
 // probePath returns the URL path of load reports for a service.
 func (cs *Controllers) probePath(service string) string {
 	if table := cs.cfg.Rules(); table != nil {
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -162,6 +162,10 @@
 	case !a.matchesRequest():
 		a.mismatch = true
 		a.outcome = mustardsaddle.Unknown
+		// The response to this request may still follow on the connection.
+		if a.conn != nil {
+			_ = a.conn.Close()
+		}
 	case a.declaredNotRun():
 		a.shed = true
 		a.outcome = mustardsaddle.NotRun
@@ -183,10 +187,23 @@
 	if echoed := h.Get(names.RequestID); echoed != "" && echoed != a.c.g.requestID(a.c.r) {
 		return false
 	}
+	if a.isLoadResponse() {
+		return false
+	}
 	success := a.resp.StatusCode >= http.StatusOK && a.resp.StatusCode < http.StatusMultipleChoices
 	return !success || names.Signature == "" || h.Get(names.Signature) != ""
 }
 
+// isLoadResponse reports whether the response is a late copy of the response to a load
+// query: it names the server, as only those and rejections do, but no request.
+func (a *attempt) isLoadResponse() bool {
+	names, h := a.c.g.cfg.Headers, a.resp.Header
+	if names.Server == "" || h.Get(names.Server) == "" || a.misdirected() || a.declaredNotRun() {
+		return false
+	}
+	return a.c.g.requestID(a.c.r) != "" && h.Get(names.RequestID) == ""
+}
+
 // declaredNotRun reports whether the server states that it did not execute the
 // request.
 func (a *attempt) declaredNotRun() bool {
