Heed servers that state that they leave or ask for a pause

A server that says in its responses that it is leaving, or refuses a request with 503 and Retry-After, got requests as before: the gateways read neither header. Same class of fault as the limit of a server: what servers say in responses bound nobody.

Change: Statement gains Leaving, which no order of messages undoes within an incarnation; it marks the server in the list that the choosers get, whatever the directory says, so that calls, hedges, load queries and probes obey alike, and it spreads with the limits over the links. If no server may get a request by their statements, calls are refused at once with code 4014 and a Retry-After up to a quarter longer than the wait, spread at random. trace prints the statements before such a refusal; gauges count servers that are limited, leaving by their own word, or paused.

--- a/headers.go
+++ b/headers.go
@@ -27,6 +27,9 @@
 	// Limit is the header with the number of requests per second that the responding
 	// server takes from all gateways together.
 	Limit string
+	// Leaving is the header by which the responding server states that it is leaving: 1,
+	// or 0 if it is not.
+	Leaving string
 	// ParseLoad parses a load report received at now.
 	ParseLoad func(now time.Time, text string) (Report, error)
 	// FractionalRetryAfter is true if callers accept a fraction of a second in
--- a/internal/base/code/list.go
+++ b/internal/base/code/list.go
@@ -129,8 +129,7 @@
 	CallClaimed
 	// CallStopping means that the gateway is shutting down and accepts no new calls.
 	CallStopping
-	// CallLimited means that every server limits the rate of its requests and none may
-	// get one now.
+	// CallLimited means that no server may get a request now, by their own statements.
 	CallLimited
 )
 
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -86,6 +86,9 @@
 	// ServerStatementBad is logged for the first unreadable statement of each
 	// incarnation of a server.
 	ServerStatementBad
+	// ServerPause is logged when a server that has not asked for a pause yet asks this
+	// gateway to send it nothing for a time.
+	ServerPause
 )
 
 // Peer events.
--- a/internal/base/settings/list.go
+++ b/internal/base/settings/list.go
@@ -239,6 +239,8 @@
 			func(s *Settings) *string { return &s.Headers.LoadFormat }),
 		headerName(sectionHeaders, "Limit", "Endpoint-Limit", "Header in which a server states how many requests per second it takes from all gateways combined, for as long as its responses have the header.",
 			func(s *Settings) *string { return &s.Headers.Limit }),
+		headerName(sectionHeaders, "Leaving", "Endpoint-Leaving", "Header in which a server states with the value 1 that it is leaving and takes no new requests.",
+			func(s *Settings) *string { return &s.Headers.Leaving }),
 		headerName(sectionHeaders, "NotRun", "", "Header with which servers of any service declare, with any status, that a request was not executed.",
 			func(s *Settings) *string { return &s.Headers.NotRun }),
 		headerName(sectionHeaders, "Signature", "", "Header that every successful response of a server has; a response without it is not forwarded.",
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -164,6 +164,7 @@
 	Load       string
 	LoadFormat string
 	Limit      string
+	Leaving    string
 	NotRun     string
 	Signature  string
 	RetryAfter string
--- a/internal/choice/statement/statement.go
+++ b/internal/choice/statement/statement.go
@@ -5,7 +5,7 @@
 //
 //	stated, err := statement.Parse(names, resp.Header)
 //	table := statement.NewTable()
-//	table.SetServers("Booking", servers)
+//	table.SetServers(now, "Booking", servers)
 //	change, changed := table.Observe(now, statement.Evidence{Server: server, Stated: stated, SentAt: sentAt})
 package statement
 
@@ -17,22 +17,25 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
-// LimitHeader is the response header in which a server states its limit, in requests per
-// second, unless the settings name another one.
-const LimitHeader = "Endpoint-Limit"
+const (
+	// LimitHeader is the response header in which a server states its limit, in requests
+	// per second, unless the settings name another one.
+	LimitHeader = "Endpoint-Limit"
+	// LeavingHeader is the response header in which a server states that it is leaving,
+	// unless the settings name another one.
+	LeavingHeader = "Endpoint-Leaving"
+)
 
 // Parse returns the statement in a response header. Headers of which names has no name
-// are not read. For a value that is not a number from 0 to mustardsaddle.MaxStatedLimit
-// it returns an error with code.StatementBad; the last statement that could be read then
-// stays in effect.
+// are not read. For a value that cannot be read or is out of range it returns an error
+// with code.StatementBad, and what the other headers state.
 func Parse(names *mustardsaddle.Headers, h http.Header) (mustardsaddle.Statement, error) {
 	var stated mustardsaddle.Statement
-	if names.Limit == "" {
-		return stated, nil
-	}
-	text := h.Get(names.Limit)
+	leaving, leavingErr := parseLeaving(get(h, names.Leaving))
+	stated = stated.WithLeaving(leaving)
+	text := get(h, names.Limit)
 	if text == "" {
-		return stated, nil
+		return stated, leavingErr
 	}
 	perSecond, err := strconv.ParseFloat(text, 64)
 	limited := stated.WithLimit(perSecond)
@@ -40,5 +43,24 @@
 		return stated, code.Errorf(code.StatementBad, "parse server limit: got %.64q, want 0 to %g requests per second",
 			text, float64(mustardsaddle.MaxStatedLimit))
 	}
-	return limited, nil
+	return limited, leavingErr
+}
+
+func parseLeaving(text string) (bool, error) {
+	if text == "" {
+		return false, nil
+	}
+	leaving, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, code.Errorf(code.StatementBad, "parse leaving statement: got %.64q, want 1 or 0", text)
+	}
+	return leaving, nil
+}
+
+// get returns the value of a header, or nothing if the header has no name.
+func get(h http.Header, name string) string {
+	if name == "" {
+		return ""
+	}
+	return h.Get(name)
 }
--- a/internal/choice/statement/table.go
+++ b/internal/choice/statement/table.go
@@ -17,6 +17,9 @@
 	// that permits more requests, so that a limit that varies from response to response
 	// costs few messages.
 	minRelaxInterval = 250 * time.Millisecond
+	// retainUnlisted is how long statements of servers that are not listed are kept. A
+	// server that has left may be listed again for a moment.
+	retainUnlisted = time.Minute
 	// maxUnknownServers is the maximum number of statements that are kept about servers
 	// that are not known yet.
 	maxUnknownServers = 1024
@@ -57,8 +60,8 @@
 }
 
 // SetServers replaces the known servers of a service. The statements of servers that are
-// no longer listed are dropped.
-func (t *Table) SetServers(service string, servers []mustardsaddle.Server) {
+// not listed are dropped after a while.
+func (t *Table) SetServers(now time.Time, service string, servers []mustardsaddle.Server) {
 	t.digestStale = true
 	listed := make(map[string]bool, len(servers))
 	for _, s := range servers {
@@ -69,12 +72,17 @@
 	for name, s := range t.servers {
 		if s.Service == service && !listed[name] {
 			delete(t.servers, name)
+		}
+	}
+	for name, e := range t.entries {
+		if _, known := t.servers[name]; !known && now.Sub(e.since) >= retainUnlisted {
 			delete(t.entries, name)
 		}
 	}
 }
 
-// Observe records the statement in a response. If it differs from the known one, it
+// Observe records the statement in a response. A server that has stated that it is leaving
+// stays so in this incarnation. If the statement differs from the known one, it
 // returns the new version, which has yet to be sent to the peers, and true. A response to
 // a request that was sent before the known statement was learned may have been composed
 // earlier, so it can tighten the statement but not relax it.
@@ -92,7 +100,8 @@
 		return next, false
 	}
 	if known.Incarnation == next.Incarnation {
-		if next.Statement == known.Statement || !mayReplace(now, known, e) {
+		next.Statement.Leaving = next.Statement.Leaving || known.Statement.Leaving
+		if next.Statement == known.Statement || !mayReplace(now, known, next.Statement, e.SentAt) {
 			return next, false
 		}
 		next.Seq = known.Seq + 1
@@ -107,13 +116,13 @@
 	t.digestStale = true
 }
 
-// mayReplace reports whether a response that differs from the known statement of the
-// same incarnation replaces it.
-func mayReplace(now time.Time, known entry, e Evidence) bool {
-	if e.Stated.Tightens(known.Statement) {
+// mayReplace reports whether a statement that differs from the known one of the same
+// incarnation, in the response to a request sent at sentAt, replaces it.
+func mayReplace(now time.Time, known entry, stated mustardsaddle.Statement, sentAt time.Time) bool {
+	if stated.Tightens(known.Statement) {
 		return true
 	}
-	return !e.SentAt.Before(known.since) && now.Sub(known.since) >= minRelaxInterval
+	return !sentAt.Before(known.since) && now.Sub(known.since) >= minRelaxInterval
 }
 
 // Merge records statements from a peer. It returns those that were new, which have yet to
@@ -122,6 +131,9 @@
 	var added []mustardsaddle.ServerStatement
 	for _, s := range statements {
 		known, ok := t.entries[s.Name]
+		if ok && s.Incarnation == known.Incarnation {
+			s.Statement.Leaving = s.Statement.Leaving || known.Statement.Leaving
+		}
 		if ok && !s.Newer(known.ServerStatement) || !ok && !t.hasRoom(s.Name) {
 			continue
 		}
@@ -157,7 +169,7 @@
 func (t *Table) Limited(service string) []mustardsaddle.ServerStatement {
 	var limited []mustardsaddle.ServerStatement
 	for name, e := range t.entries {
-		if t.servers[name].Service == service && t.limits(e) {
+		if t.servers[name].Service == service && t.binds(e) && e.Statement.Limited {
 			limited = append(limited, e.ServerStatement)
 		}
 	}
@@ -165,10 +177,27 @@
 	return limited
 }
 
-// limits reports whether an entry limits the requests of a known server.
-func (t *Table) limits(e entry) bool {
+// binds reports whether an entry is about the present incarnation of a known server and
+// states that it is leaving or limits its requests.
+func (t *Table) binds(e entry) bool {
 	s, known := t.servers[e.Name]
-	return known && e.Statement.Limited && e.Incarnation == s.Incarnation
+	return known && e.Incarnation == s.Incarnation && e.Statement != (mustardsaddle.Statement{})
+}
+
+// Leaving returns the number of known servers that state that they are leaving.
+func (t *Table) Leaving() int {
+	n := 0
+	for _, e := range t.entries {
+		if t.binds(e) && e.Statement.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Len returns the number of servers of which there is a statement, also a withdrawn one.
+func (t *Table) Len() int {
+	return len(t.entries)
 }
 
 // Statements returns the newest statements of the known servers, withdrawn ones included,
@@ -188,7 +217,7 @@
 	slices.SortFunc(statements, func(a, b mustardsaddle.ServerStatement) int { return cmp.Compare(a.Name, b.Name) })
 }
 
-// Digest returns a digest that is equal for equal limits of the known servers. Peers
+// Digest returns a digest that is equal for equal statements of the known servers. Peers
 // compare digests to detect missing statements. Withdrawn statements do not count, since
 // a gateway that starts never learns of them.
 func (t *Table) Digest() uint64 {
@@ -197,7 +226,7 @@
 	}
 	t.digest, t.digestStale = 0, false
 	for _, e := range t.entries {
-		if t.limits(e) {
+		if t.binds(e) {
 			t.digest += digest(e.ServerStatement)
 		}
 	}
@@ -209,5 +238,11 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(s.Incarnation))
 	b = binary.BigEndian.AppendUint64(b, uint64(s.Seq))
 	b = binary.BigEndian.AppendUint64(b, math.Float64bits(s.Statement.PerSecond))
+	for _, flag := range []bool{s.Statement.Leaving, s.Statement.Limited} {
+		if flag {
+			b = append(b, 1)
+		}
+		b = append(b, 0)
+	}
 	return xxhash.Sum64(b)
 }
--- a/internal/choice/statement/table_test.go
+++ b/internal/choice/statement/table_test.go
@@ -46,3 +46,71 @@
 		}
 	}
 }
+
+// A server that has stated that it is leaving must stay so, whatever versions of its
+// statement arrive in which order, and also if it is listed again after a restore of the
+// directory.
+func TestLeavingIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	server := mustardsaddle.Server{Name: "booking-01", Incarnation: 1}
+	version := func(incarnation, seq int64, s mustardsaddle.Statement) []mustardsaddle.ServerStatement {
+		return []mustardsaddle.ServerStatement{{Name: server.Name, Incarnation: incarnation, Seq: seq, Statement: s}}
+	}
+	none := mustardsaddle.Statement{}
+	leaving := none.WithLeaving(true)
+	steps := []struct {
+		name string
+		do   func(*statement.Table)
+		want mustardsaddle.Statement
+	}{
+		{"stated in a response", func(t *statement.Table) {
+			t.Observe(now, statement.Evidence{Server: server, Stated: leaving, SentAt: now})
+		}, leaving},
+		{"not stated in a later response", func(t *statement.Table) {
+			t.Observe(now.Add(time.Second), statement.Evidence{Server: server, SentAt: now.Add(time.Second)})
+		}, leaving},
+		{"limit of a later version of a peer", func(t *statement.Table) { t.Merge(now, version(1, 7, none.WithLimit(2))) }, leaving.WithLimit(2)},
+		{"no limit in a later version of a peer", func(t *statement.Table) { t.Merge(now, version(1, 8, none)) }, leaving},
+		{"not listed for a moment", func(t *statement.Table) { t.SetServers(now.Add(10*time.Second), "Booking", nil) }, leaving},
+		{"listed again", func(t *statement.Table) {
+			t.SetServers(now.Add(20*time.Second), "Booking", []mustardsaddle.Server{server})
+		}, leaving},
+		{"next incarnation", func(t *statement.Table) { t.Merge(now, version(2, 1, none)) }, none},
+	}
+	table := statement.NewTable()
+	table.SetServers(now, "Booking", []mustardsaddle.Server{server})
+	for _, s := range steps {
+		s.do(table)
+		if got, _ := table.Statement(now, server); got != s.want {
+			t.Errorf("%s: got %+v, want %+v", s.name, got, s.want)
+		}
+	}
+}
+
+// Two gateways that create versions with the same Seq at the same time must end with the
+// same statement after they have exchanged all of them.
+func TestConcurrentVersionsConverge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	server := mustardsaddle.Server{Name: "booking-01", Incarnation: 1}
+	none := mustardsaddle.Statement{}
+	stated := []mustardsaddle.Statement{none, none.WithLimit(1), none.WithLimit(2), none.WithLeaving(true), none.WithLimit(2).WithLeaving(true)}
+	for _, first := range stated {
+		for _, second := range stated {
+			tables := []*statement.Table{statement.NewTable(), statement.NewTable()}
+			for i, s := range []mustardsaddle.Statement{first, second} {
+				tables[i].SetServers(now, "Booking", []mustardsaddle.Server{server})
+				tables[i].Merge(now, []mustardsaddle.ServerStatement{{Name: server.Name, Incarnation: 1, Seq: 1, Statement: s}})
+			}
+			for range 2 {
+				fromFirst, fromSecond := tables[0].Statements(), tables[1].Statements()
+				tables[0].Merge(now, fromSecond)
+				tables[1].Merge(now, fromFirst)
+			}
+			a, _ := tables[0].Statement(now, server)
+			b, _ := tables[1].Statement(now, server)
+			if a != b || tables[0].Digest() != tables[1].Digest() || a.Leaving != (first.Leaving || second.Leaving) {
+				t.Errorf("%+v and %+v: got %+v and %+v, want the same, leaving if either is", first, second, a, b)
+			}
+		}
+	}
+}
--- a/internal/product/admin/state.go
+++ b/internal/product/admin/state.go
@@ -21,8 +21,10 @@
 	// Servers is the number of known endpoint servers, and Leaving the number of those
 	// that are leaving.
 	Servers, Leaving int
-	// ServersLimited is the number of endpoint servers that limit the rate of their requests.
-	ServersLimited int
+	// ServersLimited is the number of endpoint servers that limit the rate of their
+	// requests, ServersStatedLeaving of those that state that they are leaving, and
+	// ServersPaused of those that want no request of this gateway for a time.
+	ServersLimited, ServersStatedLeaving, ServersPaused int
 	// Links is the number of links to other gateways.
 	Links int
 	// PeerMessages and PeerBytes are the totals sent and received over links.
@@ -50,7 +52,7 @@
 	peerMessages, peerBytes                                           tally.Counter
 	probes, probeBytes, probesRefused                                 tally.Counter
 	probesAgreed, probeBytesAgreed                                    tally.Gauge
-	serversLimited                                                    tally.Gauge
+	serversLimited, serversStatedLeaving, serversPaused               tally.Gauge
 	storeReads, storeWatches, storeWrites, storeFailures, storeUnsent tally.Counter
 	storeEra                                                          tally.Gauge
 	storeErasIgnored                                                  tally.Counter
@@ -58,28 +60,30 @@
 
 func newStateMetrics(scope tally.Scope) stateMetrics {
 	return stateMetrics{
-		ready:            scope.Gauge("Ready"),
-		generation:       scope.Gauge("Generation"),
-		inFlight:         scope.Gauge("InFlight"),
-		gateways:         scope.Gauge("Gateways"),
-		servers:          scope.Gauge("Servers"),
-		leaving:          scope.Gauge("ServersLeaving"),
-		serversLimited:   scope.Gauge("ServersLimited"),
-		links:            scope.Gauge("PeerLinks"),
-		peerMessages:     scope.Counter("PeerMessages"),
-		peerBytes:        scope.Counter("PeerBytes"),
-		probes:           scope.Counter("Probes"),
-		probeBytes:       scope.Counter("ProbeBytes"),
-		probesRefused:    scope.Counter("ProbesRefused"),
-		probesAgreed:     scope.Gauge("ProbesAgreed"),
-		probeBytesAgreed: scope.Gauge("ProbeBytesAgreed"),
-		storeReads:       scope.Counter("StoreReads"),
-		storeWatches:     scope.Counter("StoreWatches"),
-		storeWrites:      scope.Counter("StoreWrites"),
-		storeFailures:    scope.Counter("StoreFailures"),
-		storeUnsent:      scope.Counter("StoreUnsent"),
-		storeEra:         scope.Gauge("StoreEra"),
-		storeErasIgnored: scope.Counter("StoreErasIgnored"),
+		ready:                scope.Gauge("Ready"),
+		generation:           scope.Gauge("Generation"),
+		inFlight:             scope.Gauge("InFlight"),
+		gateways:             scope.Gauge("Gateways"),
+		servers:              scope.Gauge("Servers"),
+		leaving:              scope.Gauge("ServersLeaving"),
+		serversLimited:       scope.Gauge("ServersLimited"),
+		serversStatedLeaving: scope.Gauge("ServersStatedLeaving"),
+		serversPaused:        scope.Gauge("ServersPaused"),
+		links:                scope.Gauge("PeerLinks"),
+		peerMessages:         scope.Counter("PeerMessages"),
+		peerBytes:            scope.Counter("PeerBytes"),
+		probes:               scope.Counter("Probes"),
+		probeBytes:           scope.Counter("ProbeBytes"),
+		probesRefused:        scope.Counter("ProbesRefused"),
+		probesAgreed:         scope.Gauge("ProbesAgreed"),
+		probeBytesAgreed:     scope.Gauge("ProbeBytesAgreed"),
+		storeReads:           scope.Counter("StoreReads"),
+		storeWatches:         scope.Counter("StoreWatches"),
+		storeWrites:          scope.Counter("StoreWrites"),
+		storeFailures:        scope.Counter("StoreFailures"),
+		storeUnsent:          scope.Counter("StoreUnsent"),
+		storeEra:             scope.Gauge("StoreEra"),
+		storeErasIgnored:     scope.Counter("StoreErasIgnored"),
 	}
 }
 
@@ -97,6 +101,8 @@
 	m.servers.Update(float64(next.Servers))
 	m.leaving.Update(float64(next.Leaving))
 	m.serversLimited.Update(float64(next.ServersLimited))
+	m.serversStatedLeaving.Update(float64(next.ServersStatedLeaving))
+	m.serversPaused.Update(float64(next.ServersPaused))
 	m.links.Update(float64(next.Links))
 	m.peerMessages.Inc(next.PeerMessages - old.PeerMessages)
 	m.peerBytes.Inc(next.PeerBytes - old.PeerBytes)
--- a/internal/product/command/trace.go
+++ b/internal/product/command/trace.go
@@ -5,16 +5,20 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
 const traceAbout = `Shows the log lines of the gateways about one request: each choice of a server
 with the load report on which it was based and the age of that report, each
 attempt with its outcome, and the response. The lines of each gateway are
-preceded by the line about the rules that were in force there. Reads the named
+preceded by the line about the rules that were in force there, a refusal because of
+what servers state by the latest line about each of them. Reads the named
 log files, or standard input if there are none. Lines that are not log lines of
 a gateway are skipped and counted.
 
@@ -40,15 +44,25 @@
 	Event   event.Event
 	Request string
 	Attempt string
+	Service string
+	Server  string
+	Code    code.Code
 	text    string
 }
 
+// serviceOfGateway identifies a service as one gateway sees it.
+type serviceOfGateway struct {
+	gateway, service string
+}
+
 // tracer selects the log lines of one request.
 type tracer struct {
 	request string
 	// rules holds, by gateway, the latest line with event RulesInForce that has not been
 	// printed yet.
 	rules map[string]string
+	// statements holds, by server, the latest lines about what the servers state.
+	statements map[serviceOfGateway]map[string]string
 	// attempts holds the ids of the known attempts of the request.
 	attempts map[string]bool
 	out      io.Writer
@@ -61,7 +75,10 @@
 	if err := NoArguments(args); err != nil {
 		return err
 	}
-	tr := &tracer{request: c.Args.Request, rules: make(map[string]string), attempts: make(map[string]bool), out: c.cfg.Out}
+	tr := &tracer{
+		request: c.Args.Request, rules: make(map[string]string), attempts: make(map[string]bool),
+		statements: make(map[serviceOfGateway]map[string]string), out: c.cfg.Out,
+	}
 	if err := c.read(tr); err != nil {
 		return err
 	}
@@ -119,6 +136,10 @@
 		tr.rules[l.Gateway] = text
 		return
 	}
+	if l.Event == event.ServerStatement || l.Event == event.ServerPause {
+		tr.recordStatement(l)
+		return
+	}
 	if l.Request == tr.request && l.Attempt != "" {
 		tr.attempts[l.Attempt] = true
 	}
@@ -130,5 +151,26 @@
 		_, _ = fmt.Fprintln(tr.out, rules)
 		delete(tr.rules, l.Gateway)
 	}
+	if l.Code == code.CallLimited {
+		tr.printStatements(l)
+	}
 	_, _ = fmt.Fprintln(tr.out, text)
 }
+
+// recordStatement keeps a line about what a server states.
+func (tr *tracer) recordStatement(l logLine) {
+	key := serviceOfGateway{gateway: l.Gateway, service: l.Service}
+	if tr.statements[key] == nil {
+		tr.statements[key] = make(map[string]string)
+	}
+	tr.statements[key][l.Server] = l.text
+}
+
+// printStatements prints what the servers of the service stated when a call was refused
+// for that reason.
+func (tr *tracer) printStatements(l logLine) {
+	statements := tr.statements[serviceOfGateway{gateway: l.Gateway, service: l.Service}]
+	for _, server := range slices.Sorted(maps.Keys(statements)) {
+		_, _ = fmt.Fprintln(tr.out, statements[server])
+	}
+}
--- a/internal/product/command/trace_test.go
+++ b/internal/product/command/trace_test.go
@@ -45,6 +45,17 @@
 			convey.So(status, convey.ShouldEqual, command.Done)
 			convey.So(out, convey.ShouldEqual, lines[1]+lines[3])
 		})
+		convey.Convey("A refusal because of what servers state is printed after their latest statements", func() {
+			statement := func(gateway, server, more string) string {
+				return `{"Gateway":"` + gateway + `","Event":4009,"Service":"Booking","Server":"` + server + `",` + more + "}\n"
+			}
+			older, newer := statement("g1", "booking-01", `"PerSecond":1`), statement("g1", "booking-01", `"PerSecond":2`)
+			pause := `{"Gateway":"g1","Event":4011,"Service":"Booking","Server":"booking-02"}` + "\n"
+			refused := `{"Gateway":"g1","Event":4002,"Request":"r-9","Service":"Booking","Code":4014}` + "\n"
+			status, out, _ := run(older+newer+pause+statement("g2", "booking-03", `"PerSecond":3`)+refused, "r-9")
+			convey.So(status, convey.ShouldEqual, command.Done)
+			convey.So(out, convey.ShouldEqual, newer+pause+refused)
+		})
 		convey.Convey("An unknown request, a missing file and missing arguments give an error status", func() {
 			status, _, err := run("", "r-3", path)
 			convey.So(status, convey.ShouldEqual, command.NoMatch)
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -183,26 +183,30 @@
 // state returns the state of the control plane for the metrics page.
 func (in *instance) state() admin.State {
 	r := in.membership.Roster()
+	stated := in.gateway.Controllers().StatementCounts(time.Now())
 	links, storeCalls, probes := in.links.Stats(), in.store.Stats(), in.probeBudget.Stats()
 	s := admin.State{
-		Ready:            in.ready() == nil,
-		Generation:       in.generation.Load(),
-		InFlight:         in.gateway.InFlight(),
-		Gateways:         r.Gateways(),
-		ServersLimited:   in.gateway.Controllers().LimitedServers(),
-		Links:            links.Links,
-		PeerMessages:     links.SentMessages + links.ReceivedMessages,
-		PeerBytes:        links.SentBytes + links.ReceivedBytes,
-		Probes:           probes.Used.Messages,
-		ProbeBytes:       probes.Used.Bytes,
-		ProbesRefused:    probes.Refused,
-		ProbesAgreed:     probes.MessagesPerSecond,
-		ProbeBytesAgreed: probes.BytesPerSecond,
-		StoreReads:       storeCalls.Reads,
-		StoreWatches:     storeCalls.Watches,
-		StoreWrites:      storeCalls.Writes,
-		StoreFailures:    storeCalls.Failures,
-		StoreUnsent:      storeCalls.OverBudget + storeCalls.BackedOff + storeCalls.StatusDropped,
+		Ready:          in.ready() == nil,
+		Generation:     in.generation.Load(),
+		InFlight:       in.gateway.InFlight(),
+		Gateways:       r.Gateways(),
+		ServersLimited: stated.Limited,
+
+		ServersStatedLeaving: stated.Leaving,
+		ServersPaused:        stated.Paused,
+		Links:                links.Links,
+		PeerMessages:         links.SentMessages + links.ReceivedMessages,
+		PeerBytes:            links.SentBytes + links.ReceivedBytes,
+		Probes:               probes.Used.Messages,
+		ProbeBytes:           probes.Used.Bytes,
+		ProbesRefused:        probes.Refused,
+		ProbesAgreed:         probes.MessagesPerSecond,
+		ProbeBytesAgreed:     probes.BytesPerSecond,
+		StoreReads:           storeCalls.Reads,
+		StoreWatches:         storeCalls.Watches,
+		StoreWrites:          storeCalls.Writes,
+		StoreFailures:        storeCalls.Failures,
+		StoreUnsent:          storeCalls.OverBudget + storeCalls.BackedOff + storeCalls.StatusDropped,
 	}
 	if in.catalog != nil {
 		s.StoreEra, s.StoreErasIgnored = in.catalog.Eras()
--- a/internal/request/admission/lane.go
+++ b/internal/request/admission/lane.go
@@ -31,6 +31,9 @@
 	plannedSlackShare = 0.6
 	// defaultFleetSize is the fleet size used until the real one is known.
 	defaultFleetSize = 32
+	// retrySpread is the largest part by which the Retry-After of a call that no server
+	// may get is longer than the wait, so that callers do not return all at once.
+	retrySpread = 0.25
 	// initialHedgeDelay is the hedge delay used until enough latencies are recorded.
 	initialHedgeDelay = 100 * time.Millisecond
 )
@@ -54,7 +57,9 @@
 	queue   *slot.Queue
 	waiting map[uint64]queuedCall
 	lastID  uint64
-	usable  int // number of servers that are not leaving
+	// listed holds the servers of the service as the platform lists them.
+	listed []mustardsaddle.Server
+	usable int // number of servers that are not leaving
 	// responseBytes is the moving average of response sizes.
 	responseBytes float64
 	// queryLimit limits the load queries that this gateway sends to the service.
@@ -135,9 +140,24 @@
 	return booking.NewBudget(share, budgetBurst)
 }
 
-func (c *Controller) setServers(now time.Time, servers []mustardsaddle.Server) {
+func (c *Controller) setServers(now time.Time, listed []mustardsaddle.Server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.listed = listed
+	c.updateServers(now)
+}
+
+// markLeaving excludes the servers that have stated that they are leaving.
+func (c *Controller) markLeaving(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateServers(now)
+}
+
+// updateServers passes the listed servers on, marked with what they have stated. The
+// caller holds mu.
+func (c *Controller) updateServers(now time.Time) {
+	servers := c.controllers.statements.withLeaving(now, c.listed)
 	c.chooser.SetServers(now, servers)
 	c.usable = 0
 	idleAt := make(map[string]time.Time, len(servers))
@@ -157,8 +177,8 @@
 // Admit starts an attempt of the call and chooses its server. A first attempt is queued
 // if other calls are queued or no server has capacity. A retry is queued only if no
 // server has capacity, and a hedge is refused then. A call that has tried every usable
-// server is refused instead of queued, and so is a call if all servers limit their
-// requests and none may get one in time. If Begin permits no attempt, the refusal has
+// server is refused instead of queued, and so is a call if no server
+// may get a request in time by their own statements. If Begin permits no attempt, the refusal has
 // code.OK. Unqueried is true if the budgets allowed no load query before this attempt.
 func (c *Controller) Admit(ctx context.Context, now time.Time, r Request, unqueried bool) (Assignment, *refusal.Refusal) {
 	c.mu.Lock()
@@ -181,7 +201,7 @@
 	c.lastID++
 	id := c.lastID
 	entry := r.Entry(id)
-	if refused := c.refuseLimited(now, entry); refused != nil {
+	if refused := c.refuseRestricted(now, entry); refused != nil {
 		c.mu.Unlock()
 		return Assignment{}, refused
 	}
@@ -198,23 +218,24 @@
 	return assignment, refused
 }
 
-// refuseLimited refuses a call if every server limits its requests and none may get one
+// refuseRestricted refuses a call if no server may get a request, by their own statements,
 // before the call's wait in the queue would expire. The caller holds mu.
-func (c *Controller) refuseLimited(now time.Time, e slot.Entry) *refusal.Refusal {
-	limited := c.controllers.statements.limitedServers(now, c.Service)
-	if len(limited.exhausted) < c.usable {
+func (c *Controller) refuseRestricted(now time.Time, e slot.Entry) *refusal.Refusal {
+	restricted := c.controllers.statements.restrictions(now, c.Service)
+	if len(restricted.excluded) < c.usable {
 		return nil
 	}
 	maxWait := e.Deadline.Sub(now)
 	if e.MaxWait > 0 {
 		maxWait = min(maxWait, e.MaxWait)
 	}
-	if limited.wait <= maxWait {
+	if restricted.wait <= maxWait {
 		return nil
 	}
 	retryAfter := c.queue.RetryAfter()
-	if limited.wait != quota.Never {
-		retryAfter = max(retryAfter, limited.wait)
+	if restricted.wait != quota.Never {
+		spread := 1 + c.rng.Float64()*retrySpread
+		retryAfter = max(retryAfter, time.Duration(float64(restricted.wait)*spread))
 	}
 	return &refusal.Refusal{Code: code.CallLimited, Outcome: mustardsaddle.NotRun, RetryAfter: retryAfter}
 }
@@ -285,11 +306,11 @@
 }
 
 // requirements returns the requirements of an attempt that excludes the servers already
-// tried and those that limit their requests and may not get one now.
+// tried and those that may not get a request now by their own statements.
 func (c *Controller) requirements(now time.Time, tried []string) mustardsaddle.Requirements {
-	limited := c.controllers.statements.limitedServers(now, c.Service)
+	restricted := c.controllers.statements.restrictions(now, c.Service)
 	return mustardsaddle.Requirements{
-		Exclude: append(slices.Clip(tried), limited.exhausted...), Limited: limited.available,
+		Exclude: append(slices.Clip(tried), restricted.excluded...), Limited: restricted.limited,
 		Zone: c.controllers.cfg.Zone, Bytes: int(c.responseBytes),
 	}
 }
--- a/internal/request/admission/prober.go
+++ b/internal/request/admission/prober.go
@@ -105,9 +105,9 @@
 		return
 	}
 	sentAt := time.Now()
-	h, err := p.cfg.Controllers.fetchHeader(r)
+	h, status, err := p.cfg.Controllers.fetchHeader(r)
 	if err != nil {
 		return
 	}
-	c.ObserveResponse(time.Now(), Response{Server: server, Header: h, SentAt: sentAt, LoadQuery: true})
+	c.ObserveResponse(time.Now(), Response{Server: server, Header: h, Status: status, SentAt: sentAt, LoadQuery: true})
 }
--- a/internal/request/admission/question.go
+++ b/internal/request/admission/question.go
@@ -82,7 +82,7 @@
 // queryServer queries one server and processes its response.
 func (c *Controller) queryServer(ctx context.Context, server mustardsaddle.Server, path string) {
 	sentAt := time.Now()
-	h, reply := c.controllers.sendQuery(ctx, server, path)
+	h, status, reply := c.controllers.sendQuery(ctx, server, path)
 	now := time.Now()
 	c.mu.Lock()
 	if querier, ok := c.chooser.(mustardsaddle.LoadQuerier); ok {
@@ -94,38 +94,38 @@
 	c.logExclusions()
 	c.mu.Unlock()
 	if reply == mustardsaddle.OwnReply {
-		c.ObserveResponse(now, Response{Server: server, Header: h, SentAt: sentAt, LoadQuery: true})
+		c.ObserveResponse(now, Response{Server: server, Header: h, Status: status, SentAt: sentAt, LoadQuery: true})
 	}
 }
 
-// sendQuery sends a load query and returns the response header. The reply is
+// sendQuery sends a load query and returns the response header and status. The reply is
 // OtherReply if the response names a different server.
-func (cs *Controllers) sendQuery(ctx context.Context, server mustardsaddle.Server, path string) (http.Header, mustardsaddle.Reply) {
+func (cs *Controllers) sendQuery(ctx context.Context, server mustardsaddle.Server, path string) (http.Header, int, mustardsaddle.Reply) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+path, http.NoBody)
 	if err != nil {
-		return nil, mustardsaddle.NoReply
+		return nil, 0, mustardsaddle.NoReply
 	}
 	r.Header["User-Agent"] = nil
-	h, err := cs.fetchHeader(r)
+	h, status, err := cs.fetchHeader(r)
 	if err != nil {
-		return nil, mustardsaddle.NoReply
+		return nil, 0, mustardsaddle.NoReply
 	}
 	if name := cs.cfg.Headers.Server; name != "" {
 		if reported := h.Get(name); reported != "" && reported != server.Name {
-			return nil, mustardsaddle.OtherReply
+			return nil, 0, mustardsaddle.OtherReply
 		}
 	}
-	return h, mustardsaddle.OwnReply
+	return h, status, mustardsaddle.OwnReply
 }
 
 // errOtherRequest is returned for a response that belongs to another request.
 var errOtherRequest = errors.New("query load: server sent the response to another request")
 
 // fetchHeader sends a load request without retrying it, and returns the response
-// header. It reads a short body so that the connection can be reused. A response that
+// header and status. It reads a short body so that the connection can be reused. A response that
 // names the request it belongs to is a late copy of that one's, since a load request has
 // no ID: the connection is closed, because the response to the load request would follow.
-func (cs *Controllers) fetchHeader(r *http.Request) (http.Header, error) {
+func (cs *Controllers) fetchHeader(r *http.Request) (http.Header, int, error) {
 	connection.DisableResend(r)
 	var conn net.Conn
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
@@ -133,15 +133,15 @@
 	}))
 	resp, err := cs.cfg.Transport.RoundTrip(r)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if cs.namesRequest(resp.Header) {
 		_ = conn.Close()
-		return nil, errOtherRequest
+		return nil, 0, errOtherRequest
 	}
 	_, _ = io.CopyN(io.Discard, resp.Body, probeResponseBytes)
-	return resp.Header, nil
+	return resp.Header, resp.StatusCode, nil
 }
 
 // namesRequest reports whether a response names the request that it belongs to.
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -227,7 +227,7 @@
 		return
 	}
 	a.c.match.controller.ObserveResponse(time.Now(), admission.Response{
-		Server: a.assignment.Choice.Server, Header: a.resp.Header, SentAt: a.sentAt,
+		Server: a.assignment.Choice.Server, Header: a.resp.Header, Status: a.resp.StatusCode, SentAt: a.sentAt,
 	})
 }
 
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -125,7 +125,10 @@
 	setDefault(&cfg.DialTimeout, defaultDialTimeout)
 	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
 	if cfg.Headers == nil {
-		cfg.Headers = &mustardsaddle.Headers{Deadline: header.Deadline, Load: report.Header, ParseLoad: report.Parse, Limit: statement.LimitHeader}
+		cfg.Headers = &mustardsaddle.Headers{
+			Deadline: header.Deadline, Load: report.Header, ParseLoad: report.Parse,
+			Limit: statement.LimitHeader, Leaving: statement.LeavingHeader,
+		}
 	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
--- a/statement.go
+++ b/statement.go
@@ -8,6 +8,9 @@
 // server. The zero value means that the server states nothing. A Statement is
 // immutable.
 type Statement struct {
+	// Leaving is true if the server is leaving and takes no new requests. No later
+	// statement of the same incarnation undoes this.
+	Leaving bool
 	// Limited is true if the server limits the rate of its requests.
 	Limited bool
 	// PerSecond is the number of requests per second that a limited server takes from
@@ -15,6 +18,12 @@
 	PerSecond float64
 }
 
+// WithLeaving returns a copy of s with Leaving set to leaving.
+func (s Statement) WithLeaving(leaving bool) Statement {
+	s.Leaving = leaving
+	return s
+}
+
 // WithLimit returns a copy of s with a limit of perSecond requests per second.
 func (s Statement) WithLimit(perSecond float64) Statement {
 	s.Limited, s.PerSecond = true, perSecond
@@ -28,6 +37,9 @@
 
 // Tightens reports whether s permits fewer requests than old.
 func (s Statement) Tightens(old Statement) bool {
+	if s.Leaving != old.Leaving {
+		return s.Leaving
+	}
 	return s.Limited && (!old.Limited || s.PerSecond < old.PerSecond)
 }
 
