Keep the retry budget in windows that end after the last retry

Cause: a retry was allowed by the calls of the window that ended with it. A later window that contains the same retries has fewer calls when callers leave. In the replay's log the retries of 10.2 to 20.2 s were within the budget, 999 for 5,002 calls, and those of 13.0 to 23.0 s were not: 1,029 for 4,773.

Change: an extra attempt must keep the bound for every window that contains the present time, with the calls so far in it, in the window before it or in the one half a window earlier, as the users count them. The bound of the window that ends now holds as before.

The comment in TestWindowBoundHoldsForEveryWindow that its window is the tightest one was wrong and is gone; its check stays.

--- a/internal/request/booking/window.go
+++ b/internal/request/booking/window.go
@@ -2,8 +2,14 @@
 
 import "time"
 
-// windowIntervals is the number of intervals into which a window is divided for counting.
-const windowIntervals = 50
+const (
+	// windowIntervals is the number of intervals into which a window is divided for
+	// counting.
+	windowIntervals = 50
+	// keptIntervals is the number of intervals that are kept: the present one, and those of
+	// a window and of the one before it.
+	keptIntervals = 2*windowIntervals + 1
+)
 
 // Bounds limit the extra attempts in a Window.
 type Bounds struct {
@@ -14,15 +20,22 @@
 }
 
 // Window limits the extra attempts in every sliding window of time to Share × the calls
-// in the window + Slack. Extra attempts are counted over one interval more than calls,
-// so that the limit holds for every window, including those that begin within an
-// interval. A Window is not safe for concurrent use.
+// + Slack, where the calls are the most of those in the window, in the window before it,
+// and in the window that begins half a window earlier. An extra attempt must not rely on
+// calls that a later window containing it will no longer count, nor on calls to come.
+// Therefore the bound is checked for each window that contains the present time, with the
+// calls so far. In addition it holds, with the calls in the window alone, for the window
+// that ends at an extra attempt.
+//
+// Time is counted in intervals. Calls of an interval that may lie partly outside a window
+// do not count, and extra attempts of such an interval do. A Window is not safe for
+// concurrent use.
 type Window struct {
 	span time.Duration
 	// start is the time of the first event. Intervals are numbered by the time elapsed
 	// since then, so that a step of the wall clock cannot empty the window.
 	start     time.Time
-	intervals [windowIntervals + 1]windowInterval
+	intervals [keptIntervals]windowInterval
 }
 
 // windowInterval holds the counts of one interval.
@@ -45,31 +58,56 @@
 // Take records an extra attempt if the bounds allow it, and returns false otherwise.
 func (w *Window) Take(now time.Time, b Bounds) bool {
 	current := w.intervalAt(now)
-	calls, extra := 0, 0
-	for _, interval := range w.intervals {
-		age := current.number - interval.number
-		if age > windowIntervals {
-			continue
-		}
-		extra += interval.extra
-		if age < windowIntervals {
-			calls += interval.calls
+	// calls[age] is the number of calls in the intervals younger than age.
+	var calls [keptIntervals + 1]int
+	for age := range keptIntervals {
+		calls[age+1] = calls[age] + w.aged(current.number, age).calls
+	}
+	extra := 0
+	for age := range windowIntervals + 1 {
+		extra += w.aged(current.number, age).extra
+		if float64(extra+1) > b.Share*float64(countedCalls(calls, age))+b.Slack {
+			return false
 		}
 	}
-	if float64(extra+1) > b.Share*float64(calls)+b.Slack {
+	if float64(extra+1) > b.Share*float64(calls[windowIntervals])+b.Slack {
 		return false
 	}
 	current.extra++
 	return true
 }
 
+// countedCalls returns the calls that count for any window that begins in the interval of
+// the given age, which ends after the present time.
+func countedCalls(calls [keptIntervals + 1]int, age int) int {
+	const half = windowIntervals / 2
+	within := calls[age]
+	before := calls[age+windowIntervals] - calls[age+1]
+	around := calls[age+half] - calls[max(age-half+1, 0)]
+	return max(within, before, around)
+}
+
+// aged returns the interval that is the given number of intervals older than the present
+// one, or an empty one if nothing happened in it.
+func (w *Window) aged(present int64, age int) windowInterval {
+	number := present - int64(age)
+	if number < 0 {
+		return windowInterval{}
+	}
+	interval := w.intervals[number%keptIntervals]
+	if interval.number != number {
+		return windowInterval{}
+	}
+	return interval
+}
+
 // intervalAt returns the interval that contains the given time, cleared if it is new.
 func (w *Window) intervalAt(now time.Time) *windowInterval {
 	if w.start.IsZero() {
 		w.start = now
 	}
 	number := int64(max(now.Sub(w.start), 0) / max(w.span/windowIntervals, 1))
-	interval := &w.intervals[number%int64(len(w.intervals))]
+	interval := &w.intervals[number%keptIntervals]
 	if interval.number != number {
 		*interval = windowInterval{number: number}
 	}
