Finish requests that begin to arrive as a graceful shutdown begins

Cause: http.Server.Shutdown closes every connection that counts as idle, and a connection counts as idle until the whole header of a request has been read. Ruled out: requests on new connections, which Shutdown waits for.

Change: Gateway.Shutdown first closes the idle connections on which nothing has arrived, and waits, a second at most, until those with an incomplete header have become requests.

What remains: connections that only the kernel has accepted when the listener closes.

--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -272,7 +272,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		_ = in.callerServer.Shutdown(ctx) // fails only if its context is canceled
+		_ = in.gateway.Shutdown(ctx, in.callerServer) // fails only if its context is canceled
 	}()
 	select {
 	case <-stopped:
--- a/internal/request/connection/caller.go
+++ b/internal/request/connection/caller.go
@@ -64,11 +64,14 @@
 	c.pending = pending
 }
 
-// closeIdle closes the connection unless a request has arrived on it.
-func (c *callerConn) closeIdle() {
-	if c.markClosed() {
-		_ = c.Close()
+// closeIdle closes the connection unless a request has arrived on it. It reports whether
+// it closed the connection.
+func (c *callerConn) closeIdle() bool {
+	if !c.markClosed() {
+		return false
 	}
+	_ = c.Close()
+	return true
 }
 
 // markClosed records that the connection is closed, or returns false if a request is
--- a/internal/request/connection/idle.go
+++ b/internal/request/connection/idle.go
@@ -73,6 +73,20 @@
 	i.conns[c] = &idleConn{since: time.Now(), timer: time.AfterFunc(d, func() { i.expire(time.Now(), c) })}
 }
 
+// CloseIdle closes the idle connections, except those on which a request has begun to
+// arrive. It returns the number of these.
+func (i *IdleCloser) CloseIdle() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	arriving := 0
+	for c := range i.conns {
+		if caller, ok := c.(*callerConn); !ok || !caller.closeIdle() {
+			arriving++
+		}
+	}
+	return arriving
+}
+
 // expire closes a connection that has been idle for longer than the current
 // timeout, or else waits for the rest of it.
 func (i *IdleCloser) expire(now time.Time, c net.Conn) {
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -31,7 +31,7 @@
 //	srv.Serve(g.Listener(listener))
 //	...
 //	g.SetStopping()
-//	srv.Shutdown(ctx)
+//	g.Shutdown(ctx, srv)
 package gateway
 
 import (
@@ -164,6 +164,8 @@
 	stopping      atomic.Bool
 	controllers   *admission.Controllers
 	buffers       sync.Pool
+	// idle tracks the idle connections of callers; nil before NewServer.
+	idle *connection.IdleCloser
 
 	mu sync.Mutex
 	// rng selects the service of a call by weight; it is guarded by mu.
