Split the admission controller by job, and wait for pauses in Retry-After

With it two mistakes of, found in reading: a call whose first server had just asked for a pause was told the short delay of the queue, not the pause, when no other server was left; and servers that a call had tried did not count when it was decided whether any is left. No test shows them; those of limits and pauses pass.

--- /dev/null
+++ b/internal/request/admission/queueing.go
@@ -0,0 +1,190 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/request/booking"
+	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
+	"mustardsaddle.example/mustardsaddle/internal/request/slot"
+)
+
+// queuedCall is a call that waits in the queue.
+type queuedCall struct {
+	// tried lists the servers that the call has already tried.
+	tried []string
+	// assigned receives the assigned server; it is closed if the call's wait expires.
+	assigned chan mustardsaddle.Choice
+}
+
+// Request describes a call that asks for admission.
+type Request struct {
+	// Begin starts another attempt if the call and the budgets allow one. It returns
+	// the kind of the attempt and the servers that the call has already tried. The
+	// Controller calls it with its mutex held.
+	Begin func(now time.Time, b *booking.Budgets) (kind booking.Kind, tried []string, ok bool)
+	// Entry returns the call's queue entry under the given ID.
+	Entry func(id uint64) slot.Entry
+}
+
+// Assignment is the server assigned to an attempt. The attempt counts as in flight
+// until Finish.
+type Assignment struct {
+	// Kind says whether the attempt is a first attempt, a retry or a hedge.
+	Kind   booking.Kind
+	Choice mustardsaddle.Choice
+	// Queued is the time that the call spent in the queue.
+	Queued time.Duration
+}
+
+// Admit starts an attempt of the call and chooses its server. A first attempt is queued
+// if other calls are queued or no server has capacity. A retry is queued only if no
+// server has capacity, and a hedge is refused then. A call that has tried every usable
+// server is refused instead of queued, and so is a call if no server
+// may get a request in time by their own statements. If Begin permits no attempt, the refusal has
+// code.OK. Unqueried is true if the budgets allowed no load query before this attempt.
+func (c *Controller) Admit(ctx context.Context, now time.Time, r Request, unqueried bool) (Assignment, *refusal.Refusal) {
+	c.mu.Lock()
+	kind, tried, ok := r.Begin(now, &c.budgets)
+	if !ok {
+		c.mu.Unlock()
+		return Assignment{}, &refusal.Refusal{Code: code.OK}
+	}
+	if kind != booking.First || c.queue.Len() == 0 {
+		choice, ok := c.choose(now, c.requirements(now, tried).WithUnqueried(unqueried))
+		if ok {
+			c.mu.Unlock()
+			return Assignment{Kind: kind, Choice: choice}, nil
+		}
+	}
+	if kind == booking.Hedge || c.usable <= len(tried) {
+		defer c.mu.Unlock()
+		return Assignment{}, &refusal.Refusal{Code: code.CallNoServer, Outcome: mustardsaddle.NotRun, RetryAfter: c.retryAfter(now)}
+	}
+	c.lastID++
+	id := c.lastID
+	entry := r.Entry(id)
+	if refused := c.refuseRestricted(now, tried, entry); refused != nil {
+		c.mu.Unlock()
+		return Assignment{}, refused
+	}
+	joined := c.queue.Join(now, entry)
+	if !joined.Queued {
+		c.mu.Unlock()
+		return Assignment{}, &refusal.Refusal{Code: code.CallOverloaded, Outcome: mustardsaddle.NotRun, RetryAfter: joined.RetryAfter}
+	}
+	assigned := make(chan mustardsaddle.Choice, 1)
+	c.waiting[id] = queuedCall{tried: tried, assigned: assigned}
+	c.mu.Unlock()
+	assignment, refused := c.wait(ctx, now, id, joined.ExpiresAt, assigned)
+	assignment.Kind = kind
+	return assignment, refused
+}
+
+// refuseRestricted refuses a call if no server that it has not tried may get a request, by
+// their own statements, before the call's wait in the queue would expire. The caller holds
+// mu.
+func (c *Controller) refuseRestricted(now time.Time, tried []string, e slot.Entry) *refusal.Refusal {
+	wait, restricted := c.restrictedWait(now, tried)
+	if !restricted {
+		return nil
+	}
+	maxWait := e.Deadline.Sub(now)
+	if e.MaxWait > 0 {
+		maxWait = min(maxWait, e.MaxWait)
+	}
+	if wait <= maxWait {
+		return nil
+	}
+	return &refusal.Refusal{Code: code.CallLimited, Outcome: mustardsaddle.NotRun, RetryAfter: c.retryAfter(now)}
+}
+
+// wait blocks until a server is assigned to the queued call, its wait expires or its
+// context is done.
+func (c *Controller) wait(ctx context.Context, since time.Time, id uint64, expiresAt time.Time, assigned chan mustardsaddle.Choice) (Assignment, *refusal.Refusal) {
+	poll := time.NewTicker(slot.PollInterval)
+	defer poll.Stop()
+	expiry := time.NewTimer(time.Until(expiresAt))
+	defer expiry.Stop()
+	for {
+		select {
+		case choice, ok := <-assigned:
+			if !ok {
+				return Assignment{}, c.overloaded()
+			}
+			return Assignment{Choice: choice, Queued: time.Since(since)}, nil
+		case <-poll.C:
+			c.poll(ctx, id)
+			continue
+		case <-expiry.C:
+		case <-ctx.Done():
+		}
+		if c.removeQueued(id) {
+			return Assignment{}, c.overloaded()
+		}
+		// The call was removed from the queue concurrently, so the channel holds a
+		// server or is closed.
+		choice, ok := <-assigned
+		if !ok {
+			return Assignment{}, c.overloaded()
+		}
+		return Assignment{Choice: choice, Queued: time.Since(since)}, nil
+	}
+}
+
+// poll queries server load and retries the queue if the call is at its head.
+func (c *Controller) poll(ctx context.Context, id uint64) {
+	c.mu.Lock()
+	next, ok := c.queue.Next(time.Now())
+	tried := c.waiting[id].tried
+	c.mu.Unlock()
+	if !ok || next != id {
+		return
+	}
+	c.QueryLoad(ctx, tried)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dispatchQueued(time.Now())
+}
+
+// removeQueued removes the call from the queue. It returns false if the call has already
+// been removed.
+func (c *Controller) removeQueued(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.queue.Remove(id) {
+		return false
+	}
+	delete(c.waiting, id)
+	return true
+}
+
+// overloaded returns the refusal of a call whose wait expired.
+func (c *Controller) overloaded() *refusal.Refusal {
+	return &refusal.Refusal{Code: code.CallOverloaded, Outcome: mustardsaddle.NotRun, RetryAfter: c.RetryAfter(time.Now())}
+}
+
+// dispatchQueued expires queued calls whose wait is over, then assigns servers to the
+// remaining ones in order while servers have capacity. The caller holds mu.
+func (c *Controller) dispatchQueued(now time.Time) {
+	for _, id := range c.queue.RemoveExpired(now) {
+		close(c.waiting[id].assigned)
+		delete(c.waiting, id)
+	}
+	for {
+		id, ok := c.queue.Next(now)
+		if !ok {
+			return
+		}
+		queued := c.waiting[id]
+		choice, ok := c.choose(now, c.requirements(now, queued.tried))
+		if !ok {
+			return
+		}
+		c.queue.Remove(id)
+		queued.assigned <- choice
+		delete(c.waiting, id)
+	}
+}
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -197,7 +197,7 @@
 	if refused.Code == code.OK {
 		refused = &refusal.Refusal{Code: code.CallDeadline}
 	}
-	return &refusal.Refusal{Code: refused.Code, Outcome: outcome, RetryAfter: max(refused.RetryAfter, c.match.controller.RetryAfter())}
+	return &refusal.Refusal{Code: refused.Code, Outcome: outcome, RetryAfter: max(refused.RetryAfter, c.match.controller.RetryAfter(time.Now()))}
 }
 
 // connectionPolicy returns which connections an attempt may use. An idempotent
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
@@ -60,7 +61,7 @@
 // relayBuffered reads a small response completely before it is sent.
 func (c *call) relayBuffered(h http.Header, a *attempt, src *bodySource, buf []byte) {
 	if _, err := io.ReadFull(src, buf); err != nil {
-		c.refuse(&refusal.Refusal{Code: code.CallBroken, Outcome: mustardsaddle.Unknown, RetryAfter: c.match.controller.RetryAfter()})
+		c.refuse(&refusal.Refusal{Code: code.CallBroken, Outcome: mustardsaddle.Unknown, RetryAfter: c.match.controller.RetryAfter(time.Now())})
 		return
 	}
 	c.relayHeader(h, a)
