--- a/internal/request/gateway/limit_test.go
+++ b/internal/request/gateway/limit_test.go
@@ -46,3 +46,28 @@
 			resp.StatusCode, resp.Header, text, code.CallLimited, interval-1, maxRetryAfter)
 	}
 }
+
+// The refusal of a call whose only server has just asked for a pause must tell the caller
+// the time of the pause, not the shorter time in which a queue empties.
+func TestRefusalAfterPauseNamesIt(t *testing.T) {
+	const (
+		pause         = 7
+		maxRetryAfter = 9
+	)
+	server := newCountingServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Endpoint-Not-Run", "1")
+		w.Header().Set("Retry-After", strconv.Itoa(pause))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	front, _ := newGateway(t, gateway.Config{Deadline: time.Second}, server.address())
+	for range 2 {
+		resp, text, err := do(t, front, http.MethodGet, "/rosters", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		retryAfter, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+		if retryAfter < pause || retryAfter > maxRetryAfter {
+			t.Errorf("got status %d, body %q and Retry-After %d, want %d to %d", resp.StatusCode, text, retryAfter, pause, maxRetryAfter)
+		}
+	}
+}
