--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -122,8 +122,8 @@
 	// a directory are; both are zero in a deployment without a directory.
 	Rules   Known `cbor:",omitzero"`
 	Servers Known `cbor:",omitzero"`
-	// StatementsDigest is equal for gateways that know the same limits of servers; 0 if
-	// there are none.
+	// StatementsDigest is equal for gateways that know the same statements of servers; 0
+	// if none is in effect.
 	StatementsDigest uint64 `cbor:",omitempty"`
 }
 
--- a/internal/peer/news/relay.go
+++ b/internal/peer/news/relay.go
@@ -60,7 +60,7 @@
 	AskRules bool
 	// SendMarks is true if the marks differ and all own marks are to be sent.
 	SendMarks bool
-	// SendStatements is true if the limits of servers differ and all own statements are to
+	// SendStatements is true if the statements of servers differ and all own ones are to
 	// be sent.
 	SendStatements bool
 }
--- a/internal/request/admission/statements.go
+++ b/internal/request/admission/statements.go
@@ -139,8 +139,8 @@
 	return s.table.Statement(now, server)
 }
 
-// withLeaving returns the servers, of which those that have stated that they are leaving
-// are marked so.
+// withLeaving returns a copy of the servers in which those that have stated that they are
+// leaving are marked as leaving.
 func (s *statements) withLeaving(now time.Time, servers []mustardsaddle.Server) []mustardsaddle.Server {
 	marked := slices.Clone(servers)
 	for i, server := range marked {
@@ -209,7 +209,8 @@
 	return cs.statements.table.Statements()
 }
 
-// StatementsDigest returns a digest that is equal for gateways that know the same limits.
+// StatementsDigest returns a digest that is equal for gateways that know the same
+// statements in effect.
 func (cs *Controllers) StatementsDigest() uint64 {
 	cs.statements.mu.Lock()
 	defer cs.statements.mu.Unlock()
