Play servers that state that they are leaving in the fault soak

A server states in its responses that it is leaving while the list of VMs does not, and is replaced after that. LeavingKept requires that a gateway which forwarded such a response sends it nothing from 2 s later, unless the gateway was interrupted. Only servers of the first incarnation state it: a gateway may still know a replaced one by its earlier incarnation. Seeds of regressions keep their plans.

Limits, pauses and restores are not played yet.

--- a/cmd/mustardsaddle/soak_fault_test.go
+++ b/cmd/mustardsaddle/soak_fault_test.go
@@ -103,6 +103,9 @@
 func (s *soakRun) injectGatewayFault(step soak.Step) {
 	g := s.gateways[step.Target]
 	defer s.lock(g.name)()
+	if step.Kind.Interrupts() {
+		defer s.recordInterruption(step.Target, time.Now())
+	}
 	switch step.Kind {
 	case soak.GatewayKilled:
 		defer s.openFaultWindow(soak.FaultWindow{Gateway: step.Target, MayFail: true})()
@@ -139,6 +142,13 @@
 	}
 }
 
+// recordInterruption records that a gateway was interrupted until now.
+func (s *soakRun) recordInterruption(gateway int, from time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interruptions = append(s.interruptions, soak.Interruption{Gateway: gateway, From: from, To: time.Now()})
+}
+
 // awaitExitAndRestart waits until a gateway process exits, restarts it after a
 // pause and waits until it is ready.
 func (s *soakRun) awaitExitAndRestart(g *gateway, pause time.Duration) {
@@ -180,12 +190,9 @@
 	}
 	switch step.Kind {
 	case soak.ServerKilled:
-		e.signal(syscall.SIGKILL)
-		<-e.exited
-		time.Sleep(step.For)
-		s.startServer(e)
-		e.machine.Incarnation++
-		s.listMachine(e.machine)
+		s.replaceServer(e, step.For)
+	case soak.ServerStatedLeaving:
+		s.stateLeaving(e, step.For+soakLeaving)
 	case soak.ServerFrozen:
 		s.suspend(e.process, step.For)
 	default:
@@ -195,6 +202,33 @@
 	}
 }
 
+// replaceServer kills a server and starts the next incarnation after a pause.
+func (s *soakRun) replaceServer(e *endpoint, pause time.Duration) {
+	e.signal(syscall.SIGKILL)
+	<-e.exited
+	time.Sleep(pause)
+	s.startServer(e)
+	e.machine.Incarnation++
+	s.listMachine(e.machine)
+}
+
+// stateLeaving makes a server state for d that it is leaving, and then replaces it. A
+// server that was replaced before is left alone: gateways may still know it as the earlier
+// incarnation, to which its statement would not apply later.
+func (s *soakRun) stateLeaving(e *endpoint, d time.Duration) {
+	if e.machine.Incarnation > 1 {
+		return
+	}
+	s.setMode(e, server.Mode{Leaving: true})
+	l := soak.Leaving{Server: e.machine.Name, From: time.Now()}
+	time.Sleep(d)
+	l.To = time.Now()
+	s.mu.Lock()
+	s.leavings = append(s.leavings, l)
+	s.mu.Unlock()
+	s.replaceServer(e, 0)
+}
+
 // relayFor returns the relay of the link that a fault concerns.
 func (s *soakRun) relayFor(step soak.Step) *relay.Relay {
 	switch step.Place {
--- a/cmd/mustardsaddle/soak_test.go
+++ b/cmd/mustardsaddle/soak_test.go
@@ -34,6 +34,10 @@
 	// the progress timeout of downloads.
 	soakDeadline = 2 * time.Second
 	soakProgress = 3 * time.Second
+	// soakDrain is the time after which a gateway must heed that a server is leaving,
+	// and soakLeaving how much longer than the fault the server states it.
+	soakDrain   = 2 * time.Second
+	soakLeaving = 4 * time.Second
 	// soakRetryShare and soakHedgeShare are the budgets of retries and hedges,
 	// as ratios to the calls in soakWindow.
 	soakRetryShare = 0.1
@@ -64,6 +68,9 @@
 	// length is the time during which faults are injected.
 	length                     time.Duration
 	gateways, servers, callers int
+	// statements adds servers that state something in their responses. The seeds in
+	// soakRegressions failed without it.
+	statements bool
 }
 
 // soakRegressions are seeds that have failed before, each with the cause. Large
@@ -103,7 +110,7 @@
 // TestSoak runs the real programs, injects random faults from outside, and
 // checks the history of callers and servers. See docs/SOAK.md for long runs.
 func TestSoak(t *testing.T) {
-	size := soakSize{length: *soakLength, gateways: *soakGateways, servers: *soakServers, callers: *soakCallers}
+	size := soakSize{length: *soakLength, gateways: *soakGateways, servers: *soakServers, callers: *soakCallers, statements: true}
 	first := *soakFirstSeed
 	if first == 0 {
 		first = uint64(time.Now().UnixNano() % randomSeedRange)
@@ -143,6 +150,9 @@
 
 	mu      sync.Mutex
 	windows []*soak.FaultWindow
+	// leavings and interruptions are those that have ended.
+	leavings      []soak.Leaving
+	interruptions []soak.Interruption
 	// activeFaults are the current faults of the store, by its URL, and of each
 	// link, by its relay address.
 	activeFaults map[string]faultCounts
@@ -156,7 +166,7 @@
 func newSoakRun(t *testing.T, seed uint64, size soakSize) *soakRun {
 	s := &soakRun{
 		system:         &system{t: t, relayed: true, extraSettings: soakSettings(seed)},
-		plan:           soak.NewPlan(soak.Config{Length: size.length, Gateways: size.gateways, Servers: size.servers}, seed),
+		plan:           soak.NewPlan(soak.Config{Length: size.length, Gateways: size.gateways, Servers: size.servers, Statements: size.statements}, seed),
 		executionsPath: filepath.Join(t.TempDir(), "executions"),
 		activeFaults:   make(map[string]faultCounts),
 		locks:          make(map[string]*sync.Mutex),
@@ -241,7 +251,7 @@
 // checkHistory checks the calls of the callers and the executions of the
 // servers, and reports violations with the related log lines.
 func (s *soakRun) checkHistory(callers *callers) {
-	h := soak.History{Calls: callers.calls, Executions: s.executions()}
+	h := soak.History{Calls: callers.calls, Executions: s.executions(), Leavings: s.leavings, Interruptions: s.interruptions}
 	for _, w := range s.windows {
 		h.FaultWindows = append(h.FaultWindows, *w)
 	}
@@ -249,12 +259,14 @@
 		RetryShare: soakRetryShare + soakHedgeShare,
 		Window:     soakWindow,
 		Slack:      soakSlack,
+		Drain:      soakDrain,
 	}
 	if *soakLateness > 0 {
 		limits.Deadline, limits.Progress = soakDeadline+*soakLateness, soakProgress
 	}
 	violations := soak.Check(h, limits)
-	s.t.Logf("%d faults, %d calls, %d executions, %d violations", len(s.plan.Steps), len(h.Calls), len(h.Executions), len(violations))
+	s.t.Logf("%d faults, %d calls, %d executions, %d servers that stated that they were leaving, %d violations",
+		len(s.plan.Steps), len(h.Calls), len(h.Executions), len(h.Leavings), len(violations))
 	for _, v := range violations[:min(len(violations), maxPrintedViolations)] {
 		s.t.Errorf("%v\n%s", v, strings.Join(s.logLinesAbout(v.Request), "\n"))
 	}
--- a/internal/standin/soak/enum_string.go
+++ b/internal/standin/soak/enum_string.go
@@ -33,11 +33,12 @@
 	_ = x[StoreLimited-22]
 	_ = x[StoreFrozen-23]
 	_ = x[RulesChanged-24]
+	_ = x[ServerStatedLeaving-25]
 }
 
-const _Kind_name = "GatewayKilledGatewayFrozenGatewayStoppedGatewayCutGatewayReloadedGatewayMisreadServerKilledServerFrozenServerSlowServerFailingServerDrainingServerMisreportingLinkDelayedLinkResetLinkHeldUpLinkHeldDownLinkSilentLinkRefusedStoreDownStoreSlowStoreLosesAnswersStoreSilentStoreLimitedStoreFrozenRulesChanged"
+const _Kind_name = "GatewayKilledGatewayFrozenGatewayStoppedGatewayCutGatewayReloadedGatewayMisreadServerKilledServerFrozenServerSlowServerFailingServerDrainingServerMisreportingLinkDelayedLinkResetLinkHeldUpLinkHeldDownLinkSilentLinkRefusedStoreDownStoreSlowStoreLosesAnswersStoreSilentStoreLimitedStoreFrozenRulesChangedServerStatedLeaving"
 
-var _Kind_index = [...]uint16{0, 13, 26, 40, 50, 65, 79, 91, 103, 113, 126, 140, 158, 169, 178, 188, 200, 210, 221, 230, 239, 256, 267, 279, 290, 302}
+var _Kind_index = [...]uint16{0, 13, 26, 40, 50, 65, 79, 91, 103, 113, 126, 140, 158, 169, 178, 188, 200, 210, 221, 230, 239, 256, 267, 279, 290, 302, 321}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
@@ -123,11 +124,12 @@
 	_ = x[Unbroken-6]
 	_ = x[InTime-7]
 	_ = x[RetriesBounded-8]
+	_ = x[LeavingKept-9]
 }
 
-const _Rule_name = "AttemptOnceRequestOnceNotRunIsTrueRanIsTrueOutcomeStatedOwnAnswerUnbrokenInTimeRetriesBounded"
+const _Rule_name = "AttemptOnceRequestOnceNotRunIsTrueRanIsTrueOutcomeStatedOwnAnswerUnbrokenInTimeRetriesBoundedLeavingKept"
 
-var _Rule_index = [...]uint8{0, 11, 22, 34, 43, 56, 65, 73, 79, 93}
+var _Rule_index = [...]uint8{0, 11, 22, 34, 43, 56, 65, 73, 79, 93, 104}
 
 func (i Rule) String() string {
 	idx := int(i) - 0
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -102,4 +102,22 @@
 	Calls        []Call
 	Executions   []server.Execution
 	FaultWindows []FaultWindow
+	// Leavings are the times during which servers stated that they were leaving, and
+	// Interruptions the faults of gateways that excuse them from heeding this.
+	Leavings      []Leaving
+	Interruptions []Interruption
+}
+
+// Leaving is a time during which a server stated in its responses that it was leaving.
+type Leaving struct {
+	// Server is the name of the server.
+	Server   string
+	From, To time.Time
+}
+
+// Interruption is a time during which a gateway was stopped, killed, restarted or frozen.
+type Interruption struct {
+	// Gateway is the index of the gateway.
+	Gateway  int
+	From, To time.Time
 }
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -36,6 +36,9 @@
 	InTime
 	// RetriesBounded requires that retries and hedges stay within their budgets.
 	RetriesBounded
+	// LeavingKept requires that a gateway sends no request to a server that has stated
+	// in a response, which the gateway forwarded, that it is leaving.
+	LeavingKept
 )
 
 // Limits are the bounds that the guarantees refer to.
@@ -51,6 +54,8 @@
 	RetryShare float64
 	Window     time.Duration
 	Slack      int
+	// Drain is the time after which a gateway must heed that a server is leaving.
+	Drain time.Duration
 }
 
 // Violation is a violated guarantee.
@@ -89,6 +94,9 @@
 		chk.checkEnd(c)
 	}
 	chk.checkRetries()
+	for _, l := range h.Leavings {
+		chk.checkLeaving(l)
+	}
 	return chk.violations
 }
 
--- a/internal/standin/soak/judge_test.go
+++ b/internal/standin/soak/judge_test.go
@@ -49,6 +49,42 @@
 	return slices.Compact(rules)
 }
 
+// A request that a gateway sends to a server after it has forwarded the server's statement
+// that it is leaving must be found, and one that is excused must not.
+func TestCheckLeaving(t *testing.T) {
+	limits := soak.Limits{RetryShare: 1, Window: time.Second, Slack: 10, Drain: 2 * time.Second}
+	leaving := []soak.Leaving{{Server: "booking-00", From: at(1000), To: at(9000)}}
+	call := func(id string, gateway, sent int) soak.Call {
+		c := ran(id, soak.Read)
+		c.Gateway, c.Sent, c.Ended = gateway, at(sent), at(sent+100)
+		return c
+	}
+	first := call("r1", 0, 1500)
+	cases := []struct {
+		name          string
+		second        soak.Call
+		interruptions []soak.Interruption
+		want          []soak.Rule
+	}{
+		{"sent too late", call("r2", 0, 3700), nil, []soak.Rule{soak.LeavingKept}},
+		{"sent in time", call("r2", 0, 3500), nil, nil},
+		{"through a gateway that had not been told", call("r2", 1, 3700), nil, nil},
+		{"after a restart of the gateway", call("r2", 0, 3700), []soak.Interruption{{Gateway: 0, From: at(2000), To: at(2500)}}, nil},
+		{"after a restart of another gateway", call("r2", 0, 3700), []soak.Interruption{{Gateway: 1, From: at(2000), To: at(2500)}}, []soak.Rule{soak.LeavingKept}},
+		{"after the server was replaced", call("r2", 0, 9100), nil, nil},
+	}
+	for _, c := range cases {
+		secondAt := int(c.second.Sent.Sub(start).Milliseconds()) + 10
+		h := soak.History{
+			Calls: []soak.Call{first, c.second}, Leavings: leaving, Interruptions: c.interruptions,
+			Executions: []server.Execution{execution("r1", "a1", 1510), execution("r2", "a2", secondAt)},
+		}
+		if got := violatedRules(soak.Check(h, limits)); !slices.Equal(got, c.want) {
+			t.Errorf("%s: got violations of %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // Each row is a history and the rules that Check must find violated in it. A missed violation
 // would hide a fault of the gateways, and a false one would fail a soak test without a fault.
 func TestCheck(t *testing.T) {
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -81,8 +81,13 @@
 	StoreFrozen
 	// RulesChanged is an operator who adds a routing rule.
 	RulesChanged
+	// ServerStatedLeaving makes a server state in its responses that it is leaving,
+	// although the list of VMs does not say so, and then replaces it.
+	ServerStatedLeaving
 
 	kindCount = int(RulesChanged) + 1
+	// kindCountStatements includes the kinds that need Config.Statements.
+	kindCountStatements = int(ServerStatedLeaving) + 1
 )
 
 // Place identifies the two ends of a link.
@@ -107,6 +112,17 @@
 	Length time.Duration
 	// Gateways and Servers are the numbers of processes.
 	Gateways, Servers int
+	// Statements adds the kinds of faults in which servers state something in their
+	// responses. Without it, seeds give the same plans as before these were added.
+	Statements bool
+}
+
+// kinds returns the number of kinds of faults to draw from.
+func (cfg Config) kinds() int {
+	if cfg.Statements {
+		return kindCountStatements
+	}
+	return kindCount
 }
 
 const (
@@ -157,7 +173,12 @@
 
 // OnServer reports whether k is a fault of server processes.
 func (k Kind) OnServer() bool {
-	return k >= ServerKilled && k <= ServerMisreporting
+	return k >= ServerKilled && k <= ServerMisreporting || k == ServerStatedLeaving
+}
+
+// Interrupts reports whether k is a fault that stops or suspends a gateway process.
+func (k Kind) Interrupts() bool {
+	return k >= GatewayKilled && k <= GatewayCut
 }
 
 // OnStore reports whether k is a fault of the store.
@@ -189,7 +210,7 @@
 
 // drawSeries draws one fault, or a series of faults of one kind at one target.
 func drawSeries(cfg Config, rng *rand.Rand, at time.Duration) []Step {
-	step := Step{Kind: Kind(rng.IntN(kindCount)), Place: Place(rng.IntN(placeCount))}
+	step := Step{Kind: Kind(rng.IntN(cfg.kinds())), Place: Place(rng.IntN(placeCount))}
 	step.Target = rng.IntN(step.targetCount(cfg))
 	n := 1
 	if rng.Float64() < seriesShare {
--- a/internal/standin/soak/plan_test.go
+++ b/internal/standin/soak/plan_test.go
@@ -33,6 +33,17 @@
 				}
 			}
 		}
+		convey.Convey("Statements of servers occur if they are wanted, and only then", func() {
+			cfg.Statements = true
+			stated := false
+			for seed := range uint64(200) {
+				for _, s := range soak.NewPlan(cfg, seed).Steps {
+					stated = stated || s.Kind == soak.ServerStatedLeaving
+				}
+			}
+			convey.So(stated, convey.ShouldBeTrue)
+			convey.So(kinds[soak.ServerStatedLeaving], convey.ShouldBeFalse)
+		})
 		convey.Convey("Every kind and place occurs, and faults overlap", func() {
 			for k := soak.GatewayKilled; k <= soak.RulesChanged; k++ {
 				convey.So(kinds[k], convey.ShouldBeTrue)
