--- a/internal/request/booking/window_test.go
+++ b/internal/request/booking/window_test.go
@@ -15,10 +15,7 @@
 func TestWindowBoundHoldsForEveryWindow(t *testing.T) {
 	const span = time.Second
 	rapid.Check(t, func(t *rapid.T) {
-		bounds := booking.Bounds{
-			Share: rapid.Float64Range(0, 1).Draw(t, "Share"),
-			Slack: rapid.Float64Range(0, 10).Draw(t, "Slack"),
-		}
+		bounds := drawBounds(t)
 		w := booking.NewWindow(span)
 		var calls, extra []time.Time
 		now := start
@@ -45,10 +42,7 @@
 func TestWindowHoldsAfterCallsDecrease(t *testing.T) {
 	const span = time.Second
 	rapid.Check(t, func(t *rapid.T) {
-		bounds := booking.Bounds{
-			Share: rapid.Float64Range(0, 1).Draw(t, "Share"),
-			Slack: rapid.Float64Range(0, 10).Draw(t, "Slack"),
-		}
+		bounds := drawBounds(t)
 		w := booking.NewWindow(span)
 		var calls, extra []time.Time
 		now := start
@@ -75,6 +69,13 @@
 	})
 }
 
+func drawBounds(t *rapid.T) booking.Bounds {
+	return booking.Bounds{
+		Share: rapid.Float64Range(0, 1).Draw(t, "Share"),
+		Slack: rapid.Float64Range(0, 10).Draw(t, "Slack"),
+	}
+}
+
 // countBetween counts the times from the first one to before the end.
 func countBetween(times []time.Time, from, end time.Time) int {
 	n := 0
