Log when a gateway can no longer reach the servers of a service

The logs could not tell apart whether servers were really out of reach: no line stated that new connections failed, and none that a whole service was lost.

A detector without I/O, package reach, reads the results of load queries and attempts. It counts connections that could not be opened as evidence, and slow servers that accept connections only after several misses. Events ServiceLost and ServiceRegained, gauge ServicesLost. No effect on calls.

--- a/choice.go
+++ b/choice.go
@@ -91,6 +91,9 @@
 // its load report then through Observe.
 type LoadQuerier interface {
 	Chooser
+	// Known returns the servers that this gateway uses: all, or a subset of a large
+	// service.
+	Known() []Server
 	// SelectQueries returns up to n servers to query now. A query to each of them
 	// counts as pending until RecordQuery or CancelQueries.
 	SelectQueries(now time.Time, rng *rand.Rand, reqs Requirements, n int) []Server
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -89,6 +89,11 @@
 	// ServerPause is logged when a server that has not asked for a pause yet asks this
 	// gateway to send it nothing for a time.
 	ServerPause
+	// ServiceLost is logged when this gateway can no longer reach the servers of a service,
+	// with the evidence.
+	ServiceLost
+	// ServiceRegained is logged when this gateway can reach the servers of a service again.
+	ServiceRegained
 )
 
 // Peer events.
--- a/internal/choice/survey/survey.go
+++ b/internal/choice/survey/survey.go
@@ -200,6 +200,15 @@
 	c.byName = byName
 }
 
+// Known returns the subset of the servers that this gateway uses.
+func (c *Chooser) Known() []mustardsaddle.Server {
+	known := make([]mustardsaddle.Server, len(c.servers))
+	for i, s := range c.servers {
+		known[i] = s.Server
+	}
+	return known
+}
+
 // SelectQueries returns up to n servers to query. If there are more candidates, half
 // are those with the best last known scores and the rest are random.
 func (c *Chooser) SelectQueries(now time.Time, rng *rand.Rand, reqs mustardsaddle.Requirements, n int) []mustardsaddle.Server {
--- a/internal/product/admin/state.go
+++ b/internal/product/admin/state.go
@@ -25,6 +25,8 @@
 	// requests, ServersStatedLeaving of those that state that they are leaving, and
 	// ServersPaused of those that want no request of this gateway for a time.
 	ServersLimited, ServersStatedLeaving, ServersPaused int
+	// ServicesLost is the number of services whose servers this gateway cannot reach.
+	ServicesLost int
 	// Links is the number of links to other gateways.
 	Links int
 	// PeerMessages and PeerBytes are the totals sent and received over links.
@@ -52,7 +54,7 @@
 	peerMessages, peerBytes                                           tally.Counter
 	probes, probeBytes, probesRefused                                 tally.Counter
 	probesAgreed, probeBytesAgreed                                    tally.Gauge
-	serversLimited, serversStatedLeaving, serversPaused               tally.Gauge
+	serversLimited, serversStatedLeaving, serversPaused, servicesLost tally.Gauge
 	storeReads, storeWatches, storeWrites, storeFailures, storeUnsent tally.Counter
 	storeEra                                                          tally.Gauge
 	storeErasIgnored                                                  tally.Counter
@@ -69,6 +71,7 @@
 		serversLimited:       scope.Gauge("ServersLimited"),
 		serversStatedLeaving: scope.Gauge("ServersStatedLeaving"),
 		serversPaused:        scope.Gauge("ServersPaused"),
+		servicesLost:         scope.Gauge("ServicesLost"),
 		links:                scope.Gauge("PeerLinks"),
 		peerMessages:         scope.Counter("PeerMessages"),
 		peerBytes:            scope.Counter("PeerBytes"),
@@ -103,6 +106,7 @@
 	m.serversLimited.Update(float64(next.ServersLimited))
 	m.serversStatedLeaving.Update(float64(next.ServersStatedLeaving))
 	m.serversPaused.Update(float64(next.ServersPaused))
+	m.servicesLost.Update(float64(next.ServicesLost))
 	m.links.Update(float64(next.Links))
 	m.peerMessages.Inc(next.PeerMessages - old.PeerMessages)
 	m.peerBytes.Inc(next.PeerBytes - old.PeerBytes)
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -194,6 +194,7 @@
 
 		ServersStatedLeaving: stated.Leaving,
 		ServersPaused:        stated.Paused,
+		ServicesLost:         len(in.gateway.Controllers().LostServices(time.Now())),
 		Links:                links.Links,
 		PeerMessages:         links.SentMessages + links.ReceivedMessages,
 		PeerBytes:            links.SentBytes + links.ReceivedBytes,
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -9,6 +9,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/choice/quota"
+	"mustardsaddle.example/mustardsaddle/internal/choice/reach"
 	"mustardsaddle.example/mustardsaddle/internal/choice/survey"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
@@ -60,6 +61,8 @@
 	// queryLimit limits the load queries that this gateway sends to the service.
 	queryLimit *survey.QueryLimiter
 	idleAt     map[string]time.Time // when a connection to the server last became idle
+	// paths decides whether this gateway can reach the servers.
+	paths *reach.Detector
 }
 
 func newController(cs *Controllers, service string) *Controller {
@@ -80,6 +83,7 @@
 		waiting:    make(map[uint64]queuedCall),
 		idleAt:     make(map[string]time.Time),
 		queryLimit: survey.NewQueryLimiter(cfg.MaxLoadQueries),
+		paths:      reach.New(),
 	}
 	if cfg.RetryWindow > 0 {
 		c.budgets.Window = booking.NewWindow(cfg.RetryWindow)
@@ -137,6 +141,7 @@
 		}
 	}
 	c.idleAt = idleAt
+	c.updatePaths(servers)
 	c.updateQueryRate(now)
 	c.dispatchQueued(now)
 }
--- a/internal/request/admission/controllers.go
+++ b/internal/request/admission/controllers.go
@@ -153,6 +153,7 @@
 	defer c.mu.Unlock()
 	if setter, ok := c.chooser.(mustardsaddle.FleetSetter); ok && len(live) > 0 {
 		setter.SetFleet(now, c.controllers.cfg.Name, live)
+		c.updatePaths(c.listed)
 	}
 }
 
--- /dev/null
+++ b/internal/request/admission/paths.go
@@ -0,0 +1,121 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"net/http/httptrace"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/choice/reach"
+)
+
+// dialTrace records whether a request got a connection, and whether it was a new one.
+type dialTrace struct {
+	got, reused bool
+}
+
+// trace returns a context in which the transport records the connection.
+func (d *dialTrace) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { d.got, d.reused = true, info.Reused },
+	})
+}
+
+// failure describes a request that returned nothing.
+func (d *dialTrace) failure(server string, err error, sentAt time.Time, timeout time.Duration) reach.Failure {
+	return reach.Failure{
+		Server: server, Cause: FailureCause(err), Accepted: d.got && !d.reused, NewConnection: !d.reused,
+		SentAt: sentAt, Timeout: timeout,
+	}
+}
+
+// FailureCause returns the cause of the error of a round trip.
+func FailureCause(err error) reach.Cause {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return reach.Refused
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled), errors.As(err, &timeout) && timeout.Timeout():
+		return reach.Unanswered
+	default:
+		return reach.Reset
+	}
+}
+
+// updatePaths passes on the servers that may get requests. If the chooser knows only a
+// subset of the service, those are the ones that it knows. The caller holds mu.
+func (c *Controller) updatePaths(servers []mustardsaddle.Server) {
+	if subset, ok := c.chooser.(mustardsaddle.LoadQuerier); ok {
+		servers = subset.Known()
+	}
+	names := make([]string, 0, len(servers))
+	for _, s := range servers {
+		if !s.Leaving {
+			names = append(names, s.Name)
+		}
+	}
+	c.paths.SetServers(names)
+}
+
+// recordReply records that a server returned something. The caller holds mu.
+func (c *Controller) recordReply(now time.Time, server string) {
+	_, lostFor := c.paths.Lost(now)
+	e := c.paths.Evidence(now)
+	if c.paths.Reply(now, server) != reach.Regained {
+		return
+	}
+	logEvidence(event.Info(c.controllers.cfg.Logger, event.ServiceRegained), c.Service, e).Dur("For", lostFor).Send()
+}
+
+// recordFailure records that a server returned nothing. The caller holds mu.
+func (c *Controller) recordFailure(now time.Time, f reach.Failure) {
+	if c.paths.Fail(now, f) != reach.Lost {
+		return
+	}
+	e := c.paths.Evidence(now)
+	logEvidence(event.Warn(c.controllers.cfg.Logger, event.ServiceLost), c.Service, e).Dur("LastReply", e.LastReply).Send()
+}
+
+// logEvidence adds the evidence of the loss of a service to a log event.
+func logEvidence(line *zerolog.Event, service string, e reach.Evidence) *zerolog.Event {
+	return line.Str("Service", service).Int("Servers", e.Servers).Int("Unreachable", e.Unreachable).Int("Refused", e.Refused).
+		Int("Reset", e.Reset).Int("Unanswered", e.Unanswered).Int("NewConnections", e.NewConnections)
+}
+
+// RecordReply records that a server returned something.
+func (c *Controller) RecordReply(now time.Time, server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordReply(now, server)
+}
+
+// RecordFailure records that a server returned nothing.
+func (c *Controller) RecordFailure(now time.Time, f reach.Failure) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordFailure(now, f)
+}
+
+// Lost reports whether this gateway cannot reach the servers of the service, and for how
+// long.
+func (c *Controller) Lost(now time.Time) (bool, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.paths.Lost(now)
+}
+
+// LostServices returns the names of the services whose servers this gateway cannot reach.
+func (cs *Controllers) LostServices(now time.Time) []string {
+	var lost []string
+	for _, c := range cs.all() {
+		if is, _ := c.Lost(now); is {
+			lost = append(lost, c.Service)
+		}
+	}
+	return lost
+}
--- a/internal/request/admission/prober.go
+++ b/internal/request/admission/prober.go
@@ -105,9 +105,12 @@
 		return
 	}
 	sentAt := time.Now()
-	h, status, err := p.cfg.Controllers.fetchHeader(r)
+	var dial dialTrace
+	h, status, err := p.cfg.Controllers.fetchHeader(r.WithContext(dial.trace(ctx)))
 	if err != nil {
+		c.RecordFailure(time.Now(), dial.failure(server.Name, err, sentAt, p.cfg.Timeout))
 		return
 	}
+	c.RecordReply(time.Now(), server.Name)
 	c.ObserveResponse(time.Now(), Response{Server: server, Header: h, Status: status, SentAt: sentAt, LoadQuery: true})
 }
--- a/internal/request/admission/query.go
+++ b/internal/request/admission/query.go
@@ -82,9 +82,15 @@
 // queryServer queries one server and processes its response.
 func (c *Controller) queryServer(ctx context.Context, server mustardsaddle.Server, path string) {
 	sentAt := time.Now()
-	h, status, reply := c.controllers.sendQuery(ctx, server, path)
+	var dial dialTrace
+	h, status, reply, err := c.controllers.sendQuery(dial.trace(ctx), server, path)
 	now := time.Now()
 	c.mu.Lock()
+	if err == nil {
+		c.recordReply(now, server.Name)
+	} else {
+		c.recordFailure(now, dial.failure(server.Name, err, sentAt, queryTimeout))
+	}
 	if querier, ok := c.chooser.(mustardsaddle.LoadQuerier); ok {
 		querier.RecordQuery(now, server.Name, reply)
 	}
@@ -99,23 +105,24 @@
 }
 
 // sendQuery sends a load query and returns the response header and status. The reply is
-// OtherReply if the response names a different server.
-func (cs *Controllers) sendQuery(ctx context.Context, server mustardsaddle.Server, path string) (http.Header, int, mustardsaddle.Reply) {
+// OtherReply if the response names a different server, and NoReply with an error if there
+// is none.
+func (cs *Controllers) sendQuery(ctx context.Context, server mustardsaddle.Server, path string) (http.Header, int, mustardsaddle.Reply, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+path, http.NoBody)
 	if err != nil {
-		return nil, 0, mustardsaddle.NoReply
+		return nil, 0, mustardsaddle.NoReply, err
 	}
 	r.Header["User-Agent"] = nil
 	h, status, err := cs.fetchHeader(r)
 	if err != nil {
-		return nil, 0, mustardsaddle.NoReply
+		return nil, 0, mustardsaddle.NoReply, err
 	}
 	if name := cs.cfg.Headers.Server; name != "" {
 		if reported := h.Get(name); reported != "" && reported != server.Name {
-			return nil, 0, mustardsaddle.OtherReply
+			return nil, 0, mustardsaddle.OtherReply, nil
 		}
 	}
-	return h, status, mustardsaddle.OwnReply
+	return h, status, mustardsaddle.OwnReply, nil
 }
 
 // errOtherRequest is returned for a response that belongs to another request.
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/choice/reach"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
@@ -71,6 +72,21 @@
 	a.latency = time.Since(a.sentAt)
 	a.c.match.controller.Metrics.Attempts.Inc(1)
 	a.classify()
+	a.recordPath()
+}
+
+// recordPath records whether the server could be reached. An attempt that was canceled
+// before it had a connection shows nothing.
+func (a *attempt) recordPath() {
+	server, controller := a.assignment.Choice.Server.Name, a.c.match.controller
+	switch {
+	case a.resp != nil:
+		controller.RecordReply(time.Now(), server)
+	case a.conn == nil && a.ctx.Err() == nil:
+		controller.RecordFailure(time.Now(), reach.Failure{
+			Server: server, Cause: admission.FailureCause(a.err), NewConnection: true, SentAt: a.sentAt,
+		})
+	}
 }
 
 // roundTrip passes the request to the transport that the connection policy
