Check in the test of callers whose gateway is cut off from all servers

The stand-in network gains a dialer with faults, which stands for the network of one process; gateways take a function that opens connections to servers.

--- /dev/null
+++ b/internal/product/instance/cut_test.go
@@ -0,0 +1,76 @@
+package instance_test
+
+import (
+	"testing"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle/internal/standin/relay"
+)
+
+const (
+	// cutNotice is the time after which the callers of gateways that are cut off from the
+	// servers must be served like others.
+	cutNotice = 3 * time.Second
+	// cutObserved is how long they are observed from then on.
+	cutObserved = 2 * time.Second
+	// minServedRatio is the least ratio of the shares of calls that are served at gateways
+	// that are cut off, and at others.
+	minServedRatio = 0.9
+)
+
+// servedShare returns the share of the calls that were answered with 200 from the time of
+// the call until d later.
+func (c *callers) servedShare(d time.Duration) float64 {
+	calls, failures := c.calls.Load(), c.failures.Load()
+	time.Sleep(d)
+	calls, failures = c.calls.Load()-calls, c.failures.Load()-failures
+	return 1 - float64(failures)/float64(max(calls, 1))
+}
+
+// TestCallersOfGatewaysCutFromServersAreServed guards against callers of gateways that have
+// lost their connections to all servers being refused, while other gateways reach the
+// servers.
+func TestCallersOfGatewaysCutFromServersAreServed(t *testing.T) {
+	const (
+		gateways     = 13
+		servers      = 8
+		callInterval = 40 * time.Millisecond
+	)
+	tests := []struct {
+		name string
+		cut  relay.Cut
+		n    int
+	}{
+		{"one of 13 hangs", relay.Hang, 1},
+		{"8 of 13 hang", relay.Hang, 8},
+		{"8 of 13 are reset and refused", relay.ResetAndRefuse, 8},
+		{"12 of 13 are reset and hang", relay.ResetAndHang, 12},
+		{"5 of 13 are refused new connections", relay.Refuse, 5},
+	}
+	var all, calls arrivals
+	s, _ := newObservedCluster(t, gateways, servers, &all, &calls)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cut, others := startCallers(t, s.gateways[:tt.n], callInterval), startCallers(t, s.gateways[tt.n:], callInterval)
+			time.Sleep(time.Second)
+			for _, g := range s.gateways[:tt.n] {
+				g.dialer.SetCut(tt.cut)
+			}
+			time.Sleep(cutNotice)
+			othersServed := make(chan float64, 1)
+			go func() { othersServed <- others.servedShare(cutObserved) }()
+			got, want := cut.servedShare(cutObserved), <-othersServed
+			for _, g := range s.gateways[:tt.n] {
+				g.dialer.SetCut(relay.NoCut)
+			}
+			cut.stop()
+			others.stop()
+			if want < minServedRatio {
+				t.Errorf("gateways that are not cut off: served %.2f of the calls, want at least %.2f", want, minServedRatio)
+			}
+			if got < minServedRatio*want {
+				t.Errorf("gateways that are cut off: served %.2f of the calls, others %.2f, want at least %.2f of that", got, want, minServedRatio)
+			}
+		})
+	}
+}
--- a/internal/product/instance/harness_test.go
+++ b/internal/product/instance/harness_test.go
@@ -19,6 +19,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/product/instance"
 	"mustardsaddle.example/mustardsaddle/internal/standin/directory"
 	"mustardsaddle.example/mustardsaddle/internal/standin/platform"
+	"mustardsaddle.example/mustardsaddle/internal/standin/relay"
 	"mustardsaddle.example/mustardsaddle/internal/standin/server"
 )
 
@@ -55,6 +56,8 @@
 	addresses instance.Addresses
 	stop      context.CancelFunc
 	ended     chan error
+	// dialer opens the gateway's connections to servers.
+	dialer *relay.Dialer
 }
 
 func newCluster(t *testing.T, servers int) *cluster {
@@ -130,9 +133,12 @@
 		s.configure(&cfg)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	g := &runningGateway{name: name, stop: stop, ended: make(chan error, 1)}
+	g := &runningGateway{name: name, stop: stop, ended: make(chan error, 1), dialer: relay.NewDialer()}
 	started := make(chan instance.Addresses, 1)
-	instanceCfg := instance.Config{Settings: cfg, Logger: zerolog.New(io.Discard), OnStarted: func(a instance.Addresses) { started <- a }}
+	instanceCfg := instance.Config{
+		Settings: cfg, Logger: zerolog.New(io.Discard), DialServer: g.dialer.DialContext,
+		OnStarted: func(a instance.Addresses) { started <- a },
+	}
 	if s.directory != nil {
 		instanceCfg.Directory = func(*store.Client) mustardsaddle.Directory { return s.directory }
 	}
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -58,6 +59,9 @@
 	// Directory, if set, returns the directory that supplies the rules and the lists
 	// of VMs in place of the platform's store.
 	Directory func(*store.Client) mustardsaddle.Directory
+	// DialServer, if set, opens the connections to endpoint servers in place of a
+	// net.Dialer.
+	DialServer func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnStarted, if set, is called with the listen addresses once the servers and the
 	// control plane have started.
 	OnStarted func(Addresses)
@@ -198,10 +202,12 @@
 			OnReport:             in.handleReport,
 			OnStatement:          in.handleStatement,
 		},
-		Claims:  in.claims(),
-		Metrics: in.metrics.Scope(),
-		Logger:  in.cfg.Logger,
-		Seed:    seed,
+		Claims: in.claims(),
+
+		DialServer: in.cfg.DialServer,
+		Metrics:    in.metrics.Scope(),
+		Logger:     in.cfg.Logger,
+		Seed:       seed,
 	})
 }
 
--- a/internal/request/connection/transport.go
+++ b/internal/request/connection/transport.go
@@ -34,14 +34,21 @@
 	// Reuse enables HTTP keep-alive. Without it each request has a connection of its
 	// own, and so cannot fail on a stale or unresponsive one.
 	Reuse bool
+	// Dial opens connections; nil means a net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewTransport returns an http.Transport whose connections are of type CountedConn.
 func NewTransport(cfg TransportConfig) *http.Transport {
-	dialer := &net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: keepAliveInterval}
+	dial := cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: keepAliveInterval}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, cfg.DialTimeout)
+			defer cancel()
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -35,6 +35,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -107,6 +108,8 @@
 	// Claims stores the claims of requests whose rule has Repeat=Claim; if nil, such
 	// requests are refused.
 	Claims mustardsaddle.ClaimStore
+	// DialServer opens connections to servers; nil means a net.Dialer.
+	DialServer func(ctx context.Context, network, address string) (net.Conn, error)
 	// Metrics receives counters and histograms; nil disables them.
 	Metrics tally.Scope
 	// Logger receives the log events.
@@ -139,7 +142,7 @@
 // transport returns a transport for connections to servers.
 func (cfg Config) transport(reuse bool) *http.Transport {
 	return connection.NewTransport(connection.TransportConfig{
-		DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.IdleTimeout, Reuse: reuse,
+		DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.IdleTimeout, Reuse: reuse, Dial: cfg.DialServer,
 	})
 }
 
