--- a/internal/base/code/list.go
+++ b/internal/base/code/list.go
@@ -131,6 +131,9 @@
 	CallStopping
 	// CallLimited means that no server may get a request now, by their own statements.
 	CallLimited
+	// CallUnreachable means that the gateway cannot reach the servers of the service, and no
+	// other gateway took the call.
+	CallUnreachable
 )
 
 // Process codes.
@@ -148,6 +151,10 @@
 	PeerNewerFormat
 	// PeerUnavailable means that a peer cannot be reached, or that its link has ended.
 	PeerUnavailable
+	// PeerUnknown means a forwarded call that does not come from a gateway of the system.
+	PeerUnknown
+	// PeerBusy means that a gateway takes no further call of other gateways.
+	PeerBusy
 )
 
 // Load report codes.
--- a/internal/base/event/event_string.go
+++ b/internal/base/event/event_string.go
@@ -48,6 +48,8 @@
 	_ = x[PeerMessageRefused-5005]
 	_ = x[PeerMessageUnknown-5006]
 	_ = x[PeerNewsDropped-5007]
+	_ = x[ForwardRefused-5008]
+	_ = x[PeerReach-5009]
 }
 
 const (
@@ -55,7 +57,7 @@
 	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailedRulesRepaired"
 	_Event_name_2 = "StoreFailedStoreBackEntrySkippedServerChangedEntryRemovedStoreRestoredStoreEraIgnored"
 	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilentAttemptFailedServerOutServerStatementServerStatementBadServerPauseServiceLostServiceRegained"
-	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDropped"
+	_Event_name_4 = "LinkUpLinkDownLinkSilentLinkFailedPeerMessageRefusedPeerMessageUnknownPeerNewsDroppedForwardRefusedPeerReach"
 )
 
 var (
@@ -63,7 +65,7 @@
 	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66, 79}
 	_Event_index_2 = [...]uint8{0, 11, 20, 32, 45, 57, 70, 85}
 	_Event_index_3 = [...]uint8{0, 11, 22, 31, 38, 49, 65, 78, 87, 102, 120, 131, 142, 157}
-	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85}
+	_Event_index_4 = [...]uint8{0, 6, 14, 24, 34, 52, 70, 85, 99, 108}
 )
 
 func (i Event) String() string {
@@ -80,7 +82,7 @@
 	case 4001 <= i && i <= 4013:
 		i -= 4001
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 5001 <= i && i <= 5007:
+	case 5001 <= i && i <= 5009:
 		i -= 5001
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	default:
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -113,4 +113,9 @@
 	PeerMessageUnknown
 	// PeerNewsDropped is logged when updates are dropped because a link is too slow.
 	PeerNewsDropped
+	// ForwardRefused is logged when a call that another gateway has forwarded is refused
+	// before it is matched.
+	ForwardRefused
+	// PeerReach is logged when another gateway states which services it cannot reach.
+	PeerReach
 )
--- a/internal/base/settings/list.go
+++ b/internal/base/settings/list.go
@@ -30,17 +30,18 @@
 
 // Names of the sections of a settings file.
 const (
-	sectionGateway   = "Gateway"
-	sectionPlatform  = "Platform"
-	sectionMeasuring = "Measuring"
-	sectionPeers     = "Peers"
-	sectionStop      = "Stop"
-	sectionLimits    = "Limits"
-	sectionRetry     = "Retry"
-	sectionChoice    = "Choice"
-	sectionHeaders   = "Headers"
-	sectionLog       = "Log"
-	sectionService   = "Service NAME"
+	sectionGateway    = "Gateway"
+	sectionPlatform   = "Platform"
+	sectionMeasuring  = "Measuring"
+	sectionPeers      = "Peers"
+	sectionForwarding = "Forwarding"
+	sectionStop       = "Stop"
+	sectionLimits     = "Limits"
+	sectionRetry      = "Retry"
+	sectionChoice     = "Choice"
+	sectionHeaders    = "Headers"
+	sectionLog        = "Log"
+	sectionService    = "Service NAME"
 )
 
 // Upper limits shared by several settings.
@@ -148,6 +149,12 @@
 		duration(sectionPeers, "Silent", "2s", 20*time.Millisecond, 5*time.Minute,
 			"Time without received data after which a link is closed and dialed again; must be longer than Heartbeat.",
 			func(s *Settings) *time.Duration { return &s.Peers.Silent }),
+		integer(sectionForwarding, "Gateways", "2", 0, 16, "gateways",
+			"Maximum number of other gateways to which a call that this gateway cannot send to a server is forwarded, one after another; 0 forwards no call.",
+			func(s *Settings) *int { return &s.Forwarding.Gateways }),
+		integer(sectionForwarding, "Calls", "256", 0, 1<<20, "calls",
+			"Maximum number of calls in flight that this gateway takes from other gateways; 0 takes none.",
+			func(s *Settings) *int { return &s.Forwarding.Calls }),
 		duration(sectionStop, "Lag", "2s", 0, 10*time.Minute,
 			"Time that a stopping gateway still accepts calls while the platform's load balancer removes it from rotation.",
 			func(s *Settings) *time.Duration { return &s.Stop.Lag }),
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -35,6 +35,8 @@
 	Measuring Measuring
 	// Peers configures the links between gateways.
 	Peers Peers
+	// Forwarding configures the calls that gateways forward to each other.
+	Forwarding Forwarding
 	// Stop configures the graceful shutdown.
 	Stop Stop
 	// Limits are limits on the size, duration and queueing of calls.
@@ -100,6 +102,12 @@
 	Silent    time.Duration
 }
 
+// Forwarding configures the calls that gateways forward to each other.
+type Forwarding struct {
+	Calls    int
+	Gateways int
+}
+
 // Stop configures the graceful shutdown.
 type Stop struct {
 	Lag   time.Duration
@@ -289,6 +297,7 @@
 		{sectionPlatform, s.Platform, old.Platform},
 		{sectionMeasuring, s.Measuring, old.Measuring},
 		{sectionPeers, s.Peers, old.Peers},
+		{sectionForwarding, s.Forwarding, old.Forwarding},
 		{sectionStop, s.Stop, old.Stop},
 		{sectionLimits, s.Limits, old.Limits},
 		{sectionRetry, s.Retry, old.Retry},
--- a/internal/choice/quota/quota.go
+++ b/internal/choice/quota/quota.go
@@ -125,6 +125,23 @@
 	return perSecond / float64(holders)
 }
 
+// HolderNames returns the names of the other gateways that hold a share of a server's
+// limit.
+func (q *Quotas) HolderNames(server string) []string {
+	s := q.shares[server]
+	if s == nil {
+		return nil
+	}
+	holders := min(Holders(s.perSecond), len(q.gateways))
+	var names []string
+	for _, g := range q.gateways {
+		if g.Name != q.self && share.Rank(server, q.gateways, g.Name) < holders {
+			names = append(names, g.Name)
+		}
+	}
+	return names
+}
+
 // Take takes a token for a request to a server. It returns false if there is none. A
 // server without a limit needs no token.
 func (q *Quotas) Take(now time.Time, server string) bool {
--- /dev/null
+++ b/internal/choice/reach/helpers.go
@@ -0,0 +1,169 @@
+package reach
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle"
+)
+
+const (
+	// failedPause is how long a gateway gets no call after it could not be reached or broke
+	// off.
+	failedPause = 2 * time.Second
+	// lostPause is how long a gateway gets no call for a service after it said that it
+	// cannot reach it.
+	lostPause = time.Second
+	// maxRefusedPause bounds how long a gateway gets no call for a service after it refused
+	// one.
+	maxRefusedPause = 2 * time.Second
+	// crossZoneCalls is the number of calls in flight that a gateway in another
+	// availability zone counts for.
+	crossZoneCalls = 1
+	// sampledHelpers is the number of gateways of which the one with the fewest calls in
+	// flight is picked.
+	sampledHelpers = 2
+)
+
+// Need describes a call that is to be forwarded to another gateway.
+type Need struct {
+	// Service is the service of the call.
+	Service string
+	// Zone is the availability zone of this gateway.
+	Zone string
+	// Tried holds the names of the gateways that the call was forwarded to before.
+	Tried []string
+	// Among, if not nil, holds the names of the gateways that may be picked.
+	Among []string
+}
+
+// Reply is how a gateway dealt with a forwarded call.
+type Reply struct {
+	// Gateway is the name of the gateway and Service the service of the call.
+	Gateway, Service string
+	// Failed is true if the gateway could not be reached or broke off.
+	Failed bool
+	// Lost is true if the gateway cannot reach the service.
+	Lost bool
+	// RetryAfter is the time after which the gateway may take a call of the service again.
+	RetryAfter time.Duration
+}
+
+// Helpers picks the gateway to which a call is forwarded. It is a deterministic state
+// machine: time and the random source are arguments. The caller must serialize access to
+// it.
+type Helpers struct {
+	self     mustardsaddle.VM
+	gateways []mustardsaddle.VM
+	states   map[string]*helperState
+	table    *Table
+}
+
+// helperState is what this gateway knows about one helper.
+type helperState struct {
+	inFlight    int
+	pausedUntil time.Time
+	// services holds, by service, the end of the pause for that service alone.
+	services map[string]time.Time
+}
+
+// NewHelpers returns Helpers without gateways. The table has what they state.
+func NewHelpers(self mustardsaddle.VM, table *Table) *Helpers {
+	return &Helpers{self: self, states: make(map[string]*helperState), table: table}
+}
+
+// SetFleet replaces the gateways of the fleet. Those that are leaving get no call.
+func (h *Helpers) SetFleet(gateways []mustardsaddle.VM) {
+	h.gateways = h.gateways[:0]
+	states := make(map[string]*helperState, len(gateways))
+	for _, g := range gateways {
+		if g.Name == h.self.Name || g.Leaving || g.Peer == "" {
+			continue
+		}
+		s := h.states[g.Name]
+		if s == nil {
+			s = &helperState{services: make(map[string]time.Time)}
+		}
+		states[g.Name] = s
+		h.gateways = append(h.gateways, g)
+	}
+	h.states = states
+}
+
+// Pick returns the gateway that gets the call, and counts the call as in flight there. It
+// returns false if no gateway may get it.
+func (h *Helpers) Pick(now time.Time, rng *rand.Rand, need Need) (mustardsaddle.VM, bool) {
+	candidates := h.candidates(now, need)
+	if len(candidates) == 0 {
+		return mustardsaddle.VM{}, false
+	}
+	rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	best := candidates[0]
+	for _, g := range candidates[:min(sampledHelpers, len(candidates))] {
+		if h.cost(g, need.Zone) < h.cost(best, need.Zone) {
+			best = g
+		}
+	}
+	h.states[best.Name].inFlight++
+	return best, true
+}
+
+// Available reports whether any gateway may get the call.
+func (h *Helpers) Available(now time.Time, need Need) bool {
+	return len(h.candidates(now, need)) > 0
+}
+
+// candidates returns the gateways that may get the call.
+func (h *Helpers) candidates(now time.Time, need Need) []mustardsaddle.VM {
+	var candidates []mustardsaddle.VM
+	for _, g := range h.gateways {
+		s := h.states[g.Name]
+		if now.Before(s.pausedUntil) || now.Before(s.services[need.Service]) || slices.Contains(need.Tried, g.Name) {
+			continue
+		}
+		if need.Among != nil && !slices.Contains(need.Among, g.Name) {
+			continue
+		}
+		if lost, _ := h.table.Lost(now, g, need.Service); !lost {
+			candidates = append(candidates, g)
+		}
+	}
+	return candidates
+}
+
+// cost returns the number of calls in flight at a gateway, plus a surcharge if it is in
+// another availability zone.
+func (h *Helpers) cost(g mustardsaddle.VM, zone string) int {
+	calls := h.states[g.Name].inFlight
+	if g.Zone != zone {
+		calls += crossZoneCalls
+	}
+	return calls
+}
+
+// Finish records the end of a call that Pick has counted.
+func (h *Helpers) Finish(now time.Time, r Reply) {
+	s := h.states[r.Gateway]
+	if s == nil {
+		return
+	}
+	s.inFlight = max(s.inFlight-1, 0)
+	switch {
+	case r.Failed:
+		s.pausedUntil = now.Add(failedPause)
+	case r.Lost:
+		s.services[r.Service] = now.Add(lostPause)
+	case r.RetryAfter > 0:
+		s.services[r.Service] = now.Add(min(r.RetryAfter, maxRefusedPause))
+	}
+}
+
+// InFlight returns the number of forwarded calls in flight.
+func (h *Helpers) InFlight() int {
+	n := 0
+	for _, s := range h.states {
+		n += s.inFlight
+	}
+	return n
+}
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -135,6 +135,8 @@
 		return decode[AskListing](c, e)
 	case typeName(TypeStatements):
 		return decode[Statements](c, e)
+	case typeName(TypeReaches):
+		return decode[Reaches](c, e)
 	case "":
 		return nil, code.Errorf(code.PeerBadMessage, "decode message: the type is missing")
 	default:
@@ -185,6 +187,8 @@
 		return nil
 	case Statements:
 		return checkStatements(m)
+	case Reaches:
+		return checkReaches(m)
 	default:
 		return code.Errorf(code.PeerBadMessage, "message %s cannot be sent", typeName(msg.Type()))
 	}
@@ -263,6 +267,29 @@
 	return nil
 }
 
+func checkReaches(m Reaches) error {
+	if len(m.Gateways) > MaxMarks {
+		return code.Errorf(code.PeerBadMessage, "message Reaches: got %d statements, want at most %d", len(m.Gateways), MaxMarks)
+	}
+	for _, r := range m.Gateways {
+		if r.Name == "" {
+			return code.Errorf(code.PeerBadMessage, "message Reaches: a statement has no gateway name")
+		}
+		if r.Incarnation < 0 || r.Seq <= 0 {
+			return code.Errorf(code.PeerBadMessage, "message Reaches: got Incarnation=%d Seq=%d, want at least 0 and 1", r.Incarnation, r.Seq)
+		}
+		if len(r.Lost) > maxLostServices {
+			return code.Errorf(code.PeerBadMessage, "message Reaches: got %d services, want at most %d", len(r.Lost), maxLostServices)
+		}
+		for _, name := range append([]string{r.Name}, r.Lost...) {
+			if err := checkNameLength(m, name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func checkGenerations(m Generations) error {
 	if len(m.VMs) > MaxMarks {
 		return code.Errorf(code.PeerBadMessage, "message Generations: got %d VMs, want at most %d", len(m.VMs), MaxMarks)
--- a/internal/peer/news/codec_test.go
+++ b/internal/peer/news/codec_test.go
@@ -49,6 +49,10 @@
 			{Name: "booking-07", Incarnation: 1_800_000_000, Seq: 3, Statement: mustardsaddle.Statement{}.WithLimit(1.3)},
 		}},
 		news.Heartbeat{Summary: news.Summary{StatementsDigest: 0xfedcba9876543210}},
+		news.Reaches{Gateways: []mustardsaddle.GatewayReach{
+			{Name: "gateway-1", Incarnation: 7, Seq: 2, Lost: []string{"Booking", "Rosters"}}, {Name: "gateway-2", Seq: 1},
+		}},
+		news.Heartbeat{Summary: news.Summary{ReachDigest: 0xfedcba9876543210}},
 		news.AskMachines{}, news.Machines{Machines: []mustardsaddle.Machine{{
 			Name: "booking-07", Incarnation: 1_800_000_000, Zone: "perth-1", Service: "Booking",
 			Address: "10.0.0.7:8080", Slots: 2, Connections: 200,
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -63,6 +63,8 @@
 	// MaxMarks is the maximum number of marks, of generations or of statements in one
 	// message.
 	MaxMarks = 4096
+	// maxLostServices is the maximum number of services in one statement of a gateway.
+	maxLostServices = 4096
 	// MaxMachines is the maximum number of VMs in one message.
 	MaxMachines = 1024
 	// maxNameBytes bounds the length of a name, zone, service or address.
@@ -103,6 +105,8 @@
 	TypeAskListing
 	// TypeStatements is the type of Statements.
 	TypeStatements
+	// TypeReaches is the type of Reaches.
+	TypeReaches
 )
 
 // Message is one of the message types of this package. A Message is immutable.
@@ -125,6 +129,9 @@
 	// StatementsDigest is equal for gateways that know the same statements of servers; 0
 	// if none is in effect.
 	StatementsDigest uint64 `cbor:",omitempty"`
+	// ReachDigest is equal for gateways that know the same statements of gateways about the
+	// services that they cannot reach; 0 if there is none.
+	ReachDigest uint64 `cbor:",omitempty"`
 }
 
 // Known states how current a gateway's copy of a collection of a directory is.
@@ -241,6 +248,12 @@
 	Servers []mustardsaddle.ServerStatement
 }
 
+// Reaches announces which services gateways cannot reach.
+type Reaches struct {
+	// Gateways holds at most MaxMarks statements.
+	Gateways []mustardsaddle.GatewayReach
+}
+
 // Unknown stands for a message of a type that this version does not know.
 type Unknown struct {
 	// Name is the name of the type, cut to 255 bytes.
@@ -260,6 +273,7 @@
 	_ Message = Listing{}
 	_ Message = AskListing{}
 	_ Message = Statements{}
+	_ Message = Reaches{}
 	_ Message = Unknown{}
 )
 
@@ -308,6 +322,9 @@
 // Type returns TypeStatements.
 func (Statements) Type() Type { return TypeStatements }
 
+// Type returns TypeReaches.
+func (Reaches) Type() Type { return TypeReaches }
+
 // Type returns TypeUnknown.
 func (Unknown) Type() Type { return TypeUnknown }
 
@@ -329,6 +346,15 @@
 	return messages
 }
 
+// SplitReaches divides statements of gateways into messages of at most MaxMarks each.
+func SplitReaches(statements []mustardsaddle.GatewayReach) []Reaches {
+	var messages []Reaches
+	for part := range slices.Chunk(statements, MaxMarks) {
+		messages = append(messages, Reaches{Gateways: part})
+	}
+	return messages
+}
+
 // SplitMachines divides a list of VMs into messages of at most MaxMachines VMs
 // each.
 func SplitMachines(machines []mustardsaddle.Machine) []Machines {
--- a/internal/peer/news/relay.go
+++ b/internal/peer/news/relay.go
@@ -13,6 +13,8 @@
 	defaultMinAskInterval = time.Second
 	// defaultMinMarksInterval is the default of RelayConfig.MinMarksInterval.
 	defaultMinMarksInterval = 5 * time.Second
+	// defaultMinReachInterval is the default of RelayConfig.MinReachInterval.
+	defaultMinReachInterval = time.Second
 )
 
 // RelayConfig configures a Relay. Zero values take the defaults.
@@ -22,6 +24,9 @@
 	// MinMarksInterval is the minimum time between two transfers of all marks to one
 	// peer, and likewise of all statements of servers.
 	MinMarksInterval time.Duration
+	// MinReachInterval is the minimum time between two transfers of all statements of
+	// gateways to one peer.
+	MinReachInterval time.Duration
 }
 
 // Relay decides which messages a gateway forwards and, by comparing the gateway's
@@ -46,11 +51,12 @@
 }
 
 // peerState holds when a peer was last asked for rules and last sent all marks and all
-// statements of servers.
+// statements of servers and of gateways.
 type peerState struct {
 	rulesAskedAt     time.Time
 	marksSentAt      time.Time
 	statementsSentAt time.Time
+	reachesSentAt    time.Time
 }
 
 // SyncActions states what a gateway has to do after it compared its summary with a
@@ -63,12 +69,16 @@
 	// SendStatements is true if the statements of servers differ and all own ones are to
 	// be sent.
 	SendStatements bool
+	// SendReaches is true if the statements of gateways differ and all own ones are to be
+	// sent.
+	SendReaches bool
 }
 
 // NewRelay returns a Relay that has forwarded nothing.
 func NewRelay(cfg RelayConfig) *Relay {
 	cfg.MinAskInterval = cmp.Or(cfg.MinAskInterval, defaultMinAskInterval)
 	cfg.MinMarksInterval = cmp.Or(cfg.MinMarksInterval, defaultMinMarksInterval)
+	cfg.MinReachInterval = cmp.Or(cfg.MinReachInterval, defaultMinReachInterval)
 	return &Relay{
 		cfg:    cfg,
 		seen:   make(map[changeID]bool),
@@ -81,7 +91,7 @@
 // that sent it, or empty for a message that originates here. Generation is the
 // generation in force before the message is applied.
 //
-// Marks, statements of servers and VMs are forwarded on every link except the one they arrived on. The
+// Marks, statements of servers and of gateways, and VMs are forwarded on every link except the one they arrived on. The
 // caller must pass only entries that were new to it: nothing else ends the flood. A
 // rule change is forwarded once, whether or not it applies to the rules in force
 // here, unless these already have its resulting generation or a higher one. For all
@@ -97,6 +107,10 @@
 		if len(m.Servers) == 0 {
 			return nil
 		}
+	case Reaches:
+		if len(m.Gateways) == 0 {
+			return nil
+		}
 	case Machines:
 		if len(m.Machines) == 0 {
 			return nil
@@ -147,6 +161,10 @@
 		actions.SendStatements = true
 		state.statementsSentAt = now
 	}
+	if theirs.ReachDigest != own.ReachDigest && now.Sub(state.reachesSentAt) >= r.cfg.MinReachInterval {
+		actions.SendReaches = true
+		state.reachesSentAt = now
+	}
 	if actions != (SyncActions{}) {
 		r.peers[from] = state
 	}
--- a/internal/peer/news/type_string.go
+++ b/internal/peer/news/type_string.go
@@ -21,11 +21,12 @@
 	_ = x[TypeListing-10]
 	_ = x[TypeAskListing-11]
 	_ = x[TypeStatements-12]
+	_ = x[TypeReaches-13]
 }
 
-const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRulesTypeAskMachinesTypeMachinesTypeGenerationsTypeListingTypeAskListingTypeStatements"
+const _Type_name = "TypeUnknownTypeHelloTypeHeartbeatTypeMarksTypeRuleChangeTypeAskRulesTypeWholeRulesTypeAskMachinesTypeMachinesTypeGenerationsTypeListingTypeAskListingTypeStatementsTypeReaches"
 
-var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82, 97, 109, 124, 135, 149, 163}
+var _Type_index = [...]uint8{0, 11, 20, 33, 42, 56, 68, 82, 97, 109, 124, 135, 149, 163, 174}
 
 func (i Type) String() string {
 	idx := int(i) - 0
--- a/internal/product/admin/state.go
+++ b/internal/product/admin/state.go
@@ -27,6 +27,9 @@
 	ServersLimited, ServersStatedLeaving, ServersPaused int
 	// ServicesLost is the number of services whose servers this gateway cannot reach.
 	ServicesLost int
+	// GatewaysCutOff is the number of gateways, this one included, that cannot reach the
+	// servers of some service.
+	GatewaysCutOff int
 	// Links is the number of links to other gateways.
 	Links int
 	// PeerMessages and PeerBytes are the totals sent and received over links.
@@ -56,7 +59,7 @@
 	probesAgreed, probeBytesAgreed                                    tally.Gauge
 	serversLimited, serversStatedLeaving, serversPaused, servicesLost tally.Gauge
 	storeReads, storeWatches, storeWrites, storeFailures, storeUnsent tally.Counter
-	storeEra                                                          tally.Gauge
+	gatewaysCutOff, storeEra                                          tally.Gauge
 	storeErasIgnored                                                  tally.Counter
 }
 
@@ -72,6 +75,7 @@
 		serversStatedLeaving: scope.Gauge("ServersStatedLeaving"),
 		serversPaused:        scope.Gauge("ServersPaused"),
 		servicesLost:         scope.Gauge("ServicesLost"),
+		gatewaysCutOff:       scope.Gauge("GatewaysCutOff"),
 		links:                scope.Gauge("PeerLinks"),
 		peerMessages:         scope.Counter("PeerMessages"),
 		peerBytes:            scope.Counter("PeerBytes"),
@@ -107,6 +111,7 @@
 	m.serversStatedLeaving.Update(float64(next.ServersStatedLeaving))
 	m.serversPaused.Update(float64(next.ServersPaused))
 	m.servicesLost.Update(float64(next.ServicesLost))
+	m.gatewaysCutOff.Update(float64(next.GatewaysCutOff))
 	m.links.Update(float64(next.Links))
 	m.peerMessages.Inc(next.PeerMessages - old.PeerMessages)
 	m.peerBytes.Inc(next.PeerBytes - old.PeerBytes)
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -200,10 +200,14 @@
 			Budget:               in.probeBudget,
 			NewChooser:           in.newChooser,
 			OnReport:             in.handleReport,
+			OnReach:              in.handleReach,
 			OnStatement:          in.handleStatement,
 		},
 		Claims: in.claims(),
 
+		Forwarding: gateway.ForwardingConfig{
+			Self: in.self, MaxGateways: s.Forwarding.Gateways, MaxCarried: s.Forwarding.Calls,
+		},
 		DialServer: in.cfg.DialServer,
 		Metrics:    in.metrics.Scope(),
 		Logger:     in.cfg.Logger,
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/peer/link"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 )
@@ -29,6 +30,7 @@
 func (in *instance) summary() news.Summary {
 	s := news.Summary{
 		MarksDigest: in.membership.Roster().MarksDigest(), StatementsDigest: in.gateway.Controllers().StatementsDigest(),
+		ReachDigest: in.gateway.Forwarder().Digest(),
 	}
 	if in.catalog == nil {
 		s.Generation = in.generation.Load()
@@ -62,6 +64,8 @@
 		in.mergeGenerations(m)
 	case news.Statements:
 		in.floodStatements(from, in.gateway.Controllers().MergeStatements(now, m.Servers))
+	case news.Reaches:
+		in.floodReaches(from, in.mergeReaches(now, from, m))
 	case news.Listing, news.AskListing:
 		in.receiveDirectoryMessage(now, from, msg)
 	case news.RuleChange, news.AskRules, news.WholeRules:
@@ -105,6 +109,33 @@
 			in.links.Send(from, part)
 		}
 	}
+	if actions.SendReaches {
+		for _, part := range news.SplitReaches(in.gateway.Forwarder().Statements()) {
+			in.links.Send(from, part)
+		}
+	}
+}
+
+// handleReach floods which services this gateway cannot reach.
+func (in *instance) handleReach(now time.Time, lost []string) {
+	in.floodReaches("", []mustardsaddle.GatewayReach{in.gateway.Forwarder().SetLost(now, lost)})
+}
+
+// mergeReaches records statements of gateways from a peer. It returns those that were new.
+func (in *instance) mergeReaches(now time.Time, from string, m news.Reaches) []mustardsaddle.GatewayReach {
+	added := in.gateway.Forwarder().Merge(now, m.Gateways)
+	for _, r := range added {
+		event.Info(in.cfg.Logger, event.PeerReach).Str("Peer", r.Name).Int64("Incarnation", r.Incarnation).Int64("Seq", r.Seq).
+			Strs("Lost", r.Lost).Str("Source", from).Send()
+	}
+	return added
+}
+
+// floodReaches floods statements of gateways that were new to this one.
+func (in *instance) floodReaches(from string, statements []mustardsaddle.GatewayReach) {
+	for _, part := range news.SplitReaches(statements) {
+		in.flood(from, in.generation.Load(), part)
+	}
 }
 
 // handleStatement floods a statement of a server that this gateway has observed.
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -119,7 +119,7 @@
 	in.adminServer = &http.Server{Handler: in.adminHandler(), ReadHeaderTimeout: s.Limits.Progress}
 	peers := mux.NewRouter()
 	in.links.Mount(peers)
-	in.peerServer = &http.Server{Handler: peers, ReadHeaderTimeout: s.Limits.Progress}
+	in.peerServer = &http.Server{Handler: in.peerHandler(peers), ReadHeaderTimeout: s.Limits.Progress}
 	serveErrors := make(chan error, 4)
 	go func() { serveErrors <- in.callerServer.Serve(in.gateway.Listener(l.callers)) }()
 	go func() { serveErrors <- in.adminServer.Serve(l.admin) }()
@@ -131,6 +131,17 @@
 	return serveErrors
 }
 
+// peerHandler serves calls that other gateways forward, whatever their path, and the links.
+func (in *instance) peerHandler(links http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if gateway.IsForwarded(r) {
+			in.gateway.ServeForwarded(w, r)
+			return
+		}
+		links.ServeHTTP(w, r)
+	})
+}
+
 // startControl starts the components of the control plane. Each returned channel is
 // closed when its component has ended.
 func (in *instance) startControl(ctx context.Context) []<-chan struct{} {
@@ -194,6 +205,7 @@
 
 		ServersStatedLeaving: stated.Leaving,
 		ServersPaused:        stated.Paused,
+		GatewaysCutOff:       in.gateway.Forwarder().CutOff(),
 		ServicesLost:         len(in.gateway.Controllers().LostServices(time.Now())),
 		Links:                links.Links,
 		PeerMessages:         links.SentMessages + links.ReceivedMessages,
@@ -273,7 +285,9 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		_ = in.gateway.Shutdown(ctx, in.callerServer) // fails only if its context is canceled
+		// Both fail only if the context is canceled.
+		_ = in.gateway.Shutdown(ctx, in.callerServer)
+		_ = in.peerServer.Shutdown(ctx)
 	}()
 	select {
 	case <-stopped:
@@ -285,6 +299,7 @@
 	cancel()
 	<-stopped
 	_ = in.callerServer.Close()
+	_ = in.peerServer.Close()
 	return aborted
 }
 
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -63,6 +63,8 @@
 	idleAt     map[string]time.Time // when a connection to the server last became idle
 	// paths decides whether this gateway can reach the servers.
 	paths *reach.Detector
+	// onLost holds functions to call when the service is lost.
+	onLost map[*func()]struct{}
 }
 
 func newController(cs *Controllers, service string) *Controller {
@@ -84,6 +86,7 @@
 		idleAt:     make(map[string]time.Time),
 		queryLimit: survey.NewQueryLimiter(cfg.MaxLoadQueries),
 		paths:      reach.New(),
+		onLost:     make(map[*func()]struct{}),
 	}
 	if cfg.RetryWindow > 0 {
 		c.budgets.Window = booking.NewWindow(cfg.RetryWindow)
--- a/internal/request/admission/controllers.go
+++ b/internal/request/admission/controllers.go
@@ -68,6 +68,9 @@
 	retry      atomic.Pointer[booking.Bounds]
 	statements *statements
 
+	// reachMu orders the calls of OnReach.
+	reachMu sync.Mutex
+
 	mu          sync.RWMutex
 	controllers map[string]*Controller
 	// fleet lists the gateway VMs that are not leaving.
--- a/internal/request/admission/metrics.go
+++ b/internal/request/admission/metrics.go
@@ -21,6 +21,9 @@
 	Attempts tally.Counter
 	Retries  tally.Counter
 	Hedges   tally.Counter
+	// Forwarded counts calls that were forwarded to another gateway, and Carried those that
+	// another gateway has forwarded to this one, which are not counted in Outcomes.
+	Forwarded, Carried tally.Counter
 	// NoResponse counts attempts on reused connections that returned nothing, Resumed
 	// counts downloads resumed from another server, and Truncated counts truncated
 	// responses.
@@ -46,6 +49,8 @@
 		Attempts:      s.Counter("Attempts"),
 		Retries:       s.Counter("Retries"),
 		Hedges:        s.Counter("Hedges"),
+		Forwarded:     s.Counter("Forwarded"),
+		Carried:       s.Counter("Carried"),
 		NoResponse:    s.Counter("SilentConnections"),
 		Resumed:       s.Counter("ResumedDownloads"),
 		Truncated:     s.Counter("CutAnswers"),
--- a/internal/request/admission/options.go
+++ b/internal/request/admission/options.go
@@ -65,6 +65,9 @@
 	NewChooser func(service string) mustardsaddle.Chooser
 	// OnReport, if set, is called with each load report. It must not block.
 	OnReport func(now time.Time, service, server string, rep mustardsaddle.Report)
+	// OnReach, if set, is called with the services whose servers this gateway cannot reach
+	// whenever one is lost or regained. It must not block.
+	OnReach func(now time.Time, lost []string)
 	// OnStatement, if set, is called with each statement of a server that this gateway
 	// has observed itself and that is new. It must not block.
 	OnStatement func(s mustardsaddle.ServerStatement)
--- a/internal/request/admission/paths.go
+++ b/internal/request/admission/paths.go
@@ -62,23 +62,27 @@
 	c.paths.SetServers(names)
 }
 
-// recordReply records that a server returned something. The caller holds mu.
-func (c *Controller) recordReply(now time.Time, server string) {
+// recordReply records that a server returned something. It returns true if the service is
+// regained. The caller holds mu.
+func (c *Controller) recordReply(now time.Time, server string) bool {
 	_, lostFor := c.paths.Lost(now)
 	e := c.paths.Evidence(now)
 	if c.paths.Reply(now, server) != reach.Regained {
-		return
+		return false
 	}
 	logEvidence(event.Info(c.controllers.cfg.Logger, event.ServiceRegained), c.Service, e).Dur("For", lostFor).Send()
+	return true
 }
 
-// recordFailure records that a server returned nothing. The caller holds mu.
-func (c *Controller) recordFailure(now time.Time, f reach.Failure) {
+// recordFailure records that a server returned nothing. It returns true if the service is
+// lost with that. The caller holds mu.
+func (c *Controller) recordFailure(now time.Time, f reach.Failure) bool {
 	if c.paths.Fail(now, f) != reach.Lost {
-		return
+		return false
 	}
 	e := c.paths.Evidence(now)
 	logEvidence(event.Warn(c.controllers.cfg.Logger, event.ServiceLost), c.Service, e).Dur("LastReply", e.LastReply).Send()
+	return true
 }
 
 // logEvidence adds the evidence of the loss of a service to a log event.
@@ -90,15 +94,53 @@
 // RecordReply records that a server returned something.
 func (c *Controller) RecordReply(now time.Time, server string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.recordReply(now, server)
+	changed := c.recordReply(now, server)
+	c.mu.Unlock()
+	if changed {
+		c.controllers.reachChanged(now)
+	}
 }
 
 // RecordFailure records that a server returned nothing.
 func (c *Controller) RecordFailure(now time.Time, f reach.Failure) {
+	c.mu.Lock()
+	changed := c.recordFailure(now, f)
+	var callbacks []func()
+	if changed {
+		for f := range c.onLost {
+			callbacks = append(callbacks, *f)
+		}
+	}
+	c.mu.Unlock()
+	for _, f := range callbacks {
+		f()
+	}
+	if changed {
+		c.controllers.reachChanged(now)
+	}
+}
+
+// OnLost calls f if the service is lost before remove is called. It must not block.
+func (c *Controller) OnLost(f func()) (remove func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordFailure(now, f)
+	key := &f
+	c.onLost[key] = struct{}{}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.onLost, key)
+	}
+}
+
+// reachChanged passes on which services are lost.
+func (cs *Controllers) reachChanged(now time.Time) {
+	if cs.cfg.OnReach == nil {
+		return
+	}
+	cs.reachMu.Lock()
+	defer cs.reachMu.Unlock()
+	cs.cfg.OnReach(now, cs.LostServices(now))
 }
 
 // Lost reports whether this gateway cannot reach the servers of the service, and for how
--- a/internal/request/admission/query.go
+++ b/internal/request/admission/query.go
@@ -30,13 +30,32 @@
 // waits up to survey.QueryWait for the responses. It returns true if the budgets allowed
 // no query, so that the choice has to rely on older reports or none.
 func (c *Controller) QueryLoad(ctx context.Context, tried []string) (unqueried bool) {
+	servers, unqueried := c.selectQueries(tried)
+	if len(servers) > 0 {
+		c.queryServers(ctx, servers, survey.QueryWait)
+	}
+	return unqueried
+}
+
+// QueryLost sends load queries to servers of a lost service, whose responses show when it
+// can be reached again. It does not wait for them.
+func (c *Controller) QueryLost(ctx context.Context) {
+	if servers, _ := c.selectQueries(nil); len(servers) > 0 {
+		c.queryServers(ctx, servers, 0)
+	}
+}
+
+// selectQueries returns the servers to query, as far as the budgets allow. Unqueried is
+// true if they allowed no query.
+func (c *Controller) selectQueries(tried []string) (servers []mustardsaddle.Server, unqueried bool) {
 	querier, ok := c.chooser.(mustardsaddle.LoadQuerier)
 	if !ok || c.controllers.cfg.Budget == nil {
-		return false
+		return nil, false
 	}
 	now := time.Now()
 	c.mu.Lock()
-	servers := querier.SelectQueries(now, c.rng, c.requirements(now, tried), c.queryLimit.CallLimit(now))
+	defer c.mu.Unlock()
+	servers = querier.SelectQueries(now, c.rng, c.requirements(now, tried), c.queryLimit.CallLimit(now))
 	for i := range servers {
 		if !c.queryLimit.Allow(now) || !c.controllers.cfg.Budget.Allow(now, 1, probeRequestBytes+probeResponseBytes) {
 			querier.CancelQueries(servers[i:])
@@ -45,16 +64,12 @@
 			break
 		}
 	}
-	c.mu.Unlock()
-	if len(servers) > 0 {
-		c.queryServers(ctx, servers)
-	}
-	return unqueried
+	return servers, unqueried
 }
 
 // queryServers queries servers concurrently. It returns when all have responded or after
-// survey.QueryWait. Later responses are still processed.
-func (c *Controller) queryServers(ctx context.Context, servers []mustardsaddle.Server) {
+// maxWait. Later responses are still processed.
+func (c *Controller) queryServers(ctx context.Context, servers []mustardsaddle.Server, maxWait time.Duration) {
 	c.Metrics.LoadQueries.Inc(int64(len(servers)))
 	path := c.controllers.probePath(c.Service)
 	done := make(chan struct{}, len(servers))
@@ -68,7 +83,7 @@
 			done <- struct{}{}
 		}()
 	}
-	timeout := time.NewTimer(survey.QueryWait)
+	timeout := time.NewTimer(maxWait)
 	defer timeout.Stop()
 	for range servers {
 		select {
@@ -85,12 +100,12 @@
 	var dial dialTrace
 	h, status, reply, err := c.controllers.sendQuery(dial.trace(ctx), server, path)
 	now := time.Now()
-	c.mu.Lock()
 	if err == nil {
-		c.recordReply(now, server.Name)
+		c.RecordReply(now, server.Name)
 	} else {
-		c.recordFailure(now, dial.failure(server.Name, err, sentAt, queryTimeout))
+		c.RecordFailure(now, dial.failure(server.Name, err, sentAt, queryTimeout))
 	}
+	c.mu.Lock()
 	if querier, ok := c.chooser.(mustardsaddle.LoadQuerier); ok {
 		querier.RecordQuery(now, server.Name, reply)
 	}
--- a/internal/request/admission/queueing.go
+++ b/internal/request/admission/queueing.go
@@ -161,6 +161,14 @@
 	return true
 }
 
+// Withdraw calls withdraw with the budgets, which takes back an attempt that Begin has
+// started and that was not sent.
+func (c *Controller) Withdraw(withdraw func(b *booking.Budgets)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	withdraw(&c.budgets)
+}
+
 // overloaded returns the refusal of a call whose wait expired.
 func (c *Controller) overloaded() *refusal.Refusal {
 	return &refusal.Refusal{Code: code.CallOverloaded, Outcome: mustardsaddle.NotRun, RetryAfter: c.RetryAfter(time.Now())}
--- a/internal/request/admission/restriction.go
+++ b/internal/request/admission/restriction.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
@@ -71,6 +72,22 @@
 	return r
 }
 
+// Holders returns the names of the other gateways that may send requests to servers of the
+// service that limit theirs, each once.
+func (c *Controller) Holders() []string {
+	s := c.controllers.statements
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{}
+	for _, server := range s.byService[c.Service] {
+		if stated, _ := s.table.Server(server); !stated.Leaving {
+			names = append(names, s.quotas.HolderNames(server)...)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // exclude adds a server that may get a request after wait.
 func (r *restrictions) exclude(server string, wait time.Duration) {
 	r.excluded = append(r.excluded, server)
--- a/internal/request/booking/booking.go
+++ b/internal/request/booking/booking.go
@@ -51,13 +51,19 @@
 	Deadline time.Time
 	// MaxAttempts is the maximum number of attempts, hedges included; 0 means one.
 	MaxAttempts int
+	// Sent is the number of attempts that other gateways have sent to servers before.
+	Sent int
 }
 
 // Call tracks the attempts of one call. It is not safe for concurrent use.
 type Call struct {
-	cfg          Config
-	begun        int
-	inFlight     int
+	cfg      Config
+	begun    int
+	inFlight int
+	// counted is the number of attempts that count towards MaxAttempts.
+	counted int
+	// firstAt is when the first attempt was taken from the budgets.
+	firstAt      time.Time
 	notRun       int
 	ran          bool
 	bodyConsumed bool
@@ -75,11 +81,53 @@
 	if !c.permitted(now) || !b.take(now, kind) {
 		return kind, false
 	}
+	if kind == First {
+		c.firstAt = now
+	}
 	c.begun++
+	c.counted++
 	c.inFlight++
 	return kind, true
 }
 
+// Withdraw takes back an attempt that was begun and not sent, because another gateway is
+// to send it. The budgets forget the call if it was the first attempt: the gateway that
+// sends a request counts it.
+func (c *Call) Withdraw(b *Budgets) {
+	c.begun--
+	c.counted--
+	c.inFlight--
+	if c.cfg.Sent+c.counted == 0 {
+		b.forgetCall(c.firstAt)
+	}
+}
+
+// BeginForward starts an attempt that another gateway makes, if the policy permits it. It
+// returns the maximum number of attempts that the other gateway may send. If more than one
+// is left, one is kept back in case that gateway is lost.
+func (c *Call) BeginForward(now time.Time) (attempts int, ok bool) {
+	if !c.permitted(now) || c.inFlight > 0 {
+		return 0, false
+	}
+	c.begun++
+	c.inFlight++
+	left := max(c.cfg.MaxAttempts, 1) - c.cfg.Sent - c.counted
+	return max(left-1, 1), true
+}
+
+// EndForward records the outcome of an attempt of another gateway, which sent so many
+// attempts to servers.
+func (c *Call) EndForward(outcome mustardsaddle.Outcome, sent int) {
+	c.counted += sent
+	c.End(outcome)
+}
+
+// Sent returns the number of attempts that count as sent to servers, also by other
+// gateways.
+func (c *Call) Sent() int {
+	return c.cfg.Sent + c.counted
+}
+
 // End records the outcome of an attempt in flight.
 func (c *Call) End(outcome mustardsaddle.Outcome) {
 	c.inFlight--
@@ -118,7 +166,7 @@
 
 func (c *Call) kind() Kind {
 	switch {
-	case c.begun == 0:
+	case c.cfg.Sent+c.counted == 0:
 		return First
 	case c.inFlight > 0:
 		return Hedge
@@ -128,7 +176,7 @@
 }
 
 func (c *Call) permitted(now time.Time) bool {
-	if c.ran || !now.Before(c.cfg.Deadline) || c.begun >= max(c.cfg.MaxAttempts, 1) {
+	if c.ran || !now.Before(c.cfg.Deadline) || c.cfg.Sent+c.counted >= max(c.cfg.MaxAttempts, 1) {
 		return false
 	}
 	if c.bodyConsumed && c.begun > 0 {
--- a/internal/request/booking/budget.go
+++ b/internal/request/booking/budget.go
@@ -26,6 +26,11 @@
 	b.earned = min(b.earned+b.Share, b.spent+b.Burst)
 }
 
+// unearn takes back the share of one call.
+func (b *Budget) unearn() {
+	b.earned = max(b.earned-b.Share, b.spent)
+}
+
 // Take takes a token for one extra attempt. It returns false if there is none.
 func (b *Budget) Take() bool {
 	if b.earned-b.spent < 1 {
@@ -66,6 +71,15 @@
 	return true
 }
 
+// forgetCall undoes what a first attempt that was begun at the given time added.
+func (b *Budgets) forgetCall(at time.Time) {
+	b.Retry.unearn()
+	b.Hedge.unearn()
+	if b.Window != nil {
+		b.Window.forgetCall(at)
+	}
+}
+
 // TakeRetry takes a retry from the budgets and reports whether they allow it.
 func (b *Budgets) TakeRetry(now time.Time) bool {
 	if b.Window != nil {
--- a/internal/request/booking/window.go
+++ b/internal/request/booking/window.go
@@ -55,6 +55,15 @@
 	w.intervalAt(now).calls++
 }
 
+// forgetCall takes back a call that was recorded at the given time.
+func (w *Window) forgetCall(at time.Time) {
+	number := int64(max(at.Sub(w.start), 0) / max(w.span/windowIntervals, 1))
+	interval := &w.intervals[number%keptIntervals]
+	if interval.number == number && interval.calls > 0 {
+		interval.calls--
+	}
+}
+
 // Take records an extra attempt if the bounds allow it, and returns false otherwise.
 func (w *Window) Take(now time.Time, b Bounds) bool {
 	current := w.intervalAt(now)
--- a/internal/request/gateway/answer.go
+++ b/internal/request/gateway/answer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/request/forward"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
@@ -19,6 +20,9 @@
 	if refused.Service != "" {
 		line = line.Str("Service", refused.Service).Dur("Waited", refused.Waited)
 	}
+	if refused.From != "" {
+		line = line.Str("From", refused.From)
+	}
 	if refused.RetryAfter > 0 {
 		line = line.Dur("RetryAfter", refused.RetryAfter)
 	}
@@ -29,6 +33,9 @@
 	if attempt != "" {
 		h.Set(header.Attempt, attempt)
 	}
+	if refused.From != "" {
+		h.Set(forward.SentHeader, strconv.Itoa(refused.Sent))
+	}
 	if status == http.StatusTooManyRequests || status >= http.StatusInternalServerError {
 		h.Set("Retry-After", g.cfg.retryAfter(refused.RetryAfter))
 	}
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -15,7 +15,9 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/choice/reach"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
+	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
+	"mustardsaddle.example/mustardsaddle/internal/request/forward"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
@@ -24,11 +26,16 @@
 	errStalled    = errors.New("read response body: no progress")
 	errSuperseded = errors.New("wait for response header: another attempt answered first")
 	errFinished   = errors.New("attempt has finished")
+	errLost       = errors.New("wait for response header: the service can no longer be reached")
 )
 
-// attempt sends a call's request to one server, and holds the result.
+// attempt sends a call's request to one server, or to another gateway, and holds the
+// result.
 type attempt struct {
-	c          *call
+	c *call
+	// through is the gateway that the call is forwarded to; nil if the attempt sends the
+	// request to a server. Such an attempt has no server, and assignment states the reason.
+	through    *mustardsaddle.VM
 	id         string
 	assignment admission.Assignment
 	ctx        context.Context
@@ -49,6 +56,20 @@
 	shed     bool
 	mismatch bool
 	latency  time.Duration
+
+	// sentBefore is the number of attempts that were sent to servers before the call was
+	// forwarded, granted the number of those that the other gateway may send, and answer
+	// what its response states.
+	sentBefore, granted int
+	answer              forward.Answer
+}
+
+// target returns the name of the log field for the receiver of the request, and its name.
+func (a *attempt) target() (field, name string) {
+	if a.through != nil {
+		return "Through", a.through.Name
+	}
+	return "Server", a.assignment.Choice.Server.Name
 }
 
 // newAttempt prepares an attempt and logs the routing decision.
@@ -64,17 +85,33 @@
 // new one.
 func (a *attempt) send(setHeaders func(http.Header)) {
 	a.sentAt = time.Now()
+	if a.mayMove() {
+		remove := a.c.match.controller.OnLost(func() { a.cancel(errLost) })
+		defer remove()
+	}
 	a.roundTrip(setHeaders)
 	if a.stale && a.err != nil && a.conn.BlockWrites() == a.writesBefore {
 		a.conn, a.reused, a.stale, a.policy = nil, false, false, newConnection
 		a.roundTrip(setHeaders)
 	}
 	a.latency = time.Since(a.sentAt)
+	if a.through != nil {
+		a.classifyForward()
+		return
+	}
 	a.c.match.controller.Metrics.Attempts.Inc(1)
 	a.classify()
 	a.recordPath()
 }
 
+// mayMove reports whether the request may be sent again through another gateway when this
+// one can no longer reach the service.
+func (a *attempt) mayMove() bool {
+	c := a.c
+	return a.through == nil && c.match.carried == nil && c.match.repeat == mustardsaddle.RepeatYes && !c.body.streamed() &&
+		c.g.cfg.Forwarding.MaxGateways > 0
+}
+
 // recordPath records whether the server could be reached. An attempt that was canceled
 // before it had a connection shows nothing.
 func (a *attempt) recordPath() {
@@ -96,14 +133,26 @@
 	if setHeaders != nil {
 		setHeaders(out.Header)
 	}
-	transport := a.c.g.pooled
-	if a.policy == newConnection {
-		transport = a.c.g.unpooled
-	}
+	transport := a.transport()
 	a.body = out.Body
 	a.resp, a.err = transport.RoundTrip(out) //nolint:bodyclose // finish closes it
 }
 
+// transport returns the transport for the receiver and the connection policy.
+func (a *attempt) transport() *http.Transport {
+	fresh := a.policy == newConnection
+	switch {
+	case a.through != nil && fresh:
+		return a.c.g.toGateways.unpooled
+	case a.through != nil:
+		return a.c.g.toGateways.pooled
+	case fresh:
+		return a.c.g.unpooled
+	default:
+		return a.c.g.pooled
+	}
+}
+
 // request builds the outgoing request.
 func (a *attempt) request() *http.Request {
 	c := a.c
@@ -124,7 +173,10 @@
 		left := max(time.Until(c.deadline).Milliseconds(), 1)
 		fields.Set(names.Deadline, strconv.FormatInt(left, 10))
 	}
-	if names.Instance != "" {
+	if a.through != nil {
+		out.URL.Host = a.through.Peer
+		fields.Set(forward.Header, a.forwardedCall().String())
+	} else if names.Instance != "" {
 		fields.Set(names.Instance, a.assignment.Choice.Server.Name)
 	}
 	out.Header = fields.Header
@@ -159,7 +211,7 @@
 // informational returns the function that relays 1xx responses; only the first
 // attempt of a call has one.
 func (a *attempt) informational() func(int, textproto.MIMEHeader) error {
-	if a.assignment.Kind != 0 {
+	if a.assignment.Kind != booking.First {
 		return nil
 	}
 	return a.c.relayInformational
@@ -203,9 +255,20 @@
 	if echoed := h.Get(names.RequestID); echoed != "" && echoed != a.c.g.requestID(a.c.r) {
 		return false
 	}
-	if a.isLoadResponse() {
-		return false
-	}
+	return !a.isLoadResponse() && a.hasSignature()
+}
+
+// matchesCaller reports whether a server's response that another gateway delivers belongs
+// to the caller's request.
+func (a *attempt) matchesCaller() bool {
+	echoed := a.resp.Header.Get(a.c.g.cfg.Headers.RequestID)
+	return (echoed == "" || echoed == a.c.g.requestID(a.c.r)) && a.hasSignature()
+}
+
+// hasSignature reports whether the response has the signature header, if one is configured
+// and the response is successful.
+func (a *attempt) hasSignature() bool {
+	names, h := a.c.g.cfg.Headers, a.resp.Header
 	success := a.resp.StatusCode >= http.StatusOK && a.resp.StatusCode < http.StatusMultipleChoices
 	return !success || names.Signature == "" || h.Get(names.Signature) != ""
 }
@@ -239,7 +302,7 @@
 
 // observeResponse passes on the load report and the statement in the response header.
 func (a *attempt) observeResponse() {
-	if a.resp == nil || a.mismatch || a.misdirected() {
+	if a.through != nil || a.resp == nil || a.mismatch || a.misdirected() {
 		return
 	}
 	a.c.match.controller.ObserveResponse(time.Now(), admission.Response{
@@ -264,6 +327,10 @@
 	}
 	canceled := a.ctx.Err() != nil
 	a.cancel(errFinished)
+	if a.through != nil {
+		a.finishForward()
+		return
+	}
 	controller := a.c.match.controller
 	if a.silent() {
 		controller.Metrics.NoResponse.Inc(1)
@@ -315,6 +382,8 @@
 		return code.CallCanceled
 	case tooLarge:
 		return code.CallTooLarge
+	case a.through != nil && !a.mismatch:
+		return a.forwardCode()
 	case a.mismatch:
 		return code.CallMismatch
 	case a.shed:
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -45,7 +45,12 @@
 	c := &call{g: g, w: w, r: r, match: m, start: now, deadline: now.Add(m.deadline)}
 	c.body.c = c
 	c.request = admission.Request{Begin: c.beginAttempt, Entry: c.queueEntry}
-	c.state = booking.New(booking.Config{Repeat: m.repeat, Deadline: c.deadline, MaxAttempts: m.attempts})
+	cfg := booking.Config{Repeat: m.repeat, Deadline: c.deadline, MaxAttempts: m.attempts}
+	if m.carried != nil {
+		cfg.Sent = m.carried.Sent
+		m.controller.Metrics.Carried.Inc(1)
+	}
+	c.state = booking.New(cfg)
 	c.timer = time.AfterFunc(m.deadline, c.expire)
 	return c
 }
@@ -86,7 +91,9 @@
 	} else {
 		c.primary, c.hedge = a, nil
 	}
-	c.tried = append(c.tried, a.assignment.Choice.Server.Name)
+	if a.through == nil {
+		c.tried = append(c.tried, a.assignment.Choice.Server.Name)
+	}
 	c.lastAttemptID = a.id
 	if c.expired {
 		a.cancel(errDeadline)
@@ -122,7 +129,15 @@
 func (c *call) runAttempts() (*attempt, *refusal.Refusal) {
 	var last *refusal.Refusal
 	for {
+		if a, refused := c.forwardIfLost(); a != nil || refused != nil {
+			return a, refused
+		}
 		assigned, refused := c.admit()
+		if refused != nil && refused.Code == code.CallLimited {
+			if a, refused := c.forwardToHolder(); a != nil || refused != nil {
+				return a, refused
+			}
+		}
 		if refused != nil && last != nil {
 			return nil, c.finalRefusal(last)
 		}
@@ -144,7 +159,11 @@
 	unqueried := c.match.controller.QueryLoad(c.r.Context(), c.triedServers())
 	assigned, refused := c.match.controller.Admit(c.r.Context(), time.Now(), c.request, unqueried)
 	if refused != nil {
-		if refused.Code != code.OK {
+		switch refused.Code {
+		case code.OK:
+		case code.CallLimited:
+			c.withdrawAttempt()
+		default:
 			c.endAttempt(mustardsaddle.NotRun)
 		}
 		return assigned, refused
@@ -274,13 +293,20 @@
 func (c *call) send(a *attempt) {
 	a.send(nil)
 	if c.setWinner(a) {
-		c.match.controller.RecordLatency(a.latency)
+		if a.through == nil {
+			c.match.controller.RecordLatency(a.latency)
+		}
 		a.observeResponse()
 		return
 	}
 	a.observeResponse()
 	outcome := a.outcome
 	c.logAttempt(a)
+	if a.through != nil {
+		c.endForward(a)
+		a.finish()
+		return
+	}
 	if outcome == mustardsaddle.Ran {
 		a.outcome = mustardsaddle.Unknown
 		a.cancel(errSuperseded)
@@ -311,14 +337,25 @@
 // refuse ends the call with a refusal.
 func (c *call) refuse(refused *refusal.Refusal) {
 	c.startResponse()
-	c.match.controller.Metrics.Outcomes[refused.Outcome].Inc(1)
+	c.countOutcome(refused.Outcome)
 	c.mu.Lock()
-	id := c.lastAttemptID
+	id, sent := c.lastAttemptID, len(c.tried)
 	c.mu.Unlock()
+	if carried := c.match.carried; carried != nil {
+		refused = refused.WithForward(carried.Gateway, sent)
+	}
 	refused.Service, refused.Waited = c.match.controller.Service, time.Since(c.start)
 	c.g.refuse(c.w, c.r, id, refused)
 }
 
+// countOutcome counts the outcome of the call, which the gateway of its caller does for a
+// call that it has forwarded.
+func (c *call) countOutcome(o mustardsaddle.Outcome) {
+	if c.match.carried == nil {
+		c.match.controller.Metrics.Outcomes[o].Inc(1)
+	}
+}
+
 // startResponse stops the deadline timer and the relay of 1xx responses. From here
 // on, only the final response uses the response writer.
 func (c *call) startResponse() {
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -35,6 +35,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -54,6 +55,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
+	"mustardsaddle.example/mustardsaddle/internal/request/forward"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
@@ -108,6 +110,8 @@
 	// Claims stores the claims of requests whose rule has Repeat=Claim; if nil, such
 	// requests are refused.
 	Claims mustardsaddle.ClaimStore
+	// Forwarding configures the calls that are forwarded to other gateways.
+	Forwarding ForwardingConfig
 	// DialServer opens connections to servers; nil means a net.Dialer.
 	DialServer func(ctx context.Context, network, address string) (net.Conn, error)
 	// Metrics receives counters and histograms; nil disables them.
@@ -156,17 +160,23 @@
 
 // Gateway is the HTTP handler for callers' requests. It is safe for concurrent use.
 type Gateway struct {
-	cfg           Config
-	rules         atomic.Pointer[rule.Table]
-	pooled        *http.Transport
-	unpooled      *http.Transport
-	attemptPrefix string
-	header        header.Gateway
-	attemptSeq    atomic.Uint64
-	inFlight      atomic.Int64
-	stopping      atomic.Bool
-	controllers   *admission.Controllers
-	buffers       sync.Pool
+	cfg      Config
+	rules    atomic.Pointer[rule.Table]
+	pooled   *http.Transport
+	unpooled *http.Transport
+	// toGateways holds the transports for connections to other gateways.
+	toGateways peerTransports
+	forwarder  *forward.Forwarder
+	carried    atomic.Int64
+	// refusedForwards counts the calls of other gateways that were refused at once.
+	refusedForwards tally.Counter
+	attemptPrefix   string
+	header          header.Gateway
+	attemptSeq      atomic.Uint64
+	inFlight        atomic.Int64
+	stopping        atomic.Bool
+	controllers     *admission.Controllers
+	buffers         sync.Pool
 	// idle tracks the idle connections of callers; nil before NewServer.
 	idle *connection.IdleCloser
 
@@ -181,13 +191,18 @@
 func New(cfg Config) *Gateway {
 	cfg = cfg.withDefaults()
 	g := &Gateway{
-		cfg:           cfg,
-		pooled:        cfg.transport(true),
-		unpooled:      cfg.transport(false),
-		attemptPrefix: cfg.Name + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
-		header:        header.NewGateway(cfg.Name),
-		rng:           rand.New(rand.NewPCG(cfg.Seed, 4)),
+		cfg:             cfg,
+		pooled:          cfg.transport(true),
+		unpooled:        cfg.transport(false),
+		attemptPrefix:   cfg.Name + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
+		header:          header.NewGateway(cfg.Name),
+		rng:             rand.New(rand.NewPCG(cfg.Seed, 4)),
+		toGateways:      newPeerTransports(cfg),
+		refusedForwards: cfg.Metrics.Counter("ForwardsRefused"),
 	}
+	self := cfg.Forwarding.Self
+	self.Name = cmp.Or(self.Name, cfg.Name)
+	g.forwarder = forward.NewForwarder(self, rand.New(rand.NewPCG(cfg.Seed, 5)))
 	g.controllers = admission.NewControllers(admission.Config{
 		Options: cfg.Admission, Name: cfg.Name, MinRetryAfter: cfg.minRetryAfter(), Transport: g.pooled,
 		Headers: cfg.Headers, Rules: g.Rules, Metrics: cfg.Metrics, Logger: cfg.Logger, Seed: cfg.Seed,
@@ -219,6 +234,7 @@
 
 // SetFleet replaces the list of gateway VMs, including this one.
 func (g *Gateway) SetFleet(now time.Time, gateways []mustardsaddle.VM) {
+	g.forwarder.SetFleet(gateways)
 	g.controllers.SetFleet(now, gateways)
 }
 
@@ -249,31 +265,40 @@
 func (g *Gateway) Close() {
 	g.pooled.CloseIdleConnections()
 	g.unpooled.CloseIdleConnections()
+	g.toGateways.pooled.CloseIdleConnections()
 }
 
-// ServeHTTP serves one request.
+// ServeHTTP serves a request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.serveFrom(w, r, nil)
+}
+
+// serveFrom serves a request of a caller or, if carried is not nil, of another gateway.
+func (g *Gateway) serveFrom(w http.ResponseWriter, r *http.Request, carried *forward.Call) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.ContentLength == 0 {
-		g.serve(w, r)
+		g.serve(w, r, carried)
 		return
 	}
 	// Without full duplex, net/http discards up to 256 KiB of the request body when
 	// the response starts. HTTP/2 is always full duplex and returns an error here.
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	g.serve(w, r)
+	g.serve(w, r, carried)
 	drain(w, r)
 }
 
 // serve sends the final response to one request.
-func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, carried *forward.Call) {
 	now := time.Now()
-	m, refused := g.match(r)
+	m, refused := g.match(r, carried)
 	if refused != nil {
+		if carried != nil {
+			refused = refused.WithForward(carried.Gateway, 0)
+		}
 		g.refuse(w, r, "", refused)
 		return
 	}
--- a/internal/request/gateway/log.go
+++ b/internal/request/gateway/log.go
@@ -28,6 +28,10 @@
 
 // logRoute logs a routing decision with its inputs.
 func (c *call) logRoute(a *attempt) {
+	if a.through != nil {
+		c.logForward(a)
+		return
+	}
 	choice := a.assignment.Choice
 	line := c.g.withRequestID(event.Info(c.g.cfg.Logger, event.RouteChosen), c.r).Str("Attempt", a.id).
 		Int64("Generation", c.match.generation).Str("Service", c.match.controller.Service).Str("Server", choice.Server.Name).
@@ -40,13 +44,24 @@
 	if stated, age := c.match.controller.Statement(time.Now(), choice.Server); stated.Limited {
 		line = line.Float64("Limit", stated.PerSecond).Dur("LimitAge", age)
 	}
+	if carried := c.match.carried; carried != nil {
+		line = line.Str("From", carried.Gateway).Str("FromAttempt", carried.Attempt)
+	}
 	line.Send()
 }
 
+// logForward logs the decision to forward the call to another gateway.
+func (c *call) logForward(a *attempt) {
+	c.g.withRequestID(event.Info(c.g.cfg.Logger, event.RouteChosen), c.r).Str("Attempt", a.id).
+		Int64("Generation", c.match.generation).Str("Service", c.match.controller.Service).Str(a.target()).
+		Str("Reason", a.assignment.Choice.Reason).Str("Kind", "Forward").Int("Sent", a.sentBefore).Int("Attempts", a.granted).
+		Dur("Left", time.Until(c.deadline)).Send()
+}
+
 // logAttempt logs an attempt that was not used for the response.
 func (c *call) logAttempt(a *attempt) {
 	line := c.g.withRequestID(event.Info(c.g.cfg.Logger, event.AttemptFailed), c.r).Str("Attempt", a.id).
-		Str("Server", a.assignment.Choice.Server.Name).Int("Code", int(a.code())).Str("Outcome", a.outcome.String()).
+		Str(a.target()).Int("Code", int(a.code())).Str("Outcome", a.outcome.String()).
 		Dur("Took", a.latency)
 	if a.resp != nil {
 		line = line.Int("Status", a.resp.StatusCode)
@@ -56,9 +71,9 @@
 
 // logResult logs the result of a call that was answered, and updates its metrics.
 func (c *call) logResult(a *attempt, bytes int64) {
-	c.match.controller.Metrics.Outcomes[mustardsaddle.Ran].Inc(1)
+	c.countOutcome(mustardsaddle.Ran)
 	c.match.controller.RecordResponseSize(bytes)
 	c.g.withRequestID(event.Info(c.g.cfg.Logger, event.CallEnded), c.r).Str("Attempt", a.id).Str("Service", c.match.controller.Service).
-		Str("Server", a.assignment.Choice.Server.Name).Int("Status", a.resp.StatusCode).
+		Str(a.target()).Int("Status", a.resp.StatusCode).
 		Str("Outcome", mustardsaddle.Ran.String()).Int64("Bytes", bytes).Dur("Took", time.Since(c.start)).Send()
 }
--- a/internal/request/gateway/match.go
+++ b/internal/request/gateway/match.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
+	"mustardsaddle.example/mustardsaddle/internal/request/forward"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
 )
@@ -28,13 +30,15 @@
 	// attempts is the maximum number of attempts.
 	attempts   int
 	controller *admission.Controller
+	// carried describes the call if another gateway has forwarded it; nil otherwise.
+	carried *forward.Call
 }
 
 // match finds the rule of a request. It refuses a request that has no rule or
-// cannot be forwarded unchanged.
-func (g *Gateway) match(r *http.Request) (matchResult, *refusal.Refusal) {
+// cannot be forwarded unchanged, and one of another gateway that has newer rules.
+func (g *Gateway) match(r *http.Request, carried *forward.Call) (matchResult, *refusal.Refusal) {
 	table := g.rules.Load()
-	if table == nil {
+	if table == nil || carried != nil && table.File.Generation < carried.Generation {
 		return matchResult{}, refusal.NotRun(code.CallNotReady)
 	}
 	if isUpgrade(r) {
@@ -48,7 +52,8 @@
 		return matchResult{}, refusal.NotRun(code.CallNoRule)
 	}
 	m := matchResult{
-		rule: found, generation: table.File.Generation, repeat: found.RepeatPolicy(r.Method), controller: g.controllers.Get(g.pickService(table.TrafficSplit(found))),
+		rule: found, generation: table.File.Generation, repeat: found.RepeatPolicy(r.Method),
+		controller: g.controllers.Get(g.pickService(table.TrafficSplit(found), carried)), carried: carried,
 		deadline: cmp.Or(found.Deadline, g.cfg.Deadline), attempts: cmp.Or(found.Attempts, g.cfg.MaxAttempts),
 	}
 	if m.controller == nil {
@@ -57,11 +62,19 @@
 	if timeout, ok := g.callerTimeout(r); ok {
 		m.deadline = min(m.deadline, timeout)
 	}
+	if carried != nil {
+		m.deadline = min(m.deadline, carried.Left)
+		m.attempts = min(m.attempts, carried.Sent+carried.Attempts)
+	}
 	return m, nil
 }
 
-// pickService selects the service of one call by weight.
-func (g *Gateway) pickService(s rule.TrafficSplit) string {
+// pickService selects the service of one call by weight. The service that another gateway
+// has selected stays, if the rule names it.
+func (g *Gateway) pickService(s rule.TrafficSplit, carried *forward.Call) string {
+	if carried != nil && slices.ContainsFunc(s.Services(), func(w rule.WeightedService) bool { return w.Service == carried.Service }) {
+		return carried.Service
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return s.Pick(g.rng)
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -142,10 +142,10 @@
 // return.
 func (c *call) abortResponse(a *attempt, n int64, err error) {
 	c.match.controller.Metrics.Truncated.Inc(1)
-	c.match.controller.Metrics.Outcomes[mustardsaddle.Ran].Inc(1)
+	c.countOutcome(mustardsaddle.Ran)
 	c.resetConnection(a)
 	c.g.withRequestID(event.Warn(c.g.cfg.Logger, event.CallCut), c.r).Str("Attempt", a.id).Str("Service", c.match.controller.Service).
-		Str("Server", a.assignment.Choice.Server.Name).Int("Code", int(code.CallBroken)).Int64("Bytes", n).Err(err).Send()
+		Str(a.target()).Int("Code", int(code.CallBroken)).Int64("Bytes", n).Err(err).Send()
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -47,7 +47,7 @@
 // resumable reports whether another server may send the rest of the body.
 func (c *call) resumable(a *attempt) bool {
 	etag := a.resp.Header.Get("Etag")
-	return c.r.Method == http.MethodGet && c.match.repeat == mustardsaddle.RepeatYes &&
+	return a.through == nil && c.r.Method == http.MethodGet && c.match.repeat == mustardsaddle.RepeatYes &&
 		a.resp.StatusCode == http.StatusOK && a.resp.ContentLength > 0 &&
 		c.r.Header.Get("Range") == "" && strings.HasPrefix(etag, `"`)
 }
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -30,6 +30,17 @@
 	Service string
 	// Waited is the time from the start of the call to the refusal.
 	Waited time.Duration
+	// From is the gateway that forwarded the call; empty for a caller's own.
+	From string
+	// Sent is the number of attempts that were sent to servers, which a gateway that has
+	// forwarded the call is told.
+	Sent int
+}
+
+// WithForward returns a copy of the refusal for the gateway that forwarded the call.
+func (r Refusal) WithForward(from string, sent int) *Refusal {
+	r.From, r.Sent = from, sent
+	return &r
 }
 
 // NotRun returns the refusal of a request of which no byte was sent to a server.
