Forward requests that find no connection to any server

Cause: the same class as the loss of all servers. A service counts as reachable as long as load queries on open connections are answered, and a request that needs a new connection tried a few servers and was refused, though other gateways can connect. Evidence: the 503s are of one kind of request, which sends a streamed body.

Change: a second detector reads only whether connections can be opened. A call whose attempts found no connection goes through another gateway; such attempts do not count as sent. A call that waited while no server replied is forwarded, too, instead of refused.

--- a/internal/choice/reach/detector.go
+++ b/internal/choice/reach/detector.go
@@ -230,6 +230,11 @@
 	return true, now.Sub(d.since)
 }
 
+// RepliedAt returns when any server replied last; the zero time if none has.
+func (d *Detector) RepliedAt() time.Time {
+	return d.repliedAt
+}
+
 // Evidence returns the evidence of the loss, or what there is of it so far.
 func (d *Detector) Evidence(now time.Time) Evidence {
 	e := Evidence{
--- a/internal/product/instance/cut_test.go
+++ b/internal/product/instance/cut_test.go
@@ -1,6 +1,9 @@
 package instance_test
 
 import (
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -74,3 +77,50 @@
 		})
 	}
 }
+
+// TestUploadsOfGatewaysThatCannotOpenConnectionsAreServed guards against requests that need
+// a new connection being refused by a gateway whose open connections to the servers still
+// work, while other gateways can open connections.
+func TestUploadsOfGatewaysThatCannotOpenConnectionsAreServed(t *testing.T) {
+	const (
+		gateways     = 5
+		servers      = 8
+		callInterval = 40 * time.Millisecond
+		uploads      = 50
+	)
+	var all, calls arrivals
+	s, first := newObservedCluster(t, gateways, servers, &all, &calls)
+	executions := func() int64 { return s.executions() + first.Count().Total }
+	cut := s.gateways[0]
+	reads := startCallers(t, s.gateways[:1], callInterval)
+	time.Sleep(time.Second)
+	cut.dialer.SetCut(relay.Refuse)
+	time.Sleep(cutNotice)
+	before, served := executions(), 0
+	for range uploads {
+		if upload(t, "http://"+cut.addresses.Callers+"/bookings") == http.StatusOK {
+			served++
+		}
+	}
+	reads.stop()
+	cut.dialer.SetCut(relay.NoCut)
+	if served < uploads*9/10 {
+		t.Errorf("got %d uploads of %d that were answered with 200, want at least %d", served, uploads, uploads*9/10)
+	}
+	if executed := executions() - before; executed < int64(served) {
+		t.Errorf("servers executed %d requests, want at least the %d uploads that were answered", executed, served)
+	}
+}
+
+// upload sends a POST request with a body of unknown length and returns the status of the
+// response, or 0.
+func upload(t *testing.T, url string) int {
+	t.Helper()
+	resp, err := newClient().Post(url, "text/plain", io.MultiReader(strings.NewReader("Lathe=2")))
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -61,8 +61,13 @@
 	// queryLimit limits the load queries that this gateway sends to the service.
 	queryLimit *survey.QueryLimiter
 	idleAt     map[string]time.Time // when a connection to the server last became idle
-	// paths decides whether this gateway can reach the servers.
-	paths *reach.Detector
+	// paths decides whether this gateway can reach the servers, and dials whether it can
+	// open connections to them.
+	paths, dials *reach.Detector
+	// queriedAt is when the last load query was sent, and reports is true once a server of
+	// the service has reported its load.
+	queriedAt time.Time
+	reports   bool
 	// onLost holds functions to call when the service is lost.
 	onLost map[*func()]struct{}
 }
@@ -86,6 +91,7 @@
 		idleAt:     make(map[string]time.Time),
 		queryLimit: survey.NewQueryLimiter(cfg.MaxLoadQueries),
 		paths:      reach.New(),
+		dials:      reach.New(),
 		onLost:     make(map[*func()]struct{}),
 	}
 	if cfg.RetryWindow > 0 {
@@ -195,6 +201,7 @@
 // capacity.
 func (c *Controller) observe(now time.Time, server string, rep mustardsaddle.Report) {
 	c.mu.Lock()
+	c.reports = true
 	c.chooser.Observe(now, server, rep)
 	c.dispatchQueued(now)
 	c.mu.Unlock()
--- a/internal/request/admission/paths.go
+++ b/internal/request/admission/paths.go
@@ -26,6 +26,14 @@
 	})
 }
 
+// record records whether a new connection could be opened for a request.
+func (d *dialTrace) record(c *Controller, now time.Time, f reach.Failure) {
+	if d.reused {
+		return
+	}
+	c.RecordDial(now, d.got, f)
+}
+
 // failure describes a request that returned nothing.
 func (d *dialTrace) failure(server string, err error, sentAt time.Time, timeout time.Duration) reach.Failure {
 	return reach.Failure{
@@ -60,6 +68,7 @@
 		}
 	}
 	c.paths.SetServers(names)
+	c.dials.SetServers(names)
 }
 
 // recordReply records that a server returned something. It returns true if the service is
@@ -120,6 +129,32 @@
 	}
 }
 
+// RecordDial records whether a connection to a server could be opened.
+func (c *Controller) RecordDial(now time.Time, opened bool, f reach.Failure) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if opened {
+		c.dials.Reply(now, f.Server)
+		return
+	}
+	c.dials.Fail(now, f)
+}
+
+// DialsLost reports whether this gateway cannot open connections to the servers of the
+// service. Connections that are open may still work.
+func (c *Controller) DialsLost(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lost, _ := c.dials.Lost(now)
+	return lost
+}
+
+// suspect reports whether no server has replied since a call began, although some that
+// report their load at once were queried. The caller holds mu.
+func (c *Controller) suspect(since time.Time) bool {
+	return c.reports && c.queriedAt.After(since) && c.paths.RepliedAt().Before(since)
+}
+
 // OnLost calls f if the service is lost before remove is called. It must not block.
 func (c *Controller) OnLost(f func()) (remove func()) {
 	c.mu.Lock()
--- a/internal/request/admission/query.go
+++ b/internal/request/admission/query.go
@@ -64,6 +64,9 @@
 			break
 		}
 	}
+	if len(servers) > 0 {
+		c.queriedAt = now
+	}
 	return servers, unqueried
 }
 
@@ -100,10 +103,12 @@
 	var dial dialTrace
 	h, status, reply, err := c.controllers.sendQuery(dial.trace(ctx), server, path)
 	now := time.Now()
+	failure := dial.failure(server.Name, err, sentAt, queryTimeout)
+	dial.record(c, now, failure)
 	if err == nil {
 		c.RecordReply(now, server.Name)
 	} else {
-		c.RecordFailure(now, dial.failure(server.Name, err, sentAt, queryTimeout))
+		c.RecordFailure(now, failure)
 	}
 	c.mu.Lock()
 	if querier, ok := c.chooser.(mustardsaddle.LoadQuerier); ok {
--- a/internal/request/admission/queueing.go
+++ b/internal/request/admission/queueing.go
@@ -112,7 +112,7 @@
 		select {
 		case choice, ok := <-assigned:
 			if !ok {
-				return Assignment{}, c.overloaded()
+				return Assignment{}, c.overloaded(since)
 			}
 			return Assignment{Choice: choice, Queued: time.Since(since)}, nil
 		case <-poll.C:
@@ -122,13 +122,13 @@
 		case <-ctx.Done():
 		}
 		if c.removeQueued(id) {
-			return Assignment{}, c.overloaded()
+			return Assignment{}, c.overloaded(since)
 		}
 		// The call was removed from the queue concurrently, so the channel holds a
 		// server or is closed.
 		choice, ok := <-assigned
 		if !ok {
-			return Assignment{}, c.overloaded()
+			return Assignment{}, c.overloaded(since)
 		}
 		return Assignment{Choice: choice, Queued: time.Since(since)}, nil
 	}
@@ -169,9 +169,17 @@
 	withdraw(&c.budgets)
 }
 
-// overloaded returns the refusal of a call whose wait expired.
-func (c *Controller) overloaded() *refusal.Refusal {
-	return &refusal.Refusal{Code: code.CallOverloaded, Outcome: mustardsaddle.NotRun, RetryAfter: c.RetryAfter(time.Now())}
+// overloaded returns the refusal of a call whose wait since the given time expired. Its
+// code is code.CallUnreachable if no server has replied meanwhile.
+func (c *Controller) overloaded(since time.Time) *refusal.Refusal {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refused := &refusal.Refusal{Code: code.CallOverloaded, Outcome: mustardsaddle.NotRun, RetryAfter: c.retryAfter(now)}
+	if c.suspect(since) {
+		refused.Code = code.CallUnreachable
+	}
+	return refused
 }
 
 // dispatchQueued expires queued calls whose wait is over, then assigns servers to the
--- a/internal/request/booking/booking.go
+++ b/internal/request/booking/booking.go
@@ -62,6 +62,8 @@
 	inFlight int
 	// counted is the number of attempts that count towards MaxAttempts.
 	counted int
+	// unsent is the number of those that found no connection to a server.
+	unsent int
 	// firstAt is when the first attempt was taken from the budgets.
 	firstAt      time.Time
 	notRun       int
@@ -106,15 +108,21 @@
 // returns the maximum number of attempts that the other gateway may send. If more than one
 // is left, one is kept back in case that gateway is lost.
 func (c *Call) BeginForward(now time.Time) (attempts int, ok bool) {
-	if !c.permitted(now) || c.inFlight > 0 {
+	left := max(c.cfg.MaxAttempts, 1) - c.Sent()
+	if left <= 0 || c.inFlight > 0 || !c.mayRepeat(now) {
 		return 0, false
 	}
 	c.begun++
 	c.inFlight++
-	left := max(c.cfg.MaxAttempts, 1) - c.cfg.Sent - c.counted
 	return max(left-1, 1), true
 }
 
+// EndUnsent records the end of an attempt that found no connection to its server.
+func (c *Call) EndUnsent() {
+	c.unsent++
+	c.End(mustardsaddle.NotRun)
+}
+
 // EndForward records the outcome of an attempt of another gateway, which sent so many
 // attempts to servers.
 func (c *Call) EndForward(outcome mustardsaddle.Outcome, sent int) {
@@ -122,10 +130,10 @@
 	c.End(outcome)
 }
 
-// Sent returns the number of attempts that count as sent to servers, also by other
+// Sent returns the number of attempts that may have reached servers, also by other
 // gateways.
 func (c *Call) Sent() int {
-	return c.cfg.Sent + c.counted
+	return c.cfg.Sent + c.counted - c.unsent
 }
 
 // End records the outcome of an attempt in flight.
@@ -176,7 +184,12 @@
 }
 
 func (c *Call) permitted(now time.Time) bool {
-	if c.ran || !now.Before(c.cfg.Deadline) || c.cfg.Sent+c.counted >= max(c.cfg.MaxAttempts, 1) {
+	return c.cfg.Sent+c.counted < max(c.cfg.MaxAttempts, 1) && c.mayRepeat(now)
+}
+
+// mayRepeat reports whether the request may be sent now, apart from the number of attempts.
+func (c *Call) mayRepeat(now time.Time) bool {
+	if c.ran || !now.Before(c.cfg.Deadline) {
 		return false
 	}
 	if c.bodyConsumed && c.begun > 0 {
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -115,15 +115,24 @@
 // recordPath records whether the server could be reached. An attempt that was canceled
 // before it had a connection shows nothing.
 func (a *attempt) recordPath() {
-	server, controller := a.assignment.Choice.Server.Name, a.c.match.controller
-	switch {
-	case a.resp != nil:
-		controller.RecordReply(time.Now(), server)
-	case a.conn == nil && a.ctx.Err() == nil:
-		controller.RecordFailure(time.Now(), reach.Failure{
-			Server: server, Cause: admission.FailureCause(a.err), NewConnection: true, SentAt: a.sentAt,
-		})
+	server, controller, now := a.assignment.Choice.Server.Name, a.c.match.controller, time.Now()
+	f := reach.Failure{Server: server, NewConnection: true, SentAt: a.sentAt}
+	if a.conn != nil && !a.reused {
+		controller.RecordDial(now, true, f)
+	}
+	if a.resp != nil {
+		controller.RecordReply(now, server)
 	}
+	if a.unsent() && a.ctx.Err() == nil {
+		f.Cause = admission.FailureCause(a.err)
+		controller.RecordDial(now, false, f)
+		controller.RecordFailure(now, f)
+	}
+}
+
+// unsent reports whether the attempt found no connection to its server.
+func (a *attempt) unsent() bool {
+	return a.through == nil && a.err != nil && a.conn == nil
 }
 
 // roundTrip passes the request to the transport that the connection policy
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -133,8 +133,8 @@
 			return a, refused
 		}
 		assigned, refused := c.admit()
-		if refused != nil && refused.Code == code.CallLimited {
-			if a, refused := c.forwardToHolder(); a != nil || refused != nil {
+		if refused != nil {
+			if a, refused := c.forwardRefused(refused); a != nil || refused != nil {
 				return a, refused
 			}
 		}
@@ -151,6 +151,9 @@
 			return a, nil
 		}
 		last = &refusal.Refusal{Code: a.code()}
+		if a, refused := c.forwardUnsent(a); a != nil || refused != nil {
+			return a, refused
+		}
 	}
 }
 
@@ -161,7 +164,7 @@
 	if refused != nil {
 		switch refused.Code {
 		case code.OK:
-		case code.CallLimited:
+		case code.CallLimited, code.CallUnreachable:
 			c.withdrawAttempt()
 		default:
 			c.endAttempt(mustardsaddle.NotRun)
@@ -207,6 +210,13 @@
 	c.state.End(outcome)
 }
 
+// endUnsentAttempt records the end of an attempt that found no connection.
+func (c *call) endUnsentAttempt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.EndUnsent()
+}
+
 // finalRefusal returns the refusal that ends the call, with the outcome of all
 // attempts.
 func (c *call) finalRefusal(refused *refusal.Refusal) *refusal.Refusal {
@@ -311,7 +321,11 @@
 		a.outcome = mustardsaddle.Unknown
 		a.cancel(errSuperseded)
 	}
-	c.endAttempt(outcome)
+	if a.unsent() {
+		c.endUnsentAttempt()
+	} else {
+		c.endAttempt(outcome)
+	}
 	if errors.Is(context.Cause(a.ctx), errSuperseded) {
 		c.match.controller.RecordLatency(a.latency) // a lower bound if canceled before the response
 	}
--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -29,8 +29,9 @@
 
 // Reasons to forward a call, as logged.
 const (
-	reasonLost    = "Lost"
-	reasonLimited = "Limited"
+	reasonLost        = "Lost"
+	reasonLimited     = "Limited"
+	reasonUnconnected = "Unconnected"
 )
 
 // ForwardingConfig configures the calls that gateways forward to each other.
@@ -76,14 +77,40 @@
 	return c.forward(reasonLost, nil)
 }
 
-// forwardToHolder forwards a call that no server may get from this gateway, by the
-// servers' limits, to a gateway that holds a share of one. It returns nil twice if the call
-// stays here.
-func (c *call) forwardToHolder() (*attempt, *refusal.Refusal) {
+// forwardRefused forwards a call that this gateway could send to no server. If the limits
+// of the servers are the reason, it goes to a gateway that holds a share of one. It returns
+// nil twice if the call stays here.
+func (c *call) forwardRefused(refused *refusal.Refusal) (*attempt, *refusal.Refusal) {
 	if c.match.carried != nil {
 		return nil, nil
 	}
-	return c.forward(reasonLimited, c.match.controller.Holders())
+	switch refused.Code {
+	case code.CallLimited:
+		return c.forward(reasonLimited, c.match.controller.Holders())
+	case code.CallUnreachable:
+		return c.forward(reasonLost, nil)
+	}
+	if refused.Code == code.OK && c.allUnsent() {
+		return c.forward(reasonUnconnected, nil)
+	}
+	return nil, nil
+}
+
+// forwardUnsent forwards a call after an attempt that found no connection to its server, if
+// this gateway can open none to other servers either. It returns nil twice if the call stays
+// here.
+func (c *call) forwardUnsent(a *attempt) (*attempt, *refusal.Refusal) {
+	if c.match.carried != nil || !a.unsent() || !c.match.controller.DialsLost(time.Now()) {
+		return nil, nil
+	}
+	return c.forward(reasonUnconnected, nil)
+}
+
+// allUnsent reports whether there were attempts and none found a connection.
+func (c *call) allUnsent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.tried) > 0 && c.state.Sent() == 0
 }
 
 // forward forwards the call to other gateways, one after another, until one of them
