State to the other gateways that no connection to a service can be opened

The logs show uploads forwarded to gateways that could not open connections themselves, which had not said so; a streamed body that was sent there cannot be sent again. In addition a refusal counted attempts as sent that had found no connection.

Change: a gateway states such services as lost; a request that needs a new connection is forwarded at once, except for a probe every 250 ms; refusals count only attempts that found a connection.

--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -30,6 +30,9 @@
 	// retrySpread is the largest part by which the Retry-After of a call that no server
 	// may get is longer than the wait, so that callers do not return all at once.
 	retrySpread = 0.25
+	// dialProbeInterval is the time between two requests that are let through to find out
+	// whether connections can be opened again.
+	dialProbeInterval = 250 * time.Millisecond
 	// initialHedgeDelay is the hedge delay used until enough latencies are recorded.
 	initialHedgeDelay = 100 * time.Millisecond
 )
@@ -64,6 +67,9 @@
 	// paths decides whether this gateway can reach the servers, and dials whether it can
 	// open connections to them.
 	paths, dials *reach.Detector
+	// dialProbedAt is when a request was last let through to find out whether connections
+	// can be opened again.
+	dialProbedAt time.Time
 	// queriedAt is when the last load query was sent, and reports is true once a server of
 	// the service has reported its load.
 	queriedAt time.Time
--- a/internal/request/admission/paths.go
+++ b/internal/request/admission/paths.go
@@ -131,13 +131,33 @@
 
 // RecordDial records whether a connection to a server could be opened.
 func (c *Controller) RecordDial(now time.Time, opened bool, f reach.Failure) {
+	if c.recordDial(now, opened, f) != reach.Unchanged {
+		c.controllers.reachChanged(now)
+	}
+}
+
+func (c *Controller) recordDial(now time.Time, opened bool, f reach.Failure) reach.Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if opened {
-		c.dials.Reply(now, f.Server)
-		return
+		return c.dials.Reply(now, f.Server)
+	}
+	return c.dials.Fail(now, f)
+}
+
+// AvoidDial reports whether a request that needs a new connection to a server should not be
+// sent from this gateway. At intervals one is sent nevertheless.
+func (c *Controller) AvoidDial(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if lost, _ := c.dials.Lost(now); !lost {
+		return false
+	}
+	if now.Sub(c.dialProbedAt) < dialProbeInterval {
+		return true
 	}
-	c.dials.Fail(now, f)
+	c.dialProbedAt = now
+	return false
 }
 
 // DialsLost reports whether this gateway cannot open connections to the servers of the
@@ -186,11 +206,12 @@
 	return c.paths.Lost(now)
 }
 
-// LostServices returns the names of the services whose servers this gateway cannot reach.
+// LostServices returns the names of the services whose servers this gateway cannot reach,
+// or cannot open connections to.
 func (cs *Controllers) LostServices(now time.Time) []string {
 	var lost []string
 	for _, c := range cs.all() {
-		if is, _ := c.Lost(now); is {
+		if is, _ := c.Lost(now); is || c.DialsLost(now) {
 			lost = append(lost, c.Service)
 		}
 	}
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -236,21 +236,30 @@
 // body state "Content-Length: 0" and need a new connection, because DisableResend
 // hides that length.
 func (c *call) connectionPolicy(assigned admission.Assignment) connectionPolicy {
-	switch c.r.Method {
-	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		if c.body.empty {
-			return newConnection
-		}
+	if c.needsNewConnection() {
+		return newConnection
 	}
 	if c.match.repeat == mustardsaddle.RepeatYes {
 		return anyConnection
 	}
-	if c.body.streamed() || !c.match.controller.RecentlyIdle(time.Now(), assigned.Choice.Server.Name) {
+	if !c.match.controller.RecentlyIdle(time.Now(), assigned.Choice.Server.Name) {
 		return newConnection
 	}
 	return aliveConnection
 }
 
+// needsNewConnection reports whether the request can be sent on a new connection only,
+// whatever the server.
+func (c *call) needsNewConnection() bool {
+	switch c.r.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		if c.body.empty {
+			return true
+		}
+	}
+	return c.match.repeat != mustardsaddle.RepeatYes && c.body.streamed()
+}
+
 // sendHedged sends an attempt, and a hedge beside it if the response is late. It
 // returns the attempt that was answered. If neither was, it returns the first one,
 // or the hedge if the first one ended as NotRun.
@@ -353,10 +362,10 @@
 	c.startResponse()
 	c.countOutcome(refused.Outcome)
 	c.mu.Lock()
-	id, sent := c.lastAttemptID, len(c.tried)
+	id, sent := c.lastAttemptID, c.state.Sent()
 	c.mu.Unlock()
 	if carried := c.match.carried; carried != nil {
-		refused = refused.WithForward(carried.Gateway, sent)
+		refused = refused.WithForward(carried.Gateway, sent-carried.Sent)
 	}
 	refused.Service, refused.Waited = c.match.controller.Service, time.Since(c.start)
 	c.g.refuse(c.w, c.r, id, refused)
--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -63,10 +63,15 @@
 	return g.forwarder
 }
 
-// forwardIfLost forwards the call if this gateway cannot reach the service and another one
-// may. It returns nil twice if the call stays here.
+// forwardIfLost forwards the call if this gateway cannot reach the service, or cannot open
+// the connection that the request needs, and another one may. It returns nil twice if the
+// call stays here.
 func (c *call) forwardIfLost() (*attempt, *refusal.Refusal) {
-	lost, _ := c.match.controller.Lost(time.Now())
+	now := time.Now()
+	lost, _ := c.match.controller.Lost(now)
+	if !lost && c.match.carried == nil && c.needsNewConnection() && c.match.controller.AvoidDial(now) {
+		return c.forward(reasonUnconnected, nil)
+	}
 	if !lost {
 		return nil, nil
 	}
@@ -84,16 +89,16 @@
 	if c.match.carried != nil {
 		return nil, nil
 	}
-	switch refused.Code {
-	case code.CallLimited:
+	switch {
+	case refused.Code == code.CallLimited:
 		return c.forward(reasonLimited, c.match.controller.Holders())
-	case code.CallUnreachable:
+	case refused.Code == code.CallUnreachable:
 		return c.forward(reasonLost, nil)
-	}
-	if refused.Code == code.OK && c.allUnsent() {
+	case refused.Code == code.OK && c.allUnsent():
 		return c.forward(reasonUnconnected, nil)
+	default:
+		return nil, nil
 	}
-	return nil, nil
 }
 
 // forwardUnsent forwards a call after an attempt that found no connection to its server, if
