Bound the time of a short response whose body never ends

A caller whose server sends the body of a short response byte by byte waited without end: the gateway reads a body of up to 32 KiB completely before it sends the header, and only a pause of [Limits] Progress between two bytes ended that. The deadline of the call no longer ran.

Change: such a body must be complete 250 ms after the deadline, or the attempt is canceled and the caller gets 504. Longer bodies, which are streamed, keep their progress timeout.

--- a/internal/request/gateway/endless_test.go
+++ b/internal/request/gateway/endless_test.go
@@ -118,6 +118,7 @@
 		{"slow informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", 20 * time.Millisecond, http.StatusBadGateway},
 		{"refusal with a body", "HTTP/1.1 503 No\r\nEndpoint-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + kilobyte + "\r\n", 0, http.StatusTooManyRequests},
 		{"refusal until the close", "HTTP/1.1 503 No\r\nEndpoint-Not-Run: 1\r\n\r\n", kilobyte, 0, http.StatusTooManyRequests},
+		{"short body, slowly", "HTTP/1.1 200 OK\r\nContent-Length: 30000\r\n\r\n", "x", 20 * time.Millisecond, http.StatusGatewayTimeout},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -60,8 +62,15 @@
 
 // relayBuffered reads a small response completely before it is sent.
 func (c *call) relayBuffered(h http.Header, a *attempt, src *bodySource, buf []byte) {
-	if _, err := io.ReadFull(src, buf); err != nil {
-		c.refuse(&refusal.Refusal{Code: code.CallBroken, Outcome: mustardsaddle.Unknown, RetryAfter: c.match.controller.RetryAfter(time.Now())})
+	timer := time.AfterFunc(c.bufferedLimit(time.Now()), src.expire)
+	_, err := io.ReadFull(src, buf)
+	timer.Stop()
+	if err != nil {
+		refused := &refusal.Refusal{Code: code.CallBroken, Outcome: mustardsaddle.Unknown, RetryAfter: c.match.controller.RetryAfter(time.Now())}
+		if errors.Is(context.Cause(src.attempt.ctx), errDeadline) {
+			refused.Code = code.CallDeadline
+		}
+		c.refuse(refused)
 		return
 	}
 	c.relayHeader(h, a)
@@ -71,6 +80,19 @@
 	c.logResult(src.attempt, int64(len(buf)))
 }
 
+// bufferedGrace is the time after the deadline in which a small response whose header came
+// in time may be completed.
+const bufferedGrace = 250 * time.Millisecond
+
+// bufferedLimit returns how long the body of a small response may take, of which the caller
+// has received nothing yet.
+func (c *call) bufferedLimit(now time.Time) time.Duration {
+	if c.body.streamed() {
+		return c.match.deadline + bufferedGrace
+	}
+	return max(c.deadline.Sub(now), 0) + bufferedGrace
+}
+
 // relayHeader copies the response header.
 func (c *call) relayHeader(h http.Header, a *attempt) {
 	header.CopyEndToEnd(h, a.resp.Header)
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -52,6 +52,13 @@
 		c.r.Header.Get("Range") == "" && strings.HasPrefix(etag, `"`)
 }
 
+// expire cancels the current attempt when the body of a small response takes too long.
+func (s *bodySource) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempt.cancel(errDeadline)
+}
+
 // onStall cancels the current attempt when the body makes no progress.
 func (s *bodySource) onStall() {
 	s.mu.Lock()
