--- a/internal/product/instance/cut_test.go
+++ b/internal/product/instance/cut_test.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle/internal/standin/relay"
+	"mustardsaddle.example/mustardsaddle/internal/standin/server"
 )
 
 const (
@@ -124,3 +126,55 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode
 }
+
+// TestStoppingGatewayFinishesCallsOfOthers guards against a planned stop cutting off calls
+// that the stopping gateway carries for others.
+func TestStoppingGatewayFinishesCallsOfOthers(t *testing.T) {
+	const work = 3 * time.Second
+	s := newCluster(t, 0)
+	e := server.New(server.Config{Name: "booking-01", Slots: 64, Queue: 2, Work: work})
+	s.servers = append(s.servers, e)
+	s.startServer("booking-01", e.Handler())
+	gateways := s.startReady("gateway-1", "gateway-2")
+	cut, carrier := gateways[0], gateways[1]
+	cut.dialer.SetCut(relay.ResetAndRefuse)
+	post := func() int {
+		resp, err := newClient().Post("http://"+cut.addresses.Callers+"/bookings", "text/plain", strings.NewReader("Lathe=2"))
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	eventually(t, waitTimeout, "calls go through the other gateway", func() bool { return post() == http.StatusOK })
+	before := e.Count().Total
+	statuses := make(chan int, 2) // one for each slot of the server
+	for range cap(statuses) {
+		go func() { statuses <- post() }()
+	}
+	eventually(t, waitTimeout, "calls are in progress", func() bool { return carrier.inFlight(t) >= cap(statuses) })
+	carrier.stop()
+	for range cap(statuses) {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("got status %d of a call in progress, want 200", status)
+		}
+	}
+	if err := carrier.wait(); err != nil {
+		t.Error(err)
+	}
+	if n := e.Count().Total - before; n != int64(cap(statuses)) {
+		t.Errorf("got %d executions, want %d", n, cap(statuses))
+	}
+}
+
+// inFlight returns the number of calls in progress that a gateway shows.
+func (g *runningGateway) inFlight(t *testing.T) int {
+	_, page := get(t, "http://"+g.addresses.Admin+"/metrics")
+	for line := range strings.Lines(page) {
+		if value, ok := strings.CutPrefix(line, "Mustardsaddle_InFlight "); ok {
+			n, _ := strconv.Atoi(strings.TrimSpace(value))
+			return n
+		}
+	}
+	return 0
+}
