Send calls that a server's limit holds back through a holder at once

Cause: the holder of a limit was the only gateway that could use it, and a call waited at its own gateway for a token up to its deadline before anything else was tried.

--- a/internal/choice/quota/quota.go
+++ b/internal/choice/quota/quota.go
@@ -61,6 +61,8 @@
 	perSecond float64
 	// limiter is nil if this gateway is not a holder.
 	limiter *rate.Limiter
+	// others holds the names of the other holders; nil until they are needed.
+	others []string
 }
 
 // New returns Quotas without limits.
@@ -100,6 +102,7 @@
 
 // update adapts a share to the limit and the gateways. Tokens that were saved are kept.
 func (q *Quotas) update(now time.Time, server string, s *heldShare) {
+	s.others = nil
 	perSecond := q.rate(server, s.perSecond)
 	switch {
 	case perSecond == 0:
@@ -126,20 +129,17 @@
 }
 
 // HolderNames returns the names of the other gateways that hold a share of a server's
-// limit.
+// limit. Callers must not modify the slice.
 func (q *Quotas) HolderNames(server string) []string {
 	s := q.shares[server]
 	if s == nil {
 		return nil
 	}
-	holders := min(Holders(s.perSecond), len(q.gateways))
-	var names []string
-	for _, g := range q.gateways {
-		if g.Name != q.self && share.Rank(server, q.gateways, g.Name) < holders {
-			names = append(names, g.Name)
-		}
+	if s.others == nil {
+		first := share.First(server, q.gateways, Holders(s.perSecond))
+		s.others = slices.DeleteFunc(first, func(name string) bool { return name == q.self })
 	}
-	return names
+	return s.others
 }
 
 // Take takes a token for a request to a server. It returns false if there is none. A
--- a/internal/choice/share/share.go
+++ b/internal/choice/share/share.go
@@ -9,6 +9,9 @@
 package share
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"mustardsaddle.example/mustardsaddle"
@@ -108,6 +111,22 @@
 	return rank(xxhash.Sum64String(server), xxhash.Sum64String(self), hashes(gateways))
 }
 
+// First returns the names of the n gateways with the lowest ranks for a server.
+func First(server string, gateways []mustardsaddle.VM, n int) []string {
+	serverHash := xxhash.Sum64String(server)
+	order := make([]int, len(gateways))
+	scores := make([]uint64, len(gateways))
+	for i, h := range hashes(gateways) {
+		order[i], scores[i] = i, rendezvous(serverHash, h)
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	names := make([]string, min(n, len(order)))
+	for i := range names {
+		names[i] = gateways[order[i]].Name
+	}
+	return names
+}
+
 // rank is Rank for the hashes of the names.
 func rank(server, self uint64, gateways []uint64) int {
 	selfScore, higher := rendezvous(server, self), 0
--- a/internal/product/instance/limit_test.go
+++ b/internal/product/instance/limit_test.go
@@ -179,3 +179,46 @@
 		t.Errorf("got %d calls of %d that were not answered with 200, want 0", failed, c.calls.Load())
 	}
 }
+
+// TestLimitedServersAreUsed guards against gateways refusing calls because they hold no share
+// of the limits of a service's servers, while holders have tokens left.
+func TestLimitedServersAreUsed(t *testing.T) {
+	const (
+		gateways     = 13
+		servers      = 4
+		callInterval = 20 * time.Millisecond
+		callersInAll = 26
+		perSecond    = 2.0
+		// settled is the time after which all gateways keep to a new limit.
+		settled  = 3 * time.Second
+		observed = 8 * time.Second
+		window   = 4 * time.Second
+		// allowed is one and a half times the limit in a window, and 5 requests more.
+		allowed = 17
+		// minUse is nine tenths of what the limits of all servers allow.
+		minUse = 57
+	)
+	for _, called := range []int{gateways, 2} {
+		t.Run(fmt.Sprintf("calls at %d gateways", called), func(t *testing.T) {
+			var all, calls arrivals
+			s, first := newObservedCluster(t, gateways, servers, &all, &calls)
+			c := startCallers(t, slices.Repeat(s.gateways[:called], callersInAll/called), callInterval)
+			eventually(t, waitTimeout, "server is used", func() bool { return calls.since(time.Time{}) > 0 })
+			limit := perSecond
+			for _, e := range append(s.servers, first) {
+				e.SetMode(server.Mode{Limit: &limit})
+			}
+			time.Sleep(settled)
+			start, before := time.Now(), s.executions()+first.Count().Total
+			time.Sleep(observed)
+			used := s.executions() + first.Count().Total - before
+			c.stop()
+			if used < minUse {
+				t.Errorf("limited servers: got %d requests in %s, want at least %d", used, observed, minUse)
+			}
+			if n := calls.most(start, window); n > allowed {
+				t.Errorf("limited server: got %d requests in %s, want at most %d", n, window, allowed)
+			}
+		})
+	}
+}
--- a/internal/request/admission/queueing.go
+++ b/internal/request/admission/queueing.go
@@ -27,8 +27,14 @@
 	Begin func(now time.Time, b *booking.Budgets) (kind booking.Kind, tried []string, ok bool)
 	// Entry returns the call's queue entry under the given ID.
 	Entry func(id uint64) slot.Entry
+	// NoTokenWait is true if the call is not to wait for long until a server's limit permits
+	// it, since another gateway may be permitted to send it now.
+	NoTokenWait bool
 }
 
+// maxTokenWait is the longest wait for a server's limit of a call with NoTokenWait.
+const maxTokenWait = 50 * time.Millisecond
+
 // Assignment is the server assigned to an attempt. The attempt counts as in flight
 // until Finish.
 type Assignment struct {
@@ -66,7 +72,7 @@
 	c.lastID++
 	id := c.lastID
 	entry := r.Entry(id)
-	if refused := c.refuseRestricted(now, tried, entry); refused != nil {
+	if refused := c.refuseRestricted(now, tried, entry, r.NoTokenWait); refused != nil {
 		c.mu.Unlock()
 		return Assignment{}, refused
 	}
@@ -86,7 +92,7 @@
 // refuseRestricted refuses a call if no server that it has not tried may get a request, by
 // their own statements, before the call's wait in the queue would expire. The caller holds
 // mu.
-func (c *Controller) refuseRestricted(now time.Time, tried []string, e slot.Entry) *refusal.Refusal {
+func (c *Controller) refuseRestricted(now time.Time, tried []string, e slot.Entry, noTokenWait bool) *refusal.Refusal {
 	wait, restricted := c.restrictedWait(now, tried)
 	if !restricted {
 		return nil
@@ -95,6 +101,9 @@
 	if e.MaxWait > 0 {
 		maxWait = min(maxWait, e.MaxWait)
 	}
+	if noTokenWait {
+		maxWait = min(maxWait, maxTokenWait)
+	}
 	if wait <= maxWait {
 		return nil
 	}
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -46,7 +46,9 @@
 func newCall(g *Gateway, now time.Time, w http.ResponseWriter, r *http.Request, m matchResult) *call {
 	c := &call{g: g, w: w, r: r, match: m, start: now, deadline: now.Add(m.deadline)}
 	c.body.c = c
-	c.request = admission.Request{Begin: c.beginAttempt, Entry: c.queueEntry}
+	c.request = admission.Request{
+		Begin: c.beginAttempt, Entry: c.queueEntry, NoTokenWait: m.carried != nil || g.cfg.Forwarding.MaxGateways > 0,
+	}
 	cfg := booking.Config{Repeat: m.repeat, Deadline: c.deadline, MaxAttempts: m.attempts}
 	if m.carried != nil {
 		cfg.Sent = m.carried.Sent
@@ -136,8 +138,13 @@
 		}
 		assigned, refused := c.admit()
 		if refused != nil {
-			if a, refused := c.forwardRefused(refused); a != nil || refused != nil {
-				return a, refused
+			a, forwarded := c.forwardRefused(refused)
+			if a != nil || forwarded != nil && !c.mayWaitForToken(refused, forwarded) {
+				return a, forwarded
+			}
+			if c.mayWaitForToken(refused, forwarded) {
+				c.request.NoTokenWait = false
+				continue
 			}
 		}
 		if refused != nil && last != nil {
--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// mayWaitForToken reports whether a call that was refused because of the limits of the
+// servers, and that no other gateway has sent, may wait here until a limit permits it.
+func (c *call) mayWaitForToken(refused, forwarded *refusal.Refusal) bool {
+	return refused.Code == code.CallLimited && c.request.NoTokenWait && c.match.carried == nil &&
+		(forwarded == nil || forwarded.Outcome == mustardsaddle.NotRun)
+}
+
 // forwardUnsent forwards a call after an attempt that found no connection to its server, if
 // this gateway can open none to other servers either. It returns nil twice if the call stays
 // here.
