--- a/faults_test.go
+++ b/faults_test.go
@@ -17,7 +17,7 @@
 	"server killed", "server frozen", "server slow", "server fails fast", "server drains",
 	"server cold", "report misleads", "connection silent", "store down", "store slow",
 	"write done, answer lost", "holder paused", "edits race", "VM lost", "VM added",
-	"VM list stale", "peer link cut", "two at once",
+	"VM list stale", "peer link cut", "servers out of reach", "two at once",
 }
 
 // wantSteps lists the columns that docs/FAULTS.md must have.
--- a/internal/product/command/trace.go
+++ b/internal/product/command/trace.go
@@ -18,8 +18,9 @@
 with the load report on which it was based and the age of that report, each
 attempt with its outcome, and the response. The lines of each gateway are
 preceded by the line about the rules that were in force there, a refusal because of
-what servers state by the latest line about each of them. Reads the named
-log files, or standard input if there are none. Lines that are not log lines of
+what servers state by the latest line about each of them. For a request that one
+gateway has forwarded to another, name the logs of both, that of the first one first.
+Reads the named log files, or standard input if there are none. Lines that are not log lines of
 a gateway are skipped and counted.
 
 Examples:
@@ -44,7 +45,9 @@
 	Event   event.Event
 	Request string
 	Attempt string
-	Service string
+	// FromAttempt is the attempt of the gateway that forwarded the call, if another one did.
+	FromAttempt string
+	Service     string
 	Server  string
 	Code    code.Code
 	text    string
@@ -140,7 +143,7 @@
 		tr.recordStatement(l)
 		return
 	}
-	if l.Request == tr.request && l.Attempt != "" {
+	if l.Attempt != "" && (l.Request == tr.request || l.FromAttempt == tr.request || tr.attempts[l.FromAttempt]) {
 		tr.attempts[l.Attempt] = true
 	}
 	if l.Request != tr.request && l.Attempt != tr.request && !tr.attempts[l.Attempt] {
--- a/internal/product/command/trace_test.go
+++ b/internal/product/command/trace_test.go
@@ -45,6 +45,15 @@
 			convey.So(status, convey.ShouldEqual, command.Done)
 			convey.So(out, convey.ShouldEqual, lines[1]+lines[3])
 		})
+		convey.Convey("The lines of another gateway that got the call follow, also without an id of the request", func() {
+			const forwarded = `{"Gateway":"g1","Event":4001,"Name":"RouteChosen","Attempt":"g1-a","Through":"g2"}
+{"Gateway":"g2","Event":4001,"Name":"RouteChosen","Attempt":"g2-a","From":"g1","FromAttempt":"g1-a"}
+{"Gateway":"g2","Event":4003,"Name":"CallEnded","Attempt":"g2-a"}
+`
+			status, out, _ := run(forwarded+"{\"Gateway\":\"g2\",\"Event\":4003,\"Attempt\":\"g2-b\"}\n", "g1-a")
+			convey.So(status, convey.ShouldEqual, command.Done)
+			convey.So(out, convey.ShouldEqual, forwarded)
+		})
 		convey.Convey("A refusal because of what servers state is printed after their latest statements", func() {
 			statement := func(gateway, server, more string) string {
 				return `{"Gateway":"` + gateway + `","Event":4009,"Service":"Booking","Server":"` + server + `",` + more + "}\n"
