Play servers that limit their requests or ask for a pause in the fault soak

The soak lacked two of the three things that servers state in their responses. A limit is judged as the users' rule states it; that pauses are kept is not judged, since a refusal is no execution.

--- a/cmd/mustardsaddle/soak_fault_test.go
+++ b/cmd/mustardsaddle/soak_fault_test.go
@@ -181,18 +181,22 @@
 func (s *soakRun) injectServerFault(step soak.Step) {
 	e := s.servers[step.Target]
 	defer s.lock(e.machine.Name)()
-	idle := 0
+	idle, limit := 0, soakLimit
 	modes := map[soak.Kind]server.Mode{
 		soak.ServerSlow:         {Factor: soakSlowFactor},
 		soak.ServerFailing:      {FailFast: true},
 		soak.ServerDraining:     {Draining: true},
 		soak.ServerMisreporting: {ReportInFlight: &idle},
+		soak.ServerLimiting:     {Limit: &limit},
+		soak.ServerPausing:      {RetryAfter: "1"},
 	}
 	switch step.Kind {
 	case soak.ServerKilled:
 		s.replaceServer(e, step.For)
 	case soak.ServerStatedLeaving:
 		s.stateLeaving(e, step.For+soakLeaving)
+	case soak.ServerLimiting:
+		s.stateLimit(e, modes[step.Kind], step.For+soakLimiting)
 	case soak.ServerFrozen:
 		s.suspend(e.process, step.For)
 	default:
@@ -229,6 +233,22 @@
 	s.replaceServer(e, 0)
 }
 
+// stateLimit makes a server state a limit for d. As with stateLeaving, a server that was
+// replaced before is left alone.
+func (s *soakRun) stateLimit(e *endpoint, mode server.Mode, d time.Duration) {
+	if e.machine.Incarnation > 1 {
+		return
+	}
+	s.setMode(e, mode)
+	l := soak.Limiting{Server: e.machine.Name, From: time.Now(), PerSecond: *mode.Limit}
+	time.Sleep(d)
+	l.To = time.Now()
+	s.mu.Lock()
+	s.limitings = append(s.limitings, l)
+	s.mu.Unlock()
+	s.setMode(e, server.Mode{})
+}
+
 // relayFor returns the relay of the link that a fault concerns.
 func (s *soakRun) relayFor(step soak.Step) *relay.Relay {
 	switch step.Place {
--- a/cmd/mustardsaddle/soak_test.go
+++ b/cmd/mustardsaddle/soak_test.go
@@ -38,6 +38,10 @@
 	// and soakLeaving how much longer than the fault the server states it.
 	soakDrain   = 2 * time.Second
 	soakLeaving = 4 * time.Second
+	// soakLimit is the limit that a server states, in requests per second, and soakLimiting
+	// how much longer than the fault it states it.
+	soakLimit    = 1.0
+	soakLimiting = 5 * time.Second
 	// soakRetryShare and soakHedgeShare are the budgets of retries and hedges,
 	// as ratios to the calls in soakWindow.
 	soakRetryShare = 0.1
@@ -152,6 +156,7 @@
 	windows []*soak.FaultWindow
 	// leavings and interruptions are those that have ended.
 	leavings      []soak.Leaving
+	limitings     []soak.Limiting
 	interruptions []soak.Interruption
 	// activeFaults are the current faults of the store, by its URL, and of each
 	// link, by its relay address.
@@ -251,7 +256,7 @@
 // checkHistory checks the calls of the callers and the executions of the
 // servers, and reports violations with the related log lines.
 func (s *soakRun) checkHistory(callers *callers) {
-	h := soak.History{Calls: callers.calls, Executions: s.executions(), Leavings: s.leavings, Interruptions: s.interruptions}
+	h := soak.History{Calls: callers.calls, Executions: s.executions(), Leavings: s.leavings, Limitings: s.limitings, Interruptions: s.interruptions}
 	for _, w := range s.windows {
 		h.FaultWindows = append(h.FaultWindows, *w)
 	}
@@ -265,8 +270,8 @@
 		limits.Deadline, limits.Progress = soakDeadline+*soakLateness, soakProgress
 	}
 	violations := soak.Check(h, limits)
-	s.t.Logf("%d faults, %d calls, %d executions, %d servers that stated that they were leaving, %d violations",
-		len(s.plan.Steps), len(h.Calls), len(h.Executions), len(h.Leavings), len(violations))
+	s.t.Logf("%d faults, %d calls, %d executions, %d servers that stated that they were leaving, %d that stated a limit, %d violations",
+		len(s.plan.Steps), len(h.Calls), len(h.Executions), len(h.Leavings), len(h.Limitings), len(violations))
 	for _, v := range violations[:min(len(violations), maxPrintedViolations)] {
 		s.t.Errorf("%v\n%s", v, strings.Join(s.logLinesAbout(v.Request), "\n"))
 	}
--- a/internal/choice/reach/helpers.go
+++ b/internal/choice/reach/helpers.go
@@ -10,8 +10,9 @@
 
 const (
 	// failedPause is how long a gateway gets no call after it could not be reached or broke
-	// off.
-	failedPause = 2 * time.Second
+	// off. It doubles with each further failure, up to maxDoublings times.
+	failedPause  = 2 * time.Second
+	maxDoublings = 3
 	// lostPause is how long a gateway gets no call for a service after it said that it
 	// cannot reach it.
 	lostPause = time.Second
@@ -64,6 +65,8 @@
 type helperState struct {
 	inFlight    int
 	pausedUntil time.Time
+	// failures counts the consecutive failures, up to maxDoublings.
+	failures int
 	// services holds, by service, the end of the pause for that service alone.
 	services map[string]time.Time
 }
@@ -151,12 +154,15 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	switch {
 	case r.Failed:
-		s.pausedUntil = now.Add(failedPause)
+		s.pausedUntil = now.Add(failedPause << s.failures)
+		s.failures = min(s.failures+1, maxDoublings)
+		return
 	case r.Lost:
 		s.services[r.Service] = now.Add(lostPause)
 	case r.RetryAfter > 0:
 		s.services[r.Service] = now.Add(min(r.RetryAfter, maxRefusedPause))
 	}
+	s.failures = 0
 }
 
 // InFlight returns the number of forwarded calls in flight.
--- a/internal/choice/reach/helpers_test.go
+++ b/internal/choice/reach/helpers_test.go
@@ -63,6 +63,12 @@
 		{"not one that failed", func(_ []mustardsaddle.VM, _ *reach.Table, h *reach.Helpers) {
 			h.Finish(at(0), reach.Reply{Gateway: "gateway-001", Service: "Booking", Failed: true})
 		}, booking, []string{"gateway-002", "gateway-003"}},
+		{"not one that failed repeatedly, for longer", func(_ []mustardsaddle.VM, _ *reach.Table, h *reach.Helpers) {
+			for range 3 {
+				h.Finish(at(-7500), reach.Reply{Gateway: "gateway-001", Service: "Booking", Failed: true})
+			}
+			h.Finish(at(-7500), reach.Reply{Gateway: "gateway-002", Service: "Booking", Failed: true})
+		}, booking, []string{"gateway-002", "gateway-003"}},
 		{"not one that refused for a time", func(_ []mustardsaddle.VM, _ *reach.Table, h *reach.Helpers) {
 			h.Finish(at(0), reach.Reply{Gateway: "gateway-001", Service: "Booking", RetryAfter: 200 * time.Millisecond})
 			h.Finish(at(0), reach.Reply{Gateway: "gateway-002", Service: "Booking", RetryAfter: 50 * time.Millisecond})
--- a/internal/peer/news/bench_test.go
+++ b/internal/peer/news/bench_test.go
@@ -24,3 +24,20 @@
 	}
 	b.ReportMetric(float64(size), "bytes/msg")
 }
+
+// BenchmarkReaches measures the size of a statement of one gateway about a lost service.
+func BenchmarkReaches(b *testing.B) {
+	codec := news.NewCodec()
+	msg := news.Reaches{Gateways: []mustardsaddle.GatewayReach{
+		{Name: "edge-south-west-4", Incarnation: 1_800_000_000_000, Seq: 3, Lost: []string{"roster-reads", "bench-bookings"}},
+	}}
+	size := 0
+	for b.Loop() {
+		encoded, err := codec.Encode(msg)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(encoded)
+	}
+	b.ReportMetric(float64(size), "bytes/msg")
+}
--- a/internal/product/command/trace.go
+++ b/internal/product/command/trace.go
@@ -48,9 +48,9 @@
 	// FromAttempt is the attempt of the gateway that forwarded the call, if another one did.
 	FromAttempt string
 	Service     string
-	Server  string
-	Code    code.Code
-	text    string
+	Server      string
+	Code        code.Code
+	text        string
 }
 
 // serviceOfGateway identifies a service as one gateway sees it.
@@ -143,10 +143,7 @@
 		tr.recordStatement(l)
 		return
 	}
-	if l.Attempt != "" && (l.Request == tr.request || l.FromAttempt == tr.request || tr.attempts[l.FromAttempt]) {
-		tr.attempts[l.Attempt] = true
-	}
-	if l.Request != tr.request && l.Attempt != tr.request && !tr.attempts[l.Attempt] {
+	if !tr.belongs(l) {
 		return
 	}
 	tr.found++
@@ -160,6 +157,16 @@
 	_, _ = fmt.Fprintln(tr.out, text)
 }
 
+// belongs reports whether a line is about the request, and records the attempt that it
+// names.
+func (tr *tracer) belongs(l logLine) bool {
+	known := l.Request == tr.request || l.FromAttempt == tr.request || tr.attempts[l.FromAttempt]
+	if known && l.Attempt != "" {
+		tr.attempts[l.Attempt] = true
+	}
+	return known || l.Attempt == tr.request || tr.attempts[l.Attempt]
+}
+
 // recordStatement keeps a line about what a server states.
 func (tr *tracer) recordStatement(l logLine) {
 	key := serviceOfGateway{gateway: l.Gateway, service: l.Service}
--- a/internal/request/admission/paths.go
+++ b/internal/request/admission/paths.go
@@ -74,7 +74,11 @@
 // recordReply records that a server returned something. It returns true if the service is
 // regained. The caller holds mu.
 func (c *Controller) recordReply(now time.Time, server string) bool {
-	_, lostFor := c.paths.Lost(now)
+	lost, lostFor := c.paths.Lost(now)
+	if !lost {
+		c.paths.Reply(now, server)
+		return false
+	}
 	e := c.paths.Evidence(now)
 	if c.paths.Reply(now, server) != reach.Regained {
 		return false
--- a/internal/standin/soak/enum_string.go
+++ b/internal/standin/soak/enum_string.go
@@ -34,11 +34,13 @@
 	_ = x[StoreFrozen-23]
 	_ = x[RulesChanged-24]
 	_ = x[ServerStatedLeaving-25]
+	_ = x[ServerLimiting-26]
+	_ = x[ServerPausing-27]
 }
 
-const _Kind_name = "GatewayKilledGatewayFrozenGatewayStoppedGatewayCutGatewayReloadedGatewayMisreadServerKilledServerFrozenServerSlowServerFailingServerDrainingServerMisreportingLinkDelayedLinkResetLinkHeldUpLinkHeldDownLinkSilentLinkRefusedStoreDownStoreSlowStoreLosesAnswersStoreSilentStoreLimitedStoreFrozenRulesChangedServerStatedLeaving"
+const _Kind_name = "GatewayKilledGatewayFrozenGatewayStoppedGatewayCutGatewayReloadedGatewayMisreadServerKilledServerFrozenServerSlowServerFailingServerDrainingServerMisreportingLinkDelayedLinkResetLinkHeldUpLinkHeldDownLinkSilentLinkRefusedStoreDownStoreSlowStoreLosesAnswersStoreSilentStoreLimitedStoreFrozenRulesChangedServerStatedLeavingServerLimitingServerPausing"
 
-var _Kind_index = [...]uint16{0, 13, 26, 40, 50, 65, 79, 91, 103, 113, 126, 140, 158, 169, 178, 188, 200, 210, 221, 230, 239, 256, 267, 279, 290, 302, 321}
+var _Kind_index = [...]uint16{0, 13, 26, 40, 50, 65, 79, 91, 103, 113, 126, 140, 158, 169, 178, 188, 200, 210, 221, 230, 239, 256, 267, 279, 290, 302, 321, 335, 348}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
@@ -125,11 +127,12 @@
 	_ = x[InTime-7]
 	_ = x[RetriesBounded-8]
 	_ = x[LeavingKept-9]
+	_ = x[LimitKept-10]
 }
 
-const _Rule_name = "AttemptOnceRequestOnceNotRunIsTrueRanIsTrueOutcomeStatedOwnAnswerUnbrokenInTimeRetriesBoundedLeavingKept"
+const _Rule_name = "AttemptOnceRequestOnceNotRunIsTrueRanIsTrueOutcomeStatedOwnAnswerUnbrokenInTimeRetriesBoundedLeavingKeptLimitKept"
 
-var _Rule_index = [...]uint8{0, 11, 22, 34, 43, 56, 65, 73, 79, 93, 104}
+var _Rule_index = [...]uint8{0, 11, 22, 34, 43, 56, 65, 73, 79, 93, 104, 113}
 
 func (i Rule) String() string {
 	idx := int(i) - 0
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -102,9 +102,11 @@
 	Calls        []Call
 	Executions   []server.Execution
 	FaultWindows []FaultWindow
-	// Leavings are the times during which servers stated that they were leaving, and
+	// Leavings are the times during which servers stated that they were leaving, Limitings
+	// those during which they stated a limit, and
 	// Interruptions the faults of gateways that excuse them from heeding this.
 	Leavings      []Leaving
+	Limitings     []Limiting
 	Interruptions []Interruption
 }
 
@@ -115,6 +117,15 @@
 	From, To time.Time
 }
 
+// Limiting is a time during which a server stated a limit in its responses.
+type Limiting struct {
+	// Server is the name of the server.
+	Server   string
+	From, To time.Time
+	// PerSecond is the limit, in requests per second.
+	PerSecond float64
+}
+
 // Interruption is a time during which a gateway was stopped, killed, restarted or frozen.
 type Interruption struct {
 	// Gateway is the index of the gateway.
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -39,6 +39,9 @@
 	// LeavingKept requires that a gateway sends no request to a server that has stated
 	// in a response, which the gateway forwarded, that it is leaving.
 	LeavingKept
+	// LimitKept requires that a server gets no more requests from the gateways together than
+	// the limit that it has stated allows, from those that have forwarded such a response.
+	LimitKept
 )
 
 // Limits are the bounds that the guarantees refer to.
@@ -97,6 +100,9 @@
 	for _, l := range h.Leavings {
 		chk.checkLeaving(l)
 	}
+	for _, l := range h.Limitings {
+		chk.checkLimiting(l)
+	}
 	return chk.violations
 }
 
--- a/internal/standin/soak/judge_test.go
+++ b/internal/standin/soak/judge_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -85,6 +86,44 @@
 	}
 }
 
+// More requests to a server than the limit that it has stated must be found, and those that
+// the rule does not cover must not.
+func TestCheckLimiting(t *testing.T) {
+	limits := soak.Limits{RetryShare: 1, Window: time.Second, Slack: 100}
+	limiting := []soak.Limiting{{Server: "booking-00", From: at(1000), To: at(20000), PerSecond: 1}}
+	cases := []struct {
+		name          string
+		n, every      int // number of requests from 6000 ms on, and the time between two of them
+		gateway       string
+		interruptions []soak.Interruption
+		want          []soak.Rule
+	}{
+		{"too many", 12, 300, "gateway-1", nil, []soak.Rule{soak.LimitKept}},
+		{"as many as allowed", 11, 300, "gateway-1", nil, nil},
+		{"spread over more time", 20, 400, "gateway-1", nil, nil},
+		{"from a gateway that had not been told", 12, 300, "gateway-2", nil, nil},
+		{"after a restart of the gateway", 12, 300, "gateway-1", []soak.Interruption{{Gateway: 0, From: at(3000), To: at(3500)}}, nil},
+	}
+	for _, c := range cases {
+		first := ran("r0", soak.Read)
+		first.Sent, first.Ended = at(1500), at(1600)
+		h := soak.History{
+			Calls: []soak.Call{first}, Limitings: limiting, Interruptions: c.interruptions,
+			Executions: []server.Execution{execution("r0", "gateway-1-a0", 1510)},
+		}
+		for i := range c.n {
+			id := fmt.Sprintf("r%d", i+1)
+			h.Executions = append(h.Executions, execution(id, fmt.Sprintf("%s-a%d", c.gateway, i+1), 6000+i*c.every))
+			call := ran(id, soak.Booking)
+			call.End, call.Sent = soak.GaveUp, at(6000+i*c.every)
+			h.Calls = append(h.Calls, call)
+		}
+		if got := violatedRules(soak.Check(h, limits)); !slices.Equal(got, c.want) {
+			t.Errorf("%s: got violations of %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // Each row is a history and the rules that Check must find violated in it. A missed violation
 // would hide a fault of the gateways, and a false one would fail a soak test without a fault.
 func TestCheck(t *testing.T) {
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -84,10 +84,14 @@
 	// ServerStatedLeaving makes a server state in its responses that it is leaving,
 	// although the list of VMs does not say so, and then replaces it.
 	ServerStatedLeaving
+	// ServerLimiting makes a server state a limit of its requests in its responses.
+	ServerLimiting
+	// ServerPausing makes a server refuse requests with status 503 and ask for a pause.
+	ServerPausing
 
 	kindCount = int(RulesChanged) + 1
 	// kindCountStatements includes the kinds that need Config.Statements.
-	kindCountStatements = int(ServerStatedLeaving) + 1
+	kindCountStatements = int(ServerPausing) + 1
 )
 
 // Place identifies the two ends of a link.
@@ -173,7 +177,7 @@
 
 // OnServer reports whether k is a fault of server processes.
 func (k Kind) OnServer() bool {
-	return k >= ServerKilled && k <= ServerMisreporting || k == ServerStatedLeaving
+	return k >= ServerKilled && k <= ServerMisreporting || k >= ServerStatedLeaving && k <= ServerPausing
 }
 
 // Interrupts reports whether k is a fault that stops or suspends a gateway process.
--- a/internal/standin/soak/plan_test.go
+++ b/internal/standin/soak/plan_test.go
@@ -35,14 +35,16 @@
 		}
 		convey.Convey("Statements of servers occur if they are wanted, and only then", func() {
 			cfg.Statements = true
-			stated := false
+			stated := make(map[soak.Kind]bool)
 			for seed := range uint64(200) {
 				for _, s := range soak.NewPlan(cfg, seed).Steps {
-					stated = stated || s.Kind == soak.ServerStatedLeaving
+					stated[s.Kind] = true
 				}
 			}
-			convey.So(stated, convey.ShouldBeTrue)
-			convey.So(kinds[soak.ServerStatedLeaving], convey.ShouldBeFalse)
+			for k := soak.ServerStatedLeaving; k <= soak.ServerPausing; k++ {
+				convey.So(stated[k], convey.ShouldBeTrue)
+				convey.So(kinds[k], convey.ShouldBeFalse)
+			}
 		})
 		convey.Convey("Every kind and place occurs, and faults overlap", func() {
 			for k := soak.GatewayKilled; k <= soak.RulesChanged; k++ {
