Log the loss of new connections apart, and count responses of other requests as replies

A gateway that can open no connection to a service states it to its peers, but its log showed nothing: ServiceLost and ServiceRegained have a Scope now. A load query that gets the late copy of another request's response has reached the server; the detector counted it as a broken connection.

--- a/internal/request/admission/paths.go
+++ b/internal/request/admission/paths.go
@@ -83,7 +83,7 @@
 	if c.paths.Reply(now, server) != reach.Regained {
 		return false
 	}
-	logEvidence(event.Info(c.controllers.cfg.Logger, event.ServiceRegained), c.Service, e).Dur("For", lostFor).Send()
+	c.logRegained(scopeAll, e, lostFor)
 	return true
 }
 
@@ -93,14 +93,29 @@
 	if c.paths.Fail(now, f) != reach.Lost {
 		return false
 	}
-	e := c.paths.Evidence(now)
-	logEvidence(event.Warn(c.controllers.cfg.Logger, event.ServiceLost), c.Service, e).Dur("LastReply", e.LastReply).Send()
+	c.logLost(scopeAll, c.paths.Evidence(now))
 	return true
 }
 
-// logEvidence adds the evidence of the loss of a service to a log event.
-func logEvidence(line *zerolog.Event, service string, e reach.Evidence) *zerolog.Event {
-	return line.Str("Service", service).Int("Servers", e.Servers).Int("Unreachable", e.Unreachable).Int("Refused", e.Refused).
+// Scopes of the loss of a service, as logged.
+const (
+	scopeAll            = "All"
+	scopeNewConnections = "NewConnections"
+)
+
+// logLost logs that the service is lost.
+func (c *Controller) logLost(scope string, e reach.Evidence) {
+	c.logEvidence(event.Warn(c.controllers.cfg.Logger, event.ServiceLost), scope, e).Dur("LastReply", e.LastReply).Send()
+}
+
+// logRegained logs that the service is regained.
+func (c *Controller) logRegained(scope string, e reach.Evidence, lostFor time.Duration) {
+	c.logEvidence(event.Info(c.controllers.cfg.Logger, event.ServiceRegained), scope, e).Dur("For", lostFor).Send()
+}
+
+// logEvidence adds the evidence of the loss of the service to a log event.
+func (c *Controller) logEvidence(line *zerolog.Event, scope string, e reach.Evidence) *zerolog.Event {
+	return line.Str("Service", c.Service).Str("Scope", scope).Int("Servers", e.Servers).Int("Unreachable", e.Unreachable).Int("Refused", e.Refused).
 		Int("Reset", e.Reset).Int("Unanswered", e.Unanswered).Int("NewConnections", e.NewConnections)
 }
 
@@ -143,10 +158,23 @@
 func (c *Controller) recordDial(now time.Time, opened bool, f reach.Failure) reach.Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if opened {
+	lost, lostFor := c.dials.Lost(now)
+	switch {
+	case opened && !lost:
 		return c.dials.Reply(now, f.Server)
+	case opened:
+		e := c.dials.Evidence(now)
+		change := c.dials.Reply(now, f.Server)
+		if change == reach.Regained {
+			c.logRegained(scopeNewConnections, e, lostFor)
+		}
+		return change
+	}
+	change := c.dials.Fail(now, f)
+	if change == reach.Lost {
+		c.logLost(scopeNewConnections, c.dials.Evidence(now))
 	}
-	return c.dials.Fail(now, f)
+	return change
 }
 
 // AvoidDial reports whether a request that needs a new connection to a server should not be
--- a/internal/request/admission/query.go
+++ b/internal/request/admission/query.go
@@ -105,7 +105,7 @@
 	now := time.Now()
 	failure := dial.failure(server.Name, err, sentAt, queryTimeout)
 	dial.record(c, now, failure)
-	if err == nil {
+	if err == nil || errors.Is(err, errOtherRequest) {
 		c.RecordReply(now, server.Name)
 	} else {
 		c.RecordFailure(now, failure)
