Tell callers to retry later while no gateway can reach a service

While all gateways had lost a service, callers were refused with the shortest Retry-After, came back at once, and used up their retries on further refusals. Retrying elsewhere is of no use then.

Change: 0.25 to 0.5 s, at random, while this gateway has lost the service and no other one may take the call.

--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -235,7 +235,9 @@
 	if refused.Code == code.OK {
 		refused = &refusal.Refusal{Code: code.CallDeadline}
 	}
-	return &refusal.Refusal{Code: refused.Code, Outcome: outcome, RetryAfter: max(refused.RetryAfter, c.match.controller.RetryAfter(time.Now()))}
+	now := time.Now()
+	retryAfter := max(refused.RetryAfter, c.match.controller.RetryAfter(now), c.lostRetryAfter(now))
+	return &refusal.Refusal{Code: refused.Code, Outcome: outcome, RetryAfter: retryAfter}
 }
 
 // connectionPolicy returns which connections an attempt may use. An idempotent
--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -25,6 +25,9 @@
 	// time left divided by forwardReserveDivisor.
 	forwardReserve        = 20 * time.Millisecond
 	forwardReserveDivisor = 10
+	// lostRetryAfter is the least Retry-After while no gateway can reach a service. A caller
+	// whose retries are few should not use them up at once.
+	lostRetryAfter = 250 * time.Millisecond
 )
 
 // Reasons to forward a call, as logged.
@@ -82,6 +85,24 @@
 	return c.forward(reasonLost, nil)
 }
 
+// lostRetryAfter returns the delay after which a caller should retry while no gateway can
+// reach the service, or 0 if one may.
+func (c *call) lostRetryAfter(now time.Time) time.Duration {
+	lost, _ := c.match.controller.Lost(now)
+	if !lost || c.g.forwarder.Available(now, reach.Need{Service: c.match.controller.Service}) {
+		return 0
+	}
+	return c.g.spread(lostRetryAfter)
+}
+
+// spread returns a random duration from d to twice d, so that callers do not return all at
+// once.
+func (g *Gateway) spread(d time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return d + time.Duration(g.rng.Int64N(int64(d)))
+}
+
 // forwardRefused forwards a call that this gateway could send to no server. If the limits
 // of the servers are the reason, it goes to a gateway that holds a share of one. It returns
 // nil twice if the call stays here.
--- a/internal/request/gateway/forward_test.go
+++ b/internal/request/gateway/forward_test.go
@@ -368,3 +368,22 @@
 		}
 	}
 }
+
+// TestRetryAfterWhileServiceIsLost guards against callers using up their retries at once while
+// no gateway can reach the service.
+func TestRetryAfterWhileServiceIsLost(t *testing.T) {
+	s := newCountingServer(t, nil)
+	cfg := gateway.Config{Deadline: 4 * time.Second, Headers: &mustardsaddle.Headers{FractionalRetryAfter: true}}
+	fleet := newFleet(t, 1, cfg, s.address())
+	fleet[0].dialer.SetCut(relay.ResetAndRefuse)
+	for i := range 3 {
+		resp, _, err := do(t, fleet[0].front, http.MethodGet, "/x", "")
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("call %d: got %v, error %v, want 503", i, resp, err)
+		}
+		seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if err != nil || seconds < 0.25 || seconds > 0.5 {
+			t.Errorf("call %d: got Retry-After %q, want 0.25 to 0.5", i, resp.Header.Get("Retry-After"))
+		}
+	}
+}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -181,7 +181,7 @@
 	idle *connection.IdleCloser
 
 	mu sync.Mutex
-	// rng selects the service of a call by weight; it is guarded by mu.
+	// rng selects the service of a call by weight, and spreads retries; it is guarded by mu.
 	rng *rand.Rand
 }
 
