Do not claim a forwarded call a second time

A call with Repeat=Claim that went through another gateway got 502 and did not run: the other gateway tried to acquire the claim that the gateway of the caller holds.

Change: the gateway that gets a forwarded call leaves the claim to the one that has forwarded it. TestForwardedClaimRunsOnce failed before (502, no execution).

--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -113,7 +113,8 @@
 		c.refuse(refused)
 		return
 	}
-	if c.match.repeat == mustardsaddle.RepeatClaim {
+	// The gateway that has forwarded a call holds its claim.
+	if c.match.repeat == mustardsaddle.RepeatClaim && c.match.carried == nil {
 		if refused := c.acquireClaim(); refused != nil {
 			c.refuse(refused)
 			return
@@ -139,20 +140,18 @@
 		assigned, refused := c.admit()
 		if refused != nil {
 			a, forwarded := c.forwardRefused(refused)
-			if a != nil || forwarded != nil && !c.mayWaitForToken(refused, forwarded) {
-				return a, forwarded
-			}
-			if c.mayWaitForToken(refused, forwarded) {
+			switch {
+			case c.mayWaitForToken(refused, a, forwarded):
 				c.request.NoTokenWait = false
 				continue
+			case a != nil || forwarded != nil:
+				return a, forwarded
+			case last != nil:
+				return nil, c.finalRefusal(last)
+			default:
+				return nil, c.finalRefusal(refused)
 			}
 		}
-		if refused != nil && last != nil {
-			return nil, c.finalRefusal(last)
-		}
-		if refused != nil {
-			return nil, c.finalRefusal(refused)
-		}
 		a := c.newAttempt(assigned, c.connectionPolicy(assigned))
 		c.track(a)
 		a = c.sendHedged(a)
--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -123,10 +123,11 @@
 }
 
 // mayWaitForToken reports whether a call that was refused because of the limits of the
-// servers, and that no other gateway has sent, may wait here until a limit permits it.
-func (c *call) mayWaitForToken(refused, forwarded *refusal.Refusal) bool {
-	return refused.Code == code.CallLimited && c.request.NoTokenWait && c.match.carried == nil &&
-		(forwarded == nil || forwarded.Outcome == mustardsaddle.NotRun)
+// servers may wait here until a limit permits it. A and forwarded are the results of
+// forwardRefused.
+func (c *call) mayWaitForToken(refused *refusal.Refusal, a *attempt, forwarded *refusal.Refusal) bool {
+	notSent := a == nil && (forwarded == nil || forwarded.Outcome == mustardsaddle.NotRun)
+	return notSent && refused.Code == code.CallLimited && c.request.NoTokenWait && c.match.carried == nil
 }
 
 // forwardUnsent forwards a call after an attempt that found no connection to its server, if
--- a/internal/request/gateway/forward_test.go
+++ b/internal/request/gateway/forward_test.go
@@ -17,6 +17,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
+	"mustardsaddle.example/mustardsaddle/internal/request/claim"
 	"mustardsaddle.example/mustardsaddle/internal/request/forward"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
@@ -387,3 +388,26 @@
 		}
 	}
 }
+
+// TestForwardedClaimRunsOnce guards against the gateway that gets a claimed call refusing it,
+// because the gateway that has forwarded it holds the claim, and against it running twice.
+func TestForwardedClaimRunsOnce(t *testing.T) {
+	s := newCountingServer(t, nil)
+	claims := claim.New(claim.Config{Store: &memoryStore{objects: make(map[string]mustardsaddle.Object)}})
+	fleet := newFleet(t, 2, gateway.Config{Deadline: 8 * time.Second, Claims: claims}, s.address())
+	for _, g := range fleet {
+		g.SetRules(compileRules(t, "Path=/orders Method=POST Service=Booking Repeat=Claim # Tan: orders"))
+	}
+	fleet[0].dialer.SetCut(relay.ResetAndRefuse)
+	resp, body, err := do(t, fleet[0].front, http.MethodPost, "/orders", "M1", "Idempotency-Key", "k1", "Test-Call", "k1")
+	if err != nil || resp.StatusCode != http.StatusOK || body != "M1" {
+		t.Errorf("got %v, body %q, error %v, want 200", resp, body, err)
+	}
+	resp, body, err = do(t, fleet[1].front, http.MethodPost, "/orders", "M1", "Idempotency-Key", "k1", "Test-Call", "k1")
+	if err != nil || resp.StatusCode != http.StatusConflict {
+		t.Errorf("again through the other gateway: got %v, body %q, error %v, want 409", resp, body, err)
+	}
+	if n := executions("k1", s); n != 1 {
+		t.Errorf("got %d executions, want 1", n)
+	}
+}
