--- a/internal/peer/news/bench_test.go
+++ b/internal/peer/news/bench_test.go
@@ -29,7 +29,7 @@
 func BenchmarkReaches(b *testing.B) {
 	codec := news.NewCodec()
 	msg := news.Reaches{Gateways: []mustardsaddle.GatewayReach{
-		{Name: "edge-south-west-4", Incarnation: 1_800_000_000_000, Seq: 3, Lost: []string{"roster-reads", "bench-bookings"}},
+		{Name: "gateway-0007", Incarnation: 1_800_000_000_000, Seq: 3, Lost: []string{"Booking", "Rosters"}},
 	}}
 	size := 0
 	for b.Loop() {
--- a/internal/request/admission/paths.go
+++ b/internal/request/admission/paths.go
@@ -1,10 +1,6 @@
 package admission
 
 import (
-	"context"
-	"errors"
-	"net/http/httptrace"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,46 +10,11 @@
 	"mustardsaddle.example/mustardsaddle/internal/choice/reach"
 )
 
-// dialTrace records whether a request got a connection, and whether it was a new one.
-type dialTrace struct {
-	got, reused bool
-}
-
-// trace returns a context in which the transport records the connection.
-func (d *dialTrace) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { d.got, d.reused = true, info.Reused },
-	})
-}
-
-// record records whether a new connection could be opened for a request.
-func (d *dialTrace) record(c *Controller, now time.Time, f reach.Failure) {
-	if d.reused {
-		return
-	}
-	c.RecordDial(now, d.got, f)
-}
-
-// failure describes a request that returned nothing.
-func (d *dialTrace) failure(server string, err error, sentAt time.Time, timeout time.Duration) reach.Failure {
-	return reach.Failure{
-		Server: server, Cause: FailureCause(err), Accepted: d.got && !d.reused, NewConnection: !d.reused,
-		SentAt: sentAt, Timeout: timeout,
-	}
-}
-
-// FailureCause returns the cause of the error of a round trip.
-func FailureCause(err error) reach.Cause {
-	var timeout interface{ Timeout() bool }
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return reach.Refused
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled), errors.As(err, &timeout) && timeout.Timeout():
-		return reach.Unanswered
-	default:
-		return reach.Reset
-	}
-}
+// Scopes of the loss of a service, as logged.
+const (
+	scopeAll            = "All"
+	scopeNewConnections = "NewConnections"
+)
 
 // updatePaths passes on the servers that may get requests. If the chooser knows only a
 // subset of the service, those are the ones that it knows. The caller holds mu.
@@ -97,12 +58,6 @@
 	return true
 }
 
-// Scopes of the loss of a service, as logged.
-const (
-	scopeAll            = "All"
-	scopeNewConnections = "NewConnections"
-)
-
 // logLost logs that the service is lost.
 func (c *Controller) logLost(scope string, e reach.Evidence) {
 	c.logEvidence(event.Warn(c.controllers.cfg.Logger, event.ServiceLost), scope, e).Dur("LastReply", e.LastReply).Send()
