Do not demand a whole response without a length in the soak

The trace: the server's response had no length (512 bytes were forwarded while it was received, CallCut with a reset), and LinkDelayed and LinkReset of that server's link were in force. SPEC allows this: only responses of a stated length up to 32 KiB are read completely first. The check excused downloads alone.

The check now excuses exactly responses that state no length and were cut visibly; one that never arrives, or a cut response with a length, is a violation as before (TestCheck has a row for each).

--- a/cmd/mustardsaddle/soak_caller_test.go
+++ b/cmd/mustardsaddle/soak_caller_test.go
@@ -146,7 +146,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	got, err := io.ReadAll(resp.Body)
-	call.Ended, call.Status = time.Now(), resp.StatusCode
+	call.Ended, call.Status, call.NoLength = time.Now(), resp.StatusCode, resp.ContentLength < 0
 	call.Outcome, call.HasOutcome = parseOutcome(resp.Header.Get("Mustardsaddle-Outcome"))
 	switch {
 	case err != nil && ctx.Err() != nil:
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -62,6 +62,8 @@
 	Outcome mustardsaddle.Outcome
 	// HasOutcome is true if the response stated an outcome.
 	HasOutcome bool
+	// NoLength is true if the response stated no length.
+	NoLength bool
 	// BodyMatches is true if the body is the expected response to this request.
 	BodyMatches bool
 }
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -29,7 +29,8 @@
 	// its request.
 	OwnAnswer
 	// Unbroken requires that a call gets a response unless a fault window
-	// excuses it. The body must be complete unless the call is a download.
+	// excuses it. The body must be complete unless the call is a download or the response
+	// states no length: such a response is forwarded while it is received.
 	Unbroken
 	// InTime requires that a call gets its response by the deadline unless a
 	// fault window excuses it.
@@ -181,7 +182,7 @@
 	took := c.Ended.Sub(c.Sent)
 	const format = "%v call through gateway %d ended as %v after %v; it was sent at %s"
 	switch {
-	case c.End == Broken, c.End == Cut && c.Kind != Download:
+	case c.End == Broken, c.End == Cut && c.Kind != Download && !c.NoLength:
 		chk.addViolation(Unbroken, c.ID, format, c.Kind, c.Gateway, c.End, took, formatTime(c.Sent))
 	case !mayDelay && (c.End == TimedOut || chk.exceedsLimit(c, took)):
 		chk.addViolation(InTime, c.ID, format, c.Kind, c.Gateway, c.End, took, formatTime(c.Sent))
--- a/internal/standin/soak/judge_test.go
+++ b/internal/standin/soak/judge_test.go
@@ -201,6 +201,14 @@
 			name: "a truncated small response", executions: once,
 			calls: []soak.Call{with(ran("r", soak.Read), func(c *soak.Call) { c.End = soak.Cut })}, violated: []soak.Rule{soak.Unbroken},
 		},
+		{
+			name:  "a response without a length ends early",
+			calls: []soak.Call{with(ran("r", soak.Read), func(c *soak.Call) { c.End, c.NoLength = soak.Cut, true })}, executions: once,
+		},
+		{
+			name:  "a response without a length never arrives",
+			calls: []soak.Call{with(ran("r", soak.Read), func(c *soak.Call) { c.End, c.NoLength = soak.Broken, true })}, violated: []soak.Rule{soak.Unbroken},
+		},
 		{name: "a late response", calls: []soak.Call{late}, executions: once, violated: []soak.Rule{soak.InTime}},
 		{name: "a late response in a fault window with delays", calls: []soak.Call{late}, executions: once, windows: []soak.FaultWindow{{From: at(50), To: at(60), MayDelay: true}}},
 		{
