Test small bodies that stall before and after their deadline apart

The test checks both: a small body that stalls long before its deadline gets 502 and code 4005 as before, one that is incomplete after it 504 and code 4004. Nothing is checked less.

--- a/internal/product/instance/call_test.go
+++ b/internal/product/instance/call_test.go
@@ -212,7 +212,7 @@
 	s.configure = func(cfg *settings.Settings) { cfg.Limits.Progress = time.Second }
 	s.startServer("booking-00", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(report.Header, report.Format(0, 2, false))
-		if r.URL.Path != "/videos" {
+		if r.URL.Path != "/videos" && r.URL.Path != "/clips" {
 			return
 		}
 		size, _ := strconv.Atoi(r.URL.Query().Get("Part"))
@@ -227,7 +227,8 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}))
-	s.submit(initialRules + "Path=/videos Service=Booking Deadline=1s # Mei Lin: members watch videos\n")
+	s.submit(initialRules + "Path=/videos Service=Booking Deadline=1s # Mei Lin: members watch videos\n" +
+		"Path=/clips Service=Booking Deadline=20s # Mei Lin: members watch clips\n")
 	g := s.addGateway("gateway-1")
 	eventually(t, waitTimeout, "gateway ready", func() bool { return g.ready(t) })
 	url := fmt.Sprintf("http://%s/videos?Part=%d", g.addresses.Callers, part)
@@ -242,10 +243,14 @@
 	if n, err := io.Copy(io.Discard, resp.Body); err == nil || os.IsTimeout(err) || n > steps/2*part {
 		t.Errorf("stalled body: got %d bytes, error %v, want an error other than a timeout after at most %d bytes", n, err, steps/2*part)
 	}
-	status, body := get(t, "http://"+g.addresses.Callers+"/videos?Part=8&Still")
+	status, body := get(t, "http://"+g.addresses.Callers+"/clips?Part=8&Still")
 	if status != http.StatusBadGateway || body != "Code=4005 Outcome=Unknown\n" {
 		t.Errorf("small stalled body: got status %d, body %q, want 502 and code 4005", status, body)
 	}
+	status, body = get(t, "http://"+g.addresses.Callers+"/videos?Part=8&Still")
+	if status != http.StatusGatewayTimeout || body != "Code=4004 Outcome=Unknown\n" {
+		t.Errorf("small body after the deadline: got status %d, body %q, want 504 and code 4004", status, body)
+	}
 }
 
 // A request that needs a claim runs at most once, no matter how often and through which
