Log which servers end under a request, and which requests they ran

The logs could not tell a server that ended from a connection that was reset, nor a request from another one: every attempt of a caller has a new ID. A gateway now finds out, after an attempt that broke off, whether its server still accepts connections while another one does, and logs ServerEnded. AttemptFailed names the digest of the request, which is the same for the same work at every gateway. Calls are decided as before.

--- a/headers.go
+++ b/headers.go
@@ -30,6 +30,8 @@
 	// Leaving is the header by which the responding server states that it is leaving: 1,
 	// or 0 if it is not.
 	Leaving string
+	// Caller is the header that names the caller of a request.
+	Caller string
 	// ParseLoad parses a load report received at now.
 	ParseLoad func(now time.Time, text string) (Report, error)
 	// FractionalRetryAfter is true if callers accept a fraction of a second in
--- a/internal/base/code/code.go
+++ b/internal/base/code/code.go
@@ -19,7 +19,7 @@
 
 // Code is a result code. The thousands digit identifies the area: 1xxx settings,
 // 2xxx rules, 3xxx store, 4xxx calls, 5xxx peer messages, 6xxx load reports, 7xxx
-// process.
+// process, 8xxx identity of requests.
 type Code int
 
 // Error is an error with a result code.
--- a/internal/base/code/code_string.go
+++ b/internal/base/code/code_string.go
@@ -68,6 +68,7 @@
 	_ = x[PeerBusy-5005]
 	_ = x[ReportBad-6001]
 	_ = x[StatementBad-6002]
+	_ = x[RequestDigestBad-8001]
 }
 
 const (
@@ -79,6 +80,7 @@
 	_Code_name_5 = "PeerBadMessagePeerNewerFormatPeerUnavailablePeerUnknownPeerBusy"
 	_Code_name_6 = "ReportBadStatementBad"
 	_Code_name_7 = "StopCut"
+	_Code_name_8 = "RequestDigestBad"
 )
 
 var (
@@ -115,6 +117,8 @@
 		return _Code_name_6[_Code_index_6[i]:_Code_index_6[i+1]]
 	case i == 7001:
 		return _Code_name_7
+	case i == 8001:
+		return _Code_name_8
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/internal/base/code/list.go
+++ b/internal/base/code/list.go
@@ -165,3 +165,9 @@
 	// cannot be parsed or is out of range.
 	StatementBad
 )
+
+// Request identity codes.
+const (
+	// RequestDigestBad means a digest of a request that cannot be parsed.
+	RequestDigestBad Code = iota + 8001
+)
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -94,6 +94,8 @@
 	ServiceLost
 	// ServiceRegained is logged when this gateway can reach the servers of a service again.
 	ServiceRegained
+	// ServerEnded is logged when a server has ended while it ran requests of this gateway.
+	ServerEnded
 )
 
 // Peer events.
--- a/internal/base/settings/list.go
+++ b/internal/base/settings/list.go
@@ -233,6 +233,8 @@
 	return []setting[Settings]{
 		headerName(sectionHeaders, "RequestID", "", "Header that carries the request ID of the caller, and in a response the ID of the request that it answers.",
 			func(s *Settings) *string { return &s.Headers.RequestID }),
+		headerName(sectionHeaders, "Caller", "", "Header that names the caller, set by the platform and not by callers themselves. Requests of different callers count as different ones when a request makes servers end.",
+			func(s *Settings) *string { return &s.Headers.Caller }),
 		headerName(sectionHeaders, "Deadline", "Mustardsaddle-Deadline", "Header that carries the remaining time until the deadline in milliseconds, from callers and to servers.",
 			func(s *Settings) *string { return &s.Headers.Deadline }),
 		headerName(sectionHeaders, "Instance", "", "Header that names the server that a request is intended for; any other server responds with 421.",
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -166,6 +166,7 @@
 // means that the header is not used.
 type Headers struct {
 	RequestID  string
+	Caller     string
 	Deadline   string
 	Instance   string
 	Server     string
--- a/internal/request/admission/controllers.go
+++ b/internal/request/admission/controllers.go
@@ -23,6 +23,7 @@
 package admission
 
 import (
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -47,6 +48,8 @@
 	// Transport sends load queries. Calls share its connections, so a response to a
 	// load query shows that a pooled connection works.
 	Transport *http.Transport
+	// Dial opens a connection to a server; nil means a net.Dialer.
+	Dial DialFunc
 	// Headers names the response headers in which servers report their load and name.
 	Headers *mustardsaddle.Headers
 	// Rules returns the rules table in force, or nil.
@@ -67,6 +70,7 @@
 	// retry holds the retry bounds of the whole fleet.
 	retry      atomic.Pointer[booking.Bounds]
 	statements *statements
+	endChecks  *endChecks
 
 	// reachMu orders the calls of OnReach.
 	reachMu sync.Mutex
@@ -80,7 +84,10 @@
 // NewControllers returns Controllers without services.
 func NewControllers(cfg Config) *Controllers {
 	cfg.Options = cfg.withDefaults()
-	cs := &Controllers{cfg: cfg, statements: newStatements(), controllers: make(map[string]*Controller)}
+	if cfg.Dial == nil {
+		cfg.Dial = new(net.Dialer).DialContext
+	}
+	cs := &Controllers{cfg: cfg, statements: newStatements(), endChecks: newEndChecks(), controllers: make(map[string]*Controller)}
 	cs.retry.Store(&booking.Bounds{Share: max(cfg.RetryShare, 0), Slack: cfg.RetrySlack})
 	return cs
 }
--- a/internal/request/admission/metrics.go
+++ b/internal/request/admission/metrics.go
@@ -30,6 +30,8 @@
 	NoResponse tally.Counter
 	Resumed    tally.Counter
 	Truncated  tally.Counter
+	// ServersEnded counts servers that ended while they ran requests of this gateway.
+	ServersEnded tally.Counter
 	// BadReports counts load reports that could not be parsed.
 	BadReports tally.Counter
 	// BadStatements counts statements of servers that could not be parsed.
@@ -54,6 +56,7 @@
 		NoResponse:    s.Counter("SilentConnections"),
 		Resumed:       s.Counter("ResumedDownloads"),
 		Truncated:     s.Counter("CutAnswers"),
+		ServersEnded:  s.Counter("ServersEnded"),
 		BadReports:    s.Counter("BadReports"),
 		BadStatements: s.Counter("BadStatements"),
 		LoadQueries:   s.Counter("Questions"),
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -56,6 +56,8 @@
 	shed     bool
 	mismatch bool
 	latency  time.Duration
+	// serverEnded is true if the server has ended since the request was sent.
+	serverEnded bool
 
 	// sentBefore is the number of attempts that were sent to servers before the call was
 	// forwarded, granted the number of those that the other gateway may send, and answer
--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -8,9 +8,11 @@
 	"sync"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
+	"mustardsaddle.example/mustardsaddle/internal/request/identity"
 	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
 )
 
@@ -27,6 +29,14 @@
 	empty    bool
 	buffered []byte
 
+	// readMu serializes reads from the caller, and guards identity, ended and peeked.
+	readMu   sync.Mutex
+	identity *identity.Hasher
+	// ended is true once the end of the caller's body was read.
+	ended bool
+	// peeked is what was read of the body before the first attempt.
+	peeked []byte
+
 	mu        sync.Mutex
 	consumed  bool
 	tooLarge  bool
@@ -49,9 +59,51 @@
 	}
 	_ = rc.SetReadDeadline(time.Time{})
 	b.buffered = buffered
+	_, _ = b.identity.Write(buffered)
 	return nil
 }
 
+// read reads from the caller's body.
+func (b *requestBody) read(p []byte) (int, error) {
+	b.readMu.Lock()
+	defer b.readMu.Unlock()
+	if len(b.peeked) > 0 {
+		n := copy(p, b.peeked)
+		b.peeked = b.peeked[n:]
+		return n, nil
+	}
+	n, err := b.c.r.Body.Read(p)
+	_, _ = b.identity.Write(p[:n])
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// digest returns the digest of the request. Of a streamed body it reads as much as counts,
+// for at most wait, and keeps it for a later attempt if none has read from the body yet. It
+// returns false if the body did not arrive in time.
+func (b *requestBody) digest(wait time.Duration) (mustardsaddle.RequestDigest, bool) {
+	b.readMu.Lock()
+	defer b.readMu.Unlock()
+	if !b.streamed() || b.ended || b.identity.Full() {
+		return b.identity.Sum(), true
+	}
+	rc := http.NewResponseController(b.c.w)
+	_ = rc.SetReadDeadline(time.Now().Add(wait))
+	var dst io.Writer = b.identity
+	var kept bytes.Buffer
+	if consumed, _ := b.state(); !consumed {
+		dst = io.MultiWriter(b.identity, &kept)
+	}
+	_, err := io.CopyN(dst, b.c.r.Body, identity.MaxBodyBytes)
+	b.peeked = append(b.peeked, kept.Bytes()...)
+	b.ended = errors.Is(err, io.EOF)
+	if !b.ended && !b.identity.Full() {
+		return mustardsaddle.RequestDigest{}, false
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return b.identity.Sum(), true
+}
+
 // streamed reports whether the body is forwarded while it is received.
 func (b *requestBody) streamed() bool {
 	return !b.empty && b.buffered == nil
@@ -91,7 +143,7 @@
 	}
 	c := r.b.c
 	c.uploadProgress()
-	n, err := c.r.Body.Read(p)
+	n, err := r.b.read(p)
 	if r.b.addBytes(n) {
 		return 0, errBodyTooLarge
 	}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -205,7 +205,7 @@
 	g.forwarder = forward.NewForwarder(self, rand.New(rand.NewPCG(cfg.Seed, 5)))
 	g.controllers = admission.NewControllers(admission.Config{
 		Options: cfg.Admission, Name: cfg.Name, MinRetryAfter: cfg.minRetryAfter(), Transport: g.pooled,
-		Headers: cfg.Headers, Rules: g.Rules, Metrics: cfg.Metrics, Logger: cfg.Logger, Seed: cfg.Seed,
+		Dial: cfg.DialServer, Headers: cfg.Headers, Rules: g.Rules, Metrics: cfg.Metrics, Logger: cfg.Logger, Seed: cfg.Seed,
 	})
 	g.buffers.New = func() any { return new([copyBufferBytes]byte) }
 	return g
--- a/internal/request/gateway/log.go
+++ b/internal/request/gateway/log.go
@@ -66,6 +66,11 @@
 	if a.resp != nil {
 		line = line.Int("Status", a.resp.StatusCode)
 	}
+	if a.serverEnded {
+		if digest, ok := c.body.digest(drainTimeout); ok {
+			line = line.Stringer("Digest", digest)
+		}
+	}
 	line.Err(a.err).Send()
 }
 
--- a/server.go
+++ b/server.go
@@ -29,6 +29,19 @@
 	MayReturn bool
 }
 
+// Instance returns the name and the incarnation of the server.
+func (s Server) Instance() Instance {
+	return Instance{Name: s.Name, Incarnation: s.Incarnation}
+}
+
+// Instance identifies one incarnation of an endpoint server.
+type Instance struct {
+	// Name is the name of the server.
+	Name string
+	// Incarnation is the incarnation of the server.
+	Incarnation int64
+}
+
 // WithLeaving returns a copy of s with Leaving set to leaving.
 func (s Server) WithLeaving(leaving bool) Server {
 	s.Leaving = leaving
