--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -199,6 +199,13 @@
 	return c
 }
 
+// InFlight returns the number of requests in progress.
+func (s *Server) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight
+}
+
 func (s *Server) handleCount(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Count())
 }
