Show operators the requests under which servers end, and release them

The admin page /quarantine and the command quarantine list them by digest and release one in all gateways; gauges count them; CallRefused names the digest, and trace prints what was known about the request of a refusal.

--- a/internal/base/code/code_string.go
+++ b/internal/base/code/code_string.go
@@ -71,6 +71,7 @@
 	_ = x[ReportBad-6001]
 	_ = x[StatementBad-6002]
 	_ = x[RequestDigestBad-8001]
+	_ = x[RequestDigestUnknown-8002]
 }
 
 const (
@@ -82,7 +83,7 @@
 	_Code_name_5 = "PeerBadMessagePeerNewerFormatPeerUnavailablePeerUnknownPeerBusy"
 	_Code_name_6 = "ReportBadStatementBad"
 	_Code_name_7 = "StopCut"
-	_Code_name_8 = "RequestDigestBad"
+	_Code_name_8 = "RequestDigestBadRequestDigestUnknown"
 )
 
 var (
@@ -93,6 +94,7 @@
 	_Code_index_4 = [...]uint8{0, 10, 22, 36, 48, 58, 70, 84, 96, 108, 119, 131, 142, 154, 165, 180, 195, 206}
 	_Code_index_5 = [...]uint8{0, 14, 29, 44, 55, 63}
 	_Code_index_6 = [...]uint8{0, 9, 21}
+	_Code_index_8 = [...]uint8{0, 16, 36}
 )
 
 func (i Code) String() string {
@@ -119,8 +121,9 @@
 		return _Code_name_6[_Code_index_6[i]:_Code_index_6[i+1]]
 	case i == 7001:
 		return _Code_name_7
-	case i == 8001:
-		return _Code_name_8
+	case 8001 <= i && i <= 8002:
+		i -= 8001
+		return _Code_name_8[_Code_index_8[i]:_Code_index_8[i+1]]
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/internal/base/code/list.go
+++ b/internal/base/code/list.go
@@ -176,4 +176,7 @@
 const (
 	// RequestDigestBad means a digest of a request that cannot be parsed.
 	RequestDigestBad Code = iota + 8001
+	// RequestDigestUnknown means the digest of a request that is neither suspect nor
+	// quarantined.
+	RequestDigestUnknown
 )
--- a/internal/choice/quarantine/quarantine_test.go
+++ b/internal/choice/quarantine/quarantine_test.go
@@ -24,7 +24,7 @@
 func TestQuarantineTakesItsCourse(t *testing.T) {
 	digest, start := modelDigest(1), time.Unix(1000, 0)
 	table := quarantine.New(quarantine.Config{Retest: 10 * time.Second})
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	steps := []struct {
 		name string
 		at   time.Duration
--- a/internal/product/admin/admin.go
+++ b/internal/product/admin/admin.go
@@ -21,6 +21,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
@@ -39,6 +40,10 @@
 	Rules func() Rules
 	// Servers returns the endpoint servers that this gateway knows.
 	Servers func() []Server
+	// Quarantine returns the requests under which servers have ended.
+	Quarantine func() []quarantine.Item
+	// Release releases one of them. It returns false if there is none with the digest.
+	Release func(digest mustardsaddle.RequestDigest) bool
 	// Metrics serves the metrics page.
 	Metrics http.Handler
 }
@@ -65,6 +70,8 @@
 	r.HandleFunc("/readyz", p.ready)
 	r.HandleFunc("/rules", p.rules)
 	r.HandleFunc("/servers", p.servers)
+	r.HandleFunc(QuarantinePath, p.quarantine)
+	r.HandleFunc(QuarantinePath+"/{digest}", p.release).Methods(http.MethodDelete)
 	r.Handle("/metrics", cfg.Metrics)
 	r.Use(readOnly)
 	return r
@@ -74,10 +81,11 @@
 	cfg Config
 }
 
-// readOnly rejects every method except GET and HEAD.
+// readOnly rejects every method except GET and HEAD, and DELETE where a request is released.
 func readOnly(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		_, releases := mux.Vars(r)["digest"]
+		if r.Method != http.MethodGet && r.Method != http.MethodHead && !releases {
 			w.Header().Set("Allow", "GET, HEAD")
 			http.Error(w, "got method "+r.Method+", want GET or HEAD", http.StatusMethodNotAllowed)
 			return
@@ -89,7 +97,7 @@
 
 func (pages) index(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", textType)
-	_, _ = fmt.Fprintln(w, "/healthz\n/readyz\n/rules\n/servers\n/metrics")
+	_, _ = fmt.Fprintln(w, "/healthz\n/readyz\n/rules\n/servers\n/quarantine\n/metrics")
 }
 
 // health reports that the process is running and responds.
@@ -132,9 +140,14 @@
 
 // writeUnavailable responds with status 503, the result code and the reason.
 func writeUnavailable(w http.ResponseWriter, err error) {
+	writeError(w, http.StatusServiceUnavailable, err)
+}
+
+// writeError responds with the status, the result code and the reason.
+func writeError(w http.ResponseWriter, status int, err error) {
 	n := code.Of(err)
 	w.Header().Set("Content-Type", textType)
 	w.Header().Set(header.Code, strconv.Itoa(int(n)))
-	w.WriteHeader(http.StatusServiceUnavailable)
+	w.WriteHeader(status)
 	_, _ = fmt.Fprintf(w, "Code=%d Name=%s Reason=%q\n", int(n), n, err)
 }
--- a/internal/product/admin/admin_test.go
+++ b/internal/product/admin/admin_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
@@ -21,13 +24,20 @@
 	ready   error
 	rules   admin.Rules
 	servers []admin.Server
+	items   []quarantine.Item
 }
 
 func handler(s *state) http.Handler {
 	return admin.New(admin.Config{
-		Ready:   func() error { return s.ready },
-		Rules:   func() admin.Rules { return s.rules },
-		Servers: func() []admin.Server { return s.servers },
+		Ready:      func() error { return s.ready },
+		Rules:      func() admin.Rules { return s.rules },
+		Servers:    func() []admin.Server { return s.servers },
+		Quarantine: func() []quarantine.Item { return s.items },
+		Release: func(digest mustardsaddle.RequestDigest) bool {
+			n := len(s.items)
+			s.items = slices.DeleteFunc(s.items, func(item quarantine.Item) bool { return item.Digest == digest })
+			return len(s.items) < n
+		},
 		Metrics: http.NotFoundHandler(),
 	})
 }
@@ -72,6 +82,44 @@
 	})
 }
 
+func TestQuarantine(t *testing.T) {
+	convey.Convey("Given the quarantine page of a gateway", t, func() {
+		s := &state{}
+		h := handler(s)
+		convey.So(request(h, http.MethodGet, "/quarantine").Body.String(), convey.ShouldEqual, "[]\n")
+		item := quarantine.Item{
+			RequestSuspicion: mustardsaddle.RequestSuspicion{
+				Digest: mustardsaddle.RequestDigest{0xab}, Service: "Booking", Crashes: []mustardsaddle.Instance{{Name: "booking-01", Incarnation: 2}},
+			},
+			Decision: quarantine.Decision{State: quarantine.Quarantined, Wait: 9 * time.Second},
+		}
+		s.items = []quarantine.Item{item}
+		convey.Convey("It lists a request with its servers", func() {
+			var got []admin.Suspect
+			convey.So(json.Unmarshal(request(h, http.MethodGet, "/quarantine").Body.Bytes(), &got), convey.ShouldBeNil)
+			convey.So(got, convey.ShouldResemble, []admin.Suspect{{
+				Digest: "ab" + strings.Repeat("0", 30), Service: "Booking", State: "Quarantined",
+				Servers: []mustardsaddle.Instance{{Name: "booking-01", Incarnation: 2}}, Wait: 9,
+			}})
+		})
+		convey.Convey("DELETE releases the request once", func() {
+			path := "/quarantine/" + item.Digest.String()
+			convey.So(request(h, http.MethodDelete, path).Code, convey.ShouldEqual, http.StatusNoContent)
+			convey.So(s.items, convey.ShouldBeEmpty)
+			w := request(h, http.MethodDelete, path)
+			convey.So(w.Code, convey.ShouldEqual, http.StatusNotFound)
+			convey.So(w.Header().Get(header.Code), convey.ShouldEqual, "8002")
+		})
+		convey.Convey("Bad digests and other methods are refused", func() {
+			w := request(h, http.MethodDelete, "/quarantine/ab")
+			convey.So(w.Code, convey.ShouldEqual, http.StatusBadRequest)
+			convey.So(w.Header().Get(header.Code), convey.ShouldEqual, "8001")
+			convey.So(request(h, http.MethodDelete, "/quarantine").Code, convey.ShouldEqual, http.StatusMethodNotAllowed)
+			convey.So(request(h, http.MethodPost, "/quarantine").Code, convey.ShouldEqual, http.StatusMethodNotAllowed)
+		})
+	})
+}
+
 func TestServers(t *testing.T) {
 	convey.Convey("Given the servers page of a gateway", t, func() {
 		s := &state{}
--- a/internal/product/admin/state.go
+++ b/internal/product/admin/state.go
@@ -30,6 +30,9 @@
 	// GatewaysCutOff is the number of gateways, this one included, that cannot reach the
 	// servers of some service.
 	GatewaysCutOff int
+	// RequestsSuspect and RequestsQuarantined are the numbers of requests under which servers
+	// have ended.
+	RequestsSuspect, RequestsQuarantined int
 	// Links is the number of links to other gateways.
 	Links int
 	// PeerMessages and PeerBytes are the totals sent and received over links.
@@ -61,6 +64,7 @@
 	storeReads, storeWatches, storeWrites, storeFailures, storeUnsent tally.Counter
 	gatewaysCutOff, storeEra                                          tally.Gauge
 	storeErasIgnored                                                  tally.Counter
+	requestsSuspect, requestsQuarantined                              tally.Gauge
 }
 
 func newStateMetrics(scope tally.Scope) stateMetrics {
@@ -76,6 +80,8 @@
 		serversPaused:        scope.Gauge("ServersPaused"),
 		servicesLost:         scope.Gauge("ServicesLost"),
 		gatewaysCutOff:       scope.Gauge("GatewaysCutOff"),
+		requestsSuspect:      scope.Gauge("RequestsSuspect"),
+		requestsQuarantined:  scope.Gauge("RequestsQuarantined"),
 		links:                scope.Gauge("PeerLinks"),
 		peerMessages:         scope.Counter("PeerMessages"),
 		peerBytes:            scope.Counter("PeerBytes"),
@@ -112,6 +118,8 @@
 	m.serversPaused.Update(float64(next.ServersPaused))
 	m.servicesLost.Update(float64(next.ServicesLost))
 	m.gatewaysCutOff.Update(float64(next.GatewaysCutOff))
+	m.requestsSuspect.Update(float64(next.RequestsSuspect))
+	m.requestsQuarantined.Update(float64(next.RequestsQuarantined))
 	m.links.Update(float64(next.Links))
 	m.peerMessages.Inc(next.PeerMessages - old.PeerMessages)
 	m.peerBytes.Inc(next.PeerBytes - old.PeerBytes)
--- a/internal/product/command/command.go
+++ b/internal/product/command/command.go
@@ -47,6 +47,7 @@
   mustardsaddle explain GET http://gateway/rosters --rules rules.txt
   mustardsaddle serve --settings gateway.ini
   mustardsaddle trace 9c41d07be2a35f68 gateway-1.log
+  mustardsaddle quarantine 10.0.1.5:8081
 
 Exit status:
   0  success
@@ -94,6 +95,7 @@
 		{"check", "List every mistake in settings and rules", checkAbout, &check{cfg: cfg}},
 		{"explain", "Show which rule matches a request, and why", explainAbout, &explain{cfg: cfg}},
 		{"trace", "Show the log lines about one request", traceAbout, &trace{cfg: cfg}},
+		{"quarantine", "List requests under which servers have ended, or release one", quarantineAbout, &quarantineCommand{ctx: ctx, cfg: cfg}},
 		{"settings", "Print an annotated settings file", settingsAbout, &example{cfg: cfg}},
 		{"version", "Print the version", versionAbout, &version{cfg: cfg}},
 	}
--- a/internal/product/command/trace.go
+++ b/internal/product/command/trace.go
@@ -18,7 +18,8 @@
 with the load report on which it was based and the age of that report, each
 attempt with its outcome, and the response. The lines of each gateway are
 preceded by the line about the rules that were in force there, a refusal because of
-what servers state by the latest line about each of them. For a request that one
+what servers state by the latest line about each of them, and a refusal because
+servers have ended under the same request by the lines about that request. For a request that one
 gateway has forwarded to another, name the logs of both, that of the first one first.
 Reads the named log files, or standard input if there are none. Lines that are not log lines of
 a gateway are skipped and counted.
@@ -50,7 +51,9 @@
 	Service     string
 	Server      string
 	Code        code.Code
-	text        string
+	// Digest identifies a request under which a server has ended.
+	Digest string
+	text   string
 }
 
 // serviceOfGateway identifies a service as one gateway sees it.
@@ -66,6 +69,9 @@
 	rules map[string]string
 	// statements holds, by server, the latest lines about what the servers state.
 	statements map[serviceOfGateway]map[string]string
+	// suspicions holds, by digest, the lines about requests under which servers have ended
+	// that have not been printed yet.
+	suspicions map[string][]string
 	// attempts holds the ids of the known attempts of the request.
 	attempts map[string]bool
 	out      io.Writer
@@ -80,7 +86,7 @@
 	}
 	tr := &tracer{
 		request: c.Args.Request, rules: make(map[string]string), attempts: make(map[string]bool),
-		statements: make(map[serviceOfGateway]map[string]string), out: c.cfg.Out,
+		statements: make(map[serviceOfGateway]map[string]string), suspicions: make(map[string][]string), out: c.cfg.Out,
 	}
 	if err := c.read(tr); err != nil {
 		return err
@@ -143,6 +149,10 @@
 		tr.recordStatement(l)
 		return
 	}
+	if isSuspicion(l.Event) {
+		tr.suspicions[l.Digest] = append(tr.suspicions[l.Digest], text)
+		return
+	}
 	if !tr.belongs(l) {
 		return
 	}
@@ -154,9 +164,26 @@
 	if l.Code == code.CallLimited {
 		tr.printStatements(l)
 	}
+	tr.printSuspicions(l)
 	_, _ = fmt.Fprintln(tr.out, text)
 }
 
+// isSuspicion reports whether an event is about a request under which servers have ended.
+func isSuspicion(e event.Event) bool {
+	return e == event.RequestSuspected || e == event.RequestQuarantined || e == event.RequestRetested || e == event.RequestCleared
+}
+
+// printSuspicions prints what was known about the request of a line.
+func (tr *tracer) printSuspicions(l logLine) {
+	if l.Digest == "" {
+		return
+	}
+	for _, text := range tr.suspicions[l.Digest] {
+		_, _ = fmt.Fprintln(tr.out, text)
+	}
+	delete(tr.suspicions, l.Digest)
+}
+
 // belongs reports whether a line is about the request, and records the attempt that it
 // names.
 func (tr *tracer) belongs(l logLine) bool {
--- a/internal/product/command/trace_test.go
+++ b/internal/product/command/trace_test.go
@@ -65,6 +65,15 @@
 			convey.So(status, convey.ShouldEqual, command.Done)
 			convey.So(out, convey.ShouldEqual, newer+pause+refused)
 		})
+		convey.Convey("A refusal of a quarantined request is printed after the lines about that request", func() {
+			suspected := `{"Gateway":"g2","Event":4015,"Digest":"ab","Servers":["booking-01"]}` + "\n"
+			other := `{"Gateway":"g2","Event":4015,"Digest":"cd","Servers":["booking-01"]}` + "\n"
+			quarantined := `{"Gateway":"g1","Event":4016,"Digest":"ab","Servers":["booking-01","booking-02"]}` + "\n"
+			refused := `{"Gateway":"g1","Event":4002,"Request":"r-9","Code":4016,"Digest":"ab"}` + "\n"
+			status, out, _ := run(suspected+other+quarantined+refused, "r-9")
+			convey.So(status, convey.ShouldEqual, command.Done)
+			convey.So(out, convey.ShouldEqual, suspected+quarantined+refused)
+		})
 		convey.Convey("An unknown request, a missing file and missing arguments give an error status", func() {
 			status, _, err := run("", "r-3", path)
 			convey.So(status, convey.ShouldEqual, command.NoMatch)
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -14,6 +14,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/base/settings"
+	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
@@ -177,9 +178,13 @@
 
 func (in *instance) adminHandler() http.Handler {
 	return admin.New(admin.Config{
-		Ready:   in.ready,
-		Rules:   in.rules,
-		Servers: in.servers,
+		Ready:      in.ready,
+		Rules:      in.rules,
+		Servers:    in.servers,
+		Quarantine: func() []quarantine.Item { return in.gateway.Isolation().Items(time.Now()) },
+		Release: func(digest mustardsaddle.RequestDigest) bool {
+			return in.gateway.Isolation().Release(time.Now(), digest)
+		},
 		Metrics: in.metrics.Handler(),
 	})
 }
@@ -194,6 +199,7 @@
 // state returns the state of the control plane for the metrics page.
 func (in *instance) state() admin.State {
 	r := in.membership.Roster()
+	suspicions := in.gateway.Isolation().Counts()
 	stated := in.gateway.Controllers().StatementCounts(time.Now())
 	links, storeCalls, probes := in.links.Stats(), in.store.Stats(), in.probeBudget.Stats()
 	s := admin.State{
@@ -205,6 +211,8 @@
 
 		ServersStatedLeaving: stated.Leaving,
 		ServersPaused:        stated.Paused,
+		RequestsSuspect:      suspicions.Suspect,
+		RequestsQuarantined:  suspicions.Quarantined,
 		GatewaysCutOff:       in.gateway.Forwarder().CutOff(),
 		ServicesLost:         len(in.gateway.Controllers().LostServices(time.Now())),
 		Links:                links.Links,
--- a/internal/request/gateway/answer.go
+++ b/internal/request/gateway/answer.go
@@ -23,6 +23,9 @@
 	if refused.From != "" {
 		line = line.Str("From", refused.From)
 	}
+	if refused.Digest != "" {
+		line = line.Str("Digest", refused.Digest)
+	}
 	if refused.RetryAfter > 0 {
 		line = line.Dur("RetryAfter", refused.RetryAfter)
 	}
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -33,6 +33,9 @@
 	// request, and leave ends that; nil if there is nothing to end.
 	isolated bool
 	leave    func()
+	// suspicion is the digest of the request if it is suspect or quarantined; empty
+	// otherwise.
+	suspicion string
 
 	mu              sync.Mutex
 	state           booking.Call
@@ -388,7 +391,7 @@
 	if carried := c.match.carried; carried != nil {
 		refused = refused.WithForward(carried.Gateway, sent-carried.Sent)
 	}
-	refused.Service, refused.Waited = c.match.controller.Service, time.Since(c.start)
+	refused.Service, refused.Waited, refused.Digest = c.match.controller.Service, time.Since(c.start), c.suspicion
 	c.g.refuse(c.w, c.r, id, refused)
 }
 
--- a/internal/request/gateway/isolate.go
+++ b/internal/request/gateway/isolate.go
@@ -40,8 +40,12 @@
 	}
 	now := time.Now()
 	d := c.g.isolation.Decide(now, digest)
+	if d.State == quarantine.Free {
+		return nil, nil
+	}
+	c.suspicion = digest.String()
 	switch {
-	case d.State == quarantine.Free, !c.permitsAttempt(now):
+	case !c.permitsAttempt(now):
 		return nil, nil
 	case d.State == quarantine.Quarantined:
 		return nil, c.refuseQuarantined(d)
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -32,6 +32,8 @@
 	Waited time.Duration
 	// From is the gateway that forwarded the call; empty for a caller's own.
 	From string
+	// Digest identifies the request if it is suspect or quarantined; empty otherwise.
+	Digest string
 	// Sent is the number of attempts that were sent to servers, which a gateway that has
 	// forwarded the call is told.
 	Sent int
