Do not take servers that have ended for a lost network path

Cause: of the servers that a gateway queries at once, those that have ended refuse the connection in the millisecond in which the others reply. If the four refusals were read first, the service counted as lost. Ruled out: cuts, as there were none.

A loss now needs 20 ms from the first failed request, unless all servers are unreachable; any reply meanwhile excuses it.

--- a/internal/choice/reach/detector.go
+++ b/internal/choice/reach/detector.go
@@ -39,6 +39,10 @@
 	unansweredLimit = 3
 	// minUnanswered is the least time over which they extend.
 	minUnanswered = 500 * time.Millisecond
+	// minLossTime is the least time from the first failed request after a reply to the loss,
+	// unless all servers are unreachable. Servers that have ended refuse connections as
+	// early as others reply, so that they may be the first of those that were asked at once.
+	minLossTime = 20 * time.Millisecond
 	// maxWait is the age from which an unanswered request is no evidence. A request that
 	// waited for much longer than its timeout shows that this process did not run.
 	maxWait = 5 * time.Second
@@ -107,6 +111,8 @@
 	// before the loss while the service is lost.
 	counts         [causes]int
 	newConnections int
+	// failingSince is when the first of these requests was sent; zero if there is none.
+	failingSince time.Time
 	// replies counts the replies since the last failure.
 	replies int
 	lost    bool
@@ -155,7 +161,7 @@
 	if d.lost && !regained {
 		return Unchanged
 	}
-	d.counts, d.newConnections = [causes]int{}, 0
+	d.counts, d.newConnections, d.failingSince = [causes]int{}, 0, time.Time{}
 	if !regained {
 		return Unchanged
 	}
@@ -176,11 +182,18 @@
 	}
 	d.replies = 0
 	d.counts[f.Cause]++
+	if d.failingSince.IsZero() || f.SentAt.Before(d.failingSince) {
+		d.failingSince = f.SentAt
+	}
 	if f.NewConnection {
 		d.newConnections++
 	}
 	p.fail(now, f)
-	if d.lost || len(d.servers) == 0 || d.unreachable() < min(minUnreachable, len(d.servers)) {
+	unreachable := d.unreachable()
+	if d.lost || len(d.servers) == 0 || unreachable < min(minUnreachable, len(d.servers)) {
+		return Unchanged
+	}
+	if unreachable < len(d.servers) && now.Sub(d.failingSince) < minLossTime {
 		return Unchanged
 	}
 	d.lost, d.since = true, now
