Identify a request by the host of its rule, not by its Host header

Found by a test of real processes, whose callers name each gateway by its own address: three requests ended 28 to 39 server processes, since each gateway took them for other requests than the others did. A caller could escape the quarantine by a Host header in the same way. Ruled out: lost messages, as all gateways logged the same suspicions.

The digest now holds the host that the rule requires, which is empty for a rule for any host.

--- a/digest.go
+++ b/digest.go
@@ -10,8 +10,8 @@
 const RequestDigestBytes = 16
 
 // RequestDigest identifies the requests that are the same work for a server: it is a
-// collision-resistant hash of the method, the host, the path with the query, the caller and
-// the first part of the body.
+// collision-resistant hash of the method, the host that the rules require, the path with
+// the query, the caller and the first part of the body.
 type RequestDigest [RequestDigestBytes]byte
 
 // ParseRequestDigest parses the hexadecimal form of a digest. The error has
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -52,7 +52,7 @@
 
 func newCall(g *Gateway, now time.Time, w http.ResponseWriter, r *http.Request, m matchResult) *call {
 	c := &call{g: g, w: w, r: r, match: m, start: now, deadline: now.Add(m.deadline)}
-	c.body.c, c.body.identity = c, g.newIdentity(r)
+	c.body.c, c.body.identity = c, g.newIdentity(r, m)
 	c.request = admission.Request{
 		Begin: c.beginAttempt, Entry: c.queueEntry, NoTokenWait: m.carried != nil || g.cfg.Forwarding.MaxGateways > 0,
 	}
--- a/internal/request/gateway/crash.go
+++ b/internal/request/gateway/crash.go
@@ -16,8 +16,8 @@
 const endedWait = 50 * time.Millisecond
 
 // newIdentity returns the identity of a request without its body.
-func (g *Gateway) newIdentity(r *http.Request) *identity.Hasher {
-	return identity.New(r, g.cfg.Headers.Caller)
+func (g *Gateway) newIdentity(r *http.Request, m matchResult) *identity.Hasher {
+	return identity.New(r, identity.Scope{Host: m.rule.Host, CallerHeader: g.cfg.Headers.Caller})
 }
 
 // mayHaveEndedServer reports whether the attempt shows that its server may have ended: the
--- a/internal/request/identity/identity.go
+++ b/internal/request/identity/identity.go
@@ -1,14 +1,16 @@
 // Package identity computes which requests are the same work for a server. Two requests
-// are the same if they have the same method, host, path, query, caller and body. Neither
-// the framing of the body nor percent-encoding or the case of the host makes a difference,
-// and no header does, except the one that names the caller.
+// are the same if they have the same method, path, query, caller and body, and match rules
+// for the same host. Neither the framing of the body nor percent-encoding makes a difference,
+// and no header does, except the one that names the caller: a Host that the rules do not
+// distinguish does not either. The service makes none, since the rules may move a path to
+// another service while servers end.
 //
 // Of a body only the first MaxBodyBytes count, so that an endless body costs no more than a
 // long one, and the digest of an upload is known long before its end.
 //
 // # Usage
 //
-//	h := identity.New(r, "Customer-ID")
+//	h := identity.New(r, identity.Scope{Host: "sheds.example", CallerHeader: "Customer-ID"})
 //	h.Write(body)
 //	digest := h.Sum()
 package identity
@@ -20,7 +22,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -40,17 +41,24 @@
 	left int
 }
 
-// New returns a Hasher of a request without a body. CallerHeader is the header that names
-// the caller; empty if none does.
-func New(r *http.Request, callerHeader string) *Hasher {
+// Scope is what distinguishes requests besides what they contain.
+type Scope struct {
+	// Host is the host that the rule requires; empty if it matches any.
+	Host string
+	// CallerHeader is the header that names the caller; empty if none does.
+	CallerHeader string
+}
+
+// New returns a Hasher of a request without a body.
+func New(r *http.Request, scope Scope) *Hasher {
 	b := make([]byte, 0, 512)
 	b = appendField(b, r.Method)
-	b = appendField(b, hostName(r.Host))
+	b = appendField(b, scope.Host)
 	b = appendField(b, r.URL.Path)
 	b = appendField(b, decodedQuery(r.URL.RawQuery))
 	caller := ""
-	if callerHeader != "" {
-		caller = r.Header.Get(callerHeader)
+	if scope.CallerHeader != "" {
+		caller = r.Header.Get(scope.CallerHeader)
 	}
 	b = appendField(b, caller)
 	h := &Hasher{hash: sha256.New(), head: xxhash.Sum64(b), left: MaxBodyBytes}
@@ -64,14 +72,6 @@
 	return append(b, field...)
 }
 
-// hostName returns the host without the port, in lower case.
-func hostName(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	return strings.ToLower(strings.TrimSuffix(host, "."))
-}
-
 // decodedQuery returns the query without percent-encoding, or as it is if it cannot be
 // decoded.
 func decodedQuery(query string) string {
--- a/internal/request/identity/identity_test.go
+++ b/internal/request/identity/identity_test.go
@@ -12,8 +12,8 @@
 )
 
 // digest returns the digest of a request, whose body is written in parts of the given size.
-func digest(r *http.Request, body string, part int) mustardsaddle.RequestDigest {
-	h := identity.New(r, "Customer")
+func digest(r *http.Request, host, body string, part int) mustardsaddle.RequestDigest {
+	h := identity.New(r, identity.Scope{Host: host, CallerHeader: "Customer"})
 	_, _ = io.CopyBuffer(struct{ io.Writer }{h}, struct{ io.Reader }{strings.NewReader(body)}, make([]byte, part))
 	return h.Sum()
 }
@@ -21,9 +21,9 @@
 // TestSameWork checks which differences between requests matter.
 func TestSameWork(t *testing.T) {
 	type request struct {
-		method, url, host, customer, other, body string
+		method, url, host, ruleHost, customer, other, body string
 	}
-	base := request{method: "POST", url: "/bookings/a?x=1", host: "sheds.example", customer: "c1", body: "Lathe=2"}
+	base := request{method: "POST", url: "/bookings/a?x=1", host: "sheds.example", ruleHost: "sheds.example", customer: "c1", body: "Lathe=2"}
 	long := strings.Repeat("x", identity.MaxBodyBytes)
 	with := func(change func(*request)) request {
 		r := base
@@ -37,14 +37,14 @@
 	}{
 		{"no difference", base, true},
 		{"another header", with(func(r *request) { r.other = "1" }), true},
-		{"case and port of the host", with(func(r *request) { r.host = "Sheds.Example:8080" }), true},
+		{"host that the rule does not require", with(func(r *request) { r.host = "gateway-1:8080" }), true},
 		{"escaped path", with(func(r *request) { r.url = "/bookings/%61?x=1" }), true},
 		{"escaped query", with(func(r *request) { r.url = "/bookings/a?x=%31" }), true},
 		{"method", with(func(r *request) { r.method = "PUT" }), false},
 		{"path", with(func(r *request) { r.url = "/bookings/b?x=1" }), false},
 		{"query", with(func(r *request) { r.url = "/bookings/a?x=2" }), false},
 		{"query as path", with(func(r *request) { r.url = "/bookings/ax=1" }), false},
-		{"host", with(func(r *request) { r.host = "others.example" }), false},
+		{"host of the rule", with(func(r *request) { r.ruleHost = "others.example" }), false},
 		{"caller", with(func(r *request) { r.customer = "c2" }), false},
 		{"body", with(func(r *request) { r.body = "Lathe=3" }), false},
 		{"no body", with(func(r *request) { r.body = "" }), false},
@@ -54,7 +54,7 @@
 		req.Host = r.host
 		req.Header.Set("Customer", r.customer)
 		req.Header.Set("Other", r.other)
-		return digest(req, r.body, part)
+		return digest(req, r.ruleHost, r.body, part)
 	}
 	want := sum(base, 64)
 	for _, tt := range tests {
@@ -73,7 +73,7 @@
 func BenchmarkRequestWithoutBody(b *testing.B) {
 	r := httptest.NewRequest(http.MethodGet, "/rosters/tools/lathes?day=2026-12-04", http.NoBody)
 	for b.Loop() {
-		_ = identity.New(r, "").Sum()
+		_ = identity.New(r, identity.Scope{}).Sum()
 	}
 }
 
@@ -82,7 +82,7 @@
 	body := make([]byte, identity.MaxBodyBytes)
 	b.SetBytes(int64(len(body)))
 	for b.Loop() {
-		h := identity.New(r, "")
+		h := identity.New(r, identity.Scope{})
 		_, _ = h.Write(body)
 		_ = h.Sum()
 	}
--- a/internal/standin/command/serve.go
+++ b/internal/standin/command/serve.go
@@ -24,7 +24,8 @@
 	serverAbout = `Runs an endpoint server with a limited number of slots. Each response carries
 a load report.
 
-  any path   work; ?Size=N returns a body of N bytes
+  any path   work; ?Size=N returns a body of N bytes; ?Crash=Reset ends the process,
+             ?Crash=Part ends it after part of the response
   /load      the load report alone
   /mode      PUT {"Draining": true}, {"Factor": 10}, {"FailFast": true}
   /count     executions by attempt, as JSON`
@@ -48,6 +49,9 @@
 	return c.env.serve("platform", c.Listen, platform.New(platform.Config{Lag: c.Lag}).Handler())
 }
 
+// crashDelay is the time for which a request runs under which the process ends.
+const crashDelay = 20 * time.Millisecond
+
 // recordMode is the file mode of a new record file.
 const recordMode = 0o600
 
@@ -82,5 +86,6 @@
 		defer func() { _ = f.Close() }()
 		cfg.Record = f
 	}
-	return c.env.serve(c.Name, c.Listen, server.New(cfg).Handler())
+	handler := server.CrashHandler(server.New(cfg).Handler(), crashDelay, func() { os.Exit(int(command.Failed)) })
+	return c.env.serve(c.Name, c.Listen, handler)
 }
--- a/internal/standin/server/process.go
+++ b/internal/standin/server/process.go
@@ -5,26 +5,10 @@
 	"errors"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 )
 
-// CrashParameter is the query parameter that marks a request under which a Process ends.
-// Its value is one of the ways to end.
-const CrashParameter = "Crash"
-
-// Ways in which a Process ends.
-const (
-	// CrashReset ends the process after CrashDelay, with all of its connections.
-	CrashReset = "Reset"
-	// CrashPart ends it after part of the response.
-	CrashPart = "Part"
-)
-
-// crashPartBytes is the stated length of a response of which CrashPart sends half.
-const crashPartBytes = 1 << 20
-
 // ProcessConfig configures a Process.
 type ProcessConfig struct {
 	// Server configures the server that runs in the process.
@@ -157,34 +141,23 @@
 
 // handler returns the server's handler, in which marked requests end the process.
 func (p *Process) handler() http.Handler {
-	next := p.server.Handler()
+	crashing := CrashHandler(p.server.Handler(), p.cfg.CrashDelay, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.cancel()
+	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		how := r.URL.Query().Get(CrashParameter)
-		if how == "" {
-			next.ServeHTTP(w, r)
-			return
+		if r.URL.Query().Get(CrashParameter) != "" {
+			p.recordMarked(r)
 		}
-		p.handleMarked(w, r, how)
+		crashing.ServeHTTP(w, r)
 	})
 }
 
-// handleMarked ends the process under a request.
-func (p *Process) handleMarked(w http.ResponseWriter, r *http.Request, how string) {
+// recordMarked records that a marked request has arrived.
+func (p *Process) recordMarked(r *http.Request) {
 	p.mu.Lock()
-	first := !p.crashing
+	defer p.mu.Unlock()
+	p.crashes = append(p.crashes, Crash{Path: r.URL.RequestURI(), At: time.Now(), Ended: !p.crashing})
 	p.crashing = true
-	p.crashes = append(p.crashes, Crash{Path: r.URL.RequestURI(), At: time.Now(), Ended: first})
-	cancel := p.cancel
-	p.mu.Unlock()
-	time.Sleep(p.cfg.CrashDelay)
-	if how == CrashPart {
-		w.Header().Set("Content-Length", strconv.Itoa(crashPartBytes))
-		_, _ = w.Write(make([]byte, crashPartBytes/2))
-		_ = http.NewResponseController(w).Flush()
-	}
-	if first {
-		cancel()
-	}
-	<-r.Context().Done()
-	panic(http.ErrAbortHandler)
 }
