Clear a request only by responses that show its execution

A server may reject a request with a status of its own before it executes it, and such a response must not end a quarantine. Witnesses are dialed only if a server has refused a connection, so that a connection that breaks costs one new connection.

--- a/internal/request/admission/ended.go
+++ b/internal/request/admission/ended.go
@@ -122,11 +122,9 @@
 	if !first {
 		return e
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endDialTimeout)
-	witnesses := c.witnesses(server)
+	ctx = context.WithoutCancel(ctx)
 	go func() {
-		defer cancel()
-		cause, ended := c.serverEnded(ctx, server, witnesses)
+		cause, ended := c.serverEnded(ctx, server)
 		if ended {
 			c.Metrics.ServersEnded.Inc(1)
 			event.Warn(c.controllers.cfg.Logger, event.ServerEnded).Str("Service", c.Service).Str("Server", server.Name).
@@ -157,16 +155,16 @@
 
 // serverEnded reports whether a server accepts no connection while a witness does. Without
 // any witness a refused connection suffices.
-func (c *Controller) serverEnded(ctx context.Context, server mustardsaddle.Server, witnesses []mustardsaddle.Server) (reach.Cause, bool) {
-	accepted := make(chan bool, len(witnesses))
-	for _, w := range witnesses {
-		go func() { accepted <- c.controllers.accepts(ctx, w) == nil }()
-	}
+func (c *Controller) serverEnded(ctx context.Context, server mustardsaddle.Server) (reach.Cause, bool) {
 	err := c.controllers.accepts(ctx, server)
 	if err == nil {
 		return 0, false
 	}
-	cause := FailureCause(err)
+	cause, witnesses := FailureCause(err), c.witnesses(server)
+	accepted := make(chan bool, len(witnesses))
+	for _, w := range witnesses {
+		go func() { accepted <- c.controllers.accepts(ctx, w) == nil }()
+	}
 	if len(witnesses) == 0 {
 		return cause, cause == reach.Refused
 	}
@@ -180,6 +178,8 @@
 
 // accepts returns an error unless a server accepts a new connection.
 func (cs *Controllers) accepts(ctx context.Context, server mustardsaddle.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, endDialTimeout)
+	defer cancel()
 	conn, err := cs.cfg.Dial(ctx, "tcp", server.Address)
 	if err != nil {
 		return err
--- a/internal/request/gateway/crash.go
+++ b/internal/request/gateway/crash.go
@@ -77,10 +77,11 @@
 }
 
 // provesExecution reports whether a response with the status shows that the server executed
-// the request to its end.
+// the request to its end. A server may reject a request with some statuses before that.
 func provesExecution(status int) bool {
 	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests:
+	case http.StatusBadRequest, http.StatusRequestTimeout, http.StatusRequestEntityTooLarge, http.StatusExpectationFailed,
+		http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests, http.StatusRequestHeaderFieldsTooLarge:
 		return false
 	default:
 		return status < http.StatusInternalServerError
--- a/internal/request/gateway/crash_test.go
+++ b/internal/request/gateway/crash_test.go
@@ -30,6 +30,8 @@
 	// part makes a server send part of a response before it ends, silent lets it end
 	// without closing its connections, and alive makes it reset them and run on.
 	part, silent, alive bool
+	// status, if not 0, is the status of responses that servers send in place of ending.
+	status int
 
 	mu      sync.Mutex
 	servers []*httptest.Server
@@ -60,6 +62,11 @@
 	}
 	f.mu.Lock()
 	f.reached++
+	if f.status != 0 {
+		defer f.mu.Unlock()
+		w.WriteHeader(f.status)
+		return
+	}
 	f.ended++
 	if f.silent {
 		f.dark[s.Listener.Addr().String()] = true
@@ -182,6 +189,32 @@
 	}
 }
 
+// TestResponseClearsSuspect guards against a request that servers execute staying suspect, and
+// against one that a server rejected before execution being cleared.
+func TestResponseClearsSuspect(t *testing.T) {
+	for status, clears := range map[int]bool{
+		http.StatusOK: true, http.StatusNotFound: true, http.StatusConflict: true,
+		http.StatusBadRequest: false, http.StatusRequestEntityTooLarge: false, http.StatusTooManyRequests: false, http.StatusInternalServerError: false,
+	} {
+		f := newFragileServers(t, 6)
+		front := newFragileGateway(t, f, quarantine.Config{})
+		fatal := func(status int) {
+			f.mu.Lock()
+			f.status = status
+			f.mu.Unlock()
+			send(t, front, http.MethodPost, "/x", fatalBody, false)
+		}
+		fatal(0)
+		fatal(0)
+		fatal(status)
+		fatal(0)
+		got, _ := send(t, front, http.MethodPost, "/x", fatalBody, false)
+		if refused := got == http.StatusServiceUnavailable; refused == clears {
+			t.Errorf("status %d after two crashes, then a third: got status %d, want cleared %t", status, got, clears)
+		}
+	}
+}
+
 // TestResetConnectionsAreNoEvidence guards against a request being quarantined because its
 // connections break although its servers run on.
 func TestResetConnectionsAreNoEvidence(t *testing.T) {
