--- a/internal/choice/quarantine/fleet_test.go
+++ b/internal/choice/quarantine/fleet_test.go
@@ -156,6 +156,39 @@
 	}
 }
 
+// TestWaysOfBoundingCrashes prints how many servers one request of ten callers ends in each
+// way of bounding that.
+func TestWaysOfBoundingCrashes(t *testing.T) {
+	const seeds = 10
+	ways := []struct {
+		name string
+		cfg  modelConfig
+	}{
+		{"nothing", modelConfig{withoutQuarantine: true}},
+		{"each gateway by itself", modelConfig{withoutMessages: true}},
+		{"shared, without isolation", modelConfig{withoutIsolation: true}},
+		{"shared, isolated", modelConfig{}},
+	}
+	for _, way := range ways {
+		for _, gateways := range []int{13, 101, 311} {
+			total, most := 0, 0
+			for seed := range uint64(seeds) {
+				cfg := way.cfg
+				cfg.gateways, cfg.servers, cfg.loss = gateways, 2*gateways, 0.05
+				m := newModel(cfg, seed)
+				m.fatalRequests(1, 10)
+				m.runUntil(10 * time.Second)
+				n := len(m.ended[modelDigest(0)])
+				total, most = total+n, max(most, n)
+			}
+			t.Logf("%s, %d gateways: %.1f servers ended, at most %d", way.name, gateways, float64(total)/seeds, most)
+			if way.cfg == (modelConfig{}) && most > maxEnded {
+				t.Errorf("%d gateways: got %d servers that ended, want at most %d", gateways, most, maxEnded)
+			}
+		}
+	}
+}
+
 // TestOtherRequestsStayFree guards against requests that only happen to be in progress when
 // servers end being quarantined.
 func TestOtherRequestsStayFree(t *testing.T) {
--- a/internal/choice/quarantine/model_test.go
+++ b/internal/choice/quarantine/model_test.go
@@ -33,7 +33,7 @@
 	// restarts is the number of gateways that lose what they know, at random times.
 	restarts int
 	// The remaining fields break a rule each.
-	withoutMessages, withoutIsolation, withoutCompletions bool
+	withoutQuarantine, withoutMessages, withoutIsolation, withoutCompletions bool
 }
 
 // model is a fleet without network: gateways that exchange suspicions over lossy links, and
@@ -91,9 +91,13 @@
 		calls: make(map[mustardsaddle.RequestDigest]int), refused: make(map[mustardsaddle.RequestDigest]int),
 		fatal: make(map[mustardsaddle.RequestDigest]bool),
 	}
+	table := quarantine.Config{}
+	if cfg.withoutQuarantine {
+		table.Crashes = -1
+	}
 	far := int(math.Sqrt(float64(cfg.gateways)))
 	for i := range cfg.gateways {
-		g := &modelGateway{table: quarantine.New(quarantine.Config{}), busy: make(map[mustardsaddle.RequestDigest]bool)}
+		g := &modelGateway{table: quarantine.New(table), busy: make(map[mustardsaddle.RequestDigest]bool)}
 		for _, d := range []int{1, far, -1, -far} {
 			g.links = append(g.links, (i+d+cfg.gateways)%cfg.gateways)
 		}
--- a/internal/peer/news/check.go
+++ b/internal/peer/news/check.go
@@ -143,6 +143,9 @@
 		return code.Errorf(code.PeerBadMessage, "message Suspicions: got %d requests, want at most %d", len(m.Requests), MaxSuspicions)
 	}
 	for _, s := range m.Requests {
+		if s.Digest == (mustardsaddle.RequestDigest{}) {
+			return code.Errorf(code.PeerBadMessage, "message Suspicions: a request has no digest")
+		}
 		if s.Epoch < 0 || s.Retests < 0 || s.Age < 0 {
 			return code.Errorf(code.PeerBadMessage, "message Suspicions: got Epoch=%d Retests=%d Age=%d, want at least 0", s.Epoch, s.Retests, s.Age)
 		}
--- a/internal/peer/news/codec_test.go
+++ b/internal/peer/news/codec_test.go
@@ -53,6 +53,14 @@
 			{Name: "gateway-1", Incarnation: 7, Seq: 2, Lost: []string{"Booking", "Rosters"}}, {Name: "gateway-2", Seq: 1},
 		}},
 		news.Heartbeat{Summary: news.Summary{ReachDigest: 0xfedcba9876543210}},
+		news.Suspicions{Requests: []mustardsaddle.RequestSuspicion{
+			{
+				Digest: mustardsaddle.RequestDigest{1, 2, 3}, Head: 0xfedcba9876543210, Service: "Booking", Epoch: 2, Retests: 1, Age: time.Second,
+				Crashes: []mustardsaddle.Instance{{Name: "booking-01", Incarnation: 7}, {Name: "booking-01", Incarnation: 8}},
+			},
+			{Digest: mustardsaddle.RequestDigest{4}, Epoch: 1},
+		}},
+		news.Heartbeat{Summary: news.Summary{SuspicionsDigest: 0xfedcba9876543210}},
 		news.AskMachines{}, news.Machines{Machines: []mustardsaddle.Machine{{
 			Name: "booking-07", Incarnation: 1_800_000_000, Zone: "perth-1", Service: "Booking",
 			Address: "10.0.0.7:8080", Slots: 2, Connections: 200,
