--- a/internal/choice/quarantine/quarantine.go
+++ b/internal/choice/quarantine/quarantine.go
@@ -54,9 +54,10 @@
 	// quarantineLifetime is how long a quarantined request without a further crash is
 	// remembered.
 	quarantineLifetime = 24 * time.Hour
-	// maxEntries bounds the number of suspect or cleared requests, and that of quarantined
-	// ones. Beyond it the oldest of the same sort is forgotten.
-	maxEntries = 1024
+	// maxSuspect bounds the number of suspect or cleared requests, and maxQuarantined that of
+	// quarantined ones. Beyond them the oldest of the same sort is forgotten.
+	maxSuspect     = 256
+	maxQuarantined = 1024
 )
 
 // State is what may be done with a request.
@@ -281,8 +282,12 @@
 // set replaces the entry of a request, and forgets others to make room for it.
 func (t *Table) set(now time.Time, e entry) {
 	t.remove(e.Digest)
-	if quarantined := t.isQuarantined(e); t.count(quarantined) >= maxEntries {
-		t.evict(now, quarantined)
+	if t.isQuarantined(e) {
+		if t.quarantined >= maxQuarantined {
+			t.evict(now, true)
+		}
+	} else if len(t.entries)-t.quarantined >= maxSuspect {
+		t.evict(now, false)
 	}
 	t.entries[e.Digest] = e
 	t.adjust(e, 1)
@@ -312,14 +317,6 @@
 	}
 }
 
-// count returns the number of quarantined entries, or of all others.
-func (t *Table) count(quarantined bool) int {
-	if quarantined {
-		return t.quarantined
-	}
-	return len(t.entries) - t.quarantined
-}
-
 // evict removes the expired entries, or the oldest one of the same sort if there are none.
 func (t *Table) evict(now time.Time, quarantined bool) {
 	oldest, found := entry{}, false
--- a/internal/peer/news/relay.go
+++ b/internal/peer/news/relay.go
@@ -22,10 +22,10 @@
 	// MinAskInterval is the minimum time between two requests for rules to one peer.
 	MinAskInterval time.Duration
 	// MinMarksInterval is the minimum time between two transfers of all marks to one
-	// peer, and likewise of all statements of servers.
+	// peer, and likewise of all statements of servers and of all suspicions.
 	MinMarksInterval time.Duration
 	// MinReachInterval is the minimum time between two transfers of all statements of
-	// gateways to one peer, and likewise of all suspicions.
+	// gateways to one peer.
 	MinReachInterval time.Duration
 }
 
@@ -170,7 +170,7 @@
 		actions.SendReaches = true
 		state.reachesSentAt = now
 	}
-	if theirs.SuspicionsDigest != own.SuspicionsDigest && now.Sub(state.suspicionsSentAt) >= r.cfg.MinReachInterval {
+	if theirs.SuspicionsDigest != own.SuspicionsDigest && now.Sub(state.suspicionsSentAt) >= r.cfg.MinMarksInterval {
 		actions.SendSuspicions = true
 		state.suspicionsSentAt = now
 	}
--- a/internal/request/isolation/isolation.go
+++ b/internal/request/isolation/isolation.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
@@ -43,6 +44,14 @@
 // rendezvous order, and the next one if that cannot be reached.
 const maxSenders = 2
 
+const (
+	// floodsPerSecond is the rate at which suspicions of requests that are not quarantined
+	// are passed on to other gateways, and floodBurst how many at once. If very many servers
+	// end at once, the others wait for the next comparison with a peer.
+	floodsPerSecond = 50
+	floodBurst      = 100
+)
+
 // Config configures an Isolation.
 type Config struct {
 	// Quarantine configures the decisions.
@@ -69,6 +78,8 @@
 	gates map[mustardsaddle.RequestDigest]*gate
 	// fleet lists the gateways that are not leaving.
 	fleet []mustardsaddle.VM
+	// floods limits the suspicions that are passed on.
+	floods *rate.Limiter
 }
 
 // gate lets one run of a request proceed at a time.
@@ -80,7 +91,10 @@
 
 // New returns an Isolation that knows no suspect request.
 func New(cfg Config) *Isolation {
-	return &Isolation{cfg: cfg, table: quarantine.New(cfg.Quarantine), gates: make(map[mustardsaddle.RequestDigest]*gate)}
+	return &Isolation{
+		cfg: cfg, table: quarantine.New(cfg.Quarantine), gates: make(map[mustardsaddle.RequestDigest]*gate),
+		floods: rate.NewLimiter(floodsPerSecond, floodBurst),
+	}
 }
 
 // SetFleet replaces the gateways of the fleet.
@@ -195,19 +209,24 @@
 		return false
 	}
 	i.log(next, before, after, source)
-	if i.cfg.OnSuspicion != nil {
+	if i.cfg.OnSuspicion != nil && i.passOn(now, after) {
 		i.cfg.OnSuspicion(next)
 	}
 	return true
 }
 
+// passOn reports whether other gateways are told of a change at once.
+func (i *Isolation) passOn(now time.Time, after quarantine.Decision) bool {
+	return after.State != quarantine.Suspect || i.floods.AllowN(now, 1)
+}
+
 // count updates active. The caller holds mu.
 func (i *Isolation) count() {
 	n := i.table.Counts()
 	i.active.Store(int64(n.Suspect + n.Quarantined))
 }
 
-// Merge records what another gateway knows. It returns what was new, which has yet to be sent
+// Merge records what another gateway knows. It returns what was new and has yet to be sent
 // to the other gateways.
 func (i *Isolation) Merge(now time.Time, from string, received []mustardsaddle.RequestSuspicion) []mustardsaddle.RequestSuspicion {
 	var added []mustardsaddle.RequestSuspicion
@@ -220,8 +239,10 @@
 		i.mu.Unlock()
 		for _, next := range merged {
 			i.log(next, before, after, from)
+			if i.passOn(now, after) {
+				added = append(added, next)
+			}
 		}
-		added = append(added, merged...)
 	}
 	return added
 }
