Refuse an upload that is not known in time as a suspect one

A call whose body arrives too slowly to tell it from a suspect request ended with code 4004, by the timer of its deadline alone. It is now refused with code 4017 and a Retry-After of its own (the new test got 4004 before). In neither case was it sent.

--- a/internal/request/gateway/crash_test.go
+++ b/internal/request/gateway/crash_test.go
@@ -189,6 +189,35 @@
 	}
 }
 
+// TestSlowBodyDoesNotHideQuarantinedRequest guards against a quarantined request being sent
+// because its body arrives so slowly that it is not known in time.
+func TestSlowBodyDoesNotHideQuarantinedRequest(t *testing.T) {
+	f := newFragileServers(t, 8)
+	front := newFragileGateway(t, f, quarantine.Config{})
+	for range 3 {
+		send(t, front, http.MethodPost, "/x", fatalBody, true)
+	}
+	before, _ := f.counts()
+	body, w := io.Pipe()
+	defer func() { _ = w.Close() }()
+	go func() { _, _ = w.Write([]byte(fatalBody)) }()
+	req, err := http.NewRequest(http.MethodPost, front.URL+"/x", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := front.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(header.Code) != "4017" {
+		t.Errorf("got status %d, code %s, want 503 with code 4017", resp.StatusCode, resp.Header.Get(header.Code))
+	}
+	if ended, _ := f.counts(); before != 3 || ended != before {
+		t.Errorf("got %d servers that ended, then %d, want 3", before, ended)
+	}
+}
+
 // TestResponseClearsSuspect guards against a request that servers execute staying suspect, and
 // against one that a server rejected before execution being cleared.
 func TestResponseClearsSuspect(t *testing.T) {
--- a/internal/request/gateway/isolate.go
+++ b/internal/request/gateway/isolate.go
@@ -34,9 +34,12 @@
 	if !c.g.isolation.Active() {
 		return nil, nil
 	}
-	digest, known := c.suspectDigest()
-	if !known {
+	digest, mayBeSuspect, known := c.suspectDigest()
+	switch {
+	case !mayBeSuspect:
 		return nil, nil
+	case !known:
+		return nil, c.refuseSuspect()
 	}
 	now := time.Now()
 	d := c.g.isolation.Decide(now, digest)
@@ -57,16 +60,17 @@
 	return nil, c.enterIsolation(digest)
 }
 
-// suspectDigest returns the digest of the request. It returns false if that cannot be known
-// before the request is sent, which is so for a long body that arrives too slowly.
-func (c *call) suspectDigest() (mustardsaddle.RequestDigest, bool) {
-	if digest, known := c.body.knownDigest(); known {
-		return digest, true
+// suspectDigest returns the digest of the request, if the request may be suspect. Known is
+// false if its body arrives too slowly to tell.
+func (c *call) suspectDigest() (digest mustardsaddle.RequestDigest, mayBeSuspect, known bool) {
+	if digest, known = c.body.knownDigest(); known {
+		return digest, true, true
 	}
 	if !c.g.isolation.Concerns(c.body.identity.Head()) {
-		return mustardsaddle.RequestDigest{}, false
+		return digest, false, false
 	}
-	return c.body.digest(time.Until(c.deadline))
+	digest, known = c.body.digest(time.Until(c.deadline))
+	return digest, true, known
 }
 
 // permitsAttempt reports whether the call may have another attempt.
