Wait long enough to learn whether a server has ended

The check of a server was waited for 50 ms. A call now waits up to 300 ms, at most a quarter of its time.

What is left at that load are requests that arrive at other gateways before these have heard of the first crash; 13 gateways and 260 calls a second under the race detector starve each other.

--- a/internal/request/gateway/crash.go
+++ b/internal/request/gateway/crash.go
@@ -11,9 +11,13 @@
 	"mustardsaddle.example/mustardsaddle/internal/request/identity"
 )
 
-// endedWait is how long a call waits to learn whether the server of its last attempt has
-// ended.
-const endedWait = 50 * time.Millisecond
+const (
+	// maxEndedWait is the longest time that a call waits to learn whether the server of its
+	// last attempt has ended, before another server gets the request; at most the time left
+	// divided by endedWaitDivisor.
+	maxEndedWait     = 300 * time.Millisecond
+	endedWaitDivisor = 4
+)
 
 // newIdentity returns the identity of a request without its body.
 func (g *Gateway) newIdentity(r *http.Request, m matchResult) *identity.Hasher {
@@ -44,7 +48,7 @@
 	if errors.Is(context.Cause(a.ctx), errDeadline) {
 		return
 	}
-	timer := time.NewTimer(endedWait)
+	timer := time.NewTimer(min(maxEndedWait, time.Until(c.deadline)/endedWaitDivisor))
 	defer timer.Stop()
 	select {
 	case <-check.Done():
