--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/textproto"
 	"sync"
 	"time"
 
@@ -12,7 +11,6 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
-	"mustardsaddle.example/mustardsaddle/internal/request/header"
 	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
 )
@@ -281,53 +279,6 @@
 	return c.match.repeat != mustardsaddle.RepeatYes && c.body.streamed()
 }
 
-// sendHedged sends an attempt, and a hedge beside it if the response is late. It
-// returns the attempt that was answered. If neither was, it returns the first one,
-// or the hedge if the first one ended as NotRun.
-func (c *call) sendHedged(a *attempt) *attempt {
-	delay, ok := c.hedgeDelay()
-	if !ok {
-		c.send(a)
-		return a
-	}
-	ended := make(chan *attempt, 1)
-	timer := time.AfterFunc(delay, func() { ended <- c.sendHedge(a) })
-	c.send(a)
-	if timer.Stop() {
-		return a
-	}
-	if h := <-ended; h != nil && (h.outcome == mustardsaddle.Ran || a.outcome == mustardsaddle.NotRun) {
-		return h
-	}
-	return a
-}
-
-// hedgeDelay returns the delay after which a hedge is sent, and false if there is
-// none.
-func (c *call) hedgeDelay() (time.Duration, bool) {
-	if c.match.repeat != mustardsaddle.RepeatYes || c.body.streamed() || c.isolated {
-		return 0, false
-	}
-	return c.match.controller.HedgeDelay()
-}
-
-// sendHedge sends a second attempt on a new connection to another server. It
-// returns nil if no hedge was permitted.
-func (c *call) sendHedge(primary *attempt) *attempt {
-	assigned, refused := c.admit()
-	if refused != nil {
-		return nil
-	}
-	assigned.Kind = booking.Hedge
-	h := c.newAttempt(assigned, newConnection)
-	c.track(h)
-	c.send(h)
-	if h.outcome == mustardsaddle.Ran {
-		primary.cancel(errSuperseded)
-	}
-	return h
-}
-
 // send sends an attempt. An attempt that does not win the call is finished here;
 // the relay finishes the winner.
 func (c *call) send(a *attempt) {
@@ -414,55 +365,3 @@
 		_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
 	}
 }
-
-// uploadProgress restarts the progress timeout of the caller's body. The deadline
-// for the response header does not run during the upload.
-func (c *call) uploadProgress() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.responseStarted {
-		return
-	}
-	c.timer.Reset(c.g.cfg.ProgressTimeout)
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(c.g.cfg.ProgressTimeout))
-}
-
-// uploadDone starts the deadline for the response header.
-func (c *call) uploadDone() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.responseStarted {
-		return
-	}
-	c.timer.Reset(c.match.deadline)
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
-}
-
-// maxInformational is the maximum number of 1xx responses to one call.
-const maxInformational = 16
-
-// errInformational is the error of an attempt whose server sends too many 1xx responses.
-var errInformational = errors.New("wait for response header: too many 1xx responses")
-
-// relayInformational relays a 1xx response. 100 Continue is skipped: net/http sends
-// it itself when the caller's body is read. The error ends the attempt: http.Transport does
-// not bound the number of 1xx responses that are relayed.
-func (c *call) relayInformational(status int, fields textproto.MIMEHeader) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.informational++
-	if c.informational > maxInformational {
-		return errInformational
-	}
-	if c.responseStarted || status == http.StatusContinue || !c.r.ProtoAtLeast(1, 1) {
-		return nil
-	}
-	h := c.w.Header()
-	header.CopyEndToEnd(h, http.Header(fields))
-	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline)
-	c.w.WriteHeader(status)
-	for name := range fields {
-		delete(h, name)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/request/gateway/progress.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"net/textproto"
+	"time"
+
+	"mustardsaddle.example/mustardsaddle/internal/request/header"
+)
+
+// uploadProgress restarts the progress timeout of the caller's body. The deadline
+// for the response header does not run during the upload.
+func (c *call) uploadProgress() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.responseStarted {
+		return
+	}
+	c.timer.Reset(c.g.cfg.ProgressTimeout)
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(c.g.cfg.ProgressTimeout))
+}
+
+// uploadDone starts the deadline for the response header.
+func (c *call) uploadDone() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.responseStarted {
+		return
+	}
+	c.timer.Reset(c.match.deadline)
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+}
+
+// maxInformational is the maximum number of 1xx responses to one call.
+const maxInformational = 16
+
+// errInformational is the error of an attempt whose server sends too many 1xx responses.
+var errInformational = errors.New("wait for response header: too many 1xx responses")
+
+// relayInformational relays a 1xx response. 100 Continue is skipped: net/http sends
+// it itself when the caller's body is read. The error ends the attempt: http.Transport does
+// not bound the number of 1xx responses that are relayed.
+func (c *call) relayInformational(status int, fields textproto.MIMEHeader) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.informational++
+	if c.informational > maxInformational {
+		return errInformational
+	}
+	if c.responseStarted || status == http.StatusContinue || !c.r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	h := c.w.Header()
+	header.CopyEndToEnd(h, http.Header(fields))
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline)
+	c.w.WriteHeader(status)
+	for name := range fields {
+		delete(h, name)
+	}
+	return nil
+}
