--- a/internal/request/gateway/crash.go
+++ b/internal/request/gateway/crash.go
@@ -48,7 +48,7 @@
 	if errors.Is(context.Cause(a.ctx), errDeadline) {
 		return
 	}
-	timer := time.NewTimer(min(maxEndedWait, time.Until(c.deadline)/endedWaitDivisor))
+	timer := time.NewTimer(c.endedWait(time.Now()))
 	defer timer.Stop()
 	select {
 	case <-check.Done():
@@ -62,6 +62,16 @@
 	}
 }
 
+// endedWait returns how long the call may wait to learn whether a server has ended. The
+// deadline does not bound the body of a response.
+func (c *call) endedWait(now time.Time) time.Duration {
+	left := c.deadline.Sub(now)
+	if left <= 0 {
+		return maxEndedWait
+	}
+	return min(maxEndedWait, left/endedWaitDivisor)
+}
+
 // recordCrash records that a server has ended while it had the request.
 func (c *call) recordCrash(digest mustardsaddle.RequestDigest, server mustardsaddle.Server) {
 	c.g.isolation.RecordCrash(time.Now(), quarantine.Crash{
--- a/internal/request/gateway/crash_test.go
+++ b/internal/request/gateway/crash_test.go
@@ -30,6 +30,8 @@
 	// part makes a server send part of a response before it ends, silent lets it end
 	// without closing its connections, and alive makes it reset them and run on.
 	part, silent, alive bool
+	// etag, if not empty, identifies the body of a partial response.
+	etag string
 	// status, if not 0, is the status of responses that servers send in place of ending.
 	status int
 
@@ -78,6 +80,9 @@
 	}
 	if f.part {
 		w.Header().Set("Content-Length", strconv.Itoa(1<<20))
+		if f.etag != "" {
+			w.Header().Set("Etag", f.etag)
+		}
 		_, _ = w.Write(make([]byte, 1<<19))
 		_ = http.NewResponseController(w).Flush()
 	}
@@ -157,10 +162,12 @@
 	long := fatalBody + strings.Repeat("x", 2*identity.MaxBodyBytes)
 	tests := []struct {
 		name, method, path, body string
+		etag                     string
 		streamed, part, silent   bool
 	}{
 		{name: "read", method: http.MethodGet, path: "/safe/fatal"},
 		{name: "after part of the response", method: http.MethodGet, path: "/safe/fatal", part: true},
+		{name: "resumed download", method: http.MethodGet, path: "/safe/fatal", part: true, etag: `"v1"`},
 		{name: "silently", method: http.MethodGet, path: "/safe/fatal", silent: true},
 		{name: "write", method: http.MethodPost, path: "/x", body: fatalBody},
 		{name: "streamed write", method: http.MethodPost, path: "/x", body: fatalBody, streamed: true},
@@ -170,7 +177,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFragileServers(t, 12)
-			f.part, f.silent = tt.part, tt.silent
+			f.part, f.silent, f.etag = tt.part, tt.silent, tt.etag
 			front := newFragileGateway(t, f, quarantine.Config{})
 			for range 8 {
 				send(t, front, tt.method, tt.path, tt.body, tt.streamed)
--- a/internal/request/gateway/isolate.go
+++ b/internal/request/gateway/isolate.go
@@ -141,13 +141,12 @@
 	return c.finalRefusal(&refusal.Refusal{Code: code.CallSuspect, RetryAfter: c.g.spread(suspectRetryAfter)})
 }
 
-// mayResume reports whether another server may continue a download. That is a run of the
-// request like any other.
-func (c *call) mayResume() bool {
+// decision returns what may be done with the request once a server has sent a part of
+// its response.
+func (c *call) decision() quarantine.Decision {
 	digest, known := c.body.knownDigest()
 	if !known {
-		return false
+		return quarantine.Decision{State: quarantine.Quarantined}
 	}
-	d := c.g.isolation.Decide(time.Now(), digest)
-	return d.State == quarantine.Free || d.State == quarantine.Suspect && d.Crashes == 1
+	return c.g.isolation.Decide(time.Now(), digest)
 }
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -12,6 +12,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 )
@@ -30,7 +31,10 @@
 	total        int64
 	offset       int64
 	emptyResumes int
-	timer        *time.Timer
+	// resumedSuspect is true once the body was requested again although the request is
+	// suspect.
+	resumedSuspect bool
+	timer          *time.Timer
 
 	mu sync.Mutex
 }
@@ -82,7 +86,7 @@
 		if err == nil || err == io.EOF {
 			return n, err
 		}
-		if s.c.checkServer(s.attempt); s.etag == "" || !s.c.mayResume() {
+		if s.c.checkServer(s.attempt); s.etag == "" {
 			return n, err
 		}
 		if cause := s.resume(err); cause != nil {
@@ -97,7 +101,7 @@
 // resume replaces the failed attempt by one that continues the body.
 func (s *bodySource) resume(cause error) error {
 	broken := s.attempt
-	for s.c.r.Context().Err() == nil && s.emptyResumes < maxResumes {
+	for s.c.r.Context().Err() == nil && s.emptyResumes < maxResumes && s.mayResume() {
 		s.emptyResumes++
 		next, ok := s.requestRest()
 		if !ok {
@@ -117,6 +121,20 @@
 	return cause
 }
 
+// mayResume reports whether another server may get the request. A suspect request, under
+// which one server has ended, is sent once more.
+func (s *bodySource) mayResume() bool {
+	d := s.c.decision()
+	if d.State == quarantine.Free {
+		return true
+	}
+	if s.resumedSuspect || d.Crashes > 1 {
+		return false
+	}
+	s.resumedSuspect = true
+	return true
+}
+
 // requestRest requests the rest of the body from another server, and verifies that
 // it continues the same body.
 func (s *bodySource) requestRest() (*attempt, bool) {
@@ -137,6 +155,7 @@
 	})
 	timer.Stop()
 	if err := s.checkRest(a); err != nil {
+		s.c.checkServer(a)
 		if a.err == nil {
 			a.cancel(err)
 		}
