--- a/internal/product/instance/crash_test.go
+++ b/internal/product/instance/crash_test.go
@@ -153,6 +153,38 @@
 	r.wg.Wait()
 }
 
+// TestRepeatedRequestEndsFewServers guards against a request under which servers end being
+// sent to one server after another, if it is sent again only after each response.
+func TestRepeatedRequestEndsFewServers(t *testing.T) {
+	const (
+		gateways = 13
+		servers  = 12
+		requests = 26
+		pause    = 300 * time.Millisecond
+	)
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			path, body := "/rosters?Crash=Reset", ""
+			if method == http.MethodPost {
+				path, body = "/bookings?Crash=Reset", "Lathe=2"
+			}
+			s := newCrashCluster(t, gateways, servers, server.ProcessConfig{CrashDelay: 20 * time.Millisecond, Down: 2 * time.Second})
+			var r repeatRequest
+			for i := range requests {
+				r.send(method, "http://"+s.gateways[i%gateways].addresses.Callers+path, body)
+				time.Sleep(pause)
+			}
+			ended, late := crashBounds(s.crashes(path))
+			if ended > maxEnded || late > maxRetries {
+				t.Errorf("%d requests: got %d servers that ended and %d late requests, want at most %d and %d", requests, ended, late, maxEnded, maxRetries)
+			}
+			if r.refused.Load() == 0 {
+				t.Errorf("%d requests: got none refused", requests)
+			}
+		})
+	}
+}
+
 // TestRequestThatEndsServersIsNotSentOnAndOn guards against a request under which servers
 // end being sent to one server after another, by any gateway at which it arrives.
 func TestRequestThatEndsServersIsNotSentOnAndOn(t *testing.T) {
