--- a/internal/request/isolation/isolation.go
+++ b/internal/request/isolation/isolation.go
@@ -74,7 +74,7 @@
 
 	mu    sync.Mutex
 	table *quarantine.Table
-	// gates holds a channel with one element for each request that is being sent alone.
+	// gates holds the gate of each request that is being sent alone.
 	gates map[mustardsaddle.RequestDigest]*gate
 	// fleet lists the gateways that are not leaving.
 	fleet []mustardsaddle.VM
