Keep dialing a restarted gateway that the platform lists with an older incarnation

Callers saw: a gateway that restarted while the platform was down never became ready, if it had been down for longer than links take to time out (3 s). Cause: a gateway introduces itself with an incarnation of its own, later than the one in the platform's list, and its peers then took it for a VM that is not listed. Such a VM is dropped once it is unreachable, so nobody dialed it, and without the platform it knew nobody to dial. Evidence: TestPlatformDown with a pause of 8 s before the restart timed out after 30 s in 3 of 3 runs; both peers logged four or five LinkFailed in the first 2 s and none after that, and the restarted gateway logged no link. Ruled out: a port taken meanwhile (addresses are random, no process had ended), the platform client (the store answers 503 as it should). Change: a later incarnation of a listed VM counts as listed.

--- a/cmd/mustardsaddle/fault_test.go
+++ b/cmd/mustardsaddle/fault_test.go
@@ -162,22 +162,29 @@
 	})
 }
 
+// TestPlatformDown guards against calls that fail while the platform is down, and against a
+// restarted gateway that never becomes ready because its peers have dropped it.
 func TestPlatformDown(t *testing.T) {
+	// peersNotice is longer than a gateway takes to find a peer unreachable.
+	const peersNotice = 4 * time.Second
 	convey.Convey("Given three gateways under load, and a platform that is down", t, func() {
 		s := newSystem(t, 2, 3)
 		tr := newTraffic(6, targets(s.gateways[:2]...))
 		defer tr.stop()
 		s.setPlatformFault(platform.Fault{Down: true})
-		convey.Convey("Calls succeed, and a restarted gateway gets its complete state from its peers", func() {
+		restart := func(down time.Duration) {
 			g := s.gateways[2]
 			g.signal(syscall.SIGKILL)
 			<-g.exited
+			time.Sleep(down)
 			s.startGateway(g)
 			took := s.waitFor("the restart", func() bool { return g.ready() && get(g.url+"/rosters").ok() })
 			t.Logf("ready with the state of its peers after %v", took)
 			tr.stop()
 			convey.So(tr.failures(), convey.ShouldBeEmpty)
 			convey.So(g.generationInForce(), convey.ShouldEqual, s.gateways[0].generationInForce())
-		})
+		}
+		convey.Convey("Calls succeed, and a restarted gateway gets its complete state from its peers", func() { restart(0) })
+		convey.Convey("So does one that was down until its peers found it unreachable", func() { restart(peersNotice) })
 	})
 }
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -189,6 +189,12 @@
 			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"})
 			convey.So(liveByZone(r), convey.ShouldResemble, map[string]int{"a": 2})
 		})
+		// Guards against a restarted gateway that no peer dials, so that it never becomes ready
+		// while the platform is down.
+		convey.Convey("A later incarnation of a listed one is still dialed while it is unreachable", func() {
+			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 7, Zone: "a"}).WithUnreachable("gateway-2")
+			convey.So(roster.Neighbors(r.Peers(), "gateway-1", roster.NeighborConfig{})[0].Name, convey.ShouldEqual, "gateway-2")
+		})
 		convey.Convey("A stopping one stays leaving when it introduces itself or is listed again", func() {
 			r = r.WithMark(start, mustardsaddle.Mark{Name: "gateway-2", Incarnation: 1, Seq: roster.FinalSeq, Leaving: true})
 			r = r.WithVM(mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "a"}).WithPage(start.Add(time.Hour), "", list)
--- a/internal/control/roster/vm.go
+++ b/internal/control/roster/vm.go
@@ -5,7 +5,8 @@
 )
 
 // WithVM returns the roster after a gateway VM introduced itself over a link, which
-// also makes it reachable again. The VM need not be listed yet.
+// also makes it reachable again. The VM need not be listed yet. A later incarnation of a
+// listed VM counts as listed, so that it is dialed after it has become unreachable.
 func (r Roster) WithVM(vm mustardsaddle.VM) Roster {
 	old, known := r.entries[vm.Name]
 	if known && old.Incarnation >= vm.Incarnation && !old.removed && r.unreachable[vm.Name] == 0 {
@@ -19,7 +20,7 @@
 	if !known || old.Incarnation < vm.Incarnation || old.removed {
 		next.entries[vm.Name] = entry{Machine: mustardsaddle.Machine{
 			Name: vm.Name, Incarnation: vm.Incarnation, Zone: vm.Zone, Address: vm.Peer,
-		}}
+		}, listed: old.listed && !old.removed}
 	}
 	next.buildViews()
 	return next
