Bound the log lines of each event

Operators saw: 595,000 lines in 30 s from 101 gateways, two thirds of them PeerReach. Nothing bounded a kind of line but the rate at which its cause occurred. Change: at most 200 lines a second of each event after the first 2,000, and 10,000 after 20,000 of those that each call or attempt logs. LinesOmitted counts the others, once a second at most, with the next line.

--- a/internal/base/event/event.go
+++ b/internal/base/event/event.go
@@ -7,6 +7,7 @@
 package event
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -27,13 +28,15 @@
 }
 
 // NewLogger returns the logger of a gateway. Lines below the given level, which is
-// debug, info, warn or error, are suppressed. An invalid level means info.
+// debug, info, warn or error, are suppressed. An invalid level means info. The lines of each
+// event are limited by Bounds.
 func NewLogger(w io.Writer, level, gateway string) zerolog.Logger {
 	minLevel, err := zerolog.ParseLevel(level)
 	if err != nil {
 		minLevel = zerolog.InfoLevel
 	}
-	return zerolog.New(w).Level(minLevel).Hook(timeHook{}).With().Str("Gateway", gateway).Logger()
+	logger := zerolog.New(w).Level(minLevel).Hook(timeHook{}).With().Str("Gateway", gateway).Logger()
+	return logger.Hook(boundHook{bounds: NewBounds(), report: logger})
 }
 
 // timeHook adds the current time to each line, with a capitalized field name like the
@@ -75,5 +78,5 @@
 	if l.GetLevel() > level {
 		return nil
 	}
-	return l.Log().Str("Level", name).Int("Event", int(e)).Str("Name", e.String())
+	return l.Log().Ctx(&lineContext{Context: context.Background(), event: e}).Str("Level", name).Int("Event", int(e)).Str("Name", e.String())
 }
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -20,6 +20,9 @@
 	// MetricsUnavailable is logged when the address for the metrics page alone cannot be
 	// listened on.
 	MetricsUnavailable
+	// LinesOmitted is logged when lines of an event were omitted because there were too many
+	// of them.
+	LinesOmitted
 )
 
 // Rule events.
