Forward what a reading of the directory returned once, and no more

Cause: a gateway forwards an update of the directory again if it makes its copy at least 200 ms fresher, judged by the age that the update states and the time of its arrival. On a link that is behind, each copy arrives later than its age states and looks fresher than the one before. Change: each update states the reading it stems from. Only the first copy of a reading makes a copy fresher and is forwarded, without what is known already. An update without a reading is not forwarded as a confirmation.

--- a/directory.go
+++ b/directory.go
@@ -73,10 +73,36 @@
 	// Digest identifies the content of the collection at Position, as the gateway that
 	// sent the update has it; 0 if it is unknown, as in updates of a directory.
 	Digest uint64
+	// Reading identifies the call of the directory that returned the update; the zero value
+	// if it is unknown, as in a snapshot that a peer has compiled.
+	Reading Reading
 	// Skipped holds one error for each entry that could not be used.
 	Skipped []error
 }
 
+// Reading identifies a call of a Directory by a gateway. The readings of one gateway are
+// ordered by Incarnation, then Seq.
+type Reading struct {
+	// Gateway is the name of the gateway, and Incarnation its incarnation.
+	Gateway     string
+	Incarnation int64
+	// Seq grows with each reading of an incarnation.
+	Seq int64
+}
+
+// IsZero reports whether the reading is unknown.
+func (r Reading) IsZero() bool {
+	return r == Reading{}
+}
+
+// Newer reports whether r follows old, a reading of the same gateway.
+func (r Reading) Newer(old Reading) bool {
+	if r.Incarnation != old.Incarnation {
+		return r.Incarnation > old.Incarnation
+	}
+	return r.Seq > old.Seq
+}
+
 // HasChanges reports whether the update changes the rules or a VM, or removes an entry.
 // Evacuations that are new do not count.
 func (u Update) HasChanges() bool {
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -92,6 +92,11 @@
 
 // Config configures a Catalog. Its functions must neither block nor call the Catalog.
 type Config struct {
+	// Self is the name of this gateway, and Incarnation its incarnation, by which its peers
+	// tell the updates that it reads from repeated ones. Without a name they do not forward
+	// those that contain nothing new.
+	Self        string
+	Incarnation int64
 	// Directory is the service directory.
 	Directory mustardsaddle.Directory
 	// InForce is called with each new rule table, in the order of generations.
@@ -152,6 +157,8 @@
 	known       [mustardsaddle.EvacuationsCollection + 1]progress
 	evacuations evacuationsState
 	eras        EraTracker
+	// reading is the newest reading of this gateway.
+	reading mustardsaddle.Reading
 }
 
 // progress is the replication state of one collection.
@@ -164,6 +171,9 @@
 	historyLost bool
 	// freshAt is the latest time at which the collection was known to be up to date.
 	freshAt time.Time
+	// readings holds, by gateway, the newest reading of the directory that an update stems
+	// from.
+	readings map[string]mustardsaddle.Reading
 	// changedAt is when the directory last returned changes to this gateway.
 	changedAt time.Time
 	// requestedAt is when a peer was last asked for a snapshot of the collection.
@@ -200,6 +210,7 @@
 		servers:  NewCore(cfg.Core),
 
 		evacuations: evacuationsState{zones: evacuation.New(evacuation.Config{})},
+		reading:     mustardsaddle.Reading{Gateway: cfg.Self, Incarnation: cfg.Incarnation},
 	}
 }
 
--- a/internal/control/catalog/evacuations.go
+++ b/internal/control/catalog/evacuations.go
@@ -137,7 +137,7 @@
 		return
 	}
 	c.cfg.Forward(from, mustardsaddle.EvacuationsCollection, mustardsaddle.Update{
-		Whole: true, Position: p.position, Age: u.Age, Digest: p.digest, Evacuations: c.evacuations.zones.Listed(),
+		Whole: true, Position: p.position, Age: u.Age, Digest: p.digest, Evacuations: c.evacuations.zones.Listed(), Reading: u.Reading,
 	})
 }
 
--- a/internal/control/catalog/follow.go
+++ b/internal/control/catalog/follow.go
@@ -159,6 +159,7 @@
 	if u.Whole {
 		c.putInForce(c.correctedRules(u), u.Position, "Directory")
 	}
+	forwardable.Reading = c.nextReading()
 	c.forward("", collection, forwardable)
 	return nil
 }
--- a/internal/control/catalog/forward.go
+++ b/internal/control/catalog/forward.go
@@ -6,6 +6,10 @@
 	"mustardsaddle.example/mustardsaddle"
 )
 
+// maxReadings is the number of gateways whose newest readings are kept. They are dropped
+// together when it is reached.
+const maxReadings = 1024
+
 // forwardable returns the part of an update, not applied yet, that is forwarded to
 // peers; rules holds its rules. Incremental updates are forwarded as they are, but with
 // the change of the rules instead of all rules. A snapshot is reduced to the changes
@@ -51,6 +55,44 @@
 	c.cfg.Forward(from, collection, u)
 }
 
+// nextReading returns the identity of an update that this gateway has read from the
+// directory; the zero value if the gateway has no name. The caller holds mu.
+func (c *Catalog) nextReading() mustardsaddle.Reading {
+	if c.cfg.Self == "" {
+		return mustardsaddle.Reading{}
+	}
+	c.reading.Seq++
+	return c.reading
+}
+
+// record records the reading that an update stems from. It returns false if an update of
+// this reading or of a later one by the same gateway was received before: the update then
+// took another way here and does not show that the collection is up to date.
+func (p *progress) record(r mustardsaddle.Reading) bool {
+	if r.IsZero() {
+		return true
+	}
+	if known, ok := p.readings[r.Gateway]; ok && !r.Newer(known) {
+		return false
+	}
+	if p.readings == nil || len(p.readings) >= maxReadings {
+		p.readings = make(map[string]mustardsaddle.Reading)
+	}
+	p.readings[r.Gateway] = r
+	return true
+}
+
+// forwardConfirmation forwards that the collection was up to date at the position of an
+// update, without what the update contains, which is known already. An update of an unknown
+// reading is not forwarded, since the peers could not tell its copies from newer ones. The
+// caller holds mu.
+func (c *Catalog) forwardConfirmation(from string, collection mustardsaddle.Collection, u mustardsaddle.Update) {
+	if u.Reading.IsZero() {
+		return
+	}
+	c.forward(from, collection, mustardsaddle.Update{After: u.Position, Position: u.Position, Age: u.Age, Reading: u.Reading})
+}
+
 // diffMachines returns the VMs of after that are new or differ from before, and the
 // names of those of before that are not in after.
 func diffMachines(before, after []mustardsaddle.Machine) (changed []mustardsaddle.Machine, removed []string) {
--- a/internal/control/catalog/peer.go
+++ b/internal/control/catalog/peer.go
@@ -65,7 +65,9 @@
 
 // Receive applies an update of a peer and forwards it if it is new. An update that
 // merely confirms that nothing has changed is new too if it makes the local copy
-// fresher. Receive returns true if changes before the update are missing here, so that
+// fresher, and only that is forwarded. Of several updates that stem from one reading of the
+// directory, only the first can make it fresher: on slow links each of them arrives later
+// than its age states, and would be forwarded in circles. Receive returns true if changes before the update are missing here, so that
 // the peer is to be asked for a snapshot of the collection.
 func (c *Catalog) Receive(now time.Time, from string, collection mustardsaddle.Collection, u mustardsaddle.Update) (shouldRequest bool) {
 	c.mu.Lock()
@@ -75,11 +77,7 @@
 	}
 	c.raiseEra(now, u.Position.Era)
 	p := &c.known[collection]
-	freshAt := now.Add(-u.Age)
-	if u.Position.Era < c.eras.Newest() {
-		// What was current before a restore says nothing about the time after it.
-		freshAt = p.freshAt
-	}
+	freshAt := c.freshAt(now, collection, u)
 	rules, result := c.nextRules(u)
 	forwardable := c.forwardable(collection, u, rules)
 	order := Compare(p.position, u)
@@ -107,10 +105,26 @@
 	if freshAt.After(p.freshAt) {
 		p.freshAt = freshAt
 	}
-	c.forward(from, collection, forwardable)
+	if order == Applicable || rules.newer {
+		c.forward(from, collection, forwardable)
+	} else {
+		c.forwardConfirmation(from, collection, u)
+	}
 	return false
 }
 
+// freshAt returns when the collection was up to date, by an update of a peer. The caller
+// holds mu.
+func (c *Catalog) freshAt(now time.Time, collection mustardsaddle.Collection, u mustardsaddle.Update) time.Time {
+	p := &c.known[collection]
+	first := p.record(u.Reading)
+	if !first || u.Position.Era < c.eras.Newest() {
+		// What was current before a restore says nothing about the time after it.
+		return p.freshAt
+	}
+	return now.Add(-u.Age)
+}
+
 // sameContent reports whether a digest is that of the known content.
 func (p *progress) sameContent(digest uint64) bool {
 	return digest != 0 && digest == p.digest
--- a/internal/peer/news/check.go
+++ b/internal/peer/news/check.go
@@ -249,6 +249,9 @@
 	if m.AfterEra < 0 || m.Era < m.AfterEra {
 		return code.Errorf(code.PeerBadMessage, "message Listing: got AfterEra=%d Era=%d, want 0 <= AfterEra <= Era", m.AfterEra, m.Era)
 	}
+	if err := checkReading(m, m.Reading); err != nil {
+		return err
+	}
 	if len(m.Rules) > MaxRulesBytes {
 		return code.Errorf(code.PeerBadMessage, "message Listing: got a rules text of %d bytes, want at most %d", len(m.Rules), MaxRulesBytes)
 	}
@@ -268,7 +271,18 @@
 	return checkMachines(m, m.Machines)
 }
 
+// checkReading refuses a reading with a name that is too long or with negative numbers.
+func checkReading(m Message, r mustardsaddle.Reading) error {
+	if r.Incarnation < 0 || r.Seq < 0 {
+		return code.Errorf(code.PeerBadMessage, "message %s: got reading Incarnation=%d Seq=%d, want at least 0", typeName(m.Type()), r.Incarnation, r.Seq)
+	}
+	return checkNameLength(m, r.Gateway)
+}
+
 func checkEvacuations(m Evacuations) error {
+	if err := checkReading(m, m.Reading); err != nil {
+		return err
+	}
 	if m.Era < 0 || m.Revision <= 0 || m.Age < 0 {
 		return code.Errorf(code.PeerBadMessage, "message Evacuations: got Era=%d Revision=%d Age=%d, want Revision > 0 and the others at least 0",
 			m.Era, m.Revision, m.Age)
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -237,6 +237,9 @@
 	Age int64
 	// Digest identifies the content of the collection at Revision; 0 if it is unknown.
 	Digest uint64 `cbor:",omitempty"`
+	// Reading identifies the call of the directory that the listing stems from; the zero
+	// value if it is unknown.
+	Reading mustardsaddle.Reading `cbor:",omitzero"`
 	// Generation is the generation of Rules; 0 if the listing carries no rules.
 	Generation int64
 	// Rules is a rules file of at most MaxRulesBytes.
@@ -283,6 +286,9 @@
 	// Age is the time, in milliseconds, during which the directory may have changed
 	// without the sender's knowledge.
 	Age int64
+	// Reading identifies the call of the directory that the set stems from; the zero value if
+	// it is unknown.
+	Reading mustardsaddle.Reading `cbor:",omitzero"`
 	// Zones holds the names of at most MaxMachines zones.
 	Zones []string `cbor:",omitempty"`
 }
--- a/internal/product/instance/directory.go
+++ b/internal/product/instance/directory.go
@@ -17,8 +17,10 @@
 func (in *instance) newCatalog(now time.Time, d mustardsaddle.Directory, seed uint64) *catalog.Catalog {
 	s := in.cfg.Settings
 	return catalog.New(catalog.Config{
-		Directory: d,
-		InForce:   in.applyDirectoryRules,
+		Self:        in.self.Name,
+		Incarnation: in.self.Incarnation,
+		Directory:   d,
+		InForce:     in.applyDirectoryRules,
 		Servers: func(now time.Time, service string, servers []mustardsaddle.Server) {
 			in.gateway.SetServers(now, service, in.completeServers(service, servers))
 		},
--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -106,7 +106,7 @@
 
 // evacuationsFromUpdate converts a snapshot of the evacuations to a message.
 func evacuationsFromUpdate(u mustardsaddle.Update) news.Evacuations {
-	m := news.Evacuations{Era: u.Position.Era, Revision: u.Position.Revision, Age: u.Age.Milliseconds()}
+	m := news.Evacuations{Era: u.Position.Era, Revision: u.Position.Revision, Age: u.Age.Milliseconds(), Reading: u.Reading}
 	for _, e := range u.Evacuations {
 		m.Zones = append(m.Zones, e.Zone)
 	}
@@ -117,6 +117,7 @@
 func updateFromEvacuations(m news.Evacuations) mustardsaddle.Update {
 	u := mustardsaddle.Update{
 		Whole: true, Position: mustardsaddle.Position{Era: m.Era, Revision: m.Revision}, Age: time.Duration(m.Age) * time.Millisecond,
+		Reading: m.Reading,
 	}
 	for _, zone := range m.Zones {
 		u.Evacuations = append(u.Evacuations, mustardsaddle.Evacuation{Zone: zone})
@@ -129,7 +130,7 @@
 	m := news.Listing{
 		Servers: c == mustardsaddle.ServersCollection, Whole: u.Whole, AfterEra: u.After.Era, After: u.After.Revision,
 		Era: u.Position.Era, Revision: u.Position.Revision, Age: u.Age.Milliseconds(), Digest: u.Digest,
-		Machines: u.Machines, Removed: u.Removed,
+		Machines: u.Machines, Removed: u.Removed, Reading: u.Reading,
 	}
 	if u.Rules != nil {
 		m.Generation, m.Rules = u.Rules.Generation, u.Rules.Text
@@ -144,6 +145,7 @@
 		Whole: m.Whole, After: mustardsaddle.Position{Era: m.AfterEra, Revision: m.After},
 		Position: mustardsaddle.Position{Era: m.Era, Revision: m.Revision},
 		Age:      time.Duration(m.Age) * time.Millisecond, Digest: m.Digest, Machines: m.Machines, Removed: m.Removed,
+		Reading: m.Reading,
 	}
 	if m.Generation > 0 {
 		u.Rules = &mustardsaddle.RulesText{Generation: m.Generation, Text: m.Rules}
