State what a gateway cannot reach to its linked peers alone, and take slow links for slow

Cause: 150 ms without a reply counted as the loss of a service. Each loss and return was flooded to the whole fleet and logged by each gateway, calls were forwarded over the same slow links, and the links fell further behind. Evidence: 100 to 480 ServiceLost in 2 s, all with Unanswered alone (4 of 32 to 49 servers, last reply 155 to 570 ms ago); 20,000 to 80,000 PeerReach in 2 s. Change: a statement goes to linked peers alone, at most once in 0.5 s, and counts for 5 s unless it is renewed; a gateway that has served a forwarded call is picked again; a loss by unanswered requests alone takes a silence that doubles with each loss; a gateway that three others in a row leave unanswered does not forward for 2 s. The digest in heartbeats is gone; builds before this one send their statements to it once a second, which it ignores but for the sender's own.

--- a/internal/choice/reach/detector.go
+++ b/internal/choice/reach/detector.go
@@ -10,6 +10,11 @@
 // first of these failures. It is regained after consecutive replies without a failure
 // between them.
 //
+// Replies that are late because this gateway's own link or processor is busy look like lost
+// ones. A loss that rests on unanswered requests alone therefore takes a silence of a
+// minimum length, which doubles with each such loss and halves with time, so that a gateway
+// that is slow for long soon stops losing and regaining its services.
+//
 // The loss of a service says nothing about the servers themselves: if they are down,
 // every gateway loses the service. Table tells the two cases apart.
 //
@@ -48,6 +53,14 @@
 	maxWait = 5 * time.Second
 	// regainReplies is the number of consecutive replies with which a service is regained.
 	regainReplies = 3
+	// minSilence is the least time without a reply to any request after which unanswered
+	// requests alone show a loss. It doubles with each such loss, up to maxSilence, and
+	// halves in each silenceHalfLife without one.
+	minSilence      = 150 * time.Millisecond
+	maxSilence      = 8 * minSilence
+	silenceHalfLife = 10 * time.Second
+	// maxHalvings is enough to reach minSilence from maxSilence.
+	maxHalvings = 3
 )
 
 // Cause is the reason for which a server returned nothing.
@@ -117,6 +130,9 @@
 	replies int
 	lost    bool
 	since   time.Time
+	// silence is the time without a reply that the next loss by unanswered requests takes,
+	// as of since.
+	silence time.Duration
 }
 
 // path is what is known about the way to one server.
@@ -133,7 +149,7 @@
 
 // New returns a Detector without servers.
 func New() *Detector {
-	return &Detector{servers: make(map[string]*path)}
+	return &Detector{servers: make(map[string]*path), silence: minSilence}
 }
 
 // SetServers replaces the names of the servers that may get requests. What is known about
@@ -165,6 +181,7 @@
 	if !regained {
 		return Unchanged
 	}
+	d.silence = d.silenceAt(now)
 	d.lost, d.since = false, now
 	for _, p := range d.servers {
 		*p = path{}
@@ -193,13 +210,44 @@
 	if d.lost || len(d.servers) == 0 || unreachable < min(minUnreachable, len(d.servers)) {
 		return Unchanged
 	}
-	if unreachable < len(d.servers) && now.Sub(d.failingSince) < minLossTime {
+	if now.Sub(d.failingSince) < d.lossTime(now, unreachable) {
 		return Unchanged
 	}
+	d.silence = d.silenceAt(now)
+	if d.silent() {
+		d.silence = min(2*d.silence, maxSilence)
+	}
 	d.lost, d.since = true, now
 	return Lost
 }
 
+// lossTime returns the least time from the first failed request after a reply to the loss,
+// with the given number of unreachable servers.
+func (d *Detector) lossTime(now time.Time, unreachable int) time.Duration {
+	switch {
+	case d.silent():
+		return d.silenceAt(now)
+	case unreachable < len(d.servers):
+		return minLossTime
+	default:
+		return 0
+	}
+}
+
+// silent reports whether the failures since the last reply are unanswered requests alone.
+func (d *Detector) silent() bool {
+	return d.counts[Refused] == 0 && d.counts[Reset] == 0
+}
+
+// silenceAt returns the time without a reply that a loss by unanswered requests takes now.
+func (d *Detector) silenceAt(now time.Time) time.Duration {
+	if d.lost {
+		return d.silence
+	}
+	halvings := min(max(now.Sub(d.since)/silenceHalfLife, 0), maxHalvings)
+	return max(d.silence>>halvings, minSilence)
+}
+
 // stalled reports whether the wait for a reply was so much longer than allowed that this
 // process cannot have run meanwhile.
 func (d *Detector) stalled(now time.Time, f Failure) bool {
--- a/internal/choice/reach/detector_test.go
+++ b/internal/choice/reach/detector_test.go
@@ -124,3 +124,54 @@
 		t.Errorf("four unreachable servers of four: got no loss, evidence %+v", d.Evidence(at(21)))
 	}
 }
+
+// TestSilenceGrowsWithLosses guards against a gateway on a slow link that loses and regains
+// its services over and over.
+func TestSilenceGrowsWithLosses(t *testing.T) {
+	const servers = 8
+	// lossAfter returns how many milliseconds of silence after ms lose the service.
+	lossAfter := func(d *reach.Detector, ms int, cause reach.Cause) int {
+		for wait := 150; wait < 5000; wait++ {
+			for server := range servers {
+				f := reach.Failure{Server: names(servers)[server], Cause: cause, SentAt: at(ms + wait - 150), Timeout: 150 * time.Millisecond}
+				if d.Fail(at(ms+wait), f) == reach.Lost {
+					return wait
+				}
+			}
+		}
+		return 0
+	}
+	regain := func(d *reach.Detector, ms int) {
+		for i := range 3 {
+			d.Reply(at(ms), names(servers)[i])
+		}
+	}
+	tests := []struct {
+		name  string
+		cause reach.Cause
+		// pauses holds the milliseconds between a return and the next silence, and want the
+		// silences that lose the service.
+		pauses, want []int
+	}{
+		{"unanswered in quick succession", reach.Unanswered, []int{0, 100, 100, 100, 100}, []int{150, 300, 600, 1200, 1200}},
+		{"unanswered with long pauses", reach.Unanswered, []int{0, 100, 10_000, 30_000}, []int{150, 300, 300, 150}},
+		{"refused", reach.Refused, []int{0, 100, 100}, []int{150, 150, 150}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := reach.New()
+			d.SetServers(names(servers))
+			ms := 0
+			for i, pause := range tt.pauses {
+				ms += pause
+				regain(d, ms)
+				got := lossAfter(d, ms, tt.cause)
+				if got != tt.want[i] {
+					t.Errorf("loss %d: got a silence of %d ms, want %d", i, got, tt.want[i])
+				}
+				ms += got + 1000
+				regain(d, ms)
+			}
+		})
+	}
+}
--- a/internal/choice/reach/helpers.go
+++ b/internal/choice/reach/helpers.go
@@ -22,6 +22,13 @@
 	// crossZoneCalls is the number of calls in flight that a gateway in another
 	// availability zone counts for.
 	crossZoneCalls = 1
+	// ownPathFailures is the number of gateways silent one after another from which
+	// this gateway's own path is the likely cause, for ownPathPause after the last of them.
+	ownPathFailures = 3
+	ownPathPause    = 2 * time.Second
+	// servedMemory is how long a gateway that has served a call of a service is picked before
+	// gateways of which it is not known whether they can.
+	servedMemory = 2 * time.Second
 	// sampledHelpers is the number of gateways of which the one with the fewest calls in
 	// flight is picked.
 	sampledHelpers = 2
@@ -45,6 +52,8 @@
 	Gateway, Service string
 	// Failed is true if the gateway could not be reached or broke off.
 	Failed bool
+	// Silent is true if it failed because nothing was received in time.
+	Silent bool
 	// Lost is true if the gateway cannot reach the service.
 	Lost bool
 	// RetryAfter is the time after which the gateway may take a call of the service again.
@@ -59,6 +68,10 @@
 	gateways []mustardsaddle.VM
 	states   map[string]*helperState
 	table    *Table
+	// silent holds the gateways that have been silent since any of them last replied, the
+	// last of them at silentAt.
+	silent   map[string]bool
+	silentAt time.Time
 }
 
 // helperState is what this gateway knows about one helper.
@@ -67,13 +80,20 @@
 	pausedUntil time.Time
 	// failures counts the consecutive failures, up to maxDoublings.
 	failures int
-	// services holds, by service, the end of the pause for that service alone.
-	services map[string]time.Time
+	// services holds, by service, the end of the pause for that service alone, and servedAt
+	// when the gateway last served a call.
+	services, servedAt map[string]time.Time
+}
+
+// served reports whether the gateway has served a call of a service within servedMemory.
+func (s *helperState) served(now time.Time, service string) bool {
+	at, known := s.servedAt[service]
+	return known && now.Sub(at) < servedMemory
 }
 
 // NewHelpers returns Helpers without gateways. The table has what they state.
 func NewHelpers(self mustardsaddle.VM, table *Table) *Helpers {
-	return &Helpers{self: self, states: make(map[string]*helperState), table: table}
+	return &Helpers{self: self, states: make(map[string]*helperState), table: table, silent: make(map[string]bool)}
 }
 
 // SetFleet replaces the gateways of the fleet. Those that are leaving get no call.
@@ -86,7 +106,7 @@
 		}
 		s := h.states[g.Name]
 		if s == nil {
-			s = &helperState{services: make(map[string]time.Time)}
+			s = &helperState{services: make(map[string]time.Time), servedAt: make(map[string]time.Time)}
 		}
 		states[g.Name] = s
 		h.gateways = append(h.gateways, g)
@@ -102,6 +122,7 @@
 		return mustardsaddle.VM{}, false
 	}
 	rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	candidates = h.preferServed(now, need.Service, candidates)
 	best := candidates[0]
 	for _, g := range candidates[:min(sampledHelpers, len(candidates))] {
 		if h.cost(g, need.Zone) < h.cost(best, need.Zone) {
@@ -112,6 +133,21 @@
 	return best, true
 }
 
+// preferServed returns the gateways that have recently served a call of the service, or all
+// if there are none.
+func (h *Helpers) preferServed(now time.Time, service string, gateways []mustardsaddle.VM) []mustardsaddle.VM {
+	var served []mustardsaddle.VM
+	for _, g := range gateways {
+		if h.states[g.Name].served(now, service) {
+			served = append(served, g)
+		}
+	}
+	if len(served) > 0 {
+		return served
+	}
+	return gateways
+}
+
 // Available reports whether any gateway may get the call.
 func (h *Helpers) Available(now time.Time, need Need) bool {
 	return len(h.candidates(now, need)) > 0
@@ -128,7 +164,7 @@
 		if need.Among != nil && !slices.Contains(need.Among, g.Name) {
 			continue
 		}
-		if lost, _ := h.table.Lost(now, g, need.Service); !lost {
+		if !h.table.Lost(now, g, need.Service) {
 			candidates = append(candidates, g)
 		}
 	}
@@ -152,6 +188,7 @@
 		return
 	}
 	s.inFlight = max(s.inFlight-1, 0)
+	h.recordPath(now, r)
 	switch {
 	case r.Failed:
 		s.pausedUntil = now.Add(failedPause << s.failures)
@@ -159,12 +196,32 @@
 		return
 	case r.Lost:
 		s.services[r.Service] = now.Add(lostPause)
+		delete(s.servedAt, r.Service)
 	case r.RetryAfter > 0:
 		s.services[r.Service] = now.Add(min(r.RetryAfter, maxRefusedPause))
+	default:
+		s.servedAt[r.Service] = now
 	}
 	s.failures = 0
 }
 
+// recordPath records what a reply shows about this gateway's own path. A gateway that has
+// ended refuses connections, which shows nothing.
+func (h *Helpers) recordPath(now time.Time, r Reply) {
+	switch {
+	case r.Failed && r.Silent:
+		h.silent[r.Gateway], h.silentAt = true, now
+	case !r.Failed:
+		clear(h.silent)
+	}
+}
+
+// OwnPathFails reports whether several gateways have been silent one after another: this
+// gateway then is slow or cut off itself, and calls gain nothing from being forwarded.
+func (h *Helpers) OwnPathFails(now time.Time) bool {
+	return len(h.silent) >= min(ownPathFailures, len(h.gateways)) && now.Sub(h.silentAt) < ownPathPause
+}
+
 // InFlight returns the number of forwarded calls in flight.
 func (h *Helpers) InFlight() int {
 	n := 0
--- a/internal/choice/reach/table.go
+++ b/internal/choice/reach/table.go
@@ -1,14 +1,10 @@
 package reach
 
 import (
-	"cmp"
-	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mustardsaddle.example/mustardsaddle"
 )
 
@@ -16,8 +12,9 @@
 // are not listed yet.
 const maxUnknownGateways = 256
 
-// Table holds the newest statement of each gateway about the services that it has lost. It
-// is a deterministic state machine, and not safe for concurrent use.
+// Table holds the newest statement of each linked gateway about the services that it has
+// lost. A statement counts until statementLifetime after it was last heard. A Table is a
+// deterministic state machine, and not safe for concurrent use.
 type Table struct {
 	entries map[string]entry
 	// listed holds the incarnation of each gateway of the fleet.
@@ -27,8 +24,13 @@
 // entry is the newest statement of one gateway.
 type entry struct {
 	mustardsaddle.GatewayReach
-	// since is when it was learned.
-	since time.Time
+	// heardAt is when the gateway last stated it.
+	heardAt time.Time
+}
+
+// holds reports whether the statement still counts.
+func (e entry) holds(now time.Time) bool {
+	return now.Sub(e.heardAt) < statementLifetime
 }
 
 // NewTable returns a Table without statements.
@@ -49,16 +51,19 @@
 	})
 }
 
-// Merge records statements. It returns those that were new, which have yet to be sent to
-// the other peers.
+// Merge records statements. It returns those that were new, and not merely renewed.
 func (t *Table) Merge(now time.Time, statements []mustardsaddle.GatewayReach) []mustardsaddle.GatewayReach {
 	var added []mustardsaddle.GatewayReach
 	for _, s := range statements {
 		known, ok := t.entries[s.Name]
+		if ok && s.Incarnation == known.Incarnation && s.Seq == known.Seq {
+			t.entries[s.Name] = entry{GatewayReach: known.GatewayReach, heardAt: now}
+			continue
+		}
 		if ok && !s.Newer(known.GatewayReach) || s.Incarnation < t.listed[s.Name] || !ok && !t.hasRoom(s.Name) {
 			continue
 		}
-		t.entries[s.Name] = entry{GatewayReach: s, since: now}
+		t.entries[s.Name] = entry{GatewayReach: s, heardAt: now}
 		added = append(added, s)
 	}
 	return added
@@ -70,53 +75,19 @@
 	return known || len(t.entries) < len(t.listed)+maxUnknownGateways
 }
 
-// Lost reports whether a gateway states that it has lost a service, and for how long that
-// has been known.
-func (t *Table) Lost(now time.Time, gateway mustardsaddle.VM, service string) (bool, time.Duration) {
+// Lost reports whether a gateway states that it has lost a service.
+func (t *Table) Lost(now time.Time, gateway mustardsaddle.VM, service string) bool {
 	e, known := t.entries[gateway.Name]
-	if !known || e.Incarnation < gateway.Incarnation || !slices.Contains(e.Lost, service) {
-		return false, 0
-	}
-	return true, now.Sub(e.since)
+	return known && e.Incarnation >= gateway.Incarnation && e.holds(now) && slices.Contains(e.Lost, service)
 }
 
-// Gateways returns the number of gateways that have lost some service.
-func (t *Table) Gateways() int {
+// Gateways returns the number of gateways that state that they have lost some service.
+func (t *Table) Gateways(now time.Time) int {
 	n := 0
 	for _, e := range t.entries {
-		if len(e.Lost) > 0 {
+		if len(e.Lost) > 0 && e.holds(now) {
 			n++
 		}
 	}
 	return n
 }
-
-// Statements returns the newest statements, also those without a lost service, ordered by
-// name.
-func (t *Table) Statements() []mustardsaddle.GatewayReach {
-	statements := make([]mustardsaddle.GatewayReach, 0, len(t.entries))
-	for _, e := range t.entries {
-		statements = append(statements, e.GatewayReach)
-	}
-	slices.SortFunc(statements, func(a, b mustardsaddle.GatewayReach) int { return cmp.Compare(a.Name, b.Name) })
-	return statements
-}
-
-// Digest returns a digest that is equal for equal statements. Statements without a lost
-// service do not count, since a gateway that starts never learns of them.
-func (t *Table) Digest() uint64 {
-	digest := uint64(0)
-	for _, e := range t.entries {
-		if len(e.Lost) > 0 {
-			digest += hash(e.GatewayReach)
-		}
-	}
-	return digest
-}
-
-func hash(r mustardsaddle.GatewayReach) uint64 {
-	b := append([]byte(r.Name), 0)
-	b = binary.BigEndian.AppendUint64(b, uint64(r.Incarnation))
-	b = binary.BigEndian.AppendUint64(b, uint64(r.Seq))
-	return xxhash.Sum64(b)
-}
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -140,9 +140,6 @@
 	// StatementsDigest is equal for gateways that know the same statements of servers; 0
 	// if none is in effect.
 	StatementsDigest uint64 `cbor:",omitempty"`
-	// ReachDigest is equal for gateways that know the same statements of gateways about the
-	// services that they cannot reach; 0 if there is none.
-	ReachDigest uint64 `cbor:",omitempty"`
 	// SuspicionsDigest is equal for gateways that know the same of requests under which
 	// servers have ended; 0 if there is none.
 	SuspicionsDigest uint64 `cbor:",omitempty"`
@@ -265,7 +262,8 @@
 	Servers []mustardsaddle.ServerStatement
 }
 
-// Reaches announces which services gateways cannot reach.
+// Reaches announces which services gateways cannot reach. A gateway states this about itself
+// alone, and to its linked peers alone. Earlier builds passed statements on.
 type Reaches struct {
 	// Gateways holds at most MaxMarks statements.
 	Gateways []mustardsaddle.GatewayReach
@@ -400,15 +398,6 @@
 	return messages
 }
 
-// SplitReaches divides statements of gateways into messages of at most MaxMarks each.
-func SplitReaches(statements []mustardsaddle.GatewayReach) []Reaches {
-	var messages []Reaches
-	for part := range slices.Chunk(statements, MaxMarks) {
-		messages = append(messages, Reaches{Gateways: part})
-	}
-	return messages
-}
-
 // SplitSuspicions divides suspicions into messages of at most MaxSuspicions each.
 func SplitSuspicions(requests []mustardsaddle.RequestSuspicion) []Suspicions {
 	var messages []Suspicions
--- a/internal/peer/news/relay.go
+++ b/internal/peer/news/relay.go
@@ -13,8 +13,6 @@
 	defaultMinAskInterval = time.Second
 	// defaultMinMarksInterval is the default of RelayConfig.MinMarksInterval.
 	defaultMinMarksInterval = 5 * time.Second
-	// defaultMinReachInterval is the default of RelayConfig.MinReachInterval.
-	defaultMinReachInterval = time.Second
 )
 
 // RelayConfig configures a Relay. Zero values take the defaults.
@@ -24,9 +22,6 @@
 	// MinMarksInterval is the minimum time between two transfers of all marks to one
 	// peer, and likewise of all statements of servers and of all suspicions.
 	MinMarksInterval time.Duration
-	// MinReachInterval is the minimum time between two transfers of all statements of
-	// gateways to one peer.
-	MinReachInterval time.Duration
 }
 
 // Relay decides which messages a gateway forwards and, by comparing the gateway's
@@ -50,13 +45,12 @@
 	digest   uint64
 }
 
-// peerState holds when a peer was last asked for rules and last sent all marks and all
-// statements of servers and of gateways, and all suspicions.
+// peerState holds when a peer was last asked for rules and last sent all marks, all
+// statements of servers and all suspicions.
 type peerState struct {
 	rulesAskedAt     time.Time
 	marksSentAt      time.Time
 	statementsSentAt time.Time
-	reachesSentAt    time.Time
 	suspicionsSentAt time.Time
 }
 
@@ -70,9 +64,6 @@
 	// SendStatements is true if the statements of servers differ and all own ones are to
 	// be sent.
 	SendStatements bool
-	// SendReaches is true if the statements of gateways differ and all own ones are to be
-	// sent.
-	SendReaches bool
 	// SendSuspicions is true if the suspicions differ and all own ones are to be sent.
 	SendSuspicions bool
 }
@@ -81,7 +72,6 @@
 func NewRelay(cfg RelayConfig) *Relay {
 	cfg.MinAskInterval = cmp.Or(cfg.MinAskInterval, defaultMinAskInterval)
 	cfg.MinMarksInterval = cmp.Or(cfg.MinMarksInterval, defaultMinMarksInterval)
-	cfg.MinReachInterval = cmp.Or(cfg.MinReachInterval, defaultMinReachInterval)
 	return &Relay{
 		cfg:    cfg,
 		seen:   make(map[changeID]bool),
@@ -94,9 +84,8 @@
 // that sent it, or empty for a message that originates here. Generation is the
 // generation in force before the message is applied.
 //
-// Marks, statements of servers and of gateways, suspicions, and VMs are forwarded on every
-// link except the one they arrived on. The
-// caller must pass only entries that were new to it: nothing else ends the flood. A
+// Marks, statements of servers, suspicions, and VMs are forwarded on every link except the
+// one they arrived on. The caller must pass only entries that were new to it: nothing else ends the flood. A
 // rule change is forwarded once, whether or not it applies to the rules in force
 // here, unless these already have its resulting generation or a higher one. For all
 // other messages ForwardTargets returns no links: they are meant for their receiver
@@ -125,8 +114,6 @@
 		return len(m.Marks)
 	case Statements:
 		return len(m.Servers)
-	case Reaches:
-		return len(m.Gateways)
 	case Suspicions:
 		return len(m.Requests)
 	case Machines:
@@ -166,10 +153,6 @@
 		actions.SendStatements = true
 		state.statementsSentAt = now
 	}
-	if theirs.ReachDigest != own.ReachDigest && now.Sub(state.reachesSentAt) >= r.cfg.MinReachInterval {
-		actions.SendReaches = true
-		state.reachesSentAt = now
-	}
 	if theirs.SuspicionsDigest != own.SuspicionsDigest && now.Sub(state.suspicionsSentAt) >= r.cfg.MinMarksInterval {
 		actions.SendSuspicions = true
 		state.suspicionsSentAt = now
--- a/internal/product/instance/evacuations.go
+++ b/internal/product/instance/evacuations.go
@@ -65,10 +65,7 @@
 
 // signalEvacuations makes watchEvacuations check the evacuations.
 func (in *instance) signalEvacuations() {
-	select {
-	case in.evacuationsChanged <- struct{}{}:
-	default:
-	}
+	notify(in.evacuationsChanged)
 }
 
 // watchEvacuations logs the steps of evacuations until the context ends, then closes done. It
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -117,6 +117,9 @@
 	// current are the settings in force; a reload replaces some sections of them.
 	current atomic.Pointer[settings.Settings]
 
+	// reachChanged signals that the services that this gateway cannot reach have changed.
+	reachChanged chan struct{}
+
 	// rng is used only by the goroutine that polls the list of VMs.
 	rng *rand.Rand
 
@@ -160,6 +163,7 @@
 
 		evacuationsChanged: make(chan struct{}, 1),
 		evacuationPeers:    make(map[string]bool),
+		reachChanged:       make(chan struct{}, 1),
 		rng:                rand.New(rand.NewPCG(seed, 1)),
 	}
 	in.current.Store(&s)
@@ -262,6 +266,14 @@
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
+// notify signals on a channel with room for one signal. A signal that is pending suffices.
+func notify(signal chan<- struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
 // policyByName returns the policy with a name that the settings have validated.
 func policyByName(name string) bench.Policy {
 	for p := bench.Default; p <= bench.PreferredSpill; p++ {
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
@@ -30,7 +32,7 @@
 func (in *instance) summary() news.Summary {
 	s := news.Summary{
 		MarksDigest: in.membership.Roster().MarksDigest(), StatementsDigest: in.gateway.Controllers().StatementsDigest(),
-		ReachDigest: in.gateway.Forwarder().Digest(), SuspicionsDigest: in.gateway.Isolation().Digest(time.Now()),
+		SuspicionsDigest: in.gateway.Isolation().Digest(time.Now()),
 	}
 	if in.catalog == nil {
 		s.Generation = in.generation.Load()
@@ -66,7 +68,7 @@
 	case news.Statements:
 		in.floodStatements(from, in.gateway.Controllers().MergeStatements(now, m.Servers))
 	case news.Reaches:
-		in.floodReaches(from, in.mergeReaches(now, from, m))
+		in.mergeReaches(now, from, m)
 	case news.Suspicions:
 		in.floodSuspicions(from, in.gateway.Isolation().Merge(now, from, m.Requests))
 	case news.Listing, news.AskListing, news.Evacuations, news.AskEvacuations:
@@ -112,11 +114,6 @@
 			in.links.Send(from, part)
 		}
 	}
-	if actions.SendReaches {
-		for _, part := range news.SplitReaches(in.gateway.Forwarder().Statements()) {
-			in.links.Send(from, part)
-		}
-	}
 	if actions.SendSuspicions {
 		for _, part := range news.SplitSuspicions(in.gateway.Isolation().Suspicions(now)) {
 			in.links.Send(from, part)
@@ -136,25 +133,42 @@
 	}
 }
 
-// handleReach floods which services this gateway cannot reach.
-func (in *instance) handleReach(now time.Time, lost []string) {
-	in.floodReaches("", []mustardsaddle.GatewayReach{in.gateway.Forwarder().SetLost(now, lost)})
+// handleReach has the peers told which services this gateway cannot reach.
+func (in *instance) handleReach(_ time.Time, lost []string) {
+	in.gateway.Forwarder().SetLost(lost)
+	notify(in.reachChanged)
 }
 
-// mergeReaches records statements of gateways from a peer. It returns those that were new.
-func (in *instance) mergeReaches(now time.Time, from string, m news.Reaches) []mustardsaddle.GatewayReach {
-	added := in.gateway.Forwarder().Merge(now, m.Gateways)
-	for _, r := range added {
-		event.Info(in.cfg.Logger, event.PeerReach).Str("Peer", r.Name).Int64("Incarnation", r.Incarnation).Int64("Seq", r.Seq).
-			Strs("Lost", r.Lost).Str("Source", from).Send()
+// announceReach tells the linked peers which services this gateway cannot reach, until the
+// context ends; then it closes done. The peers do not pass it on.
+func (in *instance) announceReach(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	for {
+		statement, due, wait := in.gateway.Forwarder().NextStatement(time.Now())
+		if due {
+			in.links.Broadcast(news.Reaches{Gateways: []mustardsaddle.GatewayReach{statement}})
+			continue
+		}
+		var next <-chan time.Time
+		if wait > 0 {
+			next = time.After(wait)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-in.reachChanged:
+		case <-next:
+		}
 	}
-	return added
 }
 
-// floodReaches floods statements of gateways that were new to this one.
-func (in *instance) floodReaches(from string, statements []mustardsaddle.GatewayReach) {
-	for _, part := range news.SplitReaches(statements) {
-		in.flood(from, in.generation.Load(), part)
+// mergeReaches records what a peer states about the services that it cannot reach. Earlier
+// builds also pass on what others state, which may be out of date and is ignored.
+func (in *instance) mergeReaches(now time.Time, from string, m news.Reaches) {
+	own := slices.DeleteFunc(slices.Clone(m.Gateways), func(r mustardsaddle.GatewayReach) bool { return r.Name != from })
+	for _, r := range in.gateway.Forwarder().Merge(now, own) {
+		event.Info(in.cfg.Logger, event.PeerReach).Str("Peer", r.Name).Int64("Incarnation", r.Incarnation).Int64("Seq", r.Seq).
+			Strs("Lost", r.Lost).Str("Source", from).Send()
 	}
 }
 
--- a/internal/product/instance/registration.go
+++ b/internal/product/instance/registration.go
@@ -80,10 +80,7 @@
 
 // signalRestore makes syncGateways check the entry of this gateway.
 func (in *instance) signalRestore() {
-	select {
-	case in.restored <- struct{}{}:
-	default:
-	}
+	notify(in.restored)
 }
 
 // waitForSync waits until the list of gateways is to be read: at next, or earlier if the
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -155,6 +155,7 @@
 		startComponent(ctx, in.quotas.Run),
 		startComponent(ctx, in.followSettings),
 		startComponent(ctx, in.watchEvacuations),
+		startComponent(ctx, in.announceReach),
 		startComponent(ctx, func(ctx context.Context, done chan<- struct{}) { in.metrics.ReportState(ctx, in.state, done) }),
 	}
 	if in.catalog != nil {
@@ -220,7 +221,7 @@
 		ServersWarmingUp:     stated.WarmingUp,
 		RequestsSuspect:      suspicions.Suspect,
 		RequestsQuarantined:  suspicions.Quarantined,
-		GatewaysCutOff:       in.gateway.Forwarder().CutOff(),
+		GatewaysCutOff:       in.gateway.Forwarder().CutOff(time.Now()),
 		ServicesLost:         len(in.gateway.Controllers().LostServices(time.Now())),
 		Links:                links.Links,
 		PeerMessages:         links.SentMessages + links.ReceivedMessages,
--- a/internal/request/forward/forwarder.go
+++ b/internal/request/forward/forwarder.go
@@ -20,8 +20,8 @@
 	helpers *reach.Helpers
 	// fleet holds the gateways by name, also those that are leaving.
 	fleet map[string]mustardsaddle.VM
-	// own is what this gateway states about itself.
-	own mustardsaddle.GatewayReach
+	// announcer decides when this gateway states which services it has lost.
+	announcer *reach.Announcer
 }
 
 // NewForwarder returns a Forwarder that knows no other gateway.
@@ -29,7 +29,7 @@
 	table := reach.NewTable()
 	return &Forwarder{
 		rng: rng, table: table, helpers: reach.NewHelpers(self, table), fleet: make(map[string]mustardsaddle.VM),
-		own: mustardsaddle.GatewayReach{Name: self.Name, Incarnation: self.Incarnation},
+		announcer: reach.NewAnnouncer(self),
 	}
 }
 
@@ -60,49 +60,49 @@
 	return f.helpers.Available(now, need)
 }
 
-// Finish records the end of a call that Pick has counted.
-func (f *Forwarder) Finish(now time.Time, r reach.Reply) {
+// OwnPathFails reports whether this gateway itself is the likely reason for which other
+// gateways do not reply.
+func (f *Forwarder) OwnPathFails(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.helpers.Finish(now, r)
+	return f.helpers.OwnPathFails(now)
 }
 
-// SetLost replaces the services that this gateway has lost. It returns the statement to
-// send to the peers.
-func (f *Forwarder) SetLost(now time.Time, services []string) mustardsaddle.GatewayReach {
+// Finish records the end of a call that Pick has counted.
+func (f *Forwarder) Finish(now time.Time, r reach.Reply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.own = f.own.WithLost(services)
-	f.table.Merge(now, []mustardsaddle.GatewayReach{f.own})
-	return f.own
+	f.helpers.Finish(now, r)
 }
 
-// Merge records statements of other gateways. It returns those that were new.
-func (f *Forwarder) Merge(now time.Time, statements []mustardsaddle.GatewayReach) []mustardsaddle.GatewayReach {
+// SetLost replaces the services that this gateway has lost.
+func (f *Forwarder) SetLost(services []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table.Merge(now, statements)
+	f.announcer.SetLost(services)
 }
 
-// Statements returns the newest statements of all gateways.
-func (f *Forwarder) Statements() []mustardsaddle.GatewayReach {
+// NextStatement returns the statement about lost services that is due to be sent to the
+// peers, or none and the time until it may be; 0 until SetLost is called again.
+func (f *Forwarder) NextStatement(now time.Time) (statement mustardsaddle.GatewayReach, due bool, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table.Statements()
+	return f.announcer.Next(now)
 }
 
-// Digest returns a digest that is equal for gateways that know the same statements.
-func (f *Forwarder) Digest() uint64 {
+// Merge records statements of other gateways. It returns those that were new, and not merely
+// renewed.
+func (f *Forwarder) Merge(now time.Time, statements []mustardsaddle.GatewayReach) []mustardsaddle.GatewayReach {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table.Digest()
+	return f.table.Merge(now, statements)
 }
 
-// CutOff returns the number of gateways that have lost some service.
-func (f *Forwarder) CutOff() int {
+// CutOff returns the number of linked gateways that state that they have lost some service.
+func (f *Forwarder) CutOff(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table.Gateways()
+	return f.table.Gateways(now)
 }
 
 // Accept returns an error with code.PeerUnknown unless a call comes from the VM of a gateway
--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -76,7 +76,7 @@
 	if !lost && c.match.carried == nil && c.needsNewConnection() && c.match.controller.AvoidDial(now) {
 		return c.forward(reasonUnconnected, nil)
 	}
-	if !lost {
+	if !lost || c.match.carried == nil && c.g.forwarder.OwnPathFails(now) {
 		return nil, nil
 	}
 	if c.match.carried != nil {
@@ -114,7 +114,7 @@
 	switch {
 	case refused.Code == code.CallLimited:
 		return c.forward(reasonLimited, c.match.controller.Holders())
-	case refused.Code == code.CallUnreachable:
+	case refused.Code == code.CallUnreachable && !c.g.forwarder.OwnPathFails(time.Now()):
 		return c.forward(reasonLost, nil)
 	case refused.Code == code.OK && c.allUnsent():
 		return c.forward(reasonUnconnected, nil)
@@ -261,7 +261,8 @@
 	callerLeft := a.c.r.Context().Err() != nil || errors.Is(context.Cause(a.ctx), errSuperseded)
 	reply := reach.Reply{
 		Gateway: a.through.Name, Service: a.c.match.controller.Service,
-		Failed: a.mismatch || a.err != nil && !callerLeft, Lost: a.answer.Code == code.CallUnreachable, RetryAfter: a.answer.RetryAfter,
+		Failed: a.mismatch || a.err != nil && !callerLeft, Silent: a.err != nil && admission.FailureCause(a.err) == reach.Unanswered,
+		Lost: a.answer.Code == code.CallUnreachable, RetryAfter: a.answer.RetryAfter,
 	}
 	if a.refusedRequest() {
 		reply.RetryAfter = 0
