Take only a delivered response as a sign that a gateway serves

A caller that left while its call was forwarded counted as a reply: the gateway was picked again as one that had served, and cleared the record of silent gateways, so that a slow gateway went on forwarding. TestOwnPathFails and TestHelpersPickOnlyGatewaysThatMayServe have the cases.

--- a/internal/choice/reach/helpers.go
+++ b/internal/choice/reach/helpers.go
@@ -54,6 +54,8 @@
 	Failed bool
 	// Silent is true if it failed because nothing was received in time.
 	Silent bool
+	// Served is true if it delivered a server's response.
+	Served bool
 	// Lost is true if the gateway cannot reach the service.
 	Lost bool
 	// RetryAfter is the time after which the gateway may take a call of the service again.
@@ -199,19 +201,19 @@
 		delete(s.servedAt, r.Service)
 	case r.RetryAfter > 0:
 		s.services[r.Service] = now.Add(min(r.RetryAfter, maxRefusedPause))
-	default:
+	case r.Served:
 		s.servedAt[r.Service] = now
 	}
 	s.failures = 0
 }
 
 // recordPath records what a reply shows about this gateway's own path. A gateway that has
-// ended refuses connections, which shows nothing.
+// ended refuses connections, which shows nothing, and neither does a caller that has left.
 func (h *Helpers) recordPath(now time.Time, r Reply) {
 	switch {
 	case r.Failed && r.Silent:
 		h.silent[r.Gateway], h.silentAt = true, now
-	case !r.Failed:
+	case r.Served, r.Lost, r.RetryAfter > 0:
 		clear(h.silent)
 	}
 }
--- a/internal/choice/reach/helpers_test.go
+++ b/internal/choice/reach/helpers_test.go
@@ -61,10 +61,13 @@
 			reach.Need{Service: "Booking", Among: []string{"gateway-002", "gateway-009"}}, []string{"gateway-002"}},
 		{"none of none", func([]mustardsaddle.VM, *reach.Table, *reach.Helpers) {}, reach.Need{Service: "Booking", Among: []string{}}, nil},
 		{"one that has served before others", func(_ []mustardsaddle.VM, _ *reach.Table, h *reach.Helpers) {
-			h.Finish(at(0), reach.Reply{Gateway: "gateway-002", Service: "Booking"})
+			h.Finish(at(0), reach.Reply{Gateway: "gateway-002", Service: "Booking", Served: true})
 		}, booking, []string{"gateway-002"}},
-		{"not one that has served and then lost the service", func(_ []mustardsaddle.VM, _ *reach.Table, h *reach.Helpers) {
+		{"those from which callers have left like others", func(_ []mustardsaddle.VM, _ *reach.Table, h *reach.Helpers) {
 			h.Finish(at(0), reach.Reply{Gateway: "gateway-002", Service: "Booking"})
+		}, booking, []string{"gateway-001", "gateway-002", "gateway-003"}},
+		{"not one that has served and then lost the service", func(_ []mustardsaddle.VM, _ *reach.Table, h *reach.Helpers) {
+			h.Finish(at(0), reach.Reply{Gateway: "gateway-002", Service: "Booking", Served: true})
 			h.Finish(at(0), reach.Reply{Gateway: "gateway-002", Service: "Booking", Lost: true})
 		}, booking, []string{"gateway-001", "gateway-003"}},
 		{"one that has not renewed its statement", func(_ []mustardsaddle.VM, table *reach.Table, _ *reach.Helpers) {
@@ -197,7 +200,8 @@
 		return reach.Reply{Gateway: name, Service: "Booking", Failed: true, Silent: true}
 	}
 	refused := reach.Reply{Gateway: "gateway-003", Service: "Booking", Failed: true}
-	served := reach.Reply{Gateway: "gateway-004", Service: "Booking"}
+	served := reach.Reply{Gateway: "gateway-004", Service: "Booking", Served: true}
+	left := reach.Reply{Gateway: "gateway-004", Service: "Booking"}
 	tests := []struct {
 		name    string
 		replies []reach.Reply
@@ -210,6 +214,7 @@
 		{"one gateway repeatedly", []reach.Reply{silent("gateway-001"), silent("gateway-001"), silent("gateway-001")}, 0, false},
 		{"one of them has ended", []reach.Reply{silent("gateway-001"), silent("gateway-002"), refused}, 0, false},
 		{"one replies in between", []reach.Reply{silent("gateway-001"), silent("gateway-002"), served, silent("gateway-003")}, 0, false},
+		{"a caller leaves in between", []reach.Reply{silent("gateway-001"), silent("gateway-002"), left, silent("gateway-003")}, 0, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/control/catalog/peer.go
+++ b/internal/control/catalog/peer.go
@@ -119,7 +119,8 @@
 	p := &c.known[collection]
 	first := p.record(u.Reading)
 	if !first || u.Position.Era < c.eras.Newest() {
-		// What was current before a restore says nothing about the time after it.
+		// A later copy of a reading only took longer, and what was current before a restore
+		// says nothing about the time after it.
 		return p.freshAt
 	}
 	return now.Add(-u.Age)
--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -262,7 +262,8 @@
 	reply := reach.Reply{
 		Gateway: a.through.Name, Service: a.c.match.controller.Service,
 		Failed: a.mismatch || a.err != nil && !callerLeft, Silent: a.err != nil && admission.FailureCause(a.err) == reach.Unanswered,
-		Lost: a.answer.Code == code.CallUnreachable, RetryAfter: a.answer.RetryAfter,
+		Served: a.outcome == mustardsaddle.Ran,
+		Lost:   a.answer.Code == code.CallUnreachable, RetryAfter: a.answer.RetryAfter,
 	}
 	if a.refusedRequest() {
 		reply.RetryAfter = 0
