Review cases 1 and 2: the scripts depend less on the speed of the machine

Cause: case 1 took 94 s of the 110 that a case has, and case 2 sent at a fixed rate, so that a slower or faster machine rejects more or fewer requests.

Done: case 1 sends fewer requests after each growth and more at the end; in case 2 a fixed number of clients sends one booking after another. Rules, doses and bounds are as they were.

--- a/review/cases/case_config.go
+++ b/review/cases/case_config.go
@@ -12,6 +12,11 @@
 	// grownBy is the number of routes that one growth of the configuration adds.
 	grownBy = 350
 	growths = 21
+	// configMargin is how long a request is sent after configBound.
+	configMargin = 250 * time.Millisecond
+	// fewRounds and manyRounds are the numbers of requests on each route to each gateway,
+	// after each growth and at the end.
+	fewRounds, manyRounds = 2, 10
 )
 
 // configGrows: the operator adds routes to the configuration, always within the size of a
@@ -32,7 +37,7 @@
 	if err := b.startGateways(3); err != nil {
 		return false, err
 	}
-	broken := b.checkRoutes(c, runs)
+	broken := b.checkRoutes(c, runs, fewRounds)
 	for n := range growths {
 		if !b.trouble {
 			break
@@ -47,9 +52,11 @@
 			return false, fmt.Errorf("the configuration is larger than a value may be: %d bytes", size)
 		}
 		b.note("the store acknowledges version %d: %d routes, %d of %d bytes", c.version, len(c.routes), size, valueBytes)
-		time.Sleep(configBound + time.Second)
-		broken += b.checkRoutes(c, runs)
+		time.Sleep(configBound + configMargin)
+		broken += b.checkRoutes(c, runs, fewRounds)
 	}
+	time.Sleep(configBound)
+	broken += b.checkRoutes(c, runs, manyRounds)
 	for _, g := range b.gateways {
 		for _, line := range b.log(g, `"RulesIgnored"`) {
 			b.note("log of %s: %s", g.name, line)
@@ -61,10 +68,10 @@
 
 // checkRoutes sends requests on routes of the configuration to all gateways, more than
 // configBound after its acknowledgement. It returns how many are answered 404.
-func (b *bench) checkRoutes(c config, runs *runs) int {
+func (b *bench) checkRoutes(c config, runs *runs, rounds int) int {
 	cl, missing, statuses := newClient(), 0, make(map[int]int)
 	for _, g := range b.gateways {
-		for range 10 {
+		for range rounds {
 			for _, path := range []string{readPath, bookingPath} {
 				method := http.MethodGet
 				if path == bookingPath {
--- a/review/cases/case_twice.go
+++ b/review/cases/case_twice.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -19,9 +20,9 @@
 // a booking run twice?
 func rejectionCopied(b *bench) (bool, error) {
 	const (
+		clients   = 15
 		upstreams = 5
 		spoiling  = 3
-		perSecond = 880.0
 		copies    = 0.03
 		// An episode of spoiled responses lasts as long as on the users' days.
 		episode, calm = 5 * time.Second, time.Second
@@ -52,67 +53,54 @@
 			}
 		})
 	}
-	sent := b.load(loadConfig{perSecond: perSecond, unsafe: 1, duration: duration})
+	sent := b.load(loadConfig{clients: clients, duration: duration})
 	return b.checkOnce(sent, runs), nil
 }
 
-// loadConfig describes a load of reads and bookings.
+// loadConfig describes a load of bookings.
 type loadConfig struct {
-	perSecond float64
-	// unsafe is the share of bookings.
-	unsafe   float64
+	// clients is the number of clients, each of which sends one request after another.
+	clients  int
 	duration time.Duration
 }
 
 // sentCall is a request that was sent and how it was answered.
 type sentCall struct {
 	id     string
-	unsafe bool
 	status int
 	err    error
 }
 
-// load sends requests at a steady rate to all gateways in turn, and returns them all.
+// load sends bookings of a number of clients to all gateways in turn, and returns them all.
 func (b *bench) load(cfg loadConfig) []sentCall {
-	var mu sync.Mutex
-	var all []sentCall
+	all := make([][]sentCall, cfg.clients)
 	var wg sync.WaitGroup
-	cl := newClient()
-	ticker := time.NewTicker(time.Duration(float64(time.Second) / cfg.perSecond))
-	defer ticker.Stop()
 	end := time.Now().Add(cfg.duration)
-	for n := 0; time.Now().Before(end); n++ {
-		<-ticker.C
-		c := call{
-			gateway: b.gateways[n%len(b.gateways)].front, method: http.MethodGet, host: host, path: readPath, id: newID(), deadline: requestTime,
-		}
-		unsafe := float64(n%10) < cfg.unsafe*10
-		if unsafe {
-			c.method, c.path, c.body = http.MethodPost, bookingPath, []byte(`{"lathe": 2}`)
-		}
+	for i := range cfg.clients {
 		wg.Go(func() {
-			status, err := cl.send(c)
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, sentCall{id: c.id, unsafe: unsafe, status: status, err: err})
+			cl := newClient()
+			for n := i; time.Now().Before(end); n++ {
+				c := call{
+					gateway: b.gateways[n%len(b.gateways)].front, method: http.MethodPost, host: host, path: bookingPath, id: newID(),
+					body: []byte(`{"lathe": 2}`), deadline: requestTime,
+				}
+				status, err := cl.send(c)
+				all[i] = append(all[i], sentCall{id: c.id, status: status, err: err})
+			}
 		})
 	}
 	wg.Wait()
-	return all
+	return slices.Concat(all...)
 }
 
 // checkOnce reports whether a booking has run twice, and records each one.
 func (b *bench) checkOnce(sent []sentCall, runs *runs) bool {
 	statuses := make(map[int]int)
-	twice, refusedAndRan, bookings := 0, 0, 0
+	twice, refusedAndRan := 0, 0
 	for _, s := range sent {
 		statuses[s.status]++
 		ran := runs.of(s.id)
-		b.note("request %s (booking: %v): status %d, ran at %v, error %v", s.id, s.unsafe, s.status, ran, s.err)
-		if !s.unsafe {
-			continue
-		}
-		bookings++
+		b.note("booking %s: status %d, ran at %v, error %v", s.id, s.status, ran, s.err)
 		if len(ran) > 1 {
 			twice++
 			b.note("TWICE: booking %s was sent once by its client, answered %d, and ran at %v", s.id, s.status, ran)
@@ -122,7 +110,7 @@
 			b.note("REFUSED: booking %s was answered %d and ran at %v", s.id, s.status, ran)
 		}
 	}
-	b.note("%d requests, %d of them bookings; by status (0: no answer): %s", len(sent), bookings, text(statuses))
+	b.note("%d bookings; by status (0: no answer): %s", len(sent), text(statuses))
 	b.note("bookings that ran more than once: %d; that ran although they were refused: %d", twice, refusedAndRan)
 	return twice > 0
 }
