Log and count what the retry budget held for each retry and refusal

The logs of the incident could not tell whether retries were paid from the share of a gateway's calls or from its part of the slack, by how many gateways the slack was divided, or that the budget refused a retry.

RouteChosen of a retry or hedge has Calls, Extra, Slack and Gateways, as has the new event RetryRefused, which the metric RetriesRefused counts. Calls are not affected.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -129,6 +129,8 @@
 	// ServerWarm is logged when this gateway no longer limits the requests to a server that
 	// was warming up.
 	ServerWarm
+	// RetryRefused is logged when the retry budget does not allow a retry or a hedge.
+	RetryRefused
 )
 
 // Peer events.
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -118,9 +117,8 @@
 // of gateways. Part of the slack is held back for gateways that start without a record
 // of the retries they have sent.
 func (c *Controller) updateRetryBounds() {
-	gateways := cmp.Or(c.controllers.gateways.Load(), defaultFleetSize)
 	bounds := *c.controllers.retry.Load()
-	bounds.Slack *= plannedSlackShare / float64(gateways)
+	bounds.Slack *= plannedSlackShare / float64(c.gateways())
 	c.budgets.Bounds = bounds
 }
 
@@ -291,7 +289,11 @@
 func (c *Controller) TakeRetry(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.budgets.TakeRetry(now)
+	ok := c.budgets.TakeRetry(now)
+	if !ok {
+		c.recordRefusedRetry(now, booking.Retry)
+	}
+	return ok
 }
 
 // probe returns the server that the chooser wants probed next, if any.
--- a/internal/request/admission/metrics.go
+++ b/internal/request/admission/metrics.go
@@ -22,6 +22,8 @@
 	Attempts tally.Counter
 	Retries  tally.Counter
 	Hedges   tally.Counter
+	// RetriesRefused counts retries and hedges that the retry budget did not allow.
+	RetriesRefused tally.Counter
 	// Deferred counts calls that were refused because they could no longer meet their target
 	// while others that could found no server.
 	Deferred tally.Counter
@@ -62,6 +64,9 @@
 		Attempts:      s.Counter("Attempts"),
 		Retries:       s.Counter("Retries"),
 		Hedges:        s.Counter("Hedges"),
+
+		RetriesRefused: s.Counter("RetriesRefused"),
+
 		Forwarded:     s.Counter("Forwarded"),
 		Carried:       s.Counter("Carried"),
 		Deferred:      s.Counter("Deferred"),
--- a/internal/request/admission/queueing.go
+++ b/internal/request/admission/queueing.go
@@ -43,6 +43,8 @@
 	Choice mustardsaddle.Choice
 	// Queued is the time that the call spent in the queue.
 	Queued time.Duration
+	// Budget is the state of the retry budget after a retry or hedge was taken from it.
+	Budget Spending
 }
 
 // Admit starts an attempt of the call and chooses its server. A first attempt is queued
@@ -53,7 +55,7 @@
 // code.OK. Unqueried is true if the budgets allowed no load query before this attempt.
 func (c *Controller) Admit(ctx context.Context, now time.Time, r Request, unqueried bool) (Assignment, *refusal.Refusal) {
 	c.mu.Lock()
-	kind, tried, ok := r.Begin(now, &c.budgets)
+	kind, tried, spent, ok := c.begin(now, r)
 	if !ok {
 		c.mu.Unlock()
 		return Assignment{}, &refusal.Refusal{Code: code.OK}
@@ -68,7 +70,7 @@
 		choice, ok := c.choose(now, c.requirements(now, tried).WithUnqueried(unqueried))
 		if ok {
 			c.mu.Unlock()
-			return Assignment{Kind: kind, Choice: choice}, nil
+			return Assignment{Kind: kind, Choice: choice, Budget: spent}, nil
 		}
 	}
 	if c.evacuated() {
@@ -98,7 +100,7 @@
 	c.waiting[entry.ID] = queuedCall{tried: tried, assigned: assigned}
 	c.mu.Unlock()
 	assignment, refused := c.wait(ctx, now, entry, joined.ExpiresAt, assigned)
-	assignment.Kind = kind
+	assignment.Kind, assignment.Budget = kind, spent
 	return assignment, refused
 }
 
--- a/internal/request/booking/budget.go
+++ b/internal/request/booking/budget.go
@@ -51,6 +51,18 @@
 	Window *Window
 	// Bounds are the limits that Window enforces.
 	Bounds Bounds
+	// Refused is the number of retries and hedges that the budgets did not allow.
+	Refused int64
+}
+
+// Spending returns the state of Window, or a zero value without one.
+func (b *Budgets) Spending(now time.Time) Spending {
+	if b.Window == nil {
+		return Spending{}
+	}
+	s := b.Window.Spending(now)
+	s.Slack = b.Bounds.Slack
+	return s
 }
 
 // take takes an attempt of the given kind from the budgets and reports whether they
@@ -60,7 +72,7 @@
 	case Retry:
 		return b.TakeRetry(now)
 	case Hedge:
-		return b.Hedge.Take() && (b.Window == nil || b.Window.Take(now, b.Bounds))
+		return b.counted(b.Hedge.Take() && (b.Window == nil || b.Window.Take(now, b.Bounds)))
 	case First:
 		b.Retry.earn()
 		b.Hedge.earn()
@@ -83,7 +95,15 @@
 // TakeRetry takes a retry from the budgets and reports whether they allow it.
 func (b *Budgets) TakeRetry(now time.Time) bool {
 	if b.Window != nil {
-		return b.Window.Take(now, b.Bounds)
+		return b.counted(b.Window.Take(now, b.Bounds))
+	}
+	return b.counted(b.Retry.Take())
+}
+
+// counted counts an extra attempt that was not allowed.
+func (b *Budgets) counted(allowed bool) bool {
+	if !allowed {
+		b.Refused++
 	}
-	return b.Retry.Take()
+	return allowed
 }
--- a/internal/request/booking/window.go
+++ b/internal/request/booking/window.go
@@ -96,6 +96,26 @@
 	return max(within, before, around)
 }
 
+// Spending is what a Window has counted in the window that ends at the time of a decision.
+type Spending struct {
+	// Calls is the number of calls, and Extra that of extra attempts.
+	Calls, Extra int
+	// Slack is the number of extra attempts allowed beyond the share.
+	Slack float64
+}
+
+// Spending returns the counts of the window that ends now. The Slack is not set.
+func (w *Window) Spending(now time.Time) Spending {
+	current := w.intervalAt(now).number
+	var s Spending
+	for age := range windowIntervals {
+		interval := w.aged(current, age)
+		s.Calls += interval.calls
+		s.Extra += interval.extra
+	}
+	return s
+}
+
 // aged returns the interval that is the given number of intervals older than the present
 // one, or an empty one if nothing happened in it.
 func (w *Window) aged(present int64, age int) windowInterval {
--- a/internal/request/gateway/log.go
+++ b/internal/request/gateway/log.go
@@ -8,6 +8,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 )
 
 // requestID returns the caller's request ID, or "" if there is none.
@@ -44,6 +45,10 @@
 	if stated, age := c.match.controller.Statement(time.Now(), choice.Server); stated.Limited {
 		line = line.Float64("Limit", stated.PerSecond).Dur("LimitAge", age)
 	}
+	if a.assignment.Kind != booking.First {
+		spent := a.assignment.Budget
+		line = line.Int("Calls", spent.Calls).Int("Extra", spent.Extra).Float64("Slack", spent.Slack).Int("Gateways", spent.Gateways)
+	}
 	if name := c.match.name(); name != "" {
 		line = line.Str("Customer", name)
 	}
