--- a/internal/request/admission/metrics.go
+++ b/internal/request/admission/metrics.go
@@ -61,9 +61,9 @@
 	s := scope.Tagged(map[string]string{"Service": service})
 	times := tally.MustMakeExponentialDurationBuckets(firstBucket, 2, buckets)
 	m := &Metrics{
-		Attempts:      s.Counter("Attempts"),
-		Retries:       s.Counter("Retries"),
-		Hedges:        s.Counter("Hedges"),
+		Attempts: s.Counter("Attempts"),
+		Retries:  s.Counter("Retries"),
+		Hedges:   s.Counter("Hedges"),
 
 		RetriesRefused: s.Counter("RetriesRefused"),
 
