Keep the retry budget of the fleet through kills and moving callers

Cause: each gateway kept a bound whose sum over all lives of all gateways is more than the fleet's. A gateway that started had its whole part of the slack again, so that each round of kills granted it once more. Each took the window with the most of its own calls, and a sum of such maxima is more than the fleet's maximum. A gateway that knew only itself took the whole slack.

Now the calls that count are a weighted mean of two windows with weights that are the same everywhere, so that the bounds add up; the slack is a token bucket that starts empty; and share.Members counts no fewer gateways than run, and none without a recent list of all.

--- a/internal/product/instance/list.go
+++ b/internal/product/instance/list.go
@@ -66,4 +66,16 @@
 		versions[name] = page.Version
 	}
 	in.floodNew("", in.membership.applyPage(time.Now(), name, page))
+	if name == gatewayPage {
+		in.confirmListed(time.Now())
+	}
+}
+
+// confirmListed records that the list of gateways was read.
+func (in *instance) confirmListed(now time.Time) {
+	var names []string
+	for _, vm := range in.membership.Roster().VMs() {
+		names = append(names, vm.Name)
+	}
+	in.gateway.SetListed(now, names)
 }
--- a/internal/product/instance/registration.go
+++ b/internal/product/instance/registration.go
@@ -129,6 +129,9 @@
 		return firstReadDelay
 	}
 	in.gatewaysKnown.Store(true)
+	if in.isListed(listed) {
+		in.gateway.SetListed(time.Now(), machineNames(listed))
+	}
 	first := !r.known
 	r.known, r.restored = true, false
 	if first && !r.registeredAt.IsZero() {
@@ -199,6 +202,14 @@
 	})
 }
 
+func machineNames(machines []mustardsaddle.Machine) []string {
+	names := make([]string, len(machines))
+	for i, m := range machines {
+		names[i] = m.Name
+	}
+	return names
+}
+
 func (in *instance) logStoreFailure(ctx context.Context, err error) {
 	if ctx.Err() == nil {
 		event.Warn(in.cfg.Logger, event.StoreFailed).Int("Code", int(code.Of(err))).Err(err).Send()
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -22,9 +22,6 @@
 	// responseSizeWeight is the weight of a new sample in the moving average of response
 	// sizes.
 	responseSizeWeight = 0.05
-	// plannedSlackShare is the fraction of the fleet's retry slack that is divided among the
-	// known gateways.
-	plannedSlackShare = 0.6
 	// defaultFleetSize is the fleet size used until the real one is known.
 	defaultFleetSize = 32
 	// retrySpread is the largest part by which the Retry-After of a call that no server
@@ -109,19 +106,9 @@
 	if cfg.RetryWindow > 0 {
 		c.budgets.Window = booking.NewWindow(cfg.RetryWindow)
 	}
-	c.updateRetryBounds()
 	return c
 }
 
-// updateRetryBounds updates the retry bounds and divides the fleet's slack by the number
-// of gateways. Part of the slack is held back for gateways that start without a record
-// of the retries they have sent.
-func (c *Controller) updateRetryBounds() {
-	bounds := *c.controllers.retry.Load()
-	bounds.Slack *= plannedSlackShare / float64(c.gateways())
-	c.budgets.Bounds = bounds
-}
-
 // newBudget returns a budget for the given share of calls. A negative share grants
 // nothing.
 func newBudget(share float64) booking.Budget {
@@ -289,6 +276,7 @@
 func (c *Controller) TakeRetry(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.updateRetryBounds(now)
 	ok := c.budgets.TakeRetry(now)
 	if !ok {
 		c.recordRefusedRetry(now, booking.Retry)
--- a/internal/request/admission/controllers.go
+++ b/internal/request/admission/controllers.go
@@ -34,6 +34,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/share"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 )
@@ -72,6 +73,10 @@
 	statements *statements
 	endChecks  *endChecks
 
+	membersMu sync.Mutex
+	// members are the gateways among which the retry slack is divided.
+	members *share.Members
+
 	// reachMu orders the calls of OnReach.
 	reachMu sync.Mutex
 
@@ -87,7 +92,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = new(net.Dialer).DialContext
 	}
-	cs := &Controllers{cfg: cfg, statements: newStatements(cfg), endChecks: newEndChecks(), controllers: make(map[string]*Controller)}
+	cs := &Controllers{cfg: cfg, statements: newStatements(cfg), endChecks: newEndChecks(), members: share.NewMembers(), controllers: make(map[string]*Controller)}
 	cs.retry.Store(&booking.Bounds{Share: max(cfg.RetryShare, 0), Slack: cfg.RetrySlack})
 	return cs
 }
@@ -134,6 +139,7 @@
 // gateways get only those that are not leaving.
 func (cs *Controllers) SetFleet(now time.Time, gateways []mustardsaddle.VM) {
 	cs.gateways.Store(int64(len(gateways)))
+	cs.setMembers(func(m *share.Members) { m.SetGateways(now, gateways) })
 	live := slices.DeleteFunc(slices.Clone(gateways), func(v mustardsaddle.VM) bool { return v.Leaving })
 	cs.mu.Lock()
 	same := slices.EqualFunc(cs.fleet, live, func(a, b mustardsaddle.VM) bool { return a.Name == b.Name })
@@ -148,6 +154,29 @@
 	}
 }
 
+// SetListed records that this gateway is on a list of all gateways, which has the given
+// names. It takes no part of the retry slack before the first such list.
+func (cs *Controllers) SetListed(now time.Time, names []string) {
+	cs.setMembers(func(m *share.Members) { m.Confirm(now, names) })
+	for _, c := range cs.all() {
+		c.updateLimits(now)
+	}
+}
+
+func (cs *Controllers) setMembers(change func(*share.Members)) {
+	cs.membersMu.Lock()
+	defer cs.membersMu.Unlock()
+	change(cs.members)
+}
+
+// countMembers returns the number of gateways among which the retry slack is divided, or 0
+// if this gateway may take no part of it.
+func (cs *Controllers) countMembers(now time.Time) int {
+	cs.membersMu.Lock()
+	defer cs.membersMu.Unlock()
+	return cs.members.Count(now)
+}
+
 // SetRetryBudget changes the bounds of retries and hedges in a window: the share earned by
 // each call and the slack of the whole fleet.
 func (cs *Controllers) SetRetryBudget(now time.Time, bounds booking.Bounds) {
@@ -172,6 +201,6 @@
 func (c *Controller) updateLimits(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.updateRetryBounds()
+	c.updateRetryBounds(now)
 	c.updateQueryRate(now)
 }
--- a/internal/request/admission/fleet_test.go
+++ b/internal/request/admission/fleet_test.go
@@ -155,6 +155,9 @@
 		}
 	}
 	g.controllers.SetFleet(f.now, vms)
+	if !g.alone {
+		g.controllers.SetListed(f.now, f.names())
+	}
 }
 
 // run sends calls at a constant rate, each to a gateway drawn by weight.
--- a/internal/request/booking/budget.go
+++ b/internal/request/booking/budget.go
@@ -49,8 +49,6 @@
 	// Window, if set, replaces Retry as the limit on retries, and limits hedges in
 	// addition to Hedge. It bounds the extra attempts in any period of its length.
 	Window *Window
-	// Bounds are the limits that Window enforces.
-	Bounds Bounds
 	// Refused is the number of retries and hedges that the budgets did not allow.
 	Refused int64
 }
@@ -60,9 +58,7 @@
 	if b.Window == nil {
 		return Spending{}
 	}
-	s := b.Window.Spending(now)
-	s.Slack = b.Bounds.Slack
-	return s
+	return b.Window.Spending(now)
 }
 
 // take takes an attempt of the given kind from the budgets and reports whether they
@@ -72,7 +68,7 @@
 	case Retry:
 		return b.TakeRetry(now)
 	case Hedge:
-		return b.counted(b.Hedge.Take() && (b.Window == nil || b.Window.Take(now, b.Bounds)))
+		return b.counted(b.Hedge.Take() && (b.Window == nil || b.Window.Take(now)))
 	case First:
 		b.Retry.earn()
 		b.Hedge.earn()
@@ -95,7 +91,7 @@
 // TakeRetry takes a retry from the budgets and reports whether they allow it.
 func (b *Budgets) TakeRetry(now time.Time) bool {
 	if b.Window != nil {
-		return b.counted(b.Window.Take(now, b.Bounds))
+		return b.counted(b.Window.Take(now))
 	}
 	return b.counted(b.Retry.Take())
 }
--- a/internal/request/booking/window.go
+++ b/internal/request/booking/window.go
@@ -1,6 +1,9 @@
 package booking
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// windowIntervals is the number of intervals into which a window is divided for
@@ -9,6 +12,12 @@
 	// keptIntervals is the number of intervals that are kept: the present one, and those of
 	// a window and of the one before it.
 	keptIntervals = 2*windowIntervals + 1
+	// withinWeight is the weight of the calls in a window. The rest is that of the calls in
+	// the window before it, which allow for some extra attempts at once.
+	withinWeight = 0.7
+	// slackBurst is the part of the slack of a window that may be used at once. The rest is
+	// earned during a window, so that no window contains more than the slack.
+	slackBurst = 0.5
 )
 
 // Bounds limit the extra attempts in a Window.
@@ -20,22 +29,29 @@
 }
 
 // Window limits the extra attempts in every sliding window of time to Share × the calls
-// + Slack, where the calls are the most of those in the window, in the window before it,
-// and in the window that begins half a window earlier. An extra attempt must not rely on
-// calls that a later window containing it will no longer count, nor on calls to come.
-// Therefore the bound is checked for each window that contains the present time, with the
-// calls so far. In addition it holds, with the calls in the window alone, for the window
-// that ends at an extra attempt.
+// + Slack. The calls are a weighted mean of those in the window and those in the one before
+// it. The weights are the same for all gateways and windows, so that the extra attempts of a
+// fleet are limited by the mean of its calls, however callers move from one gateway to
+// another. An extra attempt must not rely on calls to come. Therefore the bound is checked
+// for each window that contains the present time, with the calls so far. In addition it
+// holds, with the calls in the window alone, for the window that ends at an extra attempt.
+//
+// The slack is a token bucket that is empty at first. A gateway that starts without a record
+// of its extra attempts earns no more in its lives together than one that keeps running.
 //
 // Time is counted in intervals. Calls of an interval that may lie partly outside a window
 // do not count, and extra attempts of such an interval do. A Window is not safe for
 // concurrent use.
 type Window struct {
-	span time.Duration
+	span   time.Duration
+	bounds Bounds
 	// start is the time of the first event. Intervals are numbered by the time elapsed
 	// since then, so that a step of the wall clock cannot empty the window.
 	start     time.Time
 	intervals [keptIntervals]windowInterval
+	// slack is the number of tokens of the slack at slackAt.
+	slack   float64
+	slackAt time.Time
 }
 
 // windowInterval holds the counts of one interval.
@@ -43,13 +59,35 @@
 	number int64
 	calls  int
 	extra  int
+	// shared is the part of the extra attempts that was taken from the share.
+	shared float64
 }
 
-// NewWindow returns an empty Window of the given length.
+// NewWindow returns an empty Window of the given length, which allows no extra attempt
+// before SetBounds.
 func NewWindow(span time.Duration) *Window {
 	return &Window{span: span}
 }
 
+// SetBounds changes the bounds. What the slack has earned before is kept up to the new
+// bound.
+func (w *Window) SetBounds(now time.Time, b Bounds) {
+	w.earn(now)
+	w.bounds = b
+	w.slack = min(w.slack, b.Slack*slackBurst)
+}
+
+// earn adds the slack that was earned since the last call.
+func (w *Window) earn(now time.Time) {
+	elapsed := max(now.Sub(w.slackAt), 0)
+	if w.slackAt.IsZero() {
+		elapsed = 0
+	}
+	w.slackAt = now
+	earned := w.bounds.Slack * (1 - slackBurst) * min(elapsed.Seconds()/w.span.Seconds(), 1)
+	w.slack = min(w.slack+earned, w.bounds.Slack*slackBurst)
+}
+
 // RecordCall records a call.
 func (w *Window) RecordCall(now time.Time) {
 	w.intervalAt(now).calls++
@@ -57,57 +95,71 @@
 
 // forgetCall takes back a call that was recorded at the given time.
 func (w *Window) forgetCall(at time.Time) {
-	number := int64(max(at.Sub(w.start), 0) / max(w.span/windowIntervals, 1))
+	number := w.intervalNumber(at)
 	interval := &w.intervals[number%keptIntervals]
 	if interval.number == number && interval.calls > 0 {
 		interval.calls--
 	}
 }
 
-// Take records an extra attempt if the bounds allow it, and returns false otherwise.
-func (w *Window) Take(now time.Time, b Bounds) bool {
+// Take records an extra attempt if the bounds allow it, and returns false otherwise. What
+// the share does not cover is taken from the slack.
+func (w *Window) Take(now time.Time) bool {
 	current := w.intervalAt(now)
+	w.earn(now)
+	unspent, within := w.unspent(current.number)
+	shared := min(max(unspent, 0), 1)
+	if within < 1 || 1-shared > w.slack {
+		return false
+	}
+	w.slack -= 1 - shared
+	current.extra++
+	current.shared += shared
+	return true
+}
+
+// unspent returns the number of extra attempts that the share allows now, and the number
+// that the window which ends now allows with its own calls and the whole slack.
+func (w *Window) unspent(present int64) (shared, within float64) {
 	// calls[age] is the number of calls in the intervals younger than age.
 	var calls [keptIntervals + 1]int
 	for age := range keptIntervals {
-		calls[age+1] = calls[age] + w.aged(current.number, age).calls
+		calls[age+1] = calls[age] + w.aged(present, age).calls
 	}
-	extra := 0
+	shared = math.Inf(1)
+	taken, extra := 0.0, 0
 	for age := range windowIntervals + 1 {
-		extra += w.aged(current.number, age).extra
-		if float64(extra+1) > b.Share*float64(countedCalls(calls, age))+b.Slack {
-			return false
-		}
-	}
-	if float64(extra+1) > b.Share*float64(calls[windowIntervals])+b.Slack {
-		return false
+		interval := w.aged(present, age)
+		taken += interval.shared
+		extra += interval.extra
+		shared = min(shared, w.bounds.Share*countedCalls(calls, age)-taken)
 	}
-	current.extra++
-	return true
+	return shared, w.bounds.Share*float64(calls[windowIntervals]) + w.bounds.Slack - float64(extra)
 }
 
 // countedCalls returns the calls that count for any window that begins in the interval of
-// the given age, which ends after the present time.
-func countedCalls(calls [keptIntervals + 1]int, age int) int {
-	const half = windowIntervals / 2
+// the given age, which ends after the present time. Calls of the interval in which the
+// window begins are either in it or in the window before it.
+func countedCalls(calls [keptIntervals + 1]int, age int) float64 {
 	within := calls[age]
 	before := calls[age+windowIntervals] - calls[age+1]
-	around := calls[age+half] - calls[max(age-half+1, 0)]
-	return max(within, before, around)
+	either := calls[age+1] - calls[age]
+	return withinWeight*float64(within) + (1-withinWeight)*float64(before) + min(withinWeight, 1-withinWeight)*float64(either)
 }
 
 // Spending is what a Window has counted in the window that ends at the time of a decision.
 type Spending struct {
 	// Calls is the number of calls, and Extra that of extra attempts.
 	Calls, Extra int
-	// Slack is the number of extra attempts allowed beyond the share.
+	// Slack is the number of extra attempts that the slack allows now.
 	Slack float64
 }
 
-// Spending returns the counts of the window that ends now. The Slack is not set.
+// Spending returns the counts of the window that ends now.
 func (w *Window) Spending(now time.Time) Spending {
 	current := w.intervalAt(now).number
-	var s Spending
+	w.earn(now)
+	s := Spending{Slack: w.slack}
 	for age := range windowIntervals {
 		interval := w.aged(current, age)
 		s.Calls += interval.calls
@@ -135,10 +187,14 @@
 	if w.start.IsZero() {
 		w.start = now
 	}
-	number := int64(max(now.Sub(w.start), 0) / max(w.span/windowIntervals, 1))
+	number := w.intervalNumber(now)
 	interval := &w.intervals[number%keptIntervals]
 	if interval.number != number {
 		*interval = windowInterval{number: number}
 	}
 	return interval
 }
+
+func (w *Window) intervalNumber(at time.Time) int64 {
+	return int64(max(at.Sub(w.start), 0) / max(w.span/windowIntervals, 1))
+}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -272,6 +272,12 @@
 	g.controllers.SetFleet(now, gateways)
 }
 
+// SetListed records that this gateway is on a list of all gateways, which has the given
+// names.
+func (g *Gateway) SetListed(now time.Time, names []string) {
+	g.controllers.SetListed(now, names)
+}
+
 // SetRetryBudget changes the bounds of retries and hedges in a window: the share earned
 // by each call and the slack of the whole fleet.
 func (g *Gateway) SetRetryBudget(now time.Time, bounds booking.Bounds) {
