Kill gateways in the soak while servers refuse requests

The soak had never killed most gateways of a fleet while they had retries to send, and did not count requests that a server refuses. Its check also allowed the share of hedges on top of the budget that limits both.

Servers can refuse a share of their requests, and record them; the plan NewKillsPlan kills all gateways but one every 1.5 s meanwhile; RetriesBounded counts refused requests and allows RetryShare alone.

--- a/cmd/mustardsaddle/soak_fault_test.go
+++ b/cmd/mustardsaddle/soak_fault_test.go
@@ -189,6 +189,7 @@
 		soak.ServerMisreporting: {ReportInFlight: &idle},
 		soak.ServerLimiting:     {Limit: &limit},
 		soak.ServerPausing:      {RetryAfter: "1"},
+		soak.ServerRefusing:     {RefuseShare: soakRefuseShare},
 	}
 	switch step.Kind {
 	case soak.ServerKilled:
--- a/cmd/mustardsaddle/soak_test.go
+++ b/cmd/mustardsaddle/soak_test.go
@@ -48,6 +48,8 @@
 	soakHedgeShare = 0.05
 	soakWindow     = 10 * time.Second
 	soakSlack      = 30
+	// soakRefuseShare is the share of the requests that a refusing server refuses.
+	soakRefuseShare = 0.7
 	// soakAddedDelay is the delay of a delayed link or a slow store.
 	soakAddedDelay = 200 * time.Millisecond
 	// soakStoreRate is the rate limit of a limited store, in calls per second.
@@ -77,6 +79,11 @@
 	statements bool
 }
 
+// config returns the size of the plan.
+func (z soakSize) config() soak.Config {
+	return soak.Config{Length: z.length, Gateways: z.gateways, Servers: z.servers, Statements: z.statements}
+}
+
 // soakRegressions are seeds that have failed before, each with the cause. Large
 // ones run only with -soak.large.
 var soakRegressions = []struct {
@@ -125,9 +132,26 @@
 	}
 }
 
+// TestSoakKillsWhileServersRefuse guards against gateways that spend their part of the retry
+// slack again after each start: the servers got more retries than the fleet may send.
+func TestSoakKillsWhileServersRefuse(t *testing.T) {
+	size := soakSize{length: 9 * time.Second, gateways: 5, servers: 6, callers: 8}
+	for i := range *soakSeeds {
+		seed := *soakFirstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runSoakPlan(t, soak.NewKillsPlan(size.config(), seed), size)
+		})
+	}
+}
+
 // runSoak runs one seed.
 func runSoak(t *testing.T, seed uint64, size soakSize) {
-	s := newSoakRun(t, seed, size)
+	runSoakPlan(t, soak.NewPlan(size.config(), seed), size)
+}
+
+// runSoakPlan runs the faults of a plan.
+func runSoakPlan(t *testing.T, plan soak.Plan, size soakSize) {
+	s := newSoakRun(t, plan, size)
 	defer s.logFailure()
 	w := watchGenerations(s.gateways)
 	callers := s.newCallers(size.callers)
@@ -167,11 +191,12 @@
 	addedPaths []string
 }
 
-// newSoakRun starts the system of a seed and waits until it is healthy.
-func newSoakRun(t *testing.T, seed uint64, size soakSize) *soakRun {
+// newSoakRun starts the system of a plan and waits until it is healthy.
+func newSoakRun(t *testing.T, plan soak.Plan, size soakSize) *soakRun {
+	seed := plan.Seed
 	s := &soakRun{
 		system:         &system{t: t, relayed: true, extraSettings: soakSettings(seed)},
-		plan:           soak.NewPlan(soak.Config{Length: size.length, Gateways: size.gateways, Servers: size.servers, Statements: size.statements}, seed),
+		plan:           plan,
 		executionsPath: filepath.Join(t.TempDir(), "executions"),
 		activeFaults:   make(map[string]faultCounts),
 		locks:          make(map[string]*sync.Mutex),
@@ -256,12 +281,13 @@
 // checkHistory checks the calls of the callers and the executions of the
 // servers, and reports violations with the related log lines.
 func (s *soakRun) checkHistory(callers *callers) {
-	h := soak.History{Calls: callers.calls, Executions: s.executions(), Leavings: s.leavings, Limitings: s.limitings, Interruptions: s.interruptions}
+	executions, refusals := s.executions()
+	h := soak.History{Calls: callers.calls, Executions: executions, Refusals: refusals, Leavings: s.leavings, Limitings: s.limitings, Interruptions: s.interruptions}
 	for _, w := range s.windows {
 		h.FaultWindows = append(h.FaultWindows, *w)
 	}
 	limits := soak.Limits{
-		RetryShare: soakRetryShare + soakHedgeShare,
+		RetryShare: soakRetryShare,
 		Window:     soakWindow,
 		Slack:      soakSlack,
 		Drain:      soakDrain,
@@ -270,29 +296,32 @@
 		limits.Deadline, limits.Progress = soakDeadline+*soakLateness, soakProgress
 	}
 	violations := soak.Check(h, limits)
-	s.t.Logf("%d faults, %d calls, %d executions, %d servers that stated that they were leaving, %d that stated a limit, %d violations",
-		len(s.plan.Steps), len(h.Calls), len(h.Executions), len(h.Leavings), len(h.Limitings), len(violations))
+	s.t.Logf("%d faults, %d calls, %d executions, %d refusals, %d servers that stated that they were leaving, %d that stated a limit, %d violations",
+		len(s.plan.Steps), len(h.Calls), len(h.Executions), len(h.Refusals), len(h.Leavings), len(h.Limitings), len(violations))
 	for _, v := range violations[:min(len(violations), maxPrintedViolations)] {
 		s.t.Errorf("%v\n%s", v, strings.Join(s.logLinesAbout(v.Request), "\n"))
 	}
 }
 
-// executions reads the executions that the servers have recorded.
-func (s *soakRun) executions() []server.Execution {
+// executions reads the executions and the refusals that the servers have recorded.
+func (s *soakRun) executions() (executions, refusals []server.Execution) {
 	f, err := os.Open(s.executionsPath)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	defer func() { _ = f.Close() }()
-	var list []server.Execution
 	for scanner := bufio.NewScanner(f); scanner.Scan(); {
 		var e server.Execution
 		if err := json.Unmarshal(scanner.Bytes(), &e); err != nil {
 			s.t.Fatalf("read the recorded executions: %v", err)
 		}
-		list = append(list, e)
+		if e.Refused {
+			refusals = append(refusals, e)
+			continue
+		}
+		executions = append(executions, e)
 	}
-	return list
+	return executions, refusals
 }
 
 // logLinesAbout returns the log lines of all gateways that contain a request
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -83,6 +83,9 @@
 	// WarmAt is the time until which the server states in each response that it is warming
 	// up. It serves as usual meanwhile.
 	WarmAt time.Time
+	// RefuseShare is the share of the requests that the server refuses, at random, with a
+	// response that says that they have not run.
+	RefuseShare float64
 	// RetryAfter, if not empty, makes the server refuse requests with status 503 and
 	// this Retry-After.
 	RetryAfter string
@@ -169,14 +172,16 @@
 	s.setReportHeader(w.Header())
 }
 
-// Execution records that a server began to run a request.
+// Execution records that a server began to run a request, or refused it.
 type Execution struct {
 	// Server is the name of the server.
 	Server string
 	// Request is the caller's request ID, and Attempt the gateway's attempt ID.
 	Request, Attempt string
-	// At is when the execution began.
+	// At is when the execution began, or when the request was refused.
 	At time.Time
+	// Refused is true if the server has not run the request.
+	Refused bool
 }
 
 // Count holds the counters of a server.
@@ -245,7 +250,9 @@
 // handleWork executes a request, or sheds it if the queue is full or the server
 // is draining.
 func (s *Server) handleWork(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(header.Attempt)
 	if !s.admit() {
+		s.recordRefusal(time.Now(), id, r.Header.Get(RequestHeader))
 		s.setReportHeader(w.Header())
 		w.Header().Set(NotRunHeader, "1")
 		if retryAfter := s.retryAfter(); retryAfter != "" {
@@ -261,7 +268,6 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	id := r.Header.Get(header.Attempt)
 	fail, err := s.recordExecution(time.Now(), id, r.Header.Get(RequestHeader))
 	if err != nil {
 		w.Header().Set(NotRunHeader, "1")
@@ -285,7 +291,7 @@
 func (s *Server) admit() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.mode.Draining || s.mode.RetryAfter != "" || s.inFlight >= s.cfg.Slots+s.cfg.Queue {
+	if s.mode.Draining || s.mode.RetryAfter != "" || s.inFlight >= s.cfg.Slots+s.cfg.Queue || s.mode.RefuseShare > 0 && s.rng.Float64() < s.mode.RefuseShare {
 		s.shed++
 		return false
 	}
@@ -312,17 +318,30 @@
 func (s *Server) recordExecution(now time.Time, attempt, request string) (fail bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cfg.Record != nil {
-		line := Execution{Server: s.cfg.Name, Request: request, Attempt: attempt, At: now}
-		if err := json.NewEncoder(s.cfg.Record).Encode(line); err != nil {
-			return false, errors.Annotatef(err, "record attempt %s", attempt)
-		}
+	if err := s.record(Execution{Server: s.cfg.Name, Request: request, Attempt: attempt, At: now}); err != nil {
+		return false, err
 	}
 	s.total++
 	s.runs[attempt]++
 	return s.mode.FailFast, nil
 }
 
+// recordRefusal records a request that was refused. Its caller is refused all the same if
+// the record cannot be written.
+func (s *Server) recordRefusal(now time.Time, attempt, request string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.record(Execution{Server: s.cfg.Name, Request: request, Attempt: attempt, At: now, Refused: true})
+}
+
+// record writes a line to the record, if there is one. The caller holds mu.
+func (s *Server) record(e Execution) error {
+	if s.cfg.Record == nil {
+		return nil
+	}
+	return errors.Annotatef(json.NewEncoder(s.cfg.Record).Encode(e), "record attempt %s", e.Attempt)
+}
+
 // simulateWork sleeps for the service time. It returns false if the request is
 // canceled first.
 func (s *Server) simulateWork(r *http.Request) bool {
--- a/internal/standin/soak/enum_string.go
+++ b/internal/standin/soak/enum_string.go
@@ -36,11 +36,12 @@
 	_ = x[ServerStatedLeaving-25]
 	_ = x[ServerLimiting-26]
 	_ = x[ServerPausing-27]
+	_ = x[ServerRefusing-28]
 }
 
-const _Kind_name = "GatewayKilledGatewayFrozenGatewayStoppedGatewayCutGatewayReloadedGatewayMisreadServerKilledServerFrozenServerSlowServerFailingServerDrainingServerMisreportingLinkDelayedLinkResetLinkHeldUpLinkHeldDownLinkSilentLinkRefusedStoreDownStoreSlowStoreLosesAnswersStoreSilentStoreLimitedStoreFrozenRulesChangedServerStatedLeavingServerLimitingServerPausing"
+const _Kind_name = "GatewayKilledGatewayFrozenGatewayStoppedGatewayCutGatewayReloadedGatewayMisreadServerKilledServerFrozenServerSlowServerFailingServerDrainingServerMisreportingLinkDelayedLinkResetLinkHeldUpLinkHeldDownLinkSilentLinkRefusedStoreDownStoreSlowStoreLosesAnswersStoreSilentStoreLimitedStoreFrozenRulesChangedServerStatedLeavingServerLimitingServerPausingServerRefusing"
 
-var _Kind_index = [...]uint16{0, 13, 26, 40, 50, 65, 79, 91, 103, 113, 126, 140, 158, 169, 178, 188, 200, 210, 221, 230, 239, 256, 267, 279, 290, 302, 321, 335, 348}
+var _Kind_index = [...]uint16{0, 13, 26, 40, 50, 65, 79, 91, 103, 113, 126, 140, 158, 169, 178, 188, 200, 210, 221, 230, 239, 256, 267, 279, 290, 302, 321, 335, 348, 362}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -101,9 +101,10 @@
 
 // History is everything that callers and servers recorded during a run.
 type History struct {
-	Calls        []Call
-	Executions   []server.Execution
-	FaultWindows []FaultWindow
+	Calls []Call
+	// Executions are the requests that servers ran, and Refusals those that they refused.
+	Executions, Refusals []server.Execution
+	FaultWindows         []FaultWindow
 	// Leavings are the times during which servers stated that they were leaving, Limitings
 	// those during which they stated a limit, and
 	// Interruptions the faults of gateways that excuse them from heeding this.
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -206,7 +206,7 @@
 // checkRetries checks the budget of retries and hedges in each window that ends
 // with an extra attempt. It reports only the first window that exceeds it.
 func (chk *checker) checkRetries() {
-	extra := extraAttempts(chk.history.Executions)
+	extra := extraAttempts(slices.Concat(chk.history.Executions, chk.history.Refusals))
 	calls := make([]time.Time, 0, len(chk.history.Calls))
 	for _, c := range chk.history.Calls {
 		calls = append(calls, c.Sent)
@@ -223,7 +223,7 @@
 	}
 }
 
-// extraAttempts returns the start times, in order, of all executions other than
+// extraAttempts returns the times, in order, of all executions and refusals other than
 // the first of each request.
 func extraAttempts(executions []server.Execution) []time.Time {
 	sorted := slices.SortedFunc(slices.Values(executions), func(a, b server.Execution) int { return a.At.Compare(b.At) })
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -88,6 +88,8 @@
 	ServerLimiting
 	// ServerPausing makes a server refuse requests with status 503 and ask for a pause.
 	ServerPausing
+	// ServerRefusing makes a server refuse most requests. Random plans do not contain it.
+	ServerRefusing
 
 	kindCount = int(RulesChanged) + 1
 	// kindCountStatements includes the kinds that need Config.Statements.
@@ -139,6 +141,8 @@
 	seriesShare = 0.3
 	// maxSeries is the maximum number of faults in a series.
 	maxSeries = 4
+	// killInterval is the time between two rounds of kills of NewKillsPlan.
+	killInterval = 1500 * time.Millisecond
 	// maxSeriesGap is the maximum time between two faults of a series.
 	maxSeriesGap = time.Second
 )
@@ -177,7 +181,7 @@
 
 // OnServer reports whether k is a fault of server processes.
 func (k Kind) OnServer() bool {
-	return k >= ServerKilled && k <= ServerMisreporting || k >= ServerStatedLeaving && k <= ServerPausing
+	return k >= ServerKilled && k <= ServerMisreporting || k >= ServerStatedLeaving && k <= ServerRefusing
 }
 
 // Interrupts reports whether k is a fault that stops or suspends a gateway process.
@@ -208,6 +212,25 @@
 	return plan
 }
 
+// NewKillsPlan generates a plan in which all servers but one refuse most requests, while all
+// gateways but one are killed again and again.
+func NewKillsPlan(cfg Config, seed uint64) Plan {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	plan := Plan{Seed: seed}
+	for target := 1; target < cfg.Servers; target++ {
+		plan.Steps = append(plan.Steps, Step{For: cfg.Length, Kind: ServerRefusing, Target: target})
+	}
+	for at := killInterval; at+killInterval <= cfg.Length; at += killInterval {
+		spared := rng.IntN(cfg.Gateways)
+		for target := range cfg.Gateways {
+			if target != spared {
+				plan.Steps = append(plan.Steps, Step{At: at, For: minDuration, Kind: GatewayKilled, Target: target})
+			}
+		}
+	}
+	return plan
+}
+
 func drawInterval(rng *rand.Rand) time.Duration {
 	return time.Duration(rng.ExpFloat64() * float64(meanInterval))
 }
