Skip single odd entries of the lists that other programs write

Reported by another operator: one entry of another writer, nested deep, with a number too large or a port out of range, ended the processes that read the list, or stopped them from following it. It happens here in three ways.

- The response was decoded whole: an entry nested more than 32 levels deep made the page unreadable on every gateway, which then kept its old list.
With Kind = Store one entry of another type did the same.
- An entry with 2^40 slots was taken.
The division of slots among gateways loops over them while it holds the lock of its service.
- A name, zone or service longer than 255 bytes was taken, also as a name that was removed.
The message with it cannot be encoded, so that the other gateways hear of no change.

Pages are now split into entries without regard to their depth, each entry is decoded alone, and mustardsaddle.Machine.Check states what a usable entry holds; it also applies to entries that peers of an earlier build send. Addresses with port 0, of no host or of a group are refused as well.

TestAnyItemIsPassed compares the split with random items.

--- a/internal/base/settings/list.go
+++ b/internal/base/settings/list.go
@@ -98,7 +98,7 @@
 			func(s *Settings) *string { return &s.Gateway.PeerListen }),
 		optionalAddress(sectionGateway, "Metrics", "Additional address for the metrics page alone, for collectors that need the same port on each VM. The gateway starts without it if it is taken.",
 			func(s *Settings) *string { return &s.Gateway.Metrics }),
-		integer(sectionGateway, "Incarnation", "0", 0, 1<<62, "starts",
+		integer(sectionGateway, "Incarnation", "0", 0, mustardsaddle.MaxIncarnation, "starts",
 			"Incarnation number of this gateway, which must increase with each start; 0 means the start time in milliseconds.",
 			func(s *Settings) *int64 { return &s.Gateway.Incarnation }),
 	}
--- a/internal/control/catalog/core.go
+++ b/internal/control/catalog/core.go
@@ -82,8 +82,11 @@
 	before := maps.Clone(c.entries)
 	listed := make(map[string]bool, len(u.Machines))
 	for _, m := range u.Machines {
-		listed[m.Name] = true
-		c.list(now, m, u)
+		// A peer of an earlier build may send entries that cannot be used.
+		if m.Check() == nil {
+			listed[m.Name] = true
+			c.list(now, m, u)
+		}
 	}
 	for _, name := range u.Removed {
 		c.markMissing(name, u.Position.Era)
--- a/internal/control/roster/page.go
+++ b/internal/control/roster/page.go
@@ -77,6 +77,9 @@
 func (r Roster) WithPeerList(machines []mustardsaddle.Machine) Roster {
 	next := r.clone()
 	for _, m := range machines {
+		if m.Check() != nil {
+			continue
+		}
 		if e, known := next.entries[m.Name]; !known || m.Incarnation > e.Incarnation {
 			next.entries[m.Name] = entry{Machine: m, listed: true}
 		}
--- a/internal/control/store/client.go
+++ b/internal/control/store/client.go
@@ -213,7 +213,7 @@
 		return mustardsaddle.Page{Version: known}, nil
 	}
 	page := mustardsaddle.Page{Version: resp.Header.Get("ETag"), Changed: true}
-	if err := json.Unmarshal(resp.Body, &page.Machines); err != nil {
+	if page.Machines, page.Skipped, err = decodeMachines(resp.Body); err != nil {
 		return mustardsaddle.Page{}, code.Wrapf(code.StoreBadObject, err, "decode %s", path)
 	}
 	return page, nil
--- a/internal/peer/news/check.go
+++ b/internal/peer/news/check.go
@@ -302,8 +302,8 @@
 }
 
 func checkNameLength(m Message, s string) error {
-	if len(s) > maxNameBytes {
-		return code.Errorf(code.PeerBadMessage, "message %s: got a name of %d bytes, want at most %d", typeName(m.Type()), len(s), maxNameBytes)
+	if len(s) > mustardsaddle.MaxNameBytes {
+		return code.Errorf(code.PeerBadMessage, "message %s: got a name of %d bytes, want at most %d", typeName(m.Type()), len(s), mustardsaddle.MaxNameBytes)
 	}
 	return nil
 }
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
@@ -119,7 +120,7 @@
 	if decode := c.decoders[e.Type]; decode != nil {
 		return decode(c, e)
 	}
-	return Unknown{Name: e.Type[:min(len(e.Type), maxNameBytes)]}, nil
+	return Unknown{Name: e.Type[:min(len(e.Type), mustardsaddle.MaxNameBytes)]}, nil
 }
 
 // newDecoders returns the decoders of all types.
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -69,8 +69,6 @@
 	MaxSuspicions = 1024
 	// MaxMachines is the maximum number of VMs in one message.
 	MaxMachines = 1024
-	// maxNameBytes bounds the length of a name, zone, service or address.
-	maxNameBytes = 255
 	// maxRuleLines bounds the number of removed, and of inserted, lines of a rule
 	// change. No array in a message may be longer.
 	maxRuleLines = 1 << 15
--- a/internal/product/instance/list.go
+++ b/internal/product/instance/list.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/control/roster"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 )
@@ -65,6 +66,9 @@
 	if page.Changed {
 		versions[name] = page.Version
 	}
+	for _, err := range page.Skipped {
+		event.Warn(in.cfg.Logger, event.EntrySkipped).Str("Collection", name).Err(err).Send()
+	}
 	in.floodNew("", in.membership.applyPage(time.Now(), name, page))
 	if name == gatewayPage {
 		in.confirmListed(time.Now())
--- a/store.go
+++ b/store.go
@@ -1,9 +1,6 @@
 package mustardsaddle
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // Object is one version of an object in the platform's store.
 type Object struct {
@@ -48,22 +45,6 @@
 	Changed bool
 	// Machines holds the VMs of the page.
 	Machines []Machine
-}
-
-// Machine is one entry of the platform's list of VMs, which contains gateways and
-// endpoint servers. The list lags behind the actual state.
-type Machine struct {
-	Name        string
-	Incarnation int64
-	Zone        string
-	// Service is the service of an endpoint server; empty for a gateway VM.
-	Service string
-	// Address is the address for requests or, for a gateway VM, for peer links.
-	Address     string
-	Slots       int
-	Connections int
-	Leaving     bool
-	// WarmUp is the remaining time for which the VM is slow after its start; negative if it
-	// is not known.
-	WarmUp time.Duration
+	// Skipped holds one error for each entry that could not be used.
+	Skipped []error
 }
