--- a/internal/request/booking/window.go
+++ b/internal/request/booking/window.go
@@ -12,9 +12,6 @@
 	// keptIntervals is the number of intervals that are kept: the present one, and those of
 	// a window and of the one before it.
 	keptIntervals = 2*windowIntervals + 1
-	// withinWeight is the weight of the calls in a window. The rest is that of the calls in
-	// the window before it, which allow for some extra attempts at once.
-	withinWeight = 0.7
 	// slackBurst is the part of the slack of a window that may be used at once. The rest is
 	// earned during a window, so that no window contains more than the slack.
 	slackBurst = 0.5
@@ -29,10 +26,9 @@
 }
 
 // Window limits the extra attempts in every sliding window of time to Share × the calls
-// + Slack. The calls are a weighted mean of those in the window and those in the one before
-// it. The weights are the same for all gateways and windows, so that the extra attempts of a
-// fleet are limited by the mean of its calls, however callers move from one gateway to
-// another. An extra attempt must not rely on calls to come. Therefore the bound is checked
+// + Slack. The calls are the mean of those in the window and those in the one before it. As
+// all gateways take the mean of the same two, the extra attempts of a fleet are limited by
+// the mean of its calls, however callers move from one gateway to another. An extra attempt must not rely on calls to come. Therefore the bound is checked
 // for each window that contains the present time, with the calls so far. In addition it
 // holds, with the calls in the window alone, for the window that ends at an extra attempt.
 //
@@ -138,13 +134,10 @@
 }
 
 // countedCalls returns the calls that count for any window that begins in the interval of
-// the given age, which ends after the present time. Calls of the interval in which the
-// window begins are either in it or in the window before it.
+// the given age, which ends after the present time. Calls of that interval are either in the
+// window or in the one before it.
 func countedCalls(calls [keptIntervals + 1]int, age int) float64 {
-	within := calls[age]
-	before := calls[age+windowIntervals] - calls[age+1]
-	either := calls[age+1] - calls[age]
-	return withinWeight*float64(within) + (1-withinWeight)*float64(before) + min(withinWeight, 1-withinWeight)*float64(either)
+	return float64(calls[age+windowIntervals]) / 2
 }
 
 // Spending is what a Window has counted in the window that ends at the time of a decision.
