--- a/internal/request/booking/window.go
+++ b/internal/request/booking/window.go
@@ -12,6 +12,9 @@
 	// keptIntervals is the number of intervals that are kept: the present one, and those of
 	// a window and of the one before it.
 	keptIntervals = 2*windowIntervals + 1
+	// withinWeight is the weight of the calls in a window. The rest is that of the calls in
+	// the window before it, which allow for some extra attempts at once.
+	withinWeight = 0.6
 	// slackBurst is the part of the slack of a window that may be used at once. The rest is
 	// earned during a window, so that no window contains more than the slack.
 	slackBurst = 0.5
@@ -26,9 +29,10 @@
 }
 
 // Window limits the extra attempts in every sliding window of time to Share × the calls
-// + Slack. The calls are the mean of those in the window and those in the one before it. As
-// all gateways take the mean of the same two, the extra attempts of a fleet are limited by
-// the mean of its calls, however callers move from one gateway to another. An extra attempt must not rely on calls to come. Therefore the bound is checked
+// + Slack. The calls are a weighted mean of those in the window and those in the one before
+// it. As the weights are the same for all gateways and windows, the extra attempts of a
+// fleet are limited by the mean of its calls, however callers move from one gateway to
+// another. An extra attempt must not rely on calls to come. Therefore the bound is checked
 // for each window that contains the present time, with the calls so far. In addition it
 // holds, with the calls in the window alone, for the window that ends at an extra attempt.
 //
@@ -135,9 +139,11 @@
 
 // countedCalls returns the calls that count for any window that begins in the interval of
 // the given age, which ends after the present time. Calls of that interval are either in the
-// window or in the one before it.
+// window or in the one before it, and count with the lower weight.
 func countedCalls(calls [keptIntervals + 1]int, age int) float64 {
-	return float64(calls[age+windowIntervals]) / 2
+	within, either := calls[age], calls[age+1]-calls[age]
+	before := calls[age+windowIntervals] - calls[age+1]
+	return withinWeight*float64(within) + (1-withinWeight)*float64(before) + min(withinWeight, 1-withinWeight)*float64(either)
 }
 
 // Spending is what a Window has counted in the window that ends at the time of a decision.
