Pass responses without a length on in a form that shows a cut

Two causes were looked at.

A response without a length was passed on to callers on HTTP/1.1 and 1.0 in the same form, its end marked by the close of the connection alone. Only the gateway's own reset marked a cut, which a gateway that is killed, or whose grace time ends, cannot send: the kernel closes its connections as at the end of a response. The same held for chunked responses to callers on HTTP/1.0, and between gateways that forward calls. Such responses are now sent in chunks, and to HTTP/1.0 callers whole with their length.

The reset of callers' connections has no use any more and is removed.

--- a/internal/request/connection/caller.go
+++ b/internal/request/connection/caller.go
@@ -83,14 +83,6 @@
 	return c.closed
 }
 
-// SetLinger sets the linger time of a TCP connection; for others it does nothing.
-func (c *callerConn) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(Lingerer); ok {
-		return tcp.SetLinger(seconds)
-	}
-	return nil
-}
-
 // CloseWrite closes the sending side. net/http uses it when it closes a connection
 // without reading the whole request, so that its response is not lost.
 func (c *callerConn) CloseWrite() error {
@@ -99,12 +91,3 @@
 	}
 	return nil
 }
-
-// Lingerer is a connection that can be reset instead of closed.
-type Lingerer interface {
-	// SetLinger sets for how many seconds unsent data is kept after the close; 0 makes
-	// the close reset the connection.
-	SetLinger(seconds int) error
-}
-
-var _ Lingerer = (*callerConn)(nil)
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -5,13 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
-	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
 )
@@ -21,6 +21,9 @@
 // still answered with a code.
 const copyBufferBytes = 32 << 10
 
+// maxWholeBytes bounds the size of a response of unknown length to a caller on HTTP/1.0.
+const maxWholeBytes = 1 << 20
+
 // relay sends the server's response to the caller. If the response is incomplete,
 // the caller's connection is aborted, so that a truncated body is never taken for a
 // complete one.
@@ -37,11 +40,14 @@
 		c.logResult(a, 0)
 		return
 	}
-	if a.resp.ContentLength >= 0 && a.resp.ContentLength <= copyBufferBytes {
+	switch {
+	case a.resp.ContentLength >= 0 && a.resp.ContentLength <= copyBufferBytes:
 		c.relayBuffered(h, a, src, buf[:a.resp.ContentLength])
 		return
-	}
-	if !c.allowCloseDelimited(h, a) {
+	case a.resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1):
+		c.relayWhole(h, a, src)
+		return
+	case c.r.ProtoMajor > 1 && closeDelimited(a):
 		c.refuse(&refusal.Refusal{Code: code.CallBroken, Outcome: mustardsaddle.Unknown})
 		return
 	}
@@ -116,19 +122,29 @@
 	return c.r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// allowCloseDelimited handles a response whose end is marked only by the close of
-// the connection, so that truncation cannot be detected. A caller on HTTP/1 gets it
-// in the same form, with the same ambiguity. HTTP/2 has no such form, so the result
-// is false.
-func (c *call) allowCloseDelimited(h http.Header, a *attempt) bool {
-	if a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0 {
-		return true
-	}
-	if c.r.ProtoMajor > 1 {
-		return false
+// closeDelimited reports whether the end of the response is marked only by the close of its
+// connection. A caller on HTTP/1.1 gets it in chunks, the last of which is missing if this
+// gateway ends early.
+func closeDelimited(a *attempt) bool {
+	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0
+}
+
+// relayWhole reads a response of unknown length completely before it is sent, with its length.
+// To a caller on HTTP/1.0 only the close of the connection could mark the end of a body
+// without one, and a body that is cut would look complete.
+func (c *call) relayWhole(h http.Header, a *attempt, src *bodySource) {
+	body, err := io.ReadAll(io.LimitReader(src, maxWholeBytes+1))
+	if err != nil || len(body) > maxWholeBytes {
+		c.refuse(&refusal.Refusal{Code: code.CallBroken, Outcome: mustardsaddle.Unknown})
+		return
 	}
-	h["Transfer-Encoding"] = []string{"identity"}
-	return true
+	c.relayHeader(h, a)
+	delete(h, "Trailer")
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	c.g.extendWriteDeadline(c.w)
+	c.w.WriteHeader(a.resp.StatusCode)
+	_, _ = c.w.Write(body)
+	c.logResult(src.attempt, int64(len(body)))
 }
 
 // copyBody copies the body through one buffer, and flushes after each write if it
@@ -165,25 +181,7 @@
 func (c *call) abortResponse(a *attempt, n int64, err error) {
 	c.match.controller.Metrics.Truncated.Inc(1)
 	c.countOutcome(mustardsaddle.Ran)
-	c.resetConnection(a)
 	c.g.withRequestID(event.Warn(c.g.cfg.Logger, event.CallCut), c.r).Str("Attempt", a.id).Str("Service", c.match.controller.Service).
 		Str(a.target()).Int("Code", int(code.CallBroken)).Int64("Bytes", n).Err(err).Send()
 	panic(http.ErrAbortHandler)
 }
-
-// resetConnection resets the caller's connection instead of closing it if only the
-// close marks the end of the response, so that the caller can detect the
-// truncation.
-func (c *call) resetConnection(a *attempt) {
-	if c.r.ProtoMajor > 1 || (a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0) && c.r.ProtoAtLeast(1, 1) {
-		return
-	}
-	conn, _, err := http.NewResponseController(c.w).Hijack()
-	if err != nil {
-		return
-	}
-	if tcp, ok := conn.(connection.Lingerer); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
