Test that retries end when the servers take requests again

No failure behind it: retries depend on failed attempts alone. The test kills gateways while servers refuse requests, and finds no retry and no refused call after the servers have recovered.

--- a/internal/request/admission/fleet_test.go
+++ b/internal/request/admission/fleet_test.go
@@ -367,3 +367,23 @@
 		}
 	}
 }
+
+// TestRetriesEndWithTheirCause guards against retries that go on, or are still refused, after
+// the servers have ceased to refuse requests.
+func TestRetriesEndWithTheirCause(t *testing.T) {
+	const ends = 20 * time.Second
+	f := newFleet(1, 19)
+	refused := 0
+	f.run(400, func(f *fleet, elapsed time.Duration) {
+		killMost(f, elapsed)
+		if elapsed == ends {
+			f.failing, refused = 0, f.refused
+		}
+	})
+	if n := len(f.extra) - countBefore(f.extra, epoch.Add(ends)); n > 0 || f.refused > refused {
+		t.Errorf("got %d retries and %d refused calls after the end of the fault, want none", n, f.refused-refused)
+	}
+	if len(f.extra) == 0 || refused == 0 {
+		t.Errorf("got %d retries and %d refused calls during the fault, want some", len(f.extra), refused)
+	}
+}
