Scan headers of responses up to the size that the transport accepts

A refusal with a header of more than 16 KiB was not recognized, so that a copy of it would still have been believed; found by reading. The case with a long header in TestCopyOfRefusalIsNotBelieved now has 60,000 bytes, and a header that arrives in one read is not copied.

--- a/internal/request/connection/head.go
+++ b/internal/request/connection/head.go
@@ -4,48 +4,51 @@
 	"bytes"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 )
 
-// maxHeadBytes bounds the part of a response that is scanned for the end of its header.
-const maxHeadBytes = 16 << 10
-
 // headScanner finds the header of the response to each request on a connection.
 type headScanner struct {
 	// awaited is true while the header of a response is awaited, and head the part of it that
-	// has been read.
+	// earlier reads have returned.
 	awaited bool
 	head    []byte
 }
 
 // await begins to scan for the header of the response to a request.
 func (s *headScanner) await() {
-	s.awaited, s.head = true, s.head[:0]
+	s.awaited, s.head = true, nil
 }
 
 // scan scans what was read from the connection. It returns true with the status and the
 // header of a response when they are complete. Informational responses are passed over, and
-// the header of a successful response is not parsed.
+// the header of a successful response is not parsed. A longer header than the transport
+// accepts is not scanned to its end.
 func (s *headScanner) scan(p []byte) (status int, h http.Header, found bool) {
 	if !s.awaited {
 		return 0, nil, false
 	}
-	s.head = append(s.head, p[:min(len(p), maxHeadBytes-len(s.head))]...)
+	rest := p
+	if len(s.head) > 0 {
+		rest = slices.Concat(s.head, p)
+	}
 	for {
-		n := headSize(s.head)
+		n := headSize(rest)
 		if n == 0 {
-			s.awaited = len(s.head) < maxHeadBytes
+			s.awaited = len(rest) <= maxResponseHeaderBytes
+			s.head = bytes.Clone(rest)
 			return 0, nil, false
 		}
-		status := headStatus(s.head[:n])
+		status := headStatus(rest[:n])
 		if status >= http.StatusOK || status == 0 {
-			s.awaited = false
+			s.awaited, s.head = false, nil
 			if status >= http.StatusMultipleChoices {
-				h = parseFields(s.head[:n])
+				h = parseFields(rest[:n])
 			}
 			return status, h, true
 		}
-		s.head = append(s.head[:0], s.head[n:]...)
+		rest = rest[n:]
 	}
 }
 
--- a/internal/request/gateway/classify.go
+++ b/internal/request/gateway/classify.go
@@ -100,10 +100,10 @@
 	return s.NotRunStatus != 0 && status == s.NotRunStatus && h.Get(s.NotRunHeader) != ""
 }
 
-// mayBeRepeated reports whether a response states that its request has not run, but not which
+// isUnnamedRefusal reports whether a response states that its request has not run, but not which
 // request that is. If a faulty server sent such a response once more on the same connection,
 // it would be taken for the response to the next request there, which the server runs.
-func (cfg Config) mayBeRepeated(status int, h http.Header) bool {
+func (cfg Config) isUnnamedRefusal(status int, h http.Header) bool {
 	notRun := cfg.hasNotRunHeader(h) || cfg.isMisdirected(status)
 	for _, s := range cfg.Services {
 		notRun = notRun || s.declaresNotRun(status, h)
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -162,7 +162,7 @@
 // transport returns a transport for connections to servers.
 func (cfg Config) transport(reuse bool) *http.Transport {
 	return connection.NewTransport(connection.TransportConfig{
-		DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.IdleTimeout, Reuse: reuse, Last: cfg.mayBeRepeated, Dial: cfg.DialServer,
+		DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.IdleTimeout, Reuse: reuse, Last: cfg.isUnnamedRefusal, Dial: cfg.DialServer,
 	})
 }
 
--- a/internal/request/gateway/refusal_copy_test.go
+++ b/internal/request/gateway/refusal_copy_test.go
@@ -95,7 +95,7 @@
 		{"in pieces", []string{"HTTP/1.1 503 Serv", "ice Unavailable\r\nNot-R", "un: 1\r\nContent-Length: 0\r", "\n\r\n"}},
 		{"after early hints", []string{"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}},
 		{"status of the service", []string{"HTTP/1.1 503 Service Unavailable\r\nEndpoint-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"}},
-		{"long header", []string{"HTTP/1.1 503 Service Unavailable\r\nX-Long: " + strings.Repeat("x", 10_000) + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}},
+		{"long header", []string{"HTTP/1.1 503 Service Unavailable\r\nX-Long: " + strings.Repeat("x", 60_000) + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
