--- a/internal/request/admission/fleet_test.go
+++ b/internal/request/admission/fleet_test.go
@@ -66,10 +66,10 @@
 	calls, extra []time.Time
 	// refused is the number of calls that ended without a response.
 	refused int
-	lives   int
+	starts  int
 }
 
-// gateway is one life of a gateway.
+// gateway is one run of a gateway process.
 type gateway struct {
 	name        string
 	controllers *admission.Controllers
@@ -97,14 +97,14 @@
 // start starts a gateway that remembers nothing. It knows itself alone at first, and all
 // others soon after that, as they know it.
 func (f *fleet) start(name string) {
-	f.lives++
+	f.starts++
 	g := &gateway{name: name, weight: 1, alone: true, unreachable: make(map[string]bool)}
 	g.controllers = admission.NewControllers(admission.Config{
 		Options: admission.Options{
 			RetryShare: retryShare, RetryWindow: retryWindow, RetrySlack: retrySlack, HedgeShare: -1, MaxQueued: -1,
 			NewChooser: func(string) mustardsaddle.Chooser { return anyServer{} },
 		},
-		Name: name, Rules: func() *rule.Table { return nil }, Metrics: tally.NoopScope, Logger: zerolog.Nop(), Seed: uint64(f.lives),
+		Name: name, Rules: func() *rule.Table { return nil }, Metrics: tally.NoopScope, Logger: zerolog.Nop(), Seed: uint64(f.starts),
 	})
 	f.running[name] = g
 	f.show(g)
@@ -298,7 +298,7 @@
 func replaceGateways(f *fleet, elapsed time.Duration) {
 	if every(elapsed, 2*time.Second, 300*time.Millisecond) {
 		f.kill(f.names()[0], 0)
-		f.start(gatewayName(100 + f.lives))
+		f.start(gatewayName(100 + f.starts))
 	}
 }
 
--- a/internal/request/booking/window.go
+++ b/internal/request/booking/window.go
@@ -36,8 +36,9 @@
 // for each window that contains the present time, with the calls so far. In addition it
 // holds, with the calls in the window alone, for the window that ends at an extra attempt.
 //
-// The slack is a token bucket that is empty at first. A gateway that starts without a record
-// of its extra attempts earns no more in its lives together than one that keeps running.
+// The slack is a token bucket that is empty at first. A gateway that is restarted again and
+// again, without a record of its extra attempts, earns no more of it than one that keeps
+// running.
 //
 // Time is counted in intervals. Calls of an interval that may lie partly outside a window
 // do not count, and extra attempts of such an interval do. A Window is not safe for
