--- a/cmd/mustardsaddle/leaving_test.go
+++ b/cmd/mustardsaddle/leaving_test.go
@@ -84,12 +84,18 @@
 	}
 }
 
+// callsForRetries is the number of calls at one server after which the gateways have earned a
+// budget for retries.
+const callsForRetries = 500
+
 func TestTransientDrainingReport(t *testing.T) {
 	convey.Convey("Given a server under load that erroneously reports draining for a moment", t, func() {
 		s := newSystem(t, 4, 3)
 		tr := newTraffic(12, targets(s.gateways...))
 		defer tr.stop()
 		e := s.servers[0]
+		// Gateways that have just started have no budget yet for the retries of refused calls.
+		s.waitFor("load", func() bool { return s.counts(e).Total > callsForRetries })
 		s.setMode(e, server.Mode{Draining: true})
 		for _, g := range s.gateways {
 			s.waitFor("the server to be marked as leaving", func() bool { return g.seesLeaving(e.machine.Name) })
