Take only requests that end before a stopping gateway does

Reported by another operator: in a planned stop requests that came late in the grace period were taken, passed on, and cut with no answer at its end.

Here it happened to requests that another gateway forwards. A gateway that stops keeps its peer address open until its own callers' calls have finished, and took whatever came there to the last moment.

Now a request that arrives after the lag is taken only if its deadline ends before the calls in flight are ended (package drain), whichever way it came; others get 503 and NotRun at once. A request with a streamed body is not taken then, as the deadline does not bound its upload. At the end of the grace period each call gets a response that states what is known: 502 and Unknown, or 503 and NotRun. The shutdown closes the listener itself and serves what arrives on open connections while other calls run.

Connections of HTTP/2 are now left to http.Server.Shutdown, which announces the end. The number of calls in flight at the end counted calls that were being refused; now the calls that the stop ends are counted.

--- a/internal/base/settings/list.go
+++ b/internal/base/settings/list.go
@@ -174,10 +174,10 @@
 			"Time after which one gateway sends such a request once more, to find out whether servers still end; a second time follows after 30 times as long.",
 			func(s *Settings) *time.Duration { return &s.Quarantine.Retest }),
 		duration(sectionStop, "Lag", "2s", 0, 10*time.Minute,
-			"Time that a stopping gateway still accepts calls while the platform's load balancer removes it from rotation.",
+			"Time that a stopping gateway still accepts connections while the platform's load balancer removes it from rotation; with a Grace, at most half of that.",
 			func(s *Settings) *time.Duration { return &s.Stop.Lag }),
 		duration(sectionStop, "Grace", "0s", 0, time.Hour,
-			"Time after which the platform kills a stopping gateway; calls still running shortly before are visibly aborted. 0s means that it never does.",
+			"Time after which the platform kills a stopping gateway. After Lag, calls that may last longer are refused; those still running shortly before are ended with a response. 0s means that it never does.",
 			func(s *Settings) *time.Duration { return &s.Stop.Grace }),
 	}
 }
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -15,7 +15,6 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
-	"mustardsaddle.example/mustardsaddle/internal/control/roster"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
@@ -121,9 +120,12 @@
 	peers := mux.NewRouter()
 	in.links.Mount(peers)
 	in.quotas.Mount(peers)
-	in.peerServer = &http.Server{Handler: in.peerHandler(peers), ReadHeaderTimeout: s.Limits.Progress}
+	in.peerServer = &http.Server{
+		Handler: in.peerHandler(peers), BaseContext: in.gateway.BaseContext, ReadHeaderTimeout: s.Limits.Progress,
+	}
 	serveErrors := make(chan error, 4)
-	go func() { serveErrors <- in.callerServer.Serve(in.gateway.Listener(l.callers)) }()
+	callers := in.gateway.Listener(l.callers)
+	go func() { serveErrors <- in.callerServer.Serve(callers) }()
 	go func() { serveErrors <- in.adminServer.Serve(l.admin) }()
 	go func() { serveErrors <- in.peerServer.Serve(l.peer) }()
 	if l.metrics != nil {
@@ -272,58 +274,6 @@
 	return servers
 }
 
-// graceMarginDivisor sets how much of the platform's grace period is reserved for ending
-// the process after its last call: the period divided by graceMarginDivisor.
-const graceMarginDivisor = 12
-
-// stop shuts down gracefully and returns how many calls in flight it aborted. Calls are
-// aborted only by Config.Abort and by the end of the platform's grace period.
-func (in *instance) stop() int {
-	event.Info(in.cfg.Logger, event.StopBegun).Int("InFlight", in.gateway.InFlight()).Send()
-	in.stopping.Store(true)
-	leaving := mustardsaddle.Mark{Name: in.self.Name, Incarnation: in.self.Incarnation, Seq: roster.FinalSeq, Leaving: true}
-	in.floodNew("", in.membership.applyMarks(time.Now(), []mustardsaddle.Mark{leaving}))
-	in.gateway.SetStopping()
-	stop := in.current.Load().Stop
-	var graceExpired <-chan time.Time
-	if stop.Grace > 0 {
-		timer := time.NewTimer(stop.Grace - stop.Grace/graceMarginDivisor)
-		defer timer.Stop()
-		graceExpired = timer.C
-	}
-	select {
-	case <-time.After(stop.Lag):
-	case <-in.cfg.Abort:
-	}
-	return in.shutdown(graceExpired)
-}
-
-// shutdown waits for the calls in flight until all have finished, Config.Abort is
-// closed or the grace period has expired. It returns how many calls it aborted.
-func (in *instance) shutdown(graceExpired <-chan time.Time) int {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		// Both fail only if the context is canceled.
-		_ = in.gateway.Shutdown(ctx, in.callerServer)
-		_ = in.peerServer.Shutdown(ctx)
-	}()
-	select {
-	case <-stopped:
-		return 0
-	case <-graceExpired:
-	case <-in.cfg.Abort:
-	}
-	aborted := in.gateway.InFlight()
-	cancel()
-	<-stopped
-	_ = in.callerServer.Close()
-	_ = in.peerServer.Close()
-	return aborted
-}
-
 // close releases what is still open after the last call: the peer and admin servers,
 // the gateway and the metrics.
 func (in *instance) close() {
--- a/internal/request/connection/caller.go
+++ b/internal/request/connection/caller.go
@@ -39,6 +39,8 @@
 	pending bool
 	// closed is true after the connection was closed as idle.
 	closed bool
+	// begun is true once data was received, and http2 if it begins like HTTP/2.
+	begun, http2 bool
 }
 
 // Read reads from the connection. After the connection was closed as idle, it returns an
@@ -54,9 +56,29 @@
 		return 0, net.ErrClosed
 	}
 	c.pending = true
+	if !c.begun {
+		c.begun, c.http2 = true, beginsLikeHTTP2(p[:n])
+	}
 	return n, err
 }
 
+// http2Begin begins the first bytes of an HTTP/2 connection.
+const http2Begin = "PRI "
+
+// beginsLikeHTTP2 reports whether the first data of a connection may be of HTTP/2.
+func beginsLikeHTTP2(p []byte) bool {
+	n := min(len(p), len(http2Begin))
+	return string(p[:n]) == http2Begin[:n]
+}
+
+// endsWithShutdown reports whether http.Server.Shutdown ends the connection: on HTTP/2 it tells
+// the caller which requests are not taken, and finishes the responses to the others.
+func (c *callerConn) endsWithShutdown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.http2
+}
+
 // setPending records whether a request awaits its response.
 func (c *callerConn) setPending(pending bool) {
 	c.mu.Lock()
--- a/internal/request/connection/idle.go
+++ b/internal/request/connection/idle.go
@@ -25,6 +25,8 @@
 	// idleTimeoutMargin is added to the idle timeout of callers' connections, so that
 	// a connection is not closed just as its caller sends the next request.
 	idleTimeoutMargin = 2 * time.Second
+	// newTimeout is how long a new connection is expected to bring its first request.
+	newTimeout = 500 * time.Millisecond
 	// MaxIdleTimeout bounds the idle timeout that the rules can set.
 	MaxIdleTimeout = time.Hour
 	// ServerIdleTimeout exceeds every idle timeout with its margin. As
@@ -42,12 +44,25 @@
 	conns map[net.Conn]*idleConn
 }
 
-// idleConn is a connection without a request in progress.
+// idleConn is a connection without a request in progress. A new one, which has had no request
+// yet, has no timer.
 type idleConn struct {
 	since time.Time
 	timer *time.Timer
 }
 
+// expected reports whether a first request is to be expected on the connection.
+func (c *idleConn) expected(now time.Time) bool {
+	return c.timer == nil && now.Sub(c.since) < newTimeout
+}
+
+// stop stops the timer.
+func (c *idleConn) stop() {
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+}
+
 // NewIdleCloser returns an IdleCloser that calls timeout for the current idle
 // timeout.
 func NewIdleCloser(timeout func() time.Duration) *IdleCloser {
@@ -63,24 +78,32 @@
 		caller.setPending(false)
 	}
 	if entry := i.conns[c]; entry != nil {
-		entry.timer.Stop()
+		entry.stop()
 		delete(i.conns, c)
 	}
-	if state != http.StateIdle {
-		return
+	switch state {
+	case http.StateNew:
+		i.conns[c] = &idleConn{since: time.Now()}
+	case http.StateIdle:
+		d := i.timeout() + idleTimeoutMargin
+		i.conns[c] = &idleConn{since: time.Now(), timer: time.AfterFunc(d, func() { i.expire(time.Now(), c) })}
+	case http.StateActive, http.StateHijacked, http.StateClosed:
 	}
-	d := i.timeout() + idleTimeoutMargin
-	i.conns[c] = &idleConn{since: time.Now(), timer: time.AfterFunc(d, func() { i.expire(time.Now(), c) })}
 }
 
-// CloseIdle closes the idle connections, except those on which a request has begun to
-// arrive. It returns the number of these.
-func (i *IdleCloser) CloseIdle() int {
+// CloseIdle closes the idle connections, except those on which a request has begun to arrive
+// and new ones on which one is to be expected. It returns the number of these. It leaves
+// connections of HTTP/2 to http.Server.Shutdown.
+func (i *IdleCloser) CloseIdle(now time.Time) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	arriving := 0
-	for c := range i.conns {
-		if caller, ok := c.(*callerConn); !ok || !caller.closeIdle() {
+	for c, entry := range i.conns {
+		caller, ok := c.(*callerConn)
+		if !ok || caller.endsWithShutdown() {
+			continue
+		}
+		if entry.expected(now) || !caller.closeIdle() {
 			arriving++
 		}
 	}
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -308,6 +308,8 @@
 	switch {
 	case errors.Is(context.Cause(a.ctx), errDeadline):
 		return code.CallDeadline
+	case a.c.endedByStop():
+		return code.CallStopping
 	case a.c.r.Context().Err() != nil:
 		return code.CallCanceled
 	case tooLarge:
--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -25,9 +25,11 @@
 // buffered, so that every attempt can send it. Any other body is streamed, and only
 // one attempt can send it.
 type requestBody struct {
-	c        *call
-	empty    bool
-	buffered []byte
+	c     *call
+	empty bool
+	// replayable is true if the body is buffered, and buffered holds it once it is received.
+	replayable bool
+	buffered   []byte
 
 	// readMu serializes reads from the caller, and guards identity, ended and peeked.
 	readMu   sync.Mutex
@@ -43,12 +45,18 @@
 	remaining int64
 }
 
-// buffer reads the body into memory if it is small enough to be replayed.
-func (b *requestBody) buffer() *refusal.Refusal {
+// inspect determines from the header whether there is a body, and whether it is buffered.
+func (b *requestBody) inspect() {
 	r, cfg := b.c.r, b.c.g.cfg
 	b.remaining = cfg.MaxBodyBytes
 	b.empty = r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0
-	if b.empty || r.ContentLength < 0 || r.ContentLength > cfg.MaxReplayBytes || r.Header["Expect"] != nil {
+	b.replayable = !b.empty && r.ContentLength > 0 && r.ContentLength <= cfg.MaxReplayBytes && r.Header["Expect"] == nil
+}
+
+// buffer reads the body into memory if it is small enough to be replayed.
+func (b *requestBody) buffer() *refusal.Refusal {
+	r, cfg := b.c.r, b.c.g.cfg
+	if !b.replayable {
 		return nil
 	}
 	buffered := make([]byte, r.ContentLength)
@@ -119,7 +127,7 @@
 
 // streamed reports whether the body is forwarded while it is received.
 func (b *requestBody) streamed() bool {
-	return !b.empty && b.buffered == nil
+	return !b.empty && !b.replayable
 }
 
 // attach sets the body of an outgoing request. It never sets GetBody, so
@@ -210,17 +218,17 @@
 	return b.consumed, b.tooLarge
 }
 
-// drainTimeout bounds the time in which the rest of a request body is discarded.
-const drainTimeout = time.Second
+// discardTimeout bounds the time in which the rest of a request body is discarded.
+const discardTimeout = time.Second
 
-// drain sends what is left of the response and discards the rest of the request body.
+// discardRest sends what is left of the response and discards the rest of the request body.
 // net/http does the latter after the handler has returned, too, but with full duplex it
 // then fails to read the next request and closes the connection. It also does so if the
 // time does not suffice.
-func drain(w http.ResponseWriter, r *http.Request) {
+func discardRest(w http.ResponseWriter, r *http.Request) {
 	rc := http.NewResponseController(w)
 	_ = rc.Flush()
-	_ = rc.SetReadDeadline(time.Now().Add(drainTimeout))
+	_ = rc.SetReadDeadline(time.Now().Add(discardTimeout))
 	if _, err := io.Copy(io.Discard, r.Body); err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -39,6 +39,8 @@
 	// suspicion is the digest of the request if it is suspect or quarantined; empty
 	// otherwise.
 	suspicion string
+	// settled is true once the call was answered completely, or refused before its first attempt.
+	settled bool
 
 	mu              sync.Mutex
 	state           booking.Call
@@ -127,7 +129,8 @@
 		return
 	}
 	defer c.releaseQuota()
-	if refused := c.body.buffer(); refused != nil {
+	if refused := c.receive(); refused != nil {
+		c.settled = true
 		c.refuse(refused)
 		return
 	}
@@ -148,6 +151,27 @@
 	c.relay(a)
 }
 
+// end releases the call.
+func (c *call) end() {
+	c.timer.Stop()
+	if !c.settled && c.endedByStop() {
+		c.g.stop.ended.Add(1)
+	}
+}
+
+// receive reads a body that is small enough to be replayed. It refuses a call that may not end
+// before the gateway does, before and after it has waited for the body.
+func (c *call) receive() *refusal.Refusal {
+	c.body.inspect()
+	if refused := c.refuseStopping(time.Now()); refused != nil {
+		return refused
+	}
+	if refused := c.body.buffer(); refused != nil {
+		return refused
+	}
+	return c.refuseStopping(time.Now())
+}
+
 // runAttempts sends attempts until one is answered or no further attempt is
 // permitted.
 func (c *call) runAttempts() (*attempt, *refusal.Refusal) {
@@ -253,7 +277,10 @@
 	c.mu.Lock()
 	outcome := c.state.Outcome()
 	c.mu.Unlock()
-	if refused.Code == code.OK {
+	switch {
+	case c.endedByStop():
+		refused = &refusal.Refusal{Code: code.CallStopping}
+	case refused.Code == code.OK:
 		refused = &refusal.Refusal{Code: code.CallDeadline}
 	}
 	now := time.Now()
--- a/internal/request/gateway/crash.go
+++ b/internal/request/gateway/crash.go
@@ -56,7 +56,7 @@
 	}
 	a.serverEnded = check.Ended()
 	if a.serverEnded && !known {
-		if digest, known = c.body.digest(drainTimeout); known {
+		if digest, known = c.body.digest(discardTimeout); known {
 			c.recordCrash(digest, server)
 		}
 	}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -30,8 +30,10 @@
 //	srv := gateway.NewServer(gateway.ServerConfig{Handler: g})
 //	srv.Serve(g.Listener(listener))
 //	...
-//	g.SetStopping()
+//	g.SetStopping(period)
 //	g.Shutdown(ctx, srv)
+//	...
+//	g.EndCalls()
 package gateway
 
 import (
@@ -196,9 +198,11 @@
 	header                      header.Gateway
 	attemptSeq                  atomic.Uint64
 	inFlight                    atomic.Int64
-	stopping                    atomic.Bool
 	controllers                 *admission.Controllers
 	buffers                     sync.Pool
+	stop                        stopState
+	// listener accepts the connections of callers; nil before Listener.
+	listener net.Listener
 	// idle tracks the idle connections of callers; nil before NewServer.
 	idle *connection.IdleCloser
 
@@ -230,6 +234,7 @@
 		keysUnknown:     cfg.Metrics.Counter("KeysUnknown"),
 		callsOverQuota:  cfg.Metrics.Counter("CallsOverQuota"),
 	}
+	g.stop.calls, g.stop.endCalls = context.WithCancelCause(context.Background())
 	self := cfg.Forwarding.Self
 	self.Name = cmp.Or(self.Name, cfg.Name)
 	g.forwarder = forward.NewForwarder(self, rand.New(rand.NewPCG(cfg.Seed, 5)))
@@ -287,7 +292,8 @@
 // Listener wraps the listener for callers, so that the error responses of net/http
 // itself have a code and an outcome.
 func (g *Gateway) Listener(ln net.Listener) net.Listener {
-	return connection.NewErrorListener(ln, g.cfg.Logger)
+	g.listener = connection.NewErrorListener(ln, g.cfg.Logger)
+	return g.listener
 }
 
 // InFlight returns the number of calls in progress.
@@ -295,12 +301,6 @@
 	return int(g.inFlight.Load())
 }
 
-// SetStopping closes each caller's connection after its current call. Calls in
-// progress and new calls are still served.
-func (g *Gateway) SetStopping() {
-	g.stopping.Store(true)
-}
-
 // Close closes the idle connections to servers.
 func (g *Gateway) Close() {
 	g.pooled.CloseIdleConnections()
@@ -317,7 +317,7 @@
 func (g *Gateway) serveFrom(w http.ResponseWriter, r *http.Request, carried *forward.Call) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.stopping.Load() {
+	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.ContentLength == 0 {
@@ -328,7 +328,7 @@
 	// the response starts. HTTP/2 is always full duplex and returns an error here.
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	g.serve(w, r, carried)
-	drain(w, r)
+	discardRest(w, r)
 }
 
 // serve sends the final response to one request.
@@ -343,7 +343,7 @@
 		return
 	}
 	c := newCall(g, now, w, r, m)
-	defer c.timer.Stop()
+	defer c.end()
 	c.serve()
 }
 
--- a/internal/request/gateway/http_test.go
+++ b/internal/request/gateway/http_test.go
@@ -19,6 +19,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
+	"mustardsaddle.example/mustardsaddle/internal/request/drain"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
@@ -266,7 +267,7 @@
 			ended <- response{resp, text}
 		}()
 		<-started
-		g.SetStopping()
+		g.SetStopping(drain.New(drain.Config{Begun: time.Now()}))
 		stopped := make(chan error, 1)
 		go func() { stopped <- front.Config.Shutdown(context.Background()) }()
 		convey.So(g.InFlight(), convey.ShouldEqual, 1)
--- a/internal/request/gateway/log.go
+++ b/internal/request/gateway/log.go
@@ -82,7 +82,7 @@
 		line = line.Int("Status", a.resp.StatusCode)
 	}
 	if a.serverEnded {
-		if digest, ok := c.body.digest(drainTimeout); ok {
+		if digest, ok := c.body.digest(discardTimeout); ok {
 			line = line.Stringer("Digest", digest)
 		}
 	}
@@ -91,6 +91,7 @@
 
 // logResult logs the result of a call that was answered, and updates its metrics.
 func (c *call) logResult(a *attempt, bytes int64) {
+	c.settled = true
 	c.countOutcome(mustardsaddle.Ran)
 	c.match.controller.RecordResponseSize(bytes)
 	c.match.controller.RecordRequestSize(c.r.ContentLength)
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -104,7 +104,7 @@
 	header.CopyEndToEnd(h, a.resp.Header)
 	own := [...]string{mustardsaddle.Ran.String(), a.id}
 	h[header.Outcome], h[header.Attempt] = own[:1:1], own[1:]
-	if c.g.stopping.Load() {
+	if c.g.stopping() {
 		h["Connection"] = []string{"close"}
 	}
 	if names := header.TrailerNames(a.resp.Trailer); len(names) > 0 {
--- a/internal/request/gateway/server.go
+++ b/internal/request/gateway/server.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"log"
 	"net/http"
 	"time"
@@ -19,14 +18,6 @@
 	maxConcurrentStreams     = 250
 )
 
-const (
-	// maxArrivalWait is the longest time that a shutdown waits for the headers of requests
-	// that have begun to arrive.
-	maxArrivalWait = time.Second
-	// arrivalPollInterval is the interval at which it checks for them.
-	arrivalPollInterval = 5 * time.Millisecond
-)
-
 // ServerConfig configures the HTTP server for callers. A zero value means the
 // default.
 type ServerConfig struct {
@@ -56,6 +47,7 @@
 		MaxHeaderBytes:    cfg.MaxHeaderBytes,
 		ReadHeaderTimeout: cfg.HeaderTimeout,
 		IdleTimeout:       connection.ServerIdleTimeout,
+		BaseContext:       cfg.Handler.BaseContext,
 		ConnState:         idle.StateChanged,
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
@@ -63,27 +55,6 @@
 	}
 }
 
-// Shutdown shuts down the server of NewServer gracefully: it finishes the requests that
-// have arrived or begun to arrive, and closes idle connections. http.Server.Shutdown alone
-// counts a connection as idle until it has read the whole header of a request.
-// SetStopping must precede it, so that no connection becomes idle again.
-func (g *Gateway) Shutdown(ctx context.Context, srv *http.Server) error {
-	timeout := time.NewTimer(maxArrivalWait)
-	defer timeout.Stop()
-	poll := time.NewTicker(arrivalPollInterval)
-	defer poll.Stop()
-	for g.idle.CloseIdle() > 0 {
-		select {
-		case <-poll.C:
-			continue
-		case <-timeout.C:
-		case <-ctx.Done():
-		}
-		break
-	}
-	return srv.Shutdown(ctx)
-}
-
 // callerIdleTimeout returns how long a caller's idle connection is kept.
 func (g *Gateway) callerIdleTimeout() time.Duration {
 	if table := g.rules.Load(); table != nil && table.IdleTimeout() > 0 {
--- a/internal/request/gateway/shutdown_test.go
+++ b/internal/request/gateway/shutdown_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle/internal/request/drain"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
@@ -49,7 +50,7 @@
 	if _, text, err := call(first); err != nil || text != "complete" {
 		t.Fatalf("first request: got %q, %v, want a response", text, err)
 	}
-	g.SetStopping()
+	g.SetStopping(drain.New(drain.Config{Begun: time.Now()}))
 	stopped := make(chan error, 1)
 	go func() {
 		time.Sleep(settle / 2)
