--- a/cmd/mustardsaddle/cut_test.go
+++ b/cmd/mustardsaddle/cut_test.go
@@ -266,6 +266,7 @@
 // newCutSystem starts a system without gateways.
 func newCutSystem(t *testing.T) *cutSystem {
 	s := &cutSystem{system: newSystem(t, 0, 0), server: newCuttingServer(t)}
+	s.grace = 2 * time.Second
 	s.listMachine(mustardsaddle.Machine{
 		Name: "booking-00", Incarnation: 1, Zone: "zone-a", Service: "Booking", Slots: 64, Connections: 1000,
 		Address: s.server.Addr().String(),
@@ -274,20 +275,14 @@
 	return s
 }
 
-// startNext starts one more gateway, which is killed after the given grace period if it stops.
-func (s *cutSystem) startNext(grace time.Duration) *gateway {
+// startNext starts one more gateway.
+func (s *cutSystem) startNext() *gateway {
 	g := s.addGateway(len(s.gateways))
-	s.setStop(g, grace)
 	s.startGateway(g)
 	s.waitFor("gateway "+g.name+" to serve calls", func() bool { return g.ready() && get(g.url+"/rosters").ok() })
 	return g
 }
 
-// setStop sets a grace period in the settings of a gateway.
-func (s *cutSystem) setStop(g *gateway, grace time.Duration) {
-	s.edit(g, "Lag = "+stopLag.String(), "Lag = 100ms\nGrace = "+grace.String())
-}
-
 // setSourceAddress makes the address from which a gateway connects that of its peer address, as
 // on a machine of its own.
 func (s *cutSystem) setSourceAddress(g *gateway) {
@@ -444,10 +439,9 @@
 // complete to its caller, whoever cuts it: the server, the gateway or another one that it goes
 // through, by a kill or at the end of the grace period.
 func TestCutResponseNeverLooksComplete(t *testing.T) {
-	const grace = 2 * time.Second
 	s := newCutSystem(t)
 	address := func(g *gateway) string { return strings.TrimPrefix(g.url, "http://") }
-	g := s.startNext(grace)
+	g := s.startNext()
 	forwarder := s.startForwarder()
 	t.Run("server", func(t *testing.T) { s.runEach(t, address(g), brokenByServer()) })
 	t.Run("server, through another gateway", func(t *testing.T) { s.runEach(t, forwarder, brokenByServer()) })
@@ -463,7 +457,7 @@
 	}
 	for i, r := range rows {
 		if i > 0 {
-			g = s.startNext(grace)
+			g = s.startNext()
 		}
 		t.Run(r.name, func(t *testing.T) {
 			to := address(g)
--- a/cmd/mustardsaddle/harness_test.go
+++ b/cmd/mustardsaddle/harness_test.go
@@ -204,8 +204,10 @@
 	relayed bool
 	// extraSettings is appended to the settings of each gateway.
 	extraSettings string
-	servers       []*endpoint
-	gateways      []*gateway
+	// grace is the grace period of each gateway; 0 for none.
+	grace    time.Duration
+	servers  []*endpoint
+	gateways []*gateway
 }
 
 const rules = `# Generation 0
@@ -323,10 +325,11 @@
 Poll = 500ms
 [Stop]
 Lag = %v
+Grace = %v
 [Service Booking]
 NotRunStatus = 503
 NotRunHeader = Endpoint-Not-Run
-%s`, g.name, zone, listen, admin, peerAddress, peerListen, g.storeRelay.Address(), stopLag, s.extraSettings)
+%s`, g.name, zone, listen, admin, peerAddress, peerListen, g.storeRelay.Address(), stopLag, s.grace, s.extraSettings)
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/cmd/mustardsaddle/soak_caller_test.go
+++ b/cmd/mustardsaddle/soak_caller_test.go
@@ -44,16 +44,18 @@
 	gateways []*gateway
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
+	// untilClose is true if downloads ask for a response without a length.
+	untilClose bool
 
 	mu    sync.Mutex
 	calls []soak.Call
 }
 
-// newCallers starts n callers.
-func (s *soakRun) newCallers(n int) *callers {
+// newCallers starts the callers of a run.
+func (s *soakRun) newCallers(size soakSize) *callers {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &callers{gateways: s.gateways, cancel: cancel}
-	for i := range n {
+	c := &callers{gateways: s.gateways, cancel: cancel, untilClose: size.untilClose}
+	for i := range size.callers {
 		rng := rand.New(rand.NewPCG(s.plan.Seed, uint64(2+i)))
 		c.group.Go(func() { c.run(ctx, rng, i) })
 	}
@@ -77,7 +79,7 @@
 			Kind:    kinds[rng.IntN(len(kinds))],
 			Gateway: rng.IntN(len(c.gateways)),
 		}
-		plan := callPlan{timeout: callerTimeout}
+		plan := callPlan{timeout: callerTimeout, untilClose: c.untilClose}
 		if rng.Float64() < longWorkShare {
 			plan.work = time.Duration(rng.ExpFloat64() * float64(longWork)).String()
 		}
@@ -96,6 +98,8 @@
 	work string
 	// timeout is how long the caller waits for the response.
 	timeout time.Duration
+	// untilClose is true if a download asks for a response without a length.
+	untilClose bool
 }
 
 // timeoutEnd returns the end of a call whose timeout has expired.
@@ -134,7 +138,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { call.NewConn = !info.Reused },
 	})
-	r, body := newSoakRequest(ctx, c.gateways[call.Gateway].url, call, plan.work)
+	r, body := newSoakRequest(ctx, c.gateways[call.Gateway].url, call, plan)
 	call.Sent = time.Now()
 	resp, err := client.Do(r)
 	if err != nil {
@@ -163,14 +167,17 @@
 type opaqueReader struct{ io.Reader }
 
 // newSoakRequest returns the request of a call and its body.
-func newSoakRequest(ctx context.Context, url string, call soak.Call, work string) (r *http.Request, body string) {
-	method, path, query := http.MethodPost, "/bookings", "?Work="+work
+func newSoakRequest(ctx context.Context, url string, call soak.Call, plan callPlan) (r *http.Request, body string) {
+	method, path, query := http.MethodPost, "/bookings", "?Work="+plan.work
 	switch call.Kind {
 	case soak.Read:
 		method, path = http.MethodGet, "/rosters/"+call.ID
 	case soak.Download:
 		method, path = http.MethodGet, "/videos"
 		query += fmt.Sprintf("&Size=%d", downloadBytes)
+		if plan.untilClose {
+			query += "&Framing=Close"
+		}
 	case soak.Claimed:
 		path = "/orders"
 	case soak.Booking:
--- a/cmd/mustardsaddle/soak_test.go
+++ b/cmd/mustardsaddle/soak_test.go
@@ -34,6 +34,8 @@
 	// the progress timeout of downloads.
 	soakDeadline = 2 * time.Second
 	soakProgress = 3 * time.Second
+	// soakGrace is the grace period of gateways in runs that have one.
+	soakGrace = 8 * time.Second
 	// soakDrain is the time after which a gateway must heed that a server is leaving,
 	// and soakLeaving how much longer than the fault the server states it.
 	soakDrain   = 2 * time.Second
@@ -77,6 +79,10 @@
 	// statements adds servers that state something in their responses. The seeds in
 	// soakRegressions failed without it.
 	statements bool
+	// untilClose makes servers send downloads slowly and without a length.
+	untilClose bool
+	// grace is the grace period of the gateways; 0 for none.
+	grace time.Duration
 }
 
 // config returns the size of the plan.
@@ -144,6 +150,18 @@
 	}
 }
 
+// TestSoakStopsTogether guards against requests that are cut without a response, and responses
+// that look complete, while gateways stop together and are killed.
+func TestSoakStopsTogether(t *testing.T) {
+	size := soakSize{length: 9 * time.Second, gateways: 4, servers: 5, callers: 12, untilClose: true, grace: soakGrace}
+	for i := range *soakSeeds {
+		seed := *soakFirstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runSoakPlan(t, soak.NewStopsPlan(size.config(), seed), size)
+		})
+	}
+}
+
 // runSoak runs one seed.
 func runSoak(t *testing.T, seed uint64, size soakSize) {
 	runSoakPlan(t, soak.NewPlan(size.config(), seed), size)
@@ -154,7 +172,7 @@
 	s := newSoakRun(t, plan, size)
 	defer s.logFailure()
 	w := watchGenerations(s.gateways)
-	callers := s.newCallers(size.callers)
+	callers := s.newCallers(size)
 	s.injectFaults()
 	s.waitRecovered()
 	callers.stop()
@@ -195,7 +213,7 @@
 func newSoakRun(t *testing.T, plan soak.Plan, size soakSize) *soakRun {
 	seed := plan.Seed
 	s := &soakRun{
-		system:         &system{t: t, relayed: true, extraSettings: soakSettings(seed)},
+		system:         &system{t: t, relayed: true, extraSettings: soakSettings(seed), grace: size.grace},
 		plan:           plan,
 		executionsPath: filepath.Join(t.TempDir(), "executions"),
 		activeFaults:   make(map[string]faultCounts),
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -376,11 +376,16 @@
 }
 
 // writeResponse sends the number of bytes given by the Size parameter, echoes
-// the request body, or sends a line about the request if it has no body.
+// the request body, or sends a line about the request if it has no body. With the parameter
+// Framing=Close the bytes are sent slowly and without a length.
 func (s *Server) writeResponse(w http.ResponseWriter, r *http.Request) {
 	s.setReportHeader(w.Header())
 	if text := r.URL.Query().Get("Size"); text != "" {
 		size, _ := strconv.ParseInt(text, 10, 64)
+		if r.URL.Query().Get("Framing") == "Close" {
+			writeUntilClose(w, size)
+			return
+		}
 		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
 		_, _ = io.CopyN(w, zeroReader{}, size)
 		return
@@ -392,6 +397,31 @@
 	_, _ = fmt.Fprintf(w, "%s %s from %s\n", r.Method, r.URL.Path, s.cfg.Name)
 }
 
+const (
+	// slowPieces is the number of pieces of a slow response, and slowPause the time between two.
+	slowPieces = 20
+	slowPause  = 30 * time.Millisecond
+)
+
+// writeUntilClose sends a response whose end only the close of its connection marks, in pieces.
+func writeUntilClose(w http.ResponseWriter, size int64) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(c)
+	_, _ = io.WriteString(c, "Connection: close\r\n\r\n")
+	for i := range int64(slowPieces) {
+		n := size*(i+1)/slowPieces - size*i/slowPieces
+		if _, err := io.CopyN(c, zeroReader{}, n); err != nil {
+			return
+		}
+		time.Sleep(slowPause)
+	}
+}
+
 // echo streams the request body back. If the body cannot be read to its end,
 // the response is aborted.
 func echo(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -143,6 +143,10 @@
 	maxSeries = 4
 	// killInterval is the time between two rounds of kills of NewKillsPlan.
 	killInterval = 1500 * time.Millisecond
+	// stopInterval is the time between two rounds of stops of NewStopsPlan, and stopKillShare
+	// the probability that a gateway is killed instead.
+	stopInterval  = 2 * time.Second
+	stopKillShare = 0.3
 	// maxSeriesGap is the maximum time between two faults of a series.
 	maxSeriesGap = time.Second
 )
@@ -231,6 +235,26 @@
 	return plan
 }
 
+// NewStopsPlan generates a plan in which all gateways but one are stopped together again and
+// again; at random, one is killed instead. Each round begins while the one before it may last.
+func NewStopsPlan(cfg Config, seed uint64) Plan {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	plan := Plan{Seed: seed}
+	for at := stopInterval / 2; at+stopInterval <= cfg.Length; at += stopInterval {
+		spared := rng.IntN(cfg.Gateways)
+		for target := range cfg.Gateways {
+			step := Step{At: at, For: minDuration, Kind: GatewayStopped, Target: target}
+			if rng.Float64() < stopKillShare {
+				step.Kind = GatewayKilled
+			}
+			if target != spared {
+				plan.Steps = append(plan.Steps, step)
+			}
+		}
+	}
+	return plan
+}
+
 func drawInterval(rng *rand.Rand) time.Duration {
 	return time.Duration(rng.ExpFloat64() * float64(meanInterval))
 }
--- a/internal/standin/soak/plan_test.go
+++ b/internal/standin/soak/plan_test.go
@@ -46,6 +46,25 @@
 				convey.So(kinds[k], convey.ShouldBeFalse)
 			}
 		})
+		convey.Convey("Stops come in rounds that spare one gateway, and some are kills", func() {
+			killed := 0
+			for seed := range uint64(20) {
+				plan := soak.NewStopsPlan(cfg, seed)
+				convey.So(plan, convey.ShouldResemble, soak.NewStopsPlan(cfg, seed))
+				rounds := make(map[time.Duration]int)
+				for _, s := range plan.Steps {
+					rounds[s.At]++
+					if s.Kind == soak.GatewayKilled {
+						killed++
+					}
+				}
+				convey.So(len(rounds), convey.ShouldEqual, 4)
+				for _, n := range rounds {
+					convey.So(n, convey.ShouldEqual, cfg.Gateways-1)
+				}
+			}
+			convey.So(killed, convey.ShouldBeBetween, 0, 20*4*(cfg.Gateways-1))
+		})
 		convey.Convey("Every kind and place occurs, and faults overlap", func() {
 			for k := soak.GatewayKilled; k <= soak.RulesChanged; k++ {
 				convey.So(kinds[k], convey.ShouldBeTrue)
