Close a connection on which the rest of a request body stays unread

Bookings were answered 400 without being looked at: after an upload that was answered early, the rest of its body was parsed as the next request on the connection. With a rest that looks like a request, that request was answered.

Cause: the rest of a body is discarded for 1 s. When that time passes, the error was dropped, in the belief that net/http then closes the connection. It does so only with more than 256 KiB left; otherwise the Close of the body ignores the error, and the connection is kept with its deadline passed. A machine that stands still and a caller that stalls have the same effect.

Now such a connection takes no further request, whichever error ended the reading, on the address for callers and on that for other gateways. HTTP/2 is not concerned: a stream has its own body.

--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -16,6 +16,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
+	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
@@ -121,13 +122,15 @@
 	in.links.Mount(peers)
 	in.quotas.Mount(peers)
 	in.peerServer = &http.Server{
-		Handler: in.peerHandler(peers), BaseContext: in.gateway.BaseContext, ReadHeaderTimeout: s.Limits.Progress,
+		Handler: in.peerHandler(peers), ReadHeaderTimeout: s.Limits.Progress,
+		BaseContext: in.gateway.BaseContext, ConnContext: connection.Context,
 	}
 	serveErrors := make(chan error, 4)
 	callers := in.gateway.Listener(l.callers)
 	go func() { serveErrors <- in.callerServer.Serve(callers) }()
 	go func() { serveErrors <- in.adminServer.Serve(l.admin) }()
-	go func() { serveErrors <- in.peerServer.Serve(l.peer) }()
+	gateways := connection.NewErrorListener(l.peer, in.cfg.Logger)
+	go func() { serveErrors <- in.peerServer.Serve(gateways) }()
 	if l.metrics != nil {
 		in.metricsServer = &http.Server{Handler: in.metricsHandler(), ReadHeaderTimeout: s.Limits.Progress}
 		go func() { serveErrors <- in.metricsServer.Serve(l.metrics) }()
--- a/internal/request/connection/caller.go
+++ b/internal/request/connection/caller.go
@@ -1,8 +1,11 @@
 package connection
 
 import (
+	"context"
 	"net"
+	"net/http"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -37,15 +40,19 @@
 	// pending is true from the first byte of a request until the first byte of its
 	// response. net/http notices a request only after its whole header.
 	pending bool
-	// closed is true after the connection was closed as idle.
+	// closed is true after the connection was closed as idle, or has had its last request.
 	closed bool
 	// begun is true once data was received, and http2 if it begins like HTTP/2.
 	begun, http2 bool
 }
 
-// Read reads from the connection. After the connection was closed as idle, it returns an
-// error even if it has received data, so that no request is accepted from it.
+// Read reads from the connection. After the connection was closed as idle, or has had its last
+// request, it returns an error even if it has received data, so that no request is accepted
+// from it.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -79,6 +86,39 @@
 	return c.http2
 }
 
+func (c *callerConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// endRequests makes the present request the last one of the connection. A read that waits ends.
+func (c *callerConn) endRequests() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	_ = c.SetReadDeadline(time.Now())
+}
+
+// contextKey is the key of the connection in the context of its requests.
+type contextKey struct{}
+
+// Context returns the context of the requests on a connection. It is the ConnContext hook of an
+// http.Server.
+func Context(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// EndRequests makes a request the last one of its connection on HTTP/1: what follows on the
+// connection, such as the rest of its body, is not read as a request. Streams of HTTP/2 are
+// independent of each other, so it does nothing there.
+func EndRequests(r *http.Request) {
+	c, ok := r.Context().Value(contextKey{}).(*callerConn)
+	if ok && r.ProtoMajor == 1 {
+		c.endRequests()
+	}
+}
+
 // setPending records whether a request awaits its response.
 func (c *callerConn) setPending(pending bool) {
 	c.mu.Lock()
--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -223,13 +223,16 @@
 
 // discardRest sends what is left of the response and discards the rest of the request body.
 // net/http does the latter after the handler has returned, too, but with full duplex it
-// then fails to read the next request and closes the connection. It also does so if the
-// time does not suffice.
+// then fails to read the next request and closes the connection. If the time does not suffice,
+// or the rest cannot be read, the connection takes no further request: net/http would keep it
+// and read the rest of the body as one.
 func discardRest(w http.ResponseWriter, r *http.Request) {
 	rc := http.NewResponseController(w)
 	_ = rc.Flush()
 	_ = rc.SetReadDeadline(time.Now().Add(discardTimeout))
-	if _, err := io.Copy(io.Discard, r.Body); err == nil {
-		_ = rc.SetReadDeadline(time.Time{})
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		connection.EndRequests(r)
+		return
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 }
--- a/internal/request/gateway/server.go
+++ b/internal/request/gateway/server.go
@@ -48,6 +48,7 @@
 		ReadHeaderTimeout: cfg.HeaderTimeout,
 		IdleTimeout:       connection.ServerIdleTimeout,
 		BaseContext:       cfg.Handler.BaseContext,
+		ConnContext:       connection.Context,
 		ConnState:         idle.StateChanged,
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
