Let the deadline of a rule bound the upload as well

Callers of uploads that their server does not read got no answer until they left, 3.2 s after the timeout of their route.

Cause: each read from a streamed body replaced the timer of the deadline by that of the progress, 15 s, and only the end of the body started the deadline again, in full. A server that reads nothing or slowly never lets the gateway come to that end. A small body, which is buffered, was awaited for 15 s too, so a caller that stalls had no answer either. And a request with a streamed body was sent without the time that is left.

Now a deadline that the rule or the caller states runs from the begin of the call, whatever the body does; the server is told what is left. Only the default deadline, which nobody has stated for that upload, is still suspended meanwhile. The read from the caller ends with the deadline, since http.Transport returns only when the body was given back. A stop takes uploads after its lag if their deadline is bounded in this way.

--- a/internal/request/drain/drain.go
+++ b/internal/request/drain/drain.go
@@ -85,9 +85,8 @@
 type Request struct {
 	// Deadline is when its call ends at the latest.
 	Deadline time.Time
-	// Streamed is true if its body is received while it is sent to a server. The deadline
-	// does not bound that.
-	Streamed bool
+	// Unbounded is true if the deadline does not bound the time in which its body is received.
+	Unbounded bool
 }
 
 // Takes reports whether the gateway takes a request.
@@ -95,5 +94,5 @@
 	if !p.limited || now.Before(p.open) {
 		return true
 	}
-	return !r.Streamed && !r.Deadline.After(p.end)
+	return !r.Unbounded && !r.Deadline.After(p.end)
 }
--- a/internal/request/drain/drain_test.go
+++ b/internal/request/drain/drain_test.go
@@ -18,7 +18,7 @@
 		lag, grace time.Duration
 		at         time.Duration
 		timeout    time.Duration
-		streamed   bool
+		unbounded  bool
 		want       bool
 	}{
 		{"in the lag", lag, grace, 2999 * time.Millisecond, time.Minute, false, true},
@@ -35,7 +35,7 @@
 	for _, tt := range tests {
 		p := drain.New(drain.Config{Begun: begun, Lag: tt.lag, Grace: tt.grace})
 		now := begun.Add(tt.at)
-		if got := p.Takes(now, drain.Request{Deadline: now.Add(tt.timeout), Streamed: tt.streamed}); got != tt.want {
+		if got := p.Takes(now, drain.Request{Deadline: now.Add(tt.timeout), Unbounded: tt.unbounded}); got != tt.want {
 			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
 		}
 	}
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -181,7 +181,7 @@
 	fields.Set(header.Attempt, a.id)
 	c.setCustomer(&fields)
 	names := c.g.cfg.Headers
-	if !c.body.streamed() && names.Deadline != "" {
+	if !c.body.unbounded() && names.Deadline != "" {
 		left := max(time.Until(c.deadline).Milliseconds(), 1)
 		fields.Set(names.Deadline, strconv.FormatInt(left, 10))
 	}
--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -53,16 +53,28 @@
 	b.replayable = !b.empty && r.ContentLength > 0 && r.ContentLength <= cfg.MaxReplayBytes && r.Header["Expect"] == nil
 }
 
+// bufferLimit returns the time until which a body that is buffered must have arrived.
+func (b *requestBody) bufferLimit(now time.Time) time.Time {
+	limit := now.Add(b.c.g.cfg.ProgressTimeout)
+	if b.c.match.bounded && b.c.deadline.Before(limit) {
+		return b.c.deadline
+	}
+	return limit
+}
+
 // buffer reads the body into memory if it is small enough to be replayed.
 func (b *requestBody) buffer() *refusal.Refusal {
-	r, cfg := b.c.r, b.c.g.cfg
+	r := b.c.r
 	if !b.replayable {
 		return nil
 	}
 	buffered := make([]byte, r.ContentLength)
 	rc := http.NewResponseController(b.c.w)
-	_ = rc.SetReadDeadline(time.Now().Add(cfg.ProgressTimeout))
+	_ = rc.SetReadDeadline(b.bufferLimit(time.Now()))
 	if _, err := io.ReadFull(r.Body, buffered); err != nil {
+		if b.c.match.bounded && !time.Now().Before(b.c.deadline) {
+			return refusal.NotRun(code.CallDeadline)
+		}
 		return refusal.NotRun(code.CallBadRequest)
 	}
 	_ = rc.SetReadDeadline(time.Time{})
@@ -130,6 +142,11 @@
 	return !b.empty && !b.replayable
 }
 
+// unbounded reports whether the deadline does not bound the time in which the body is received.
+func (b *requestBody) unbounded() bool {
+	return b.streamed() && !b.c.match.bounded
+}
+
 // attach sets the body of an outgoing request. It never sets GetBody, so
 // http.Transport cannot resend the body by itself.
 func (b *requestBody) attach(out *http.Request, reuse bool) {
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -58,6 +58,7 @@
 func newCall(g *Gateway, now time.Time, w http.ResponseWriter, r *http.Request, m matchResult) *call {
 	c := &call{g: g, w: w, r: r, match: m, start: now, firstSentAt: now.Add(-m.elapsed), deadline: now.Add(m.deadline)}
 	c.body.c, c.body.identity = c, g.newIdentity(r, m)
+	c.body.inspect()
 	c.request = admission.Request{
 		Begin: c.beginAttempt, Entry: c.queueEntry, NoTokenWait: m.carried != nil || g.cfg.Forwarding.MaxGateways > 0,
 	}
@@ -71,7 +72,8 @@
 	return c
 }
 
-// expire cancels the attempts in flight when the deadline passes.
+// expire cancels the attempts in flight when the deadline passes. An attempt whose body waits for
+// the caller ends only with that wait.
 func (c *call) expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -84,6 +86,9 @@
 			a.cancel(errDeadline)
 		}
 	}
+	if c.body.streamed() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now())
+	}
 }
 
 // queueEntry returns the call's deadline, priority, latency target and customer for the
@@ -162,7 +167,6 @@
 // receive reads a body that is small enough to be replayed. It refuses a call that may not end
 // before the gateway does, before and after it has waited for the body.
 func (c *call) receive() *refusal.Refusal {
-	c.body.inspect()
 	if refused := c.refuseStopping(time.Now()); refused != nil {
 		return refused
 	}
--- a/internal/request/gateway/match.go
+++ b/internal/request/gateway/match.go
@@ -25,6 +25,9 @@
 	rule     rule.Rule
 	repeat   mustardsaddle.Repeat
 	deadline time.Duration
+	// bounded is true if the rule or the caller states the deadline, which then bounds the
+	// upload of the body too. The default deadline bounds only the wait for the response.
+	bounded bool
 	// generation is the generation of the rules that matched.
 	generation int64
 	// attempts is the maximum number of attempts.
@@ -67,7 +70,9 @@
 	if m.controller == nil {
 		return matchResult{}, refusal.NotRun(code.CallNoServer)
 	}
+	m.bounded = found.Deadline > 0
 	if timeout, ok := g.callerTimeout(r); ok {
+		m.bounded = true
 		if carried == nil {
 			m.elapsed = g.arrivals.elapsed(found, timeout)
 		}
--- a/internal/request/gateway/progress.go
+++ b/internal/request/gateway/progress.go
@@ -9,26 +9,31 @@
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
-// uploadProgress restarts the progress timeout of the caller's body. The deadline
-// for the response header does not run during the upload.
+// uploadProgress restarts the progress timeout of the caller's body. Unless the deadline bounds
+// the upload, it does not run meanwhile.
 func (c *call) uploadProgress() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.responseStarted {
 		return
 	}
-	c.timer.Reset(c.g.cfg.ProgressTimeout)
+	if !c.match.bounded {
+		c.timer.Reset(c.g.cfg.ProgressTimeout)
+	}
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(c.g.cfg.ProgressTimeout))
 }
 
-// uploadDone starts the deadline for the response header.
+// uploadDone starts the deadline for the response header, unless it has run since the begin of
+// the call.
 func (c *call) uploadDone() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.responseStarted {
 		return
 	}
-	c.timer.Reset(c.match.deadline)
+	if !c.match.bounded {
+		c.timer.Reset(c.match.deadline)
+	}
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
 }
 
