--- a/internal/control/catalog/rules.go
+++ b/internal/control/catalog/rules.go
@@ -19,7 +19,8 @@
 func (c *Catalog) nextRules(u mustardsaddle.Update) (nextRules, rule.Result) {
 	switch {
 	case u.Rules != nil && u.Rules.Generation > c.table.File.Generation:
-		return nextRules{file: c.parseRules(*u.Rules), newer: true}, rule.Applied
+		file, ok := c.parseRules(*u.Rules)
+		return nextRules{file: file, newer: ok}, rule.Applied
 	case u.RuleChange != nil:
 		file, result := rule.Change(*u.RuleChange).Apply(c.table.File)
 		return nextRules{file: file, newer: result == rule.Applied}, result
@@ -35,8 +36,8 @@
 	if u.Rules == nil || u.Rules.Generation == 0 || u.Rules.Generation != c.table.File.Generation {
 		return nextRules{}
 	}
-	file := c.parseRules(*u.Rules)
-	return nextRules{file: file, newer: digestRules(file) != c.known[mustardsaddle.RulesCollection].digest}
+	file, ok := c.parseRules(*u.Rules)
+	return nextRules{file: file, newer: ok && digestRules(file) != c.known[mustardsaddle.RulesCollection].digest}
 }
 
 // requestReread makes the next action read the rules from the directory if a peer that has
@@ -52,14 +53,15 @@
 	c.rereadGeneration, p.historyLost = generation, true
 }
 
-// parseRules parses rules and logs the lines that are not used.
-func (c *Catalog) parseRules(r mustardsaddle.RulesText) rule.File {
-	file, problems := rule.Parse(r.Text)
+// parseRules parses rules and logs the lines that are not used. It returns false for rules that
+// cannot be read at all: those in force remain.
+func (c *Catalog) parseRules(r mustardsaddle.RulesText) (rule.File, bool) {
+	file, problems, ok := rule.ParseDirectory(r.Text)
 	for _, p := range problems {
 		event.Warn(c.cfg.Logger, event.RulesIgnored).Int64("Generation", r.Generation).Int("Line", p.Line).
 			Int("Code", int(p.Code)).Str("Problem", p.Text).Send()
 	}
-	return file.WithGeneration(r.Generation)
+	return file.WithGeneration(r.Generation), ok
 }
 
 // putInForce puts rules in force if they are newer. The caller holds mu.
--- a/internal/control/rule/parse.go
+++ b/internal/control/rule/parse.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// MaxFileBytes is the maximum size of a rules file, including its header.
+	// MaxFileBytes is the maximum size of a rules file in the store, including its header.
 	MaxFileBytes = 1 << 20
+	// MaxDirectoryBytes is the maximum size of the rules of a directory, which states them in
+	// another format than that of a rules file, and a shorter one.
+	MaxDirectoryBytes = 4 * MaxFileBytes
 	// MaxLineBytes is the maximum length of a line.
 	MaxLineBytes = 4096
 )
@@ -26,9 +29,20 @@
 // Header lines of Rules/Accepted and Rules/InForce are skipped, so that an operator
 // can edit and submit a file that was read from there.
 func Parse(text string) (File, []Problem) {
+	return parse(text, MaxFileBytes)
+}
+
+// ParseDirectory parses the rules of a directory like Parse. It returns false if the text is too
+// large, so that none of it was read.
+func ParseDirectory(text string) (File, []Problem, bool) {
+	f, problems := parse(text, MaxDirectoryBytes)
+	return f, problems, len(text) <= MaxDirectoryBytes
+}
+
+func parse(text string, maxBytes int) (File, []Problem) {
 	p := parser{seen: make(map[ID]int)}
-	if len(text) > MaxFileBytes {
-		return File{}, []Problem{problemf(code.RuleTooLarge, "got %d bytes, want at most %d", len(text), MaxFileBytes).atLine(1)}
+	if len(text) > maxBytes {
+		return File{}, []Problem{problemf(code.RuleTooLarge, "got %d bytes, want at most %d", len(text), maxBytes).atLine(1)}
 	}
 	if rest, ok := strings.CutPrefix(text, byteOrderMark); ok {
 		p.addProblem(1, problemf(code.RuleBadEncoding, "file starts with a byte order mark, want plain UTF-8"))
--- a/internal/peer/news/news.go
+++ b/internal/peer/news/news.go
@@ -59,7 +59,7 @@
 	MaxBytes = MaxRulesBytes + 4096
 	// MaxRulesBytes is the maximum size of the rules text, or of all lines of a rule
 	// change, in one message.
-	MaxRulesBytes = 1 << 20
+	MaxRulesBytes = 4 << 20
 	// MaxMarks is the maximum number of marks, of generations or of statements in one
 	// message.
 	MaxMarks = 4096
