--- a/internal/request/gateway/framing_test.go
+++ b/internal/request/gateway/framing_test.go
@@ -19,31 +19,16 @@
 // newScriptedServer returns the address of a server that answers the first request on each
 // connection with the given bytes and then closes the connection, or resets it.
 func newScriptedServer(t *testing.T, response string, reset bool) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, response)
-				if reset {
-					time.Sleep(20 * time.Millisecond)
-					_ = c.(*net.TCPConn).SetLinger(0)
-				}
-			}()
+	return newConnServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, response)
+		if reset {
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // rawGet sends a request over a connection of its own and returns all bytes of the response.
--- a/internal/request/gateway/harness_test.go
+++ b/internal/request/gateway/harness_test.go
@@ -228,3 +228,27 @@
 	text, err := io.ReadAll(resp.Body)
 	return resp, string(text), err
 }
+
+// newConnServer returns the address of a server that calls serve for each connection, and then
+// closes it.
+func newConnServer(t testing.TB, serve func(c net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
--- a/internal/request/gateway/rest_test.go
+++ b/internal/request/gateway/rest_test.go
@@ -19,29 +19,13 @@
 // newEarlyServer returns the address of a server that responds before it has read the body, and
 // then reads what follows without a further response.
 func newEarlyServer(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				in := bufio.NewReader(c)
-				if _, err := http.ReadRequest(in); err == nil {
-					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly")
-				}
-				_, _ = io.Copy(io.Discard, in)
-			}()
+	return newConnServer(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly")
 		}
-	}()
-	return ln.Addr().String()
+		_, _ = io.Copy(io.Discard, in)
+	})
 }
 
 // TestRestOfBodyIsNoRequest guards against the rest of a request body, whose sender stalls after
--- a/internal/request/gateway/upload_test.go
+++ b/internal/request/gateway/upload_test.go
@@ -23,28 +23,14 @@
 // newReadingServer returns the address of a server that reads a piece of a request body after
 // each pause, and never responds.
 func newReadingServer(t *testing.T, piece int64, pause time.Duration) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
+	return newConnServer(t, func(c net.Conn) {
 		for {
-			c, err := ln.Accept()
-			if err != nil {
+			time.Sleep(pause)
+			if _, err := io.CopyN(io.Discard, c, piece); err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				for err == nil {
-					time.Sleep(pause)
-					_, err = io.CopyN(io.Discard, c, piece)
-				}
-			}()
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // newBoundedGateway returns a gateway whose only rule states uploadDeadline.
