Pause no gateway for a response that its server broke off

What callers saw: at a gateway that is cut off from the servers, 503 for all calls of a service for up to 2 s after one response that a server broke off, though another gateway reaches the servers.

Cause: a 502 carries Retry-After, and the gateway that forwards took it for the time after which the other one takes calls of the service again. It says so of one request. Now only the refusal of a request that has not run pauses a gateway.

TestBrokenResponseDoesNotPauseGateway failed before (503) and passes.

--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -265,7 +265,7 @@
 		Served: a.outcome == mustardsaddle.Ran,
 		Lost:   a.answer.Code == code.CallUnreachable, RetryAfter: a.answer.RetryAfter,
 	}
-	if a.refusedRequest() {
+	if a.outcome != mustardsaddle.NotRun || a.refusedRequest() {
 		reply.RetryAfter = 0
 	}
 	a.c.g.forwarder.Finish(time.Now(), reply)
--- a/internal/request/gateway/forward_test.go
+++ b/internal/request/gateway/forward_test.go
@@ -411,3 +411,28 @@
 		t.Errorf("got %d executions, want 1", n)
 	}
 }
+
+// TestBrokenResponseDoesNotPauseGateway guards against the Retry-After of a response for one
+// request whose server broke off being taken for a pause of the gateway that forwarded it: the
+// callers of a gateway that is cut off from the servers were refused for as long.
+func TestBrokenResponseDoesNotPauseGateway(t *testing.T) {
+	s := newCountingServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/broken" {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	fleet := newFleet(t, 2, gateway.Config{Deadline: 8 * time.Second}, s.address())
+	fleet[0].dialer.SetCut(relay.ResetAndRefuse)
+	for _, tt := range []struct {
+		path string
+		want int
+	}{
+		{"/x", http.StatusOK}, {"/broken", http.StatusBadGateway}, {"/x", http.StatusOK},
+	} {
+		resp, body, err := do(t, fleet[0].front, http.MethodPost, tt.path, "Lathe=2")
+		if err != nil || resp.StatusCode != tt.want {
+			t.Errorf("POST %s: got %v, body %q, error %v, want status %d", tt.path, resp, body, err, tt.want)
+		}
+	}
+}
