--- a/review/world/caller.go
+++ b/review/world/caller.go
@@ -23,15 +23,19 @@
 	return r, nil
 }
 
-// booking is a booking through a gateway, with its ID and the milliseconds that its caller waits.
+// usualPath is the path of a usual booking.
+const usualPath = bookingPrefix + "lathe"
+
+// booking is a booking through a gateway, with its path, its ID and the milliseconds that its
+// caller waits.
 type booking struct {
-	gateway      *gatewayProcess
-	id, deadline string
+	gateway            *gatewayProcess
+	path, id, deadline string
 }
 
 // bookOnce sends a booking and returns the status of the answer; 0 if there is none.
 func bookOnce(ctx context.Context, rec *record, client *http.Client, b booking) int {
-	rec.add("sent", "request=%s gateway=%s", b.id, b.gateway.name)
+	rec.add("sent", "request=%s gateway=%s path=%s", b.id, b.gateway.name, b.path)
 	status, err := sendBooking(ctx, client, b)
 	end := fmt.Sprintf("status=%d", status)
 	if err != nil {
@@ -42,7 +46,7 @@
 }
 
 func sendBooking(ctx context.Context, client *http.Client, b booking) (int, error) {
-	r, err := newRequest(ctx, b.gateway, http.MethodPost, bookingPrefix+"lathe", b.id)
+	r, err := newRequest(ctx, b.gateway, http.MethodPost, b.path, b.id)
 	if err != nil {
 		return 0, err
 	}
--- a/review/world/fleet.go
+++ b/review/world/fleet.go
@@ -16,7 +16,7 @@
 	// settingsTemplate is the template of the settings in the deploy file.
 	settingsTemplate = "platform/gateway.ini"
 	// gatewaysFile is the file in the folder of a run that lists the settings files of the
-	// gateways. The script run.sh starts a gateway for each of them, and starts it again when it
+	// gateways. The script play.sh starts a gateway for each of them, and starts it again when it
 	// has ended.
 	gatewaysFile = "gateways"
 	// pidSuffix follows the name of a settings file in the name of the file with the ID of the
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -1,6 +1,6 @@
 // Program world runs the cases of the review that are scripts. It holds the stand-ins for the
 // store, the endpoint servers and the callers of a small system on the loopback interface; the
-// script run.sh beside it runs the gateways as separate processes.
+// script play.sh beside it runs the gateways as separate processes.
 //
 //	world CASE CASEFOLDER RUNFOLDER
 //
@@ -34,7 +34,7 @@
 }
 
 func run(args []string) int {
-	scenarios := map[string]scenario{"resume": runResume, "names": runNames, "term": runTerm}
+	scenarios := map[string]scenario{"resume": runResume, "names": runNames, "term": runTerm, "crash": runCrash}
 	if len(args) != 3 || scenarios[args[0]] == nil {
 		_, _ = fmt.Fprintln(os.Stderr, "usage: world CASE CASEFOLDER RUNFOLDER")
 		return statusUnable
--- a/review/world/names.go
+++ b/review/world/names.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"sync"
@@ -24,12 +23,6 @@
 	nextService = "shedbook.v2"
 )
 
-// book answers a booking after a short time.
-func book(_ *upstream, w http.ResponseWriter, _ *http.Request) {
-	time.Sleep(20 * time.Millisecond)
-	_, _ = io.WriteString(w, "booked")
-}
-
 // runNames moves a route to another service.
 func runNames(ctx context.Context, rec *record, dir *os.Root) (bool, error) {
 	var upstreams []*upstream
@@ -108,7 +101,7 @@
 	client := newClient()
 	for ctx.Err() == nil {
 		sentAt := time.Now()
-		answers.add(sentAt, bookOnce(ctx, rec, client, booking{gateway: g, id: newID(""), deadline: "1200"}))
+		answers.add(sentAt, bookOnce(ctx, rec, client, booking{gateway: g, path: usualPath, id: newID(""), deadline: "1200"}))
 		time.Sleep(bookingInterval)
 	}
 }
--- a/review/world/run.sh
+++ b/review/world/play.sh
@@ -2,7 +2,7 @@
 # Runs one case: starts the stand-ins, and the gateways with the command of the deploy file,
 # and ends them. The exit status is that of the case.
 #
-#   review/world/run.sh CASE FOLDER
+#   review/world/play.sh CASE FOLDER
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 case=$1
--- a/review/world/term.go
+++ b/review/world/term.go
@@ -81,7 +81,7 @@
 	for range termBookings {
 		wg.Go(func() {
 			id := newID("")
-			status := bookOnce(ctx, w.record, newClient(), booking{gateway: g, id: id, deadline: "4000"})
+			status := bookOnce(ctx, w.record, newClient(), booking{gateway: g, path: usualPath, id: id, deadline: "4000"})
 			mu.Lock()
 			defer mu.Unlock()
 			ends[id] = status
--- a/review/world/upstream.go
+++ b/review/world/upstream.go
@@ -39,6 +39,9 @@
 	work                 work
 	running              chan struct{}
 	waiting              chan struct{}
+	// life ends with the upstream, and die ends it.
+	life context.Context
+	die  context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[net.Conn]*upstreamConn
@@ -95,8 +98,9 @@
 			}
 		},
 	}
+	u.life, u.die = context.WithCancel(ctx)
 	var err error
-	u.address, err = serveHTTP(ctx, srv)
+	u.address, err = serveHTTP(u.life, srv)
 	return err
 }
 
@@ -196,16 +200,30 @@
 		if c.gateway != gateway || rand.Float64() >= share {
 			continue
 		}
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		c.reset()
 		reset++
 		busy += min(c.runs, 1)
 	}
 	return reset, busy
 }
 
+// resetAll resets all connections.
+func (u *upstream) resetAll() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		c.reset()
+	}
+}
+
+// reset resets the connection.
+func (c *upstreamConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // heartbeat writes the entry of an upstream about every interval until the context ends.
 func heartbeat(ctx context.Context, store *objectStore, u *upstream, interval time.Duration) {
 	for sequence := 1; ctx.Err() == nil; sequence++ {
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -46,7 +46,7 @@
 		if err := u.start(ctx); err != nil {
 			return nil, err
 		}
-		go heartbeat(ctx, w.store, u, heartbeatInterval)
+		go heartbeat(u.life, w.store, u, heartbeatInterval)
 	}
 	for i := range gateways {
 		g, err := newGateway(ctx, dir, fmt.Sprintf("edge-zone-a-%d", i+1), zone, address)
