Put each entry of an accepted configuration in force

The operator moved a route to the service shedbook.v2, and all gateways answered all of its requests with 404 until the next version.

A line that did not parse was left out, and the rest put in force as the newer generation. By reading, each value was checked: names of services, hosts, tenants and keys, prefixes with %, ?, {, * or an empty segment, attempts above 16, priorities above 1000, durations above 24 h, weights above 10^6, splits longer than a line and services twice in one were dropped; the service shed#b became shed; a line break in a name began a rule of its own; one number of an unexpected encoding, or a duration too long for 64 bits, cost the whole configuration. Further on, two services whose names differ in a special character shared their metrics, and calls with more than 24 h left were refused by the gateway that they were forwarded to.

Ruled out: the store and the peers, which pass on what they get; the choice of servers, which takes any name.

Now rules of a directory have a format of their own: names are percent-encoded, paths that are no pattern stand in Prefix, and limits lie where a higher value has no further effect. Routes of a directory match by literal prefix of the path as the request states it, then of its decoded form. Lines of plain values are as before, so that gateways of the older build read them. Operators' files keep alphabet and limits. Each entry of the configuration is decoded by itself.

A name is too long for a message above 1,024 bytes, not 255. Rules of a directory are parsed as such.

--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -206,7 +206,7 @@
 		backoff:  store.Backoff{Base: minBackoff, Max: maxBackoff},
 		readFrom: cfg.StartedAt.Add(wait),
 		rng:      rng,
-		table:    rule.Compile(rule.File{}),
+		table:    rule.Compile(rule.NewDirectoryFile()),
 		servers:  NewCore(cfg.Core),
 
 		evacuations: evacuationsState{zones: evacuation.New(evacuation.Config{})},
--- a/internal/control/rule/change.go
+++ b/internal/control/rule/change.go
@@ -120,11 +120,11 @@
 	if !ok {
 		return f, BadDigest
 	}
-	lines, ok := c.insert(kept)
+	lines, ok := c.insert(kept, f.format())
 	if !ok {
 		return f, BadDigest
 	}
-	next := File{Generation: c.To, HasGeneration: true, lines: lines}
+	next := File{Generation: c.To, HasGeneration: true, directory: f.directory, lines: lines}
 	if next.Digest() != c.Digest {
 		return f, BadDigest
 	}
@@ -148,7 +148,7 @@
 
 // insert returns the kept lines with the inserted ones at their positions. It
 // returns false if a position or a line is invalid.
-func (c Change) insert(kept []line) ([]line, bool) {
+func (c Change) insert(kept []line, f format) ([]line, bool) {
 	if len(c.In) == 0 {
 		return kept, true
 	}
@@ -160,7 +160,7 @@
 		}
 		lines = append(lines, kept[:n]...)
 		kept = kept[n:]
-		l, ok := parseEdit(in.Text)
+		l, ok := parseEdit(in.Text, f)
 		if !ok {
 			return nil, false
 		}
@@ -170,8 +170,8 @@
 }
 
 // parseEdit parses one line received from a peer.
-func parseEdit(text string) (line, bool) {
-	p := parser{seen: make(map[ID]int)}
+func parseEdit(text string, f format) (line, bool) {
+	p := newParser(f)
 	// The clone keeps the line from retaining the larger text that it may be a
 	// substring of.
 	text = strings.Clone(text)
--- a/internal/control/rule/customer.go
+++ b/internal/control/rule/customer.go
@@ -9,40 +9,35 @@
 	"strconv"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
+
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
 const (
 	// MaxKeyBytes is the maximum length of a customer's key.
-	MaxKeyBytes = 256
+	MaxKeyBytes = 64 << 10
 	// MaxKeysInLine is the number of keys that fit in one line beside the other fields.
 	MaxKeysInLine = 128
-	// maxNameBytes is the maximum length of a customer's name.
-	maxNameBytes = 128
 	// firstPart and maxPart are the limits of Part. The line that declares the customer is
 	// the first.
 	firstPart = 2
 	maxPart   = 10000
-	// maxRate is the upper limit of Rate and Burst.
-	maxRate = 1e9
+	// MaxRate is the upper limit of Rate and Burst.
+	MaxRate = 1e9
 )
 
 // KeyDigest identifies a key of a customer without containing it: the first 128 bits of
 // the SHA-256 of the key.
 type KeyDigest [16]byte
 
-// DigestKey returns the digest of a key. It returns false if the text can be no key: one
-// has up to MaxKeyBytes visible ASCII characters.
+// DigestKey returns the digest of a key. It returns false if the text can be no key: one is
+// the value of a header, of up to MaxKeyBytes bytes.
 func DigestKey(key string) (KeyDigest, bool) {
-	if key == "" || len(key) > MaxKeyBytes {
+	if len(key) > MaxKeyBytes || !isHeaderValue(key) {
 		return KeyDigest{}, false
 	}
-	for i := range len(key) {
-		if key[i] <= ' ' || key[i] > '~' {
-			return KeyDigest{}, false
-		}
-	}
 	sum := sha256.Sum256([]byte(key))
 	return KeyDigest(sum[:len(KeyDigest{})]), true
 }
@@ -92,15 +87,29 @@
 	}
 }
 
-func setCustomer(r *Rule, value string) Problem {
+// isHeaderValue reports whether a header can have the text as its value, unchanged by those
+// that read it.
+func isHeaderValue(text string) bool {
+	return text != "" && strings.Trim(text, " \t") == text && httpguts.ValidHeaderFieldValue(text)
+}
+
+func (f format) setCustomer(r *Rule, value string) Problem {
 	r.Customer = value
+	if f.directory {
+		name, ok := decodeName(value)
+		if !ok || !isHeaderValue(name) || len(name) > f.maxNameBytes {
+			return problemf(code.RuleBadValue, "got Customer of %d bytes, want an encoded name that a header can have, of 1 to %d bytes", len(name), f.maxNameBytes)
+		}
+		r.Customer = name
+		return Problem{}
+	}
 	for _, c := range value {
 		if !isNameRune(c) && c != '-' && c != '.' {
 			return problemf(code.RuleBadValue, "got Customer=%s, want letters, digits, -, . and _", value)
 		}
 	}
-	if value == "" || len(value) > maxNameBytes {
-		return problemf(code.RuleBadValue, "got Customer of %d bytes, want a name of 1 to %d bytes", len(value), maxNameBytes)
+	if value == "" || len(value) > f.maxNameBytes {
+		return problemf(code.RuleBadValue, "got Customer of %d bytes, want a name of 1 to %d bytes", len(value), f.maxNameBytes)
 	}
 	return Problem{}
 }
@@ -124,8 +133,8 @@
 
 func setRate(field *float64, name, value string) Problem {
 	n, err := strconv.ParseFloat(value, 64)
-	if err != nil || math.IsNaN(n) || n <= 0 || n > maxRate {
-		return problemf(code.RuleBadValue, "got %s=%s, want a decimal number above 0, up to %g", name, value, float64(maxRate))
+	if err != nil || math.IsNaN(n) || n <= 0 || n > MaxRate {
+		return problemf(code.RuleBadValue, "got %s=%s, want a decimal number above 0, up to %g", name, value, float64(MaxRate))
 	}
 	*field = n
 	return Problem{}
--- a/internal/control/rule/explain.go
+++ b/internal/control/rule/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/gorilla/mux"
 )
@@ -31,26 +32,41 @@
 	Verdict Verdict
 }
 
-// Explain returns the rules in the buckets of the request's host and path prefixes,
-// in the order in which Match considers them.
+// Explain returns the rules in the buckets of the request's host and path prefixes, and those
+// with a literal prefix that match, in the order in which Match considers them.
 func (t *Table) Explain(r *http.Request) []Candidate {
+	candidates := t.bucketCandidates(r)
+	inBuckets := len(candidates)
+	for found := range t.prefixes.matches(r) {
+		candidates = append(candidates, Candidate{Rule: found, Verdict: Chosen})
+	}
+	if len(candidates) > inBuckets {
+		slices.SortStableFunc(candidates, func(a, b Candidate) int { return a.Rule.compare(b.Rule) })
+	}
+	numbers := t.lineNumbers()
+	verdict := Chosen
+	for i := range candidates {
+		candidates[i].Line = numbers[candidates[i].Rule.ID()]
+		if candidates[i].Verdict == Chosen {
+			candidates[i].Verdict = verdict
+			verdict = LessSpecific
+		}
+	}
+	return candidates
+}
+
+// bucketCandidates returns the rules in the buckets of a request. Each that matches is chosen.
+func (t *Table) bucketCandidates(r *http.Request) []Candidate {
 	if hasDotSegment(r.URL.Path) {
 		return nil
 	}
-	numbers := t.lineNumbers()
 	var candidates []Candidate
-	verdict := Chosen
 	for _, b := range t.bucketsOf(r) {
 		if b == nil {
 			break
 		}
 		for i, considered := range b.rules {
-			candidate := Candidate{Line: numbers[considered.ID()], Rule: *considered, Verdict: matchRoute(b.routes[i], r)}
-			if candidate.Verdict == Chosen {
-				candidate.Verdict = verdict
-				verdict = LessSpecific
-			}
-			candidates = append(candidates, candidate)
+			candidates = append(candidates, Candidate{Rule: *considered, Verdict: matchRoute(b.routes[i], r)})
 		}
 	}
 	return candidates
--- a/internal/control/rule/field.go
+++ b/internal/control/rule/field.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -12,19 +13,11 @@
 )
 
 const (
-	// maxDuration is the upper limit of Deadline, Target and Idle.
-	maxDuration = 24 * time.Hour
-	// maxAttempts is the upper limit of Attempts.
-	maxAttempts = 16
-	// maxPriority is the upper limit of Priority, which is the lowest priority.
-	maxPriority = 1000
 	// maxConnections is the upper limit of Connections.
-	maxConnections = 1 << 20
+	maxConnections = mustardsaddle.MaxConnections
 	// maxZoneBytes is the maximum length of the name of an availability zone.
 	maxZoneBytes = 255
-	// MinWarmUpRate is the lower limit of WarmUpRate.
-	MinWarmUpRate = 0.01
-	// MaxWarmUpRate is the upper limit of WarmUpRate.
+	// MaxWarmUpRate is the upper limit of WarmUpRate in requests per second.
 	MaxWarmUpRate = 1e6
 )
 
@@ -35,64 +28,66 @@
 const evacuateField = "Evacuate"
 
 // setField parses one field into r. The Problem has code.OK if the value is valid.
-func setField(r *Rule, name, value string) Problem {
+func (f format) setField(r *Rule, name, value string) Problem {
 	switch name {
 	case "Host":
-		return setHost(r, value)
+		return f.setHost(r, value)
 	case "Path":
 		r.Path = value
 		return checkPath(value)
+	case "Prefix":
+		return f.setPrefix(r, value)
 	case "Method":
 		r.Method = value
 		return checkMethod(value)
 	case "Service":
 		r.Service = value
-		_, problem := parseSplit(value)
+		_, problem := f.parseSplit(value)
 		return problem
 	case "Deadline":
-		return setDuration(&r.Deadline, name, value)
+		return f.setDuration(&r.Deadline, name, value)
 	case "Repeat":
 		return setRepeat(r, value)
 	case "Attempts":
-		return setInt(&r.Attempts, name, value, 1, maxAttempts)
+		return setInt(&r.Attempts, name, value, 1, f.maxAttempts)
 	case "Target":
-		return setDuration(&r.Target, name, value)
+		return f.setDuration(&r.Target, name, value)
 	case "Priority":
-		return setInt(&r.Priority, name, value, 0, maxPriority)
+		return setInt(&r.Priority, name, value, 0, f.maxPriority)
 	case idleField:
-		return setDuration(&r.Idle, name, value)
+		return f.setDuration(&r.Idle, name, value)
 	case "Anonymous":
 		return setAnonymous(r, value)
 	case evacuateField:
 		r.Evacuate = value
 		return checkZone(value)
 	default:
-		return setServiceField(r, name, value)
+		return f.setServiceField(r, name, value)
 	}
 }
 
 // setServiceField parses one field of a line that declares a service into r.
-func setServiceField(r *Rule, name, value string) Problem {
+func (f format) setServiceField(r *Rule, name, value string) Problem {
 	switch name {
 	case "Probe":
 		r.Probe = value
-		return checkProbe(value)
+		return f.checkProbe(value)
 	case "Connections":
 		return setInt(&r.Connections, name, value, 1, maxConnections)
 	case "WarmUp":
-		return setWarmUp(r, value)
+		return f.setWarmUp(r, value)
 	case "WarmUpRate":
-		return setWarmUpRate(r, value)
+		return f.setWarmUpRate(r, value)
 	default:
-		return setCustomerField(r, name, value)
+		return f.setCustomerField(r, name, value)
 	}
 }
 
 // setCustomerField parses one field of a line about a customer into r.
-func setCustomerField(r *Rule, name, value string) Problem {
+func (f format) setCustomerField(r *Rule, name, value string) Problem {
 	switch name {
 	case "Customer":
-		return setCustomer(r, value)
+		return f.setCustomer(r, value)
 	case "Part":
 		return setInt(&r.Part, name, value, firstPart, maxPart)
 	case "Keys":
@@ -106,7 +101,16 @@
 	}
 }
 
-func setHost(r *Rule, value string) Problem {
+// setHost parses the host of a rule. That of a directory is any text, such as one with a port.
+func (f format) setHost(r *Rule, value string) Problem {
+	if f.directory {
+		host, ok := decodeName(value)
+		r.Host = strings.ToLower(host)
+		if !ok || host == "" {
+			return problemf(code.RuleBadValue, "got Host=%s, want an encoded name", value)
+		}
+		return Problem{}
+	}
 	r.Host = strings.ToLower(value)
 	for _, label := range strings.Split(r.Host, ".") {
 		if !isHostLabel(label) {
@@ -144,42 +148,50 @@
 	return Problem{}
 }
 
-func checkService(value string) Problem {
+// parseService returns the name of a service.
+func (f format) parseService(value string) (string, Problem) {
+	if value == "" {
+		return "", problemf(code.RuleBadValue, "got empty Service, want a name")
+	}
+	if f.directory {
+		name, ok := decodeName(value)
+		if !ok {
+			return "", problemf(code.RuleBadValue, "got Service=%s, want an encoded name", value)
+		}
+		return name, Problem{}
+	}
 	for _, c := range value {
 		if !isNameRune(c) && c != '-' {
-			return problemf(code.RuleBadValue, "got Service=%s, want letters, digits, - and _", value)
+			return "", problemf(code.RuleBadValue, "got Service=%s, want letters, digits, - and _", value)
 		}
 	}
-	if value == "" {
-		return problemf(code.RuleBadValue, "got empty Service, want a name")
-	}
-	return Problem{}
+	return value, Problem{}
 }
 
 func isNameRune(c rune) bool {
 	return unicode.IsLetter(c) || unicode.IsDigit(c) || c == '_'
 }
 
-func setDuration(field *time.Duration, name, value string) Problem {
+func (f format) setDuration(field *time.Duration, name, value string) Problem {
 	d, err := time.ParseDuration(value)
-	if err != nil || d <= 0 || d > maxDuration {
-		return problemf(code.RuleBadValue, "got %s=%s, want a duration up to 24h, such as 2s", name, value)
+	if err != nil || d <= 0 || d > f.maxDuration {
+		return problemf(code.RuleBadValue, "got %s=%s, want a duration up to %gh, such as 2s", name, value, f.maxDuration.Hours())
 	}
 	*field = d
 	return Problem{}
 }
 
-func setWarmUp(r *Rule, value string) Problem {
-	if problem := setDuration(&r.WarmUp, "WarmUp", value); problem.Code != code.OK || r.WarmUp > mustardsaddle.MaxWarmUp {
-		return problemf(code.RuleBadValue, "got WarmUp=%s, want a duration up to %s, such as 3s", value, mustardsaddle.MaxWarmUp)
+func (f format) setWarmUp(r *Rule, value string) Problem {
+	if problem := f.setDuration(&r.WarmUp, "WarmUp", value); problem.Code != code.OK || r.WarmUp > f.maxWarmUp {
+		return problemf(code.RuleBadValue, "got WarmUp=%s, want a duration up to %s, such as 3s", value, f.maxWarmUp)
 	}
 	return Problem{}
 }
 
-func setWarmUpRate(r *Rule, value string) Problem {
+func (f format) setWarmUpRate(r *Rule, value string) Problem {
 	rate, err := strconv.ParseFloat(value, 64)
-	if err != nil || !(rate >= MinWarmUpRate && rate <= MaxWarmUpRate) {
-		return problemf(code.RuleBadValue, "got WarmUpRate=%s, want %g to %g requests per second", value, MinWarmUpRate, MaxWarmUpRate)
+	if err != nil || !(rate >= f.minWarmUpRate && rate <= MaxWarmUpRate) {
+		return problemf(code.RuleBadValue, "got WarmUpRate=%s, want %g to %g requests per second", value, f.minWarmUpRate, MaxWarmUpRate)
 	}
 	r.WarmUpRate = rate
 	return Problem{}
@@ -194,8 +206,15 @@
 	return Problem{}
 }
 
-// checkProbe accepts an absolute path without query, percent-encoding or backslash.
-func checkProbe(value string) Problem {
+// checkProbe accepts an absolute path without query, percent-encoding or backslash; in the rules
+// of a directory any that a request can have.
+func (f format) checkProbe(value string) Problem {
+	if f.directory {
+		if _, err := url.ParseRequestURI(value); err != nil || !strings.HasPrefix(value, "/") {
+			return problemf(code.RuleBadValue, "got Probe=%s, want the path of a request, such as /load", value)
+		}
+		return Problem{}
+	}
 	if !strings.HasPrefix(value, "/") || strings.ContainsAny(value, "?%\\") {
 		return problemf(code.RuleBadValue, "got Probe=%s, want a plain path, such as /load", value)
 	}
@@ -242,6 +261,19 @@
 	return Problem{}
 }
 
+// setPrefix parses the literal prefix of a rule of a directory.
+func (f format) setPrefix(r *Rule, value string) Problem {
+	if !f.directory {
+		return problemf(code.RuleUnknownField, "unknown field %q", "Prefix")
+	}
+	prefix, ok := decode(value, "/")
+	if !ok || !strings.HasPrefix(prefix, "/") || !strings.HasSuffix(prefix, "/") {
+		return problemf(code.RuleBadPattern, "got Prefix=%s, want an encoded path that begins and ends with /", value)
+	}
+	r.Prefix = prefix
+	return Problem{}
+}
+
 // checkSegment returns what is wrong with a segment of a path, or "" if it is valid.
 func checkSegment(segment string, last bool) string {
 	switch {
--- a/internal/control/rule/file.go
+++ b/internal/control/rule/file.go
@@ -18,7 +18,23 @@
 	// HasGeneration is true when the text has a Generation line.
 	HasGeneration bool
 
-	lines []line
+	// directory is true for the rules of a directory.
+	directory bool
+	lines     []line
+}
+
+// NewDirectoryFile returns the rules of a directory that has none, to which a Change can be
+// applied.
+func NewDirectoryFile() File {
+	return File{directory: true}
+}
+
+// format returns the format of the lines.
+func (f File) format() format {
+	if f.directory {
+		return directoryFormat()
+	}
+	return operatorFormat()
 }
 
 // line is one line below the header: a rule, a comment or an empty line.
--- a/internal/control/rule/parse.go
+++ b/internal/control/rule/parse.go
@@ -14,9 +14,9 @@
 	// MaxFileBytes is the maximum size of a rules file in the store, including its header.
 	MaxFileBytes = 1 << 20
 	// MaxDirectoryBytes is the maximum size of the rules of a directory, which states them in
-	// another format than that of a rules file, and a shorter one.
-	MaxDirectoryBytes = 4 * MaxFileBytes
-	// MaxLineBytes is the maximum length of a line.
+	// another and shorter format than that of the rules.
+	MaxDirectoryBytes = 16 * MaxFileBytes
+	// MaxLineBytes is the maximum length of a line that an operator writes.
 	MaxLineBytes = 4096
 )
 
@@ -29,20 +29,21 @@
 // Header lines of Rules/Accepted and Rules/InForce are skipped, so that an operator
 // can edit and submit a file that was read from there.
 func Parse(text string) (File, []Problem) {
-	return parse(text, MaxFileBytes)
+	return parse(text, operatorFormat())
 }
 
-// ParseDirectory parses the rules of a directory like Parse. It returns false if the text is too
-// large, so that none of it was read.
+// ParseDirectory parses the rules of a directory like Parse, with the limits of a directory.
+// Names in them are encoded by EncodeName and prefixes of paths by EncodePrefix. It returns false
+// if the text is too large, so that none of it was read.
 func ParseDirectory(text string) (File, []Problem, bool) {
-	f, problems := parse(text, MaxDirectoryBytes)
+	f, problems := parse(text, directoryFormat())
 	return f, problems, len(text) <= MaxDirectoryBytes
 }
 
-func parse(text string, maxBytes int) (File, []Problem) {
-	p := parser{seen: make(map[ID]int)}
-	if len(text) > maxBytes {
-		return File{}, []Problem{problemf(code.RuleTooLarge, "got %d bytes, want at most %d", len(text), maxBytes).atLine(1)}
+func parse(text string, f format) (File, []Problem) {
+	p := newParser(f)
+	if len(text) > f.maxBytes {
+		return File{}, []Problem{problemf(code.RuleTooLarge, "got %d bytes, want at most %d", len(text), f.maxBytes).atLine(1)}
 	}
 	if rest, ok := strings.CutPrefix(text, byteOrderMark); ok {
 		p.addProblem(1, problemf(code.RuleBadEncoding, "file starts with a byte order mark, want plain UTF-8"))
@@ -63,12 +64,17 @@
 }
 
 type parser struct {
+	format   format
 	file     File
 	problems []Problem
 	// seen maps the rules parsed so far to their line numbers.
 	seen map[ID]int
 }
 
+func newParser(f format) *parser {
+	return &parser{format: f, file: File{directory: f.directory}, seen: make(map[ID]int)}
+}
+
 func (p *parser) addProblem(number int, problem Problem) {
 	p.problems = append(p.problems, problem.atLine(number))
 }
@@ -95,7 +101,7 @@
 
 // parseLine parses one line, which is trimmed of surrounding white space.
 func (p *parser) parseLine(number int, s string) {
-	if problem := checkText(s); problem.Code != code.OK {
+	if problem := p.format.checkText(s); problem.Code != code.OK {
 		p.addProblem(number, problem)
 		return
 	}
@@ -115,7 +121,7 @@
 
 // parseRuleLine parses a line that is neither empty nor a comment.
 func (p *parser) parseRuleLine(number int, s string) {
-	r, problems := parseRule(s)
+	r, problems := p.format.parseRule(s)
 	for _, problem := range problems {
 		p.addProblem(number, problem)
 	}
@@ -131,10 +137,10 @@
 }
 
 // checkText checks the characters and the length of a line.
-func checkText(s string) Problem {
+func (f format) checkText(s string) Problem {
 	switch {
-	case len(s) > MaxLineBytes:
-		return problemf(code.RuleLineTooLong, "got %d bytes, want at most %d in a line", len(s), MaxLineBytes)
+	case len(s) > f.maxLineBytes:
+		return problemf(code.RuleLineTooLong, "got %d bytes, want at most %d in a line", len(s), f.maxLineBytes)
 	case !utf8.ValidString(s):
 		return problemf(code.RuleBadEncoding, "line is not valid UTF-8")
 	case strings.ContainsFunc(s, isForbiddenRune):
@@ -149,13 +155,13 @@
 }
 
 // parseRule parses a rule and returns every error in it.
-func parseRule(s string) (Rule, []Problem) {
+func (f format) parseRule(s string) (Rule, []Problem) {
 	fields, comment, _ := strings.Cut(s, "#")
 	r := Rule{Comment: strings.TrimSpace(comment)}
 	var problems []Problem
 	seen := make(map[string]bool)
 	for _, field := range strings.Fields(fields) {
-		if problem := parseField(&r, seen, field); problem.Code != code.OK {
+		if problem := f.parseField(&r, seen, field); problem.Code != code.OK {
 			problems = append(problems, problem)
 		}
 	}
@@ -169,8 +175,8 @@
 
 // Fields of routing rules and of service declarations, besides Path and Service.
 var (
-	routeFields   = []string{"Host", "Method", "Deadline", "Repeat", "Attempts", "Target", "Priority", "Anonymous"} //nolint:gochecknoglobals // a table
-	serviceFields = []string{"Probe", "Connections", "WarmUp", "WarmUpRate"}                                        //nolint:gochecknoglobals // a table
+	routeFields   = []string{"Prefix", "Host", "Method", "Deadline", "Repeat", "Attempts", "Target", "Priority", "Anonymous"} //nolint:gochecknoglobals // a table
+	serviceFields = []string{"Probe", "Connections", "WarmUp", "WarmUpRate"}                                                  //nolint:gochecknoglobals // a table
 )
 
 // checkFields returns problems for the fields that a line lacks, and for those that
@@ -185,14 +191,18 @@
 		return []Problem{problemf(code.RuleMissingField, "rule has only one of WarmUp and WarmUpRate, want both or neither")}
 	case (seen[idleField] || seen[evacuateField]) && len(seen) == 1:
 		return nil
-	case declares && !seen["Path"] && seen["Service"]:
+	case declares && !seen["Path"] && !seen["Prefix"] && seen["Service"]:
 		return disallow(seen, slices.Concat([]string{idleField, evacuateField}, routeFields, customerFields), "declares a service")
 	}
 	var problems []Problem
-	for _, name := range []string{"Path", "Service"} {
-		if !seen[name] {
-			problems = append(problems, problemf(code.RuleMissingField, "rule has no %s", name))
-		}
+	if !seen["Path"] && !seen["Prefix"] {
+		problems = append(problems, problemf(code.RuleMissingField, "rule has no Path"))
+	}
+	if !seen["Service"] {
+		problems = append(problems, problemf(code.RuleMissingField, "rule has no Service"))
+	}
+	if seen["Path"] && seen["Prefix"] {
+		problems = append(problems, problemf(code.RuleSyntax, "rule has both Path and Prefix, want one"))
 	}
 	return append(problems, disallow(seen, slices.Concat([]string{idleField, evacuateField}, serviceFields, customerFields), "routes requests")...)
 }
@@ -209,7 +219,7 @@
 	return problems
 }
 
-func parseField(r *Rule, seen map[string]bool, field string) Problem {
+func (f format) parseField(r *Rule, seen map[string]bool, field string) Problem {
 	name, value, ok := strings.Cut(field, "=")
 	if !ok {
 		return problemf(code.RuleSyntax, "got %q, want Name=Value", field)
@@ -218,7 +228,7 @@
 		return problemf(code.RuleRepeatedField, "duplicate field %s", name)
 	}
 	seen[name] = true
-	return setField(r, name, value)
+	return f.setField(r, name, value)
 }
 
 // namesRequester reports whether a comment has the form "Who: why". The full-width colon
--- /dev/null
+++ b/internal/control/rule/prefix.go
@@ -0,0 +1,129 @@
+package rule
+
+import (
+	"bytes"
+	"cmp"
+	"iter"
+	"net/http"
+	"net/url"
+	"strings"
+)
+
+// prefixIndex finds rules of a directory by the literal prefix of the paths that they match. A
+// rule with a Method is not in it.
+type prefixIndex struct {
+	// stated has the prefixes as they are written, and decoded their decoded forms.
+	stated, decoded map[prefixKey]*Rule
+}
+
+// prefixKey identifies a rule of a prefixIndex.
+type prefixKey struct {
+	// host is in lower case, and empty for any host.
+	host string
+	// prefix ends with a slash. Its percent-encodings have capital digits.
+	prefix string
+}
+
+func newPrefixIndex() prefixIndex {
+	return prefixIndex{stated: make(map[prefixKey]*Rule), decoded: make(map[prefixKey]*Rule)}
+}
+
+// add adds a rule, or returns false if the index cannot hold it.
+func (x prefixIndex) add(r *Rule) bool {
+	prefix, ok := r.prefix()
+	if !ok || r.Method != "" {
+		return false
+	}
+	prefix = capitalDigits(prefix)
+	x.stated[prefixKey{host: r.Host, prefix: prefix}] = r
+	decoded := prefixKey{host: r.Host, prefix: decodeSegments(prefix)}
+	x.decoded[decoded] = cmp.Or(x.decoded[decoded], r)
+	return true
+}
+
+// matches returns the rules whose prefix begins the path of a request, those with its host before
+// those with any, and then the longest prefix first. Prefixes and paths are compared as they are
+// written, and if that finds none also in their decoded form, in which only slashes remain encoded. A
+// path that has a . or .. segment after the prefix does not match, because a server might resolve it to
+// a path without the prefix.
+func (x prefixIndex) matches(r *http.Request) iter.Seq[Rule] {
+	return func(yield func(Rule) bool) {
+		if len(x.stated) == 0 {
+			return
+		}
+		stated := capitalDigits(statedPath(r))
+		decoded := decodeSegments(stated)
+		exact, name := strings.ToLower(r.Host), hostName(r.Host)
+		if exact != name && !x.matchHost(exact, stated, decoded, yield) {
+			return
+		}
+		if x.matchHost(name, stated, decoded, yield) && name != "" {
+			x.matchHost("", stated, decoded, yield)
+		}
+	}
+}
+
+// matchHost calls yield with the rules of a host that match a path, until yield returns false, and
+// returns whether it never did.
+func (x prefixIndex) matchHost(host, stated, decoded string, yield func(Rule) bool) bool {
+	whole := decoded
+	for {
+		i, j := strings.LastIndexByte(stated, '/'), strings.LastIndexByte(decoded, '/')
+		if i < 0 || j < 0 {
+			return true
+		}
+		found := cmp.Or(x.stated[prefixKey{host, stated[:i+1]}], x.decoded[prefixKey{host, decoded[:j+1]}])
+		if found != nil && !hasDotSegment(whole[j:]) && !yield(*found) {
+			return false
+		}
+		stated, decoded = stated[:i], decoded[:j]
+	}
+}
+
+// statedPath returns the path of a request as its caller wrote it. The URL has lost encodings that
+// stand beside characters which should be encoded.
+func statedPath(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.EscapedPath()
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+// encodedSlash is a slash that does not separate segments.
+const encodedSlash = "%2F"
+
+// encodingBytes is the size of a percent-encoded byte.
+const encodingBytes = len(encodedSlash)
+
+// decodeSegments decodes the segments of a path with capital digits, but no slash in them.
+func decodeSegments(path string) string {
+	if !strings.Contains(path, "%") {
+		return path
+	}
+	parts := strings.Split(path, encodedSlash)
+	for i, part := range parts {
+		if decoded, err := url.PathUnescape(part); err == nil {
+			parts[i] = decoded
+		}
+	}
+	return strings.Join(parts, encodedSlash)
+}
+
+// capitalDigits returns a path whose percent-encodings have capital digits.
+func capitalDigits(path string) string {
+	if !strings.Contains(path, "%") {
+		return path
+	}
+	b := []byte(path)
+	for i := 0; i+encodingBytes <= len(b); i++ {
+		if digits := b[i+1 : i+encodingBytes]; b[i] == '%' && isHex(digits[0]) && isHex(digits[1]) {
+			copy(digits, bytes.ToUpper(digits))
+		}
+	}
+	return string(b)
+}
+
+func isHex(c byte) bool {
+	return '0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F'
+}
--- a/internal/control/rule/rule.go
+++ b/internal/control/rule/rule.go
@@ -17,12 +17,16 @@
 type Rule struct {
 	// Host is the request host to match, in lower case; empty matches any host.
 	Host string
-	// Path is a literal path, or a pattern with {Name} segments and a final *.
+	// Path is a literal path, or a pattern with {Name} segments and a final *; empty for a rule
+	// with a Prefix.
 	Path string
+	// Prefix begins the paths to match, as a request states them. Only rules of a directory have
+	// it, for paths that cannot stand in Path.
+	Prefix string
 	// Method is the request method to match; empty matches any method.
 	Method string
 	// Service is the service that requests are routed to, or several weighted
-	// services in the form A:90,B:10.
+	// services in the form A:90,B:10, with names as EncodeName encodes them.
 	Service string
 	// Deadline is the time limit of the whole call; 0 means the gateway's default.
 	Deadline time.Duration
@@ -73,7 +77,17 @@
 // IsRoute reports whether the rule routes requests, as opposed to declaring a
 // service, a customer, the idle timeout or an evacuated zone.
 func (r Rule) IsRoute() bool {
-	return r.Path != ""
+	return r.Path != "" || r.Prefix != ""
+}
+
+// prefix returns the literal prefix of the paths that the rule matches, if it matches all paths
+// with one.
+func (r Rule) prefix() (string, bool) {
+	if r.Prefix != "" {
+		return r.Prefix, true
+	}
+	prefix, ok := strings.CutSuffix(r.Path, "/*")
+	return prefix + "/", ok && !strings.Contains(prefix, "{")
 }
 
 // ID identifies a rule across generations: two routing rules with the same ID
@@ -83,6 +97,8 @@
 	Host string
 	// Path is the rule's path, with the names of its parameters removed.
 	Path string
+	// Prefix is the rule's prefix.
+	Prefix string
 	// Method is the rule's method.
 	Method string
 	// Service is the service that the rule declares; empty for a routing rule.
@@ -102,7 +118,7 @@
 	if !r.IsRoute() {
 		return ID{Service: r.Service, Evacuate: r.Evacuate}
 	}
-	return ID{Host: r.Host, Path: stripParamNames(r.Path), Method: r.Method}
+	return ID{Host: r.Host, Path: stripParamNames(r.Path), Prefix: r.Prefix, Method: r.Method}
 }
 
 // stripParamNames replaces each {Name} segment with {}.
@@ -145,11 +161,12 @@
 			b.WriteString(name + "=" + value + " ")
 		}
 	}
-	field("Customer", r.Customer)
+	field("Customer", EncodeName(r.Customer))
 	field("Part", formatInt(r.Part))
 	field("Keys", r.Keys)
-	field("Host", r.Host)
+	field("Host", EncodeName(r.Host))
 	field("Path", r.Path)
+	field("Prefix", encode(r.Prefix, "/"))
 	field("Method", r.Method)
 	field("Service", r.Service)
 	field("Deadline", formatDuration(r.Deadline))
@@ -207,12 +224,25 @@
 	if r.Host != other.Host {
 		return compareOptional(r.Host, other.Host)
 	}
-	if c := comparePaths(r.Path, other.Path); c != 0 {
+	if c := comparePaths(r.pattern(), other.pattern()); c != 0 {
 		return c
 	}
 	return compareOptional(r.Method, other.Method)
 }
 
+// precedes reports whether r wins when both rules match.
+func (r Rule) precedes(other Rule) bool {
+	return r.compare(other) < 0
+}
+
+// pattern returns the Path, or a text with the precedence of the Prefix.
+func (r Rule) pattern() string {
+	if r.Prefix != "" {
+		return r.Prefix + "*"
+	}
+	return r.Path
+}
+
 // compareOptional sorts in descending order, which puts a stated value before an
 // empty one, and HEAD before GET.
 func compareOptional(a, b string) int {
--- a/internal/control/rule/split.go
+++ b/internal/control/rule/split.go
@@ -9,8 +9,8 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
-// maxWeight is the upper limit of the weight of one service.
-const maxWeight = 1e6
+// MaxWeight is the upper limit of the weight of one service.
+const MaxWeight = 1e6
 
 // WeightedService is one weighted service of a TrafficSplit.
 type WeightedService struct {
@@ -66,24 +66,32 @@
 	if r.Service == "" {
 		return nil
 	}
-	s, _ := parseSplit(r.Service)
-	return s.services
+	return r.trafficSplit().services
+}
+
+// trafficSplit returns the weighted services of the rule. The names that operators may write are
+// their own encoding.
+func (r Rule) trafficSplit() TrafficSplit {
+	s, _ := directoryFormat().parseSplit(r.Service)
+	return s
 }
 
 // parseSplit parses A, or A:90,B:10. A service without a weight must be the only one.
-func parseSplit(value string) (TrafficSplit, Problem) {
+func (f format) parseSplit(value string) (TrafficSplit, Problem) {
 	if !strings.Contains(value, ":") {
-		return TrafficSplit{services: []WeightedService{{Service: value, Weight: 1}}, total: 1}, checkService(value)
+		name, problem := f.parseService(value)
+		return TrafficSplit{services: []WeightedService{{Service: name, Weight: 1}}, total: 1}, problem
 	}
 	var s TrafficSplit
 	seen := make(map[string]bool)
 	for text := range strings.SplitSeq(value, ",") {
-		name, weight, _ := strings.Cut(text, ":")
-		if problem := checkService(name); problem.Code != code.OK {
+		encoded, weight, _ := strings.Cut(text, ":")
+		name, problem := f.parseService(encoded)
+		if problem.Code != code.OK {
 			return TrafficSplit{}, problem
 		}
 		w, err := strconv.ParseFloat(weight, 64)
-		if err != nil || math.IsNaN(w) || w < 0 || w > maxWeight || seen[name] {
+		if err != nil || math.IsNaN(w) || w < 0 || w > MaxWeight || seen[name] {
 			return TrafficSplit{}, problemf(code.RuleBadValue, "got Service=%s, want each service once, with its weight, such as A:90,B:10", value)
 		}
 		seen[name] = true
--- a/internal/control/rule/table.go
+++ b/internal/control/rule/table.go
@@ -20,6 +20,8 @@
 	File File
 
 	buckets map[bucketKey]*bucket
+	// prefixes finds the rules of a directory that match all paths with a prefix.
+	prefixes prefixIndex
 	// splits maps the values of Service to their parsed form.
 	splits map[string]TrafficSplit
 	// services maps service names to the rules that declare them.
@@ -84,7 +86,7 @@
 func (t *Table) Recompile(file File) *Table {
 	rules := make(map[bucketKey][]*Rule)
 	var customers []*Rule
-	next := &Table{File: file, splits: make(map[string]TrafficSplit), services: make(map[string]Rule)}
+	next := &Table{File: file, splits: make(map[string]TrafficSplit), services: make(map[string]Rule), prefixes: newPrefixIndex()}
 	for _, l := range file.lines {
 		if l.rule == nil {
 			continue
@@ -97,9 +99,12 @@
 			next.declare(*l.rule)
 			continue
 		}
+		next.splits[l.rule.Service] = l.rule.trafficSplit()
+		if file.directory && next.prefixes.add(l.rule) {
+			continue
+		}
 		k := keyOf(l.rule)
 		rules[k] = append(rules[k], l.rule)
-		next.splits[l.rule.Service], _ = parseSplit(l.rule.Service)
 	}
 	next.customers = t.customers.recompile(customers)
 	next.buckets = make(map[bucketKey]*bucket, len(rules))
@@ -119,7 +124,9 @@
 func (t *Table) declare(r Rule) {
 	switch {
 	case r.Service != "":
-		t.services[r.Service] = r
+		for _, declared := range r.Services() {
+			t.services[declared.Service] = r
+		}
 	case r.Evacuate != "":
 		t.evacuations = append(t.evacuations, mustardsaddle.Evacuation{Zone: r.Evacuate, Comment: r.Comment})
 	default:
@@ -206,6 +213,18 @@
 // .. segment matches no rule, because a server might resolve it to a path that the
 // rule does not cover.
 func (t *Table) Match(r *http.Request) (Rule, bool) {
+	found, ok := t.matchBuckets(r)
+	for byPrefix := range t.prefixes.matches(r) {
+		if !ok || byPrefix.precedes(found) {
+			return byPrefix, true
+		}
+		break
+	}
+	return found, ok
+}
+
+// matchBuckets returns the most specific rule in the buckets that matches the request.
+func (t *Table) matchBuckets(r *http.Request) (Rule, bool) {
 	if hasDotSegment(r.URL.Path) {
 		return Rule{}, false
 	}
--- a/internal/product/admin/metrics.go
+++ b/internal/product/admin/metrics.go
@@ -79,10 +79,10 @@
 }
 
 // sanitizeOptions returns the characters that are allowed: in names, those that
-// Prometheus accepts; in label values, also those in the names and addresses of VMs.
+// Prometheus accepts; in label values, also those in the addresses of VMs and in encoded names.
 func sanitizeOptions() *tally.SanitizeOptions {
 	name := tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: tally.UnderscoreCharacters}
-	value := tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: []rune{'_', '-', '.', ':', '/'}}
+	value := tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: []rune{'_', '-', '.', ':', '/', '%', '~'}}
 	return &tally.SanitizeOptions{
 		NameCharacters: name, KeyCharacters: name, ValueCharacters: value,
 		ReplacementCharacter: tally.DefaultReplacementCharacter,
--- a/internal/product/command/key.go
+++ b/internal/product/command/key.go
@@ -17,6 +17,9 @@
   mustardsaddle key < key.txt
   head -c 18 /dev/urandom | base64 | tee key.txt | mustardsaddle key`
 
+// maxKeyBytes is the maximum length of a key that an operator gives to a customer.
+const maxKeyBytes = 256
+
 type keyCommand struct {
 	cfg Config
 }
@@ -26,14 +29,20 @@
 	if err := NoArguments(args); err != nil {
 		return err
 	}
-	text, err := io.ReadAll(io.LimitReader(c.cfg.In, rule.MaxKeyBytes+3))
+	text, err := io.ReadAll(io.LimitReader(c.cfg.In, maxKeyBytes+3))
 	if err != nil {
 		return StatusErrorf(Failed, "can't read the key: %v", err)
 	}
-	digest, ok := rule.DigestKey(strings.TrimRight(string(text), "\r\n"))
-	if !ok {
-		return StatusErrorf(Usage, "got no key on standard input, want one line of up to %d visible ASCII characters", rule.MaxKeyBytes)
+	key := strings.TrimRight(string(text), "\r\n")
+	digest, ok := rule.DigestKey(key)
+	if !ok || len(key) > maxKeyBytes || strings.ContainsFunc(key, isInvisible) {
+		return StatusErrorf(Usage, "got no key on standard input, want one line of up to %d visible ASCII characters", maxKeyBytes)
 	}
 	_, _ = fmt.Fprintln(c.cfg.Out, digest)
 	return nil
 }
+
+// isInvisible reports whether a character is none of the visible ones of ASCII.
+func isInvisible(c rune) bool {
+	return c <= ' ' || c > '~'
+}
--- a/internal/request/admission/metrics.go
+++ b/internal/request/admission/metrics.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -54,11 +56,17 @@
 
 // leftZone counts an attempt that goes to a server of another availability zone.
 func (m *Metrics) leftZone(way spill.Way) {
-	m.scope.Tagged(map[string]string{"Zone": way.Zone, "Reason": way.Reason}).Counter("LeftZone").Inc(1)
+	m.scope.Tagged(map[string]string{"Zone": metricLabel(way.Zone), "Reason": way.Reason}).Counter("LeftZone").Inc(1)
+}
+
+// metricLabel returns any name as the value of a label, so that two names never share their
+// metrics: characters other than letters, digits and -_.~ are percent-encoded.
+func metricLabel(name string) string {
+	return strings.ReplaceAll(url.QueryEscape(name), "+", "%20")
 }
 
 func newMetrics(scope tally.Scope, service string) *Metrics {
-	s := scope.Tagged(map[string]string{"Service": service})
+	s := scope.Tagged(map[string]string{"Service": metricLabel(service)})
 	times := tally.MustMakeExponentialDurationBuckets(firstBucket, 2, buckets)
 	m := &Metrics{
 		Attempts: s.Counter("Attempts"),
--- a/internal/request/connection/idle.go
+++ b/internal/request/connection/idle.go
@@ -28,7 +28,7 @@
 	// newTimeout is how long a new connection is expected to bring its first request.
 	newTimeout = 500 * time.Millisecond
 	// MaxIdleTimeout bounds the idle timeout that the rules can set.
-	MaxIdleTimeout = time.Hour
+	MaxIdleTimeout = 24 * time.Hour
 	// ServerIdleTimeout exceeds every idle timeout with its margin. As
 	// http.Server.IdleTimeout it never takes effect before IdleCloser.
 	ServerIdleTimeout = MaxIdleTimeout + 2*idleTimeoutMargin
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -36,7 +36,7 @@
 	// Format is the version of Header.
 	Format = 1
 	// maxBytes bounds the length of Header.
-	maxBytes = 4096
+	maxBytes = 16 << 10
 	// maxAttempts bounds the numbers of attempts.
 	maxAttempts = 1 << 20
 	// usageDigits is the number of significant digits of the usage of a customer.
@@ -92,7 +92,7 @@
 		keyAttempt:     {c.Attempt},
 		keyService:     {c.Service},
 		keyGeneration:  {strconv.FormatInt(c.Generation, 10)},
-		keyLeft:        {strconv.FormatInt(max(c.Left.Milliseconds(), 1), 10)},
+		keyLeft:        {strconv.FormatInt(min(max(c.Left.Milliseconds(), 1), maxLeft.Milliseconds()), 10)},
 		keySent:        {strconv.Itoa(c.Sent)},
 		keyAttempts:    {strconv.Itoa(c.Attempts)},
 	}
--- a/machine.go
+++ b/machine.go
@@ -12,7 +12,7 @@
 
 const (
 	// MaxNameBytes is the largest size of a name, zone, service or address.
-	MaxNameBytes = 255
+	MaxNameBytes = 1024
 	// MaxSlots is the largest number of requests that a server may run concurrently.
 	MaxSlots = 4096
 	// MaxConnections is the largest number of connections that a server may accept.
--- a/server.go
+++ b/server.go
@@ -3,7 +3,7 @@
 import "time"
 
 // MaxWarmUp is the longest time for which a server may say that it is warming up.
-const MaxWarmUp = 10 * time.Minute
+const MaxWarmUp = 24 * time.Hour
 
 // Server is an endpoint server as listed in the roster. A Server is immutable.
 type Server struct {
