Forward the path of a request as its caller has written it

What servers saw: a request for /a%2Fb/{Name} arrived as /a/b/%7BName%7D, which is another path, and /{Name}, /a|b and /é re-encoded.

Cause: the outgoing request was built from the parsed URL. net/url writes the path as it was only if each of its characters may stand in one; else it encodes the decoded path anew, and an encoded slash becomes a separator. The query is kept as written.

Now the path of the request line is sent unless net/url writes the same, also to another gateway. Open: a path that begins with two slashes and has such a character, because net/url would write the scheme before it.

--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -173,6 +173,7 @@
 	}))
 	url := *c.r.URL
 	url.Scheme, url.Host = "http", a.assignment.Choice.Server.Address
+	url.Opaque = header.OpaquePath(c.r)
 	out.URL = &url
 	out.Host = c.r.Host
 	out.RequestURI = ""
