Bound what a gateway keeps of messages over all calls

Causes: a head may have 256 KiB in each attempt, and takes up to 40 times its text as parsed fields; headScanner copied each head at each read; a response of unknown length to a caller on HTTP/1.0 is kept as a whole, in a buffer that doubles and without a limit in time. Each call had its limit, all together none.

Now [Limits] BufferBytes bounds what all calls keep: heads beyond 16 KiB as they are parsed, whole responses beyond 32 KiB, which wait for memory until the deadline, and request bodies that may be sent again, which are streamed without it. What is small needs none of it. headScanner keeps one line of 256 bytes and the fields that matter. A whole response has to arrive by the deadline; before, a caller on HTTP/1.0 had no answer at all to one that comes slowly (TestSlowWholeResponseEndsByDeadline: none after 20 s).

--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -132,6 +132,7 @@
 	Progress    time.Duration
 	HeaderBytes int
 	BodyBytes   int64
+	BufferBytes int64
 	QueueLength int
 	LateLast    bool
 }
--- a/internal/product/admin/state.go
+++ b/internal/product/admin/state.go
@@ -56,6 +56,9 @@
 	// is restored from an older copy. StoreErasIgnored is the total of responses whose era
 	// could not be used.
 	StoreEra, StoreErasIgnored int64
+	// BufferedBytes is the memory in use for parts of messages that are kept, and BuffersRefused
+	// the total of times that there was too little.
+	BufferedBytes, BuffersRefused int64
 }
 
 // stateMetrics are the gauges and counters that show a State.
@@ -67,7 +70,8 @@
 	serversLimited, serversStatedLeaving, serversPaused, serversWarmingUp, servicesLost tally.Gauge
 	storeReads, storeWatches, storeWrites, storeFailures, storeUnsent                   tally.Counter
 	gatewaysCutOff, storeEra                                                            tally.Gauge
-	storeErasIgnored                                                                    tally.Counter
+	storeErasIgnored, buffersRefused                                                    tally.Counter
+	bufferedBytes                                                                       tally.Gauge
 	requestsSuspect, requestsQuarantined                                                tally.Gauge
 	zonesEvacuated, evacuatedInFlight                                                   tally.Gauge
 }
@@ -105,6 +109,8 @@
 		storeUnsent:          scope.Counter("StoreUnsent"),
 		storeEra:             scope.Gauge("StoreEra"),
 		storeErasIgnored:     scope.Counter("StoreErasIgnored"),
+		bufferedBytes:        scope.Gauge("BufferedBytes"),
+		buffersRefused:       scope.Counter("BuffersRefused"),
 	}
 }
 
@@ -146,6 +152,8 @@
 	m.storeUnsent.Inc(next.StoreUnsent - old.StoreUnsent)
 	m.storeEra.Update(float64(next.StoreEra))
 	m.storeErasIgnored.Inc(next.StoreErasIgnored - old.StoreErasIgnored)
+	m.bufferedBytes.Update(float64(next.BufferedBytes))
+	m.buffersRefused.Inc(next.BuffersRefused - old.BuffersRefused)
 }
 
 // ReportState updates the metrics page with the state at each interval until the
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -23,6 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/settings"
 	"mustardsaddle.example/mustardsaddle/internal/choice/bench"
@@ -86,6 +87,7 @@
 	self         mustardsaddle.VM
 	store        *store.Client
 	gateway      *gateway.Gateway
+	buffers      buffer.Budget
 	callerServer *http.Server
 	adminServer  *http.Server
 	peerServer   *http.Server
@@ -195,6 +197,7 @@
 
 func (in *instance) newGateway(seed uint64) *gateway.Gateway {
 	s := in.cfg.Settings
+	in.buffers = buffer.New(s.Limits.BufferBytes)
 	services := make(map[string]gateway.ServiceConfig)
 	for _, v := range s.Services() {
 		services[v.Name] = gateway.ServiceConfig{NotRunStatus: v.NotRunStatus, NotRunHeader: v.NotRunHeader}
@@ -204,6 +207,7 @@
 		Deadline:        s.Limits.Deadline,
 		ProgressTimeout: s.Limits.Progress,
 		MaxBodyBytes:    s.Limits.BodyBytes,
+		Buffers:         in.buffers,
 		Headers:         headerNames(s.Headers),
 		Services:        services,
 		Admission: admission.Options{
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -17,6 +17,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
+	"mustardsaddle.example/mustardsaddle/internal/request/forward"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
@@ -117,12 +118,12 @@
 		HeaderTimeout:  s.Limits.Progress,
 		Logger:         in.cfg.Logger,
 	})
-	in.adminServer = &http.Server{Handler: in.adminHandler(), ReadHeaderTimeout: s.Limits.Progress}
+	in.adminServer = &http.Server{Handler: in.adminHandler(), ReadHeaderTimeout: s.Limits.Progress, MaxHeaderBytes: s.Limits.HeaderBytes}
 	peers := mux.NewRouter()
 	in.links.Mount(peers)
 	in.quotas.Mount(peers)
 	in.peerServer = &http.Server{
-		Handler: in.peerHandler(peers), ReadHeaderTimeout: s.Limits.Progress,
+		Handler: in.peerHandler(peers), ReadHeaderTimeout: s.Limits.Progress, MaxHeaderBytes: s.Limits.HeaderBytes + forward.MaxBytes,
 		BaseContext: in.gateway.BaseContext, ConnContext: connection.Context,
 	}
 	serveErrors := make(chan error, 4)
@@ -132,7 +133,7 @@
 	gateways := connection.NewErrorListener(l.peer, in.cfg.Logger)
 	go func() { serveErrors <- in.peerServer.Serve(gateways) }()
 	if l.metrics != nil {
-		in.metricsServer = &http.Server{Handler: in.metricsHandler(), ReadHeaderTimeout: s.Limits.Progress}
+		in.metricsServer = &http.Server{Handler: in.metricsHandler(), ReadHeaderTimeout: s.Limits.Progress, MaxHeaderBytes: s.Limits.HeaderBytes}
 		go func() { serveErrors <- in.metricsServer.Serve(l.metrics) }()
 	}
 	return serveErrors
@@ -242,6 +243,8 @@
 		StoreFailures:        storeCalls.Failures,
 		StoreUnsent:          storeCalls.OverBudget + storeCalls.BackedOff + storeCalls.StatusDropped,
 	}
+	buffers := in.buffers.Stats()
+	s.BufferedBytes, s.BuffersRefused = buffers.Used, buffers.Refused
 	if in.catalog != nil {
 		s.StoreEra, s.StoreErasIgnored = in.catalog.Eras()
 	}
--- a/internal/request/connection/connection_test.go
+++ b/internal/request/connection/connection_test.go
@@ -25,7 +25,7 @@
 func TestBlockedWrites(t *testing.T) {
 	convey.Convey("Given a counted connection with one write", t, func() {
 		near, far := pair(t)
-		c := connection.NewCountedConn(near, nil)
+		c := connection.NewCountedConn(near, connection.CountedConfig{})
 		read := make(chan byte, 2)
 		go func() {
 			b := make([]byte, 1)
--- a/internal/request/connection/counted.go
+++ b/internal/request/connection/counted.go
@@ -1,12 +1,14 @@
 package connection
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
@@ -15,22 +17,50 @@
 // could be given by mistake it reads as closed.
 type CountedConn struct {
 	net.Conn
+	cfg   CountedConfig
 	reads atomic.Int64
-	// last reports whether a response has to be the last one on its connection; nil for none.
-	last  func(status int, h http.Header) bool
 	ended atomic.Bool
 
 	mu            sync.Mutex
 	writes        int64
 	writesBlocked bool
 	scanner       headScanner
+	// held is the memory taken from cfg.Heads for the headers of the present response. None is
+	// taken once the connection is closed.
+	held   int64
+	closed bool
 }
 
-// NewCountedConn returns a connection whose counts are zero. If last is not nil, it decides
-// from the status and the header of each response whether no request may follow on the
-// connection.
-func NewCountedConn(c net.Conn, last func(status int, h http.Header) bool) *CountedConn {
-	return &CountedConn{Conn: c, last: last}
+// CountedConfig configures a CountedConn.
+type CountedConfig struct {
+	// Last reports, from the status and the LastFields of a response other than a success, whether
+	// no request may follow on its connection; nil allows all.
+	Last func(status int, h http.Header) bool
+	// LastFields are the names of the fields that Last reads.
+	LastFields []string
+	// Heads bounds the memory for the headers of responses; nil means no bound.
+	Heads *buffer.Pool
+}
+
+const (
+	// freeHeadBytes is the memory that the header of each response may take without a budget.
+	freeHeadBytes = 16 << 10
+	// headStepBytes is the memory that is taken from the budget at a time.
+	headStepBytes = 16 << 10
+)
+
+// errHeadMemory ends a connection whose response has a large header while others use up the budget.
+var errHeadMemory = errors.New("read response header: the memory for large headers is used up")
+
+// NewCountedConn returns a connection whose counts are zero.
+func NewCountedConn(c net.Conn, cfg CountedConfig) *CountedConn {
+	counted := &CountedConn{Conn: c, cfg: cfg}
+	counted.scanner.fields = make(map[string]bool, len(cfg.LastFields))
+	for _, name := range cfg.LastFields {
+		counted.scanner.fields[http.CanonicalHeaderKey(name)] = true
+	}
+	counted.scanner.await()
+	return counted
 }
 
 // BeginRequest must be called before each request on the connection. It reports whether the
@@ -39,9 +69,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scanner.await()
+	c.returnHeads()
 	return !c.ended.Load()
 }
 
+// Close closes the connection.
+func (c *CountedConn) Close() error {
+	c.mu.Lock()
+	c.returnHeads()
+	c.closed = true
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// returnHeads returns the memory of headers that are no longer used. The caller holds mu.
+func (c *CountedConn) returnHeads() {
+	c.cfg.Heads.Return(c.held)
+	c.held = 0
+}
+
 // Write writes to the connection, or fails after BlockWrites.
 func (c *CountedConn) Write(p []byte) (int, error) {
 	if !c.countWrite() {
@@ -70,21 +116,30 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.reads.Add(1)
-		c.scan(p[:n])
+		if scanErr := c.scan(p[:n]); scanErr != nil {
+			return 0, scanErr
+		}
 	}
 	return n, err
 }
 
-// scan ends the connection after a response that has to be the last one.
-func (c *CountedConn) scan(p []byte) {
-	if c.last == nil {
-		return
-	}
+// scan ends the connection after a response that has to be the last one. It returns an error if
+// the budget has too little memory for a header.
+func (c *CountedConn) scan(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if status, h, found := c.scanner.scan(p); found && h != nil && c.last(status, h) {
+	status, h, found := c.scanner.scan(p)
+	for c.scanner.memory() > freeHeadBytes+c.held {
+		if c.closed || !c.cfg.Heads.TryTake(headStepBytes) {
+			c.ended.Store(true)
+			return errHeadMemory
+		}
+		c.held += headStepBytes
+	}
+	if found && h != nil && c.cfg.Last != nil && c.cfg.Last(status, h) {
 		c.ended.Store(true)
 	}
+	return nil
 }
 
 // Writes returns the number of writes so far.
--- a/internal/request/connection/head.go
+++ b/internal/request/connection/head.go
@@ -4,73 +4,135 @@
 	"bytes"
 	"net/http"
 	"net/textproto"
-	"slices"
 	"strconv"
 )
 
-// headScanner finds the header of the response to each request on a connection.
+const (
+	// maxLineBytes is the part of a line of a header that is read: a name, and the beginning of a
+	// value.
+	maxLineBytes = 256
+	// parsedFieldBytes is the memory for a field of a parsed header, beside its text.
+	parsedFieldBytes = 256
+	// textCopies is how often the text of a header is kept: as it is parsed, and as it is sent on.
+	textCopies = 2
+)
+
+// headScanner finds the header of the response to each request on a connection. It keeps one
+// line, and the fields that matter.
 type headScanner struct {
-	// awaited is true while the header of a response is awaited, and head the part of it that
-	// earlier reads have returned.
+	// fields are the names, in canonical form, of the fields that matter.
+	fields map[string]bool
+	// awaited is true while the header of a response is awaited.
 	awaited bool
-	head    []byte
+	// line is the beginning of the present line, and cut is true if it is not the whole line.
+	line []byte
+	cut  bool
+	// size is the size of the present header up to now, in bytes.
+	size int
+	// status is that of the present header, once its first line is complete.
+	status   int
+	statusOK bool
+	found    http.Header
+	// bytes and lines count what was scanned for the present request, informational responses
+	// included.
+	bytes, lines int
 }
 
 // await begins to scan for the header of the response to a request.
 func (s *headScanner) await() {
-	s.awaited, s.head = true, nil
+	*s = headScanner{fields: s.fields, line: s.line[:0], awaited: true}
+}
+
+// memory returns the memory, in bytes, that the headers take which were scanned for the present
+// request.
+func (s *headScanner) memory() int64 {
+	return int64(textCopies*s.bytes + parsedFieldBytes*s.lines)
 }
 
-// scan scans what was read from the connection. It returns true with the status and the
-// header of a response when they are complete. Informational responses are passed over, and
-// the header of a successful response is not parsed. A longer header than the transport
-// accepts is not scanned to its end.
+// scan scans what was read from the connection. It returns true with the status of a response when
+// its header is complete, and the fields that matter unless it is a success. Informational responses
+// are passed over.
+// A longer header than the transport accepts is not scanned to its end.
 func (s *headScanner) scan(p []byte) (status int, h http.Header, found bool) {
-	if !s.awaited {
-		return 0, nil, false
-	}
-	rest := p
-	if len(s.head) > 0 {
-		rest = slices.Concat(s.head, p)
-	}
-	for {
-		n := headSize(rest)
-		if n == 0 {
-			s.awaited = len(rest) <= maxResponseHeaderBytes
-			s.head = bytes.Clone(rest)
-			return 0, nil, false
+	for s.awaited && len(p) > 0 {
+		n := bytes.IndexByte(p, '\n') + 1
+		ends := n > 0
+		if !ends {
+			n = len(p)
 		}
-		status := headStatus(rest[:n])
-		if status >= http.StatusOK || status == 0 {
-			s.awaited, s.head = false, nil
-			if status >= http.StatusMultipleChoices {
-				h = parseFields(rest[:n])
-			}
-			return status, h, true
+		s.add(p[:n])
+		p = p[n:]
+		if ends && s.endLine() && s.end() {
+			return s.status, s.found, true
 		}
-		rest = rest[n:]
 	}
+	return 0, nil, false
 }
 
-// headSize returns the size of a header with the empty line after it, or 0 if it is not
-// complete.
-func headSize(b []byte) int {
-	for at := 0; ; {
-		n := bytes.IndexByte(b[at:], '\n')
-		if n < 0 {
-			return 0
-		}
-		line := bytes.TrimSuffix(b[at:at+n], []byte("\r"))
-		at += n + 1
-		if len(line) == 0 && at > 2 {
-			return at
+// add adds a part of a line.
+func (s *headScanner) add(p []byte) {
+	kept := p[:min(len(p), maxLineBytes-len(s.line))]
+	s.line = append(s.line, kept...)
+	s.cut = s.cut || len(kept) < len(p)
+	s.size += len(p)
+	s.bytes += len(p)
+	s.awaited = s.bytes <= maxResponseHeaderBytes
+}
+
+// endLine processes a complete line. It returns true for the empty one at the end of a header.
+func (s *headScanner) endLine() bool {
+	line := bytes.TrimSuffix(bytes.TrimSuffix(s.line, []byte("\n")), []byte("\r"))
+	cut := s.cut
+	s.line, s.cut = s.line[:0], false
+	s.lines++
+	// An empty first line may precede a header.
+	const emptyLineBytes = 2
+	switch {
+	case len(line) == 0:
+		return s.size > emptyLineBytes
+	case !s.statusOK:
+		s.status, s.statusOK = lineStatus(line), true
+		if s.status >= http.StatusMultipleChoices {
+			s.found = make(http.Header)
 		}
+	case s.found != nil:
+		s.addField(line, cut)
+	}
+	return false
+}
+
+// end ends a header. It returns true unless the response is informational.
+func (s *headScanner) end() bool {
+	if s.status >= http.StatusOK || s.status == 0 {
+		s.awaited = false
+		return true
 	}
+	s.size, s.status, s.statusOK = 0, 0, false
+	return false
 }
 
-// headStatus returns the status of a response, or 0 if it cannot be read.
-func headStatus(head []byte) int {
-	line, _, _ := bytes.Cut(head, []byte("\n"))
+// cutValue stands for a value that begins behind the part of a line that is read.
+const cutValue = "..."
+
+// addField keeps a field that matters. A long value is cut.
+func (s *headScanner) addField(line []byte, cut bool) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok {
+		return
+	}
+	canonical := textproto.CanonicalMIMEHeaderKey(string(name))
+	if !s.fields[canonical] {
+		return
+	}
+	text := string(bytes.TrimSpace(value))
+	if text == "" && cut {
+		text = cutValue
+	}
+	s.found.Add(canonical, text)
+}
+
+// lineStatus returns the status in the first line of a header, or 0 if it has none.
+func lineStatus(line []byte) int {
 	words := bytes.Fields(line)
 	if len(words) < 2 {
 		return 0
@@ -81,14 +143,3 @@
 	}
 	return status
 }
-
-// parseFields returns the fields of a header.
-func parseFields(head []byte) http.Header {
-	h := make(http.Header)
-	for line := range bytes.Lines(head) {
-		if name, value, ok := bytes.Cut(line, []byte(":")); ok {
-			h.Add(textproto.CanonicalMIMEHeaderKey(string(name)), string(bytes.TrimSpace(value)))
-		}
-	}
-	return h
-}
--- a/internal/request/connection/idle.go
+++ b/internal/request/connection/idle.go
@@ -8,7 +8,7 @@
 //	idle := connection.NewIdleCloser(timeout)
 //	server := &http.Server{ConnState: idle.StateChanged, IdleTimeout: connection.ServerIdleTimeout}
 //
-//	c := connection.NewCountedConn(conn, nil)
+//	c := connection.NewCountedConn(conn, connection.CountedConfig{})
 //	before := c.Writes()
 //	...
 //	nothingSent := c.BlockWrites() == before
--- a/internal/request/connection/transport.go
+++ b/internal/request/connection/transport.go
@@ -34,9 +34,8 @@
 	// Reuse enables HTTP keep-alive. Without it each request has a connection of its
 	// own, and so cannot fail on a stale or unresponsive one.
 	Reuse bool
-	// Last reports, from the status and the header of a response other than a success, whether
-	// no request may follow on its connection; nil allows all.
-	Last func(status int, h http.Header) bool
+	// Counted configures the connections.
+	Counted CountedConfig
 	// Dial opens connections; nil means a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -55,7 +54,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return NewCountedConn(c, cfg.Last), nil
+			return NewCountedConn(c, cfg.Counted), nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      !cfg.Reuse,
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -35,8 +35,8 @@
 	SentHeader = "Mustardsaddle-Sent"
 	// Format is the version of Header.
 	Format = 1
-	// maxBytes bounds the length of Header.
-	maxBytes = 16 << 10
+	// MaxBytes bounds the length of Header.
+	MaxBytes = 16 << 10
 	// maxAttempts bounds the numbers of attempts.
 	maxAttempts = 1 << 20
 	// usageDigits is the number of significant digits of the usage of a customer.
@@ -106,8 +106,8 @@
 // Parse parses the value of Header. The error has code.PeerNewerFormat for a newer format
 // and code.PeerBadMessage for any other value that is malformed.
 func Parse(text string) (Call, error) {
-	if len(text) > maxBytes {
-		return Call{}, code.Errorf(code.PeerBadMessage, "header %s: got %d bytes, want at most %d", Header, len(text), maxBytes)
+	if len(text) > MaxBytes {
+		return Call{}, code.Errorf(code.PeerBadMessage, "header %s: got %d bytes, want at most %d", Header, len(text), MaxBytes)
 	}
 	values, err := url.ParseQuery(text)
 	if err != nil {
--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -22,8 +22,8 @@
 )
 
 // requestBody is the body of a caller's request. A small body of known length is
-// buffered, so that every attempt can send it. Any other body is streamed, and only
-// one attempt can send it.
+// buffered, so that every attempt can send it, if there is memory for it. Any other body is
+// streamed, and only one attempt can send it.
 type requestBody struct {
 	c     *call
 	empty bool
@@ -50,7 +50,15 @@
 	r, cfg := b.c.r, b.c.g.cfg
 	b.remaining = cfg.MaxBodyBytes
 	b.empty = r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0
-	b.replayable = !b.empty && r.ContentLength > 0 && r.ContentLength <= cfg.MaxReplayBytes && r.Header["Expect"] == nil
+	b.replayable = !b.empty && r.ContentLength > 0 && r.ContentLength <= cfg.MaxReplayBytes && r.Header["Expect"] == nil &&
+		cfg.Buffers.Requests.TryTake(r.ContentLength)
+}
+
+// release returns the memory of a body that was buffered.
+func (b *requestBody) release() {
+	if b.replayable {
+		b.c.g.cfg.Buffers.Requests.Return(b.c.r.ContentLength)
+	}
 }
 
 // bufferLimit returns the time until which a body that is buffered must have arrived.
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -159,6 +159,7 @@
 // end releases the call.
 func (c *call) end() {
 	c.timer.Stop()
+	c.body.release()
 	if !c.settled && c.endedByStop() {
 		c.g.stop.ended.Add(1)
 	}
--- a/internal/request/gateway/classify.go
+++ b/internal/request/gateway/classify.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
@@ -111,3 +112,12 @@
 	named := h.Get(header.Attempt) != "" || cfg.Headers.RequestID != "" && h.Get(cfg.Headers.RequestID) != ""
 	return notRun && !named
 }
+
+// refusalFields returns the names of the fields that isUnnamedRefusal reads.
+func (cfg Config) refusalFields() []string {
+	fields := []string{header.Attempt, cfg.Headers.RequestID, cfg.Headers.NotRun}
+	for _, s := range cfg.Services {
+		fields = append(fields, s.NotRunHeader)
+	}
+	return slices.DeleteFunc(fields, func(name string) bool { return name == "" })
+}
--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -56,7 +56,9 @@
 }
 
 func newPeerTransports(cfg Config) peerTransports {
-	t := connection.TransportConfig{DialTimeout: forwardDialTimeout, IdleTimeout: cfg.IdleTimeout, Reuse: true}
+	t := connection.TransportConfig{
+		DialTimeout: forwardDialTimeout, IdleTimeout: cfg.IdleTimeout, Reuse: true, Counted: connection.CountedConfig{Heads: cfg.Buffers.Heads},
+	}
 	pooled := connection.NewTransport(t)
 	t.Reuse = false
 	return peerTransports{pooled: pooled, unpooled: connection.NewTransport(t)}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -51,6 +51,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
 	"mustardsaddle.example/mustardsaddle/internal/choice/report"
 	"mustardsaddle.example/mustardsaddle/internal/choice/statement"
@@ -73,6 +74,7 @@
 	defaultMaxAttempts     = 3
 	defaultDialTimeout     = time.Second
 	defaultIdleTimeout     = 15 * time.Second
+	defaultBufferBytes     = 32 << 20
 )
 
 // ServiceConfig declares how the servers of a service report a request that they did
@@ -105,6 +107,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an idle connection to a server is kept.
 	IdleTimeout time.Duration
+	// Buffers bounds the memory for parts of messages that are kept; the zero value means 32 MiB.
+	Buffers buffer.Budget
 	// Headers configures the headers exchanged with callers and servers; nil means the
 	// project's own names.
 	Headers *mustardsaddle.Headers
@@ -149,6 +153,9 @@
 	setDefault(&cfg.DialTimeout, defaultDialTimeout)
 	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
 	setDefault(&cfg.MaxRulesAge, defaultMaxRulesAge)
+	if cfg.Buffers == (buffer.Budget{}) {
+		cfg.Buffers = buffer.New(defaultBufferBytes)
+	}
 	if cfg.Headers == nil {
 		cfg.Headers = &mustardsaddle.Headers{
 			Deadline: header.Deadline, Load: report.Header, ParseLoad: report.Parse,
@@ -164,7 +171,8 @@
 // transport returns a transport for connections to servers.
 func (cfg Config) transport(reuse bool) *http.Transport {
 	return connection.NewTransport(connection.TransportConfig{
-		DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.IdleTimeout, Reuse: reuse, Last: cfg.isUnnamedRefusal, Dial: cfg.DialServer,
+		DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.IdleTimeout, Reuse: reuse, Dial: cfg.DialServer,
+		Counted: connection.CountedConfig{Last: cfg.isUnnamedRefusal, LastFields: cfg.refusalFields(), Heads: cfg.Buffers.Heads},
 	})
 }
 
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -1,11 +1,8 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -13,7 +10,6 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
-	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
 )
 
 // copyBufferBytes is the size of the buffers for bodies. A response body that fits
@@ -21,9 +17,6 @@
 // still answered with a code.
 const copyBufferBytes = 32 << 10
 
-// maxWholeBytes bounds the size of a response of unknown length to a caller on HTTP/1.0.
-const maxWholeBytes = 1 << 20
-
 // relay sends the server's response to the caller. If the response is incomplete,
 // the caller's connection is aborted, so that a truncated body is never taken for a
 // complete one.
@@ -45,7 +38,7 @@
 		c.relayBuffered(h, a, src, buf[:a.resp.ContentLength])
 		return
 	case a.resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1):
-		c.relayWhole(h, a, src)
+		c.relayWhole(h, a, src, buf)
 		return
 	}
 	c.relayHeader(h, a)
@@ -69,11 +62,7 @@
 	_, err := io.ReadFull(src, buf)
 	timer.Stop()
 	if err != nil {
-		refused := &refusal.Refusal{Code: code.CallBroken, Outcome: mustardsaddle.Unknown, RetryAfter: c.match.controller.RetryAfter(time.Now())}
-		if errors.Is(context.Cause(src.attempt.ctx), errDeadline) {
-			refused.Code = code.CallDeadline
-		}
-		c.refuse(refused)
+		c.refuse(c.brokenRefusal(src.attempt))
 		return
 	}
 	c.relayHeader(h, a)
@@ -119,24 +108,6 @@
 	return c.r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// relayWhole reads a response of unknown length completely before it is sent, with its length.
-// To a caller on HTTP/1.0 only the close of the connection could mark the end of a body
-// without one, and a body that is cut would look complete.
-func (c *call) relayWhole(h http.Header, a *attempt, src *bodySource) {
-	body, err := io.ReadAll(io.LimitReader(src, maxWholeBytes+1))
-	if err != nil || len(body) > maxWholeBytes {
-		c.refuse(&refusal.Refusal{Code: code.CallBroken, Outcome: mustardsaddle.Unknown})
-		return
-	}
-	c.relayHeader(h, a)
-	delete(h, "Trailer")
-	h["Content-Length"] = []string{strconv.Itoa(len(body))}
-	c.g.extendWriteDeadline(c.w)
-	c.w.WriteHeader(a.resp.StatusCode)
-	_, _ = c.w.Write(body)
-	c.logResult(src.attempt, int64(len(body)))
-}
-
 // copyBody copies the body through one buffer, and flushes after each write if it
 // is a stream.
 func (c *call) copyBody(src *bodySource, buf []byte, stream bool) (int64, error) {
