Bound what a gateway keeps of its store, its peers and HTTP/2 callers

A store that sends header fields without end took 157 MiB of a gateway's memory, one that sends a body 159; eight faulty gateways that send chunks 151.

Cause: the clients of the store and of the peers accepted a head of 10 MiB, the default of net/http, and read any number of bodies of up to 4 MiB at once into a buffer that doubles. On links any number of messages of 4 MiB could arrive at once, also as the first one of an unknown peer. By reading, not shown: HTTP/2 callers may fill 1 MiB of a connection that nobody reads.

Now heads have 64 and 16 KiB, large bodies of the store and large messages are read two at a time, the first message of a link has 64 KiB, and those about quotas beyond 4 KiB share 4 MiB. HTTP/2 callers have 64 KiB in a stream and 256 KiB in a connection.

--- a/internal/control/store/call.go
+++ b/internal/control/store/call.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"cmp"
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
@@ -99,13 +100,13 @@
 		return Response{}, code.Wrapf(code.StoreUnavailable, err, "%s %s", q.Method, q.Path)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(q.MaxBytes)+1))
+	body, err := buffer.ReadLimits{MaxBytes: int64(q.MaxBytes), FreeBytes: freeBodyBytes, Large: c.core.largeBodies}.Read(ctx, resp.Body)
+	if errors.Is(err, buffer.ErrTooLarge) {
+		return Response{}, code.Errorf(code.StoreTooLarge, "%s %s: response is larger than %d bytes", q.Method, q.Path, q.MaxBytes)
+	}
 	if err != nil {
 		return Response{}, code.Wrapf(code.StoreUnavailable, err, "%s %s", q.Method, q.Path)
 	}
-	if len(body) > q.MaxBytes {
-		return Response{}, code.Errorf(code.StoreTooLarge, "%s %s: response is larger than %d bytes", q.Method, q.Path, q.MaxBytes)
-	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
--- a/internal/control/store/client.go
+++ b/internal/control/store/client.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
@@ -42,6 +43,12 @@
 	failuresToOpen = 3
 	// maxConnections is the maximum number of connections to the platform.
 	maxConnections = 16
+	// maxResponseHeaderBytes bounds the header of a response.
+	maxResponseHeaderBytes = 64 << 10
+	// freeBodyBytes is the size up to which any number of responses may be read at once, and
+	// largeBodyBytes the memory for larger ones. It suffices for two of the largest.
+	freeBodyBytes  = 256 << 10
+	largeBodyBytes = 8 << 20
 )
 
 // Config configures a Client.
@@ -95,6 +102,8 @@
 	breaker *Breaker
 	budget  *Budget
 	stats   Stats
+	// largeBodies is the memory for large responses while they are read.
+	largeBodies *buffer.Pool
 }
 
 var _ mustardsaddle.Store = (*Client)(nil)
@@ -103,12 +112,16 @@
 func New(cfg Config) *Client {
 	cfg = cfg.withDefaults()
 	return &Client{
-		cfg:  cfg,
-		http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections}},
+		cfg: cfg,
+		http: &http.Client{Transport: &http.Transport{
+			MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		}},
 		core: &core{
 			rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
 			breaker: NewBreaker(failuresToOpen, cfg.Backoff),
 			budget:  NewBudget(cfg.Rates, cfg.Fleet),
+
+			largeBodies: buffer.NewPool(largeBodyBytes),
 		},
 	}
 }
--- a/internal/peer/grant/codec.go
+++ b/internal/peer/grant/codec.go
@@ -1,6 +1,9 @@
 package grant
 
 import (
+	"context"
+
+	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
@@ -9,6 +12,10 @@
 const (
 	// maxMessageBytes bounds the size of a message.
 	maxMessageBytes = 96 << 10
+	// freeMessageBytes is the size up to which any number of messages may be read at once, and
+	// largeMessageBytes the memory for larger ones.
+	freeMessageBytes  = 4 << 10
+	largeMessageBytes = 4 << 20
 	// maxNestedLevels bounds the nesting of a message, and maxElements its arrays.
 	maxNestedLevels = 4
 	maxElements     = 64
@@ -45,3 +52,12 @@
 	}
 	return nil
 }
+
+// read reads a message.
+func (q *Quotas) read(ctx context.Context, ws *websocket.Conn) ([]byte, error) {
+	_, r, err := ws.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return q.reads.Read(ctx, r)
+}
--- a/internal/peer/grant/conn.go
+++ b/internal/peer/grant/conn.go
@@ -100,7 +100,7 @@
 // receive handles replies until the connection ends.
 func (c *conn) receive(ctx context.Context, ws *websocket.Conn) {
 	for {
-		_, b, err := ws.Read(ctx)
+		b, err := c.owner.read(ctx, ws)
 		if err != nil {
 			return
 		}
--- a/internal/peer/grant/grant.go
+++ b/internal/peer/grant/grant.go
@@ -28,6 +28,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
@@ -47,6 +48,8 @@
 	maxReports     = 20
 	// maxInbound bounds the connections that peers may open.
 	maxInbound = 2048
+	// maxResponseHeaderBytes bounds the response header of a peer.
+	maxResponseHeaderBytes = 16 << 10
 )
 
 // Desk decides about quotas. Package allowance describes the methods. Calls are serialized.
@@ -108,6 +111,8 @@
 	mu   sync.Mutex
 	desk Desk
 	rng  *rand.Rand
+	// reads bounds the messages that are read.
+	reads buffer.ReadLimits
 	// waiters holds, for each customer with waiting calls, a channel that is closed when they
 	// have to take again.
 	waiters map[string]chan struct{}
@@ -133,9 +138,10 @@
 	base, stop := context.WithCancel(context.Background())
 	return &Quotas{
 		base: base, stop: stop, cfg: cfg, codec: newCodec(), metrics: newMetrics(cfg.Metrics), desk: cfg.Desk,
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
 		wake:   make(chan struct{}, 1), ends: make(chan *conn),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
+		reads:   buffer.ReadLimits{MaxBytes: maxMessageBytes, FreeBytes: freeMessageBytes, Large: buffer.NewPool(largeMessageBytes)},
 		waiters: make(map[string]chan struct{}), conns: make(map[string]*conn), inbound: make(map[string]int),
 	}
 }
--- a/internal/peer/grant/serve.go
+++ b/internal/peer/grant/serve.go
@@ -9,6 +9,7 @@
 	"github.com/coder/websocket"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
@@ -92,9 +93,9 @@
 func (q *Quotas) readAsk(ctx context.Context, ws *websocket.Conn) (mustardsaddle.QuotaAsk, error) {
 	ctx, cancel := context.WithTimeout(ctx, idleTimeout)
 	defer cancel()
-	_, b, err := ws.Read(ctx)
+	b, err := q.read(ctx, ws)
 	if err != nil {
-		if errors.Is(err, websocket.ErrMessageTooBig) {
+		if errors.Is(err, websocket.ErrMessageTooBig) || errors.Is(err, buffer.ErrTooLarge) {
 			return mustardsaddle.QuotaAsk{}, code.Wrapf(code.PeerBadMessage, err, "read ask about quotas")
 		}
 		return mustardsaddle.QuotaAsk{}, code.Wrapf(code.PeerUnavailable, err, "read ask about quotas")
--- a/internal/peer/link/conn.go
+++ b/internal/peer/link/conn.go
@@ -13,6 +13,17 @@
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 )
 
+const (
+	// maxResponseHeaderBytes bounds the response header of a peer, and maxHelloBytes its first
+	// message.
+	maxResponseHeaderBytes = 16 << 10
+	maxHelloBytes          = 64 << 10
+	// freeMessageBytes is the size up to which any number of messages may be read at once, and
+	// largeMessageBytes the memory for larger ones. It suffices for two of the largest.
+	freeMessageBytes  = 512 << 10
+	largeMessageBytes = 2 * news.MaxBytes
+)
+
 // link is a connection to a peer after the handshake.
 type link struct {
 	owner *Links
@@ -30,7 +41,7 @@
 func (l *Links) handshake(ctx context.Context, conn *websocket.Conn, dialed bool) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.timing.SilenceTimeout)
 	defer cancel()
-	conn.SetReadLimit(news.MaxBytes)
+	conn.SetReadLimit(maxHelloBytes)
 	if err := l.writeMessage(ctx, conn, news.Hello{VM: l.cfg.Self, Summary: l.cfg.Summary()}); err != nil {
 		return nil, err
 	}
@@ -45,6 +56,7 @@
 	if hello.VM.Name == l.cfg.Self.Name {
 		return nil, code.Errorf(code.PeerBadMessage, "peer has the name of this gateway, %q", hello.VM.Name)
 	}
+	conn.SetReadLimit(news.MaxBytes)
 	id := linkID{incarnation: hello.VM.Incarnation, dialer: hello.VM.Name}
 	if dialed {
 		id.dialer = l.cfg.Self.Name
@@ -75,7 +87,11 @@
 // readMessage receives and decodes one message. It also reports whether a frame was
 // received, which is true even if the frame does not decode.
 func (l *Links) readMessage(ctx context.Context, conn *websocket.Conn) (news.Message, bool, error) {
-	_, b, err := conn.Read(ctx)
+	_, r, err := conn.Reader(ctx)
+	if err != nil {
+		return nil, false, code.Wrapf(code.PeerUnavailable, err, "read from peer")
+	}
+	b, err := l.reads.Read(ctx, r)
 	if err != nil {
 		return nil, false, code.Wrapf(code.PeerUnavailable, err, "read from peer")
 	}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -36,6 +36,7 @@
 	"github.com/rs/zerolog"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
@@ -104,6 +105,8 @@
 	codec  *news.Codec
 	client *http.Client
 	counts counters
+	// reads bounds the messages that are read.
+	reads buffer.ReadLimits
 	// inboundConns counts the open connections that peers dialed, including those
 	// whose handshake is not complete.
 	inboundConns atomic.Int64
@@ -134,7 +137,8 @@
 		cfg:             cfg,
 		timing:          cfg.Timing.withDefaults(),
 		codec:           news.NewCodec(),
-		client:          &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}},
+		reads:           buffer.ReadLimits{MaxBytes: news.MaxBytes, FreeBytes: freeMessageBytes, Large: buffer.NewPool(largeMessageBytes)},
+		client:          &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
 		neighborUpdates: make(chan []mustardsaddle.VM, 1),
 		acceptedConns:   make(chan acceptedConn),
 		stopped:         make(chan struct{}),
--- a/internal/request/gateway/server.go
+++ b/internal/request/gateway/server.go
@@ -16,6 +16,10 @@
 	defaultHeaderTimeout     = 10 * time.Second
 	defaultCallerIdleTimeout = 60 * time.Second
 	maxConcurrentStreams     = 250
+	// streamBufferBytes and connectionBufferBytes bound what is received of requests of HTTP/2
+	// before it is read.
+	streamBufferBytes     = 64 << 10
+	connectionBufferBytes = 256 << 10
 )
 
 // ServerConfig configures the HTTP server for callers. A zero value means the
@@ -51,8 +55,12 @@
 		ConnContext:       connection.Context,
 		ConnState:         idle.StateChanged,
 		Protocols:         protocols,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
-		ErrorLog:          log.New(cfg.Logger, "", 0),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxConcurrentStreams,
+			MaxReceiveBufferPerStream:     streamBufferBytes,
+			MaxReceiveBufferPerConnection: connectionBufferBytes,
+		},
+		ErrorLog: log.New(cfg.Logger, "", 0),
 	}
 }
 
