Let a repeated signal end no call

At a second SIGTERM, as two rolls that overlap send it, each booking that the gateway had passed on got 502 while its server worked at it, 5.6 s before the end of the grace period.

Cause: the second signal of any kind ended all calls, as a fast stop by hand. Ruled out: the drain and the grace period, which end no call early with one signal.

Now signals after the first change nothing but a log line. Only the end of the grace period and SIGKILL end a call, and there is no other fast stop.

--- a/cmd/mustardsaddle/main.go
+++ b/cmd/mustardsaddle/main.go
@@ -28,19 +28,17 @@
 
 func run() command.Status {
 	debug.SetGCPercent(gcPercent)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
-	hangup := make(chan os.Signal, 1)
+	// The signals stay caught until the process exits.
+	stop, hangup := make(chan os.Signal, 2), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	ctx, abort := command.StopSignals(context.Background(), signals)
 	serve := func(ctx context.Context, g command.GatewayConfig) error {
-		cfg := instance.Config{Settings: g.Settings, Reloads: g.Reloads, Logger: g.Logger, Abort: abort}
+		cfg := instance.Config{Settings: g.Settings, Reloads: g.Reloads, Logger: g.Logger}
 		if g.Settings.Platform.Kind == settings.KindDirectory {
 			cfg.Directory = func(c *store.Client) mustardsaddle.Directory { return platform.New(c) }
 		}
 		return instance.Run(ctx, cfg)
 	}
-	return command.Run(ctx, command.Config{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Hangup: hangup, Serve: serve}, os.Args[1:])
+	cfg := command.Config{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Stop: stop, Hangup: hangup, Serve: serve}
+	return command.Run(context.Background(), cfg, os.Args[1:])
 }
--- a/internal/base/event/event_string.go
+++ b/internal/base/event/event_string.go
@@ -16,6 +16,7 @@
 	_ = x[SettingsRefused-1006]
 	_ = x[MetricsUnavailable-1007]
 	_ = x[LinesOmitted-1008]
+	_ = x[StopRepeated-1009]
 	_ = x[RulesInForce-2001]
 	_ = x[RulesRefused-2002]
 	_ = x[RulesAccepted-2003]
@@ -69,7 +70,7 @@
 }
 
 const (
-	_Event_name_0 = "StartedStopBegunStopEndedLinesLostSettingsReloadedSettingsRefusedMetricsUnavailableLinesOmitted"
+	_Event_name_0 = "StartedStopBegunStopEndedLinesLostSettingsReloadedSettingsRefusedMetricsUnavailableLinesOmittedStopRepeated"
 	_Event_name_1 = "RulesInForceRulesRefusedRulesAcceptedRulesIgnoredRulesStatusFailedRulesRepaired"
 	_Event_name_2 = "StoreFailedStoreBackEntrySkippedServerChangedEntryRemovedStoreRestoredStoreEraIgnoredEvacuationBegunEvacuationDrainedEvacuationEndedEvacuationsUnknown"
 	_Event_name_3 = "RouteChosenCallRefusedCallEndedCallCutCallResumedConnectionSilentAttemptFailedServerOutServerStatementServerStatementBadServerPauseServiceLostServiceRegainedServerEndedRequestSuspectedRequestQuarantinedRequestRetestedRequestClearedCallsLeaveZoneServerWarmUpServerWarmRetryRefused"
@@ -77,7 +78,7 @@
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34, 50, 65, 83, 95}
+	_Event_index_0 = [...]uint8{0, 7, 16, 25, 34, 50, 65, 83, 95, 107}
 	_Event_index_1 = [...]uint8{0, 12, 24, 37, 49, 66, 79}
 	_Event_index_2 = [...]uint8{0, 11, 20, 32, 45, 57, 70, 85, 100, 117, 132, 150}
 	_Event_index_3 = [...]uint16{0, 11, 22, 31, 38, 49, 65, 78, 87, 102, 120, 131, 142, 157, 168, 184, 202, 217, 231, 245, 257, 267, 279}
@@ -86,7 +87,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 1001 <= i && i <= 1008:
+	case 1001 <= i && i <= 1009:
 		i -= 1001
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 2001 <= i && i <= 2006:
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -23,6 +23,8 @@
 	// LinesOmitted is logged when lines of an event were omitted because there were too many
 	// of them.
 	LinesOmitted
+	// StopRepeated is logged when a signal asks for a stop that has begun before.
+	StopRepeated
 )
 
 // Rule events.
--- a/internal/product/command/command.go
+++ b/internal/product/command/command.go
@@ -66,6 +66,8 @@
 	Out io.Writer
 	// Err is the standard error, for messages.
 	Err io.Writer
+	// Stop delivers the signals on which serve stops the gateway gracefully.
+	Stop <-chan os.Signal
 	// Hangup delivers the signals on which serve reloads the settings file.
 	Hangup <-chan os.Signal
 	// Serve runs a gateway until the context ends.
--- a/internal/product/command/serve.go
+++ b/internal/product/command/serve.go
@@ -10,8 +10,9 @@
 
 const serveAbout = `Runs one gateway until SIGTERM or SIGINT, then stops it gracefully: the
 gateway reports that it is not ready, still accepts calls for [Stop] Lag, and
-exits when every call in flight has finished. A second signal ends it
-immediately.
+exits when every call in flight has finished, or when [Stop] Grace ends.
+Further signals change nothing. To end it at once, with its calls, send
+SIGKILL.
 
 The settings file is reloaded when it changes and on SIGHUP; a log line lists
 the sections that take effect immediately and those that require a restart.
@@ -50,10 +51,15 @@
 	reloaderDone := make(chan struct{})
 	reloaderCtx, stopReloader := context.WithCancel(ctx)
 	go r.run(reloaderCtx, reloaderDone)
-	err := c.cfg.Serve(c.ctx, GatewayConfig{Settings: s, Reloads: r.out, Logger: logger})
+	stopCtx, stop := context.WithCancel(c.ctx)
+	stopsDone := make(chan struct{})
+	go followStops(ctx, c.cfg.Stop, stop, logger, stopsDone)
+	err := c.cfg.Serve(stopCtx, GatewayConfig{Settings: s, Reloads: r.out, Logger: logger})
+	stop()
 	stopReloader()
 	<-reloaderDone
 	cancel()
+	<-stopsDone
 	select {
 	case <-log.Done():
 	case <-time.After(maxLogWait):
--- a/internal/product/command/signal.go
+++ b/internal/product/command/signal.go
@@ -3,24 +3,25 @@
 import (
 	"context"
 	"os"
+
+	"github.com/rs/zerolog"
+
+	"mustardsaddle.example/mustardsaddle/internal/base/event"
 )
 
-// StopSignals returns a context that is canceled by the first signal or when ctx ends,
-// and a channel that is closed by the second signal. The goroutine that waits for the
-// signals ends with ctx or after the second signal.
-func StopSignals(ctx context.Context, signals <-chan os.Signal) (stop context.Context, abort <-chan struct{}) {
-	stop, cancel := context.WithCancel(ctx)
-	aborted := make(chan struct{})
-	go func() {
-		defer cancel()
-		for _, end := range []func(){cancel, func() { close(aborted) }} {
-			select {
-			case <-signals:
-				end()
-			case <-ctx.Done():
-				return
+// followStops calls stop at the first signal, and logs each further one: a stop that has begun goes
+// on as it is. It ends with the context, and then closes done.
+func followStops(ctx context.Context, signals <-chan os.Signal, stop func(), logger zerolog.Logger, done chan<- struct{}) {
+	defer close(done)
+	for stopping := false; ; stopping = true {
+		select {
+		case s := <-signals:
+			if stopping {
+				event.Info(logger, event.StopRepeated).Stringer("Signal", s).Send()
 			}
+			stop()
+		case <-ctx.Done():
+			return
 		}
-	}()
-	return stop, aborted
+	}
 }
--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	err := instance.Run(ctx, instance.Config{Settings: s, Logger: logger, Abort: abort})
+//	err := instance.Run(ctx, instance.Config{Settings: s, Logger: logger})
 package instance
 
 import (
@@ -58,8 +58,6 @@
 	Reloads <-chan settings.Settings
 	// Logger receives the log events.
 	Logger zerolog.Logger
-	// Abort, if set, ends a graceful shutdown immediately when it is closed.
-	Abort <-chan struct{}
 	// Directory, if set, returns the directory that supplies the rules and the lists
 	// of VMs in place of the platform's store.
 	Directory func(*store.Client) mustardsaddle.Directory
--- a/internal/product/instance/stop.go
+++ b/internal/product/instance/stop.go
@@ -14,7 +14,7 @@
 const callPollInterval = 5 * time.Millisecond
 
 // stop shuts down gracefully and returns how many calls in flight it ended. Calls are ended
-// only by Config.Abort and by the end of the platform's grace period.
+// only by the end of the platform's grace period.
 func (in *instance) stop() int {
 	event.Info(in.cfg.Logger, event.StopBegun).Int("InFlight", in.gateway.InFlight()).Send()
 	in.stopping.Store(true)
@@ -29,15 +29,12 @@
 		defer timer.Stop()
 		periodEnded = timer.C
 	}
-	select {
-	case <-time.After(period.Lag(now)):
-	case <-in.cfg.Abort:
-	}
+	<-time.After(period.Lag(now))
 	return in.shutdown(period, periodEnded)
 }
 
-// shutdown waits for the calls in flight until all have finished, Config.Abort is closed or the
-// period has ended. It returns how many calls it ended.
+// shutdown waits for the calls in flight until all have finished or the period has ended. It
+// returns how many calls it ended.
 func (in *instance) shutdown(period drain.Period, periodEnded <-chan time.Time) int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -52,7 +49,6 @@
 	case <-stopped:
 		return 0
 	case <-periodEnded:
-	case <-in.cfg.Abort:
 	}
 	in.gateway.EndCalls()
 	select {
