Count a resumed download as an attempt of its call

Downloads whose connections were reset ran on more servers than the max-attempts of their route, and later requests stated no deadline.

Cause: the rest of a broken body was requested with a token of the retry budget alone; booking.Call, which counts attempts, was not asked. Each part that brought data reset the only other bound. Ruled out: first attempts, retries, hedges and forwarded calls, which all ask booking.Call.

Now booking.Call.Resume permits and counts such a request: within the attempts that are left, for idempotent requests, before a deadline that the rule or the caller states, and within the retry budget. It states the time that is left. A download without attempts ends with a visible cut.

--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -270,17 +270,14 @@
 	return max(delay, time.Duration(float64(wait)*spread))
 }
 
-// TakeRetry takes one retry from the budget for a request that booking.Call does not
-// count, such as one that resumes a download, and reports whether the budget allowed
-// it.
-func (c *Controller) TakeRetry(now time.Time) bool {
+// Resume calls begin, which decides whether a request is sent once more for the rest of its
+// response, with the budgets, and reports its decision.
+func (c *Controller) Resume(now time.Time, begin func(now time.Time, b *booking.Budgets) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.updateRetryBounds(now)
-	ok := c.budgets.TakeRetry(now)
-	if !ok {
-		c.recordRefusedRetry(now, booking.Retry)
-	}
+	_, _, _, ok := c.begin(now, Request{Begin: func(now time.Time, b *booking.Budgets) (booking.Kind, []string, bool) {
+		return booking.Retry, nil, begin(now, b)
+	}})
 	return ok
 }
 
--- a/internal/request/booking/booking.go
+++ b/internal/request/booking/booking.go
@@ -11,12 +11,14 @@
 //	...                     // send the attempt
 //	call.End(outcome)       // record its outcome
 //	if call.Outcome() != mustardsaddle.Ran { ... } // retry with Begin, or refuse
+//	if bodyBrokeOff && call.Resume(now, &budgets) { ... } // request the rest
 //
 // # Invariants
 //
 // A request that is not idempotent has at most one attempt whose outcome is not
 // NotRun. Outcome is NotRun only if every attempt ended as NotRun. No attempt begins
-// after one has ended as Ran.
+// after one has ended as Ran, but for those of Resume. No more attempts than MaxAttempts are sent,
+// whatever their reason.
 package booking
 
 import (
@@ -53,6 +55,8 @@
 	MaxAttempts int
 	// Sent is the number of attempts that other gateways have sent to servers before.
 	Sent int
+	// Bounded is true if Deadline bounds the body of the response too.
+	Bounded bool
 }
 
 // Call tracks the attempts of one call. It is not safe for concurrent use.
@@ -92,6 +96,17 @@
 	return kind, true
 }
 
+// Resume counts one more sending of a request whose response has broken off, and reports whether
+// the policy permits it. It ends with the response that it continues, so that End is not called.
+func (c *Call) Resume(now time.Time, b *Budgets) bool {
+	late := c.cfg.Bounded && !now.Before(c.cfg.Deadline)
+	if late || c.cfg.Repeat != mustardsaddle.RepeatYes || c.Sent() >= max(c.cfg.MaxAttempts, 1) || !b.take(now, Retry) {
+		return false
+	}
+	c.counted++
+	return true
+}
+
 // Withdraw takes back an attempt that was begun and not sent, because another gateway is
 // to send it. The budgets forget the call if it was the first attempt: the gateway that
 // sends a request counts it.
--- a/internal/request/booking/booking_test.go
+++ b/internal/request/booking/booking_test.go
@@ -15,8 +15,8 @@
 
 // model counts the attempts of a call independently of its implementation.
 type model struct {
-	begun, inFlight, maybeRun, notRun int
-	ran                               bool
+	begun, inFlight, maybeRun, notRun, resumed int
+	ran                                        bool
 }
 
 func TestCallInvariants(t *testing.T) {
@@ -51,6 +51,12 @@
 	if rapid.IntRange(0, 9).Draw(t, "Consume") == 0 {
 		call.MarkBodyConsumed()
 	}
+	if m.ran && rapid.Bool().Draw(t, "Resume") {
+		if call.Resume(now, b) {
+			m.resumed++
+		}
+		return
+	}
 	_, ok := call.Begin(now, b)
 	if ok && (m.ran || !now.Before(deadline)) {
 		t.Fatalf("attempt begun at %v: got ran %v and deadline %v, want no attempt after a run or the deadline", now, m.ran, deadline)
@@ -66,8 +72,11 @@
 	if repeat != mustardsaddle.RepeatYes && m.maybeRun > 1 {
 		t.Fatalf("got %d attempts that may have run, want at most 1", m.maybeRun)
 	}
-	if m.begun > max(limit, 1) || m.inFlight > 2 {
-		t.Fatalf("got %d attempts, %d in flight, want at most %d and 2", m.begun, m.inFlight, max(limit, 1))
+	if sent := m.begun + m.resumed; sent > max(limit, 1) || sent != call.Sent() || m.inFlight > 2 {
+		t.Fatalf("got %d attempts and %d resumed ones, Sent %d, %d in flight, want at most %d together and 2", m.begun, m.resumed, call.Sent(), m.inFlight, max(limit, 1))
+	}
+	if m.resumed > 0 && repeat != mustardsaddle.RepeatYes {
+		t.Fatalf("got %d resumed attempts of a request that is not idempotent, want none", m.resumed)
 	}
 	if call.Outcome() == mustardsaddle.NotRun && m.notRun != m.begun {
 		t.Fatalf("got outcome NotRun with %d of %d attempts not run", m.notRun, m.begun)
--- a/internal/request/booking/budget.go
+++ b/internal/request/booking/budget.go
@@ -66,7 +66,7 @@
 func (b *Budgets) take(now time.Time, kind Kind) bool {
 	switch kind {
 	case Retry:
-		return b.TakeRetry(now)
+		return b.takeRetry(now)
 	case Hedge:
 		return b.counted(b.Hedge.Take() && (b.Window == nil || b.Window.Take(now)))
 	case First:
@@ -88,8 +88,8 @@
 	}
 }
 
-// TakeRetry takes a retry from the budgets and reports whether they allow it.
-func (b *Budgets) TakeRetry(now time.Time) bool {
+// takeRetry takes a retry from the budgets and reports whether they allow it.
+func (b *Budgets) takeRetry(now time.Time) bool {
 	if b.Window != nil {
 		return b.counted(b.Window.Take(now))
 	}
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -62,7 +62,7 @@
 	c.request = admission.Request{
 		Begin: c.beginAttempt, Entry: c.queueEntry, NoTokenWait: m.carried != nil || g.cfg.Forwarding.MaxGateways > 0,
 	}
-	cfg := booking.Config{Repeat: m.repeat, Deadline: c.deadline, MaxAttempts: m.attempts}
+	cfg := booking.Config{Repeat: m.repeat, Deadline: c.deadline, Bounded: m.bounded, MaxAttempts: m.attempts}
 	if m.carried != nil {
 		cfg.Sent = m.carried.Sent
 		m.controller.Metrics.Carried.Inc(1)
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -135,11 +135,18 @@
 	return true
 }
 
+// beginResume asks the call's state whether the request may be sent once more.
+func (c *call) beginResume(now time.Time, b *booking.Budgets) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Resume(now, b)
+}
+
 // requestRest requests the rest of the body from another server, and verifies that
 // it continues the same body.
 func (s *bodySource) requestRest() (*attempt, bool) {
 	controller := s.c.match.controller
-	if !controller.TakeRetry(time.Now()) {
+	if !controller.Resume(time.Now(), s.c.beginResume) {
 		return nil, false
 	}
 	choice, ok := controller.ChooseOther(time.Now(), s.attempt.assignment.Choice.Server.Name)
@@ -147,11 +154,18 @@
 		return nil, false
 	}
 	a := s.c.newAttempt(admission.Assignment{Kind: booking.Retry, Choice: choice}, newConnection)
-	timer := time.AfterFunc(s.c.match.deadline, func() { a.cancel(errDeadline) })
+	wait := s.c.match.deadline
+	if s.c.match.bounded {
+		wait = time.Until(s.c.deadline)
+	}
+	timer := time.AfterFunc(wait, func() { a.cancel(errDeadline) })
 	a.send(func(h http.Header) {
 		h["Range"] = []string{fmt.Sprintf("bytes=%d-", s.offset)}
 		h["If-Range"] = []string{s.etag}
-		delete(h, s.c.g.cfg.Headers.Deadline)
+		if !s.c.match.bounded {
+			// The default deadline bounds only the wait for the first response.
+			delete(h, s.c.g.cfg.Headers.Deadline)
+		}
 	})
 	timer.Stop()
 	if err := s.checkRest(a); err != nil {
