--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -275,8 +275,10 @@
 func (c *Controller) Resume(now time.Time, begin func(now time.Time, b *booking.Budgets) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, _, _, ok := c.begin(now, Request{Begin: func(now time.Time, b *booking.Budgets) (booking.Kind, []string, bool) {
-		return booking.Retry, nil, begin(now, b)
+	ok := false
+	c.begin(now, Request{Begin: func(now time.Time, b *booking.Budgets) (booking.Kind, []string, bool) {
+		ok = begin(now, b)
+		return booking.Retry, nil, ok
 	}})
 	return ok
 }
