Decode prefixes with a percent sign that begins no encoding

A prefix such as /50%/a%20b/ matched no request: one percent sign that begins no encoding kept the others from being decoded. TestLiteralPrefixes has such a prefix now; it failed before (the request got the route of "/") and passes. The decoded form is kept only where it differs.

--- a/internal/control/rule/directory_test.go
+++ b/internal/control/rule/directory_test.go
@@ -25,7 +25,7 @@
 // TestLiteralPrefixes checks which prefix of a directory matches a path, as the request states it.
 func TestLiteralPrefixes(t *testing.T) {
 	var lines []string
-	for _, prefix := range []string{"/", "/a/", "/a/b/", "/a b/", "/a%20b/", "/é/", "/100%/", "/x/../y/", "/{Name}/*/", "/a%2fb/", "//"} {
+	for _, prefix := range []string{"/", "/a/", "/a/b/", "/a b/", "/a%20b/", "/é/", "/100%/", "/x/../y/", "/{Name}/*/", "/a%2fb/", "//", "/50%/a%20b/"} {
 		lines = append(lines, "Host=h "+rule.EncodePrefix(prefix)+" Service="+rule.EncodeName(prefix)+" # Tan: x")
 	}
 	lines = append(lines, "Host=h%3A81 Path=/* Service=port # Tan: x", "Host=h_2 Path=/* Service=underscore # Tan: x", "Prefix=/all%20hosts/ Service=all # Tan: x")
@@ -41,6 +41,7 @@
 		{"h", "/%C3%A9/q", "/é/"},
 		{"h", "/%c3%a9/q", "/é/"},
 		{"h", "/100%25/q", "/100%/"},
+		{"h", "/50%25/a%20b/q", "/50%/a%20b/"},
 		{"h", "/x/../y/q", "/x/../y/"},
 		{"h", "/x/../q", ""},
 		{"h", "/a/%2e%2e/q", ""},
--- a/internal/control/rule/prefix.go
+++ b/internal/control/rule/prefix.go
@@ -1,7 +1,6 @@
 package rule
 
 import (
-	"bytes"
 	"cmp"
 	"iter"
 	"net/http"
@@ -12,7 +11,8 @@
 // prefixIndex finds rules of a directory by the literal prefix of the paths that they match. A
 // rule with a Method is not in it.
 type prefixIndex struct {
-	// stated has the prefixes as they are written, and decoded their decoded forms.
+	// stated has the prefixes as they are written, and decoded the decoded forms of those with
+	// encodings.
 	stated, decoded map[prefixKey]*Rule
 }
 
@@ -36,8 +36,10 @@
 	}
 	prefix = capitalDigits(prefix)
 	x.stated[prefixKey{host: r.Host, prefix: prefix}] = r
-	decoded := prefixKey{host: r.Host, prefix: decodeSegments(prefix)}
-	x.decoded[decoded] = cmp.Or(x.decoded[decoded], r)
+	if decoded := decodeSegments(prefix); decoded != prefix {
+		key := prefixKey{host: r.Host, prefix: decoded}
+		x.decoded[key] = cmp.Or(x.decoded[key], r)
+	}
 	return true
 }
 
@@ -72,7 +74,8 @@
 		if i < 0 || j < 0 {
 			return true
 		}
-		found := cmp.Or(x.stated[prefixKey{host, stated[:i+1]}], x.decoded[prefixKey{host, decoded[:j+1]}])
+		inDecoded := prefixKey{host, decoded[:j+1]}
+		found := cmp.Or(x.stated[prefixKey{host, stated[:i+1]}], x.stated[inDecoded], x.decoded[inDecoded])
 		if found != nil && !hasDotSegment(whole[j:]) && !yield(*found) {
 			return false
 		}
@@ -96,18 +99,24 @@
 // encodingBytes is the size of a percent-encoded byte.
 const encodingBytes = len(encodedSlash)
 
-// decodeSegments decodes the segments of a path with capital digits, but no slash in them.
+// decodeSegments decodes the segments of a path, but no slash in them, and nothing that is no
+// encoding.
 func decodeSegments(path string) string {
 	if !strings.Contains(path, "%") {
 		return path
 	}
-	parts := strings.Split(path, encodedSlash)
-	for i, part := range parts {
-		if decoded, err := url.PathUnescape(part); err == nil {
-			parts[i] = decoded
+	var b strings.Builder
+	for len(path) > 0 {
+		if isEncoding(path) && !strings.HasPrefix(path, encodedSlash) {
+			decoded, _ := url.PathUnescape(path[:encodingBytes])
+			b.WriteString(decoded)
+			path = path[encodingBytes:]
+			continue
 		}
+		b.WriteByte(path[0])
+		path = path[1:]
 	}
-	return strings.Join(parts, encodedSlash)
+	return b.String()
 }
 
 // capitalDigits returns a path whose percent-encodings have capital digits.
@@ -116,14 +125,19 @@
 		return path
 	}
 	b := []byte(path)
-	for i := 0; i+encodingBytes <= len(b); i++ {
-		if digits := b[i+1 : i+encodingBytes]; b[i] == '%' && isHex(digits[0]) && isHex(digits[1]) {
-			copy(digits, bytes.ToUpper(digits))
+	for i := range b {
+		if isEncoding(path[i:]) {
+			copy(b[i:], strings.ToUpper(path[i:i+encodingBytes]))
 		}
 	}
 	return string(b)
 }
 
+// isEncoding reports whether a text begins with a percent-encoded byte.
+func isEncoding(text string) bool {
+	return len(text) >= encodingBytes && text[0] == '%' && isHex(text[1]) && isHex(text[2])
+}
+
 func isHex(c byte) bool {
 	return '0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F'
 }
