Take a connection that was reset for no end of a response

What callers saw: a server answers an upload of 16 MB at once, without a length, sends a part of the body and resets the connection while the upload is written. The caller got the part as a complete answer, on HTTP/1.0, 1.1 and 2, directly and through another gateway.

Cause: the kernel reports the error of a connection once. Mostly the failed write of the upload got it, so that the next read returned 0, which is the end of a body without a length.

With a length or in chunks no part looked complete before.

Ruled out: to remember the failed write alone (trial).

Change: response.Conn, below all connections to servers and gateways. At the end of a stream it ends further writes by a deadline, waits for the one in progress, and reports the end only if no write found the connection broken. EPIPE is what a write gets if the peer had closed its sending side before it reset: such a response is complete, as before. The connection carries no further request after its end, so no write is lost by that.

Answers whose server closes its sending side alone still arrive.

--- /dev/null
+++ b/internal/base/response/conn.go
@@ -0,0 +1,139 @@
+// Package response judges what is received on a connection to which requests are sent: it finds the
+// headers of responses, and tells whether the connection has ended in order.
+//
+// A connection ends in order only if its peer has closed the sending side. A body whose end is that
+// of the connection is complete then, and in no other case.
+//
+// # Usage
+//
+//	c := response.NewConn(conn, response.Config{})
+//	c.BeginRequest()
+//	...  // write the request to c, and read the response from it
+package response
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Config configures a Conn.
+type Config struct {
+	// Fields are the names of the fields that OnHeader gets.
+	Fields []string
+	// OnHeader, if set, is called with the status and the Fields of each response other than a
+	// success, when its header is complete. It must not use the connection.
+	OnHeader func(status int, h http.Header)
+}
+
+// Conn is a connection on which responses are received. A read fails if the connection has ended
+// out of order.
+type Conn struct {
+	net.Conn
+	onHeader func(status int, h http.Header)
+
+	mu   sync.Mutex
+	head head
+	// ended is the error of the read that has ended the stream.
+	ended error
+
+	// writing is held during each write, and guards broken, the error of the write that found the
+	// connection broken.
+	writing sync.Mutex
+	broken  error
+}
+
+// NewConn returns a connection on which the header of a response is awaited.
+func NewConn(c net.Conn, cfg Config) *Conn {
+	r := &Conn{Conn: c, onHeader: cfg.OnHeader}
+	r.head.fields = make(map[string]bool, len(cfg.Fields))
+	for _, name := range cfg.Fields {
+		r.head.fields[http.CanonicalHeaderKey(name)] = true
+	}
+	r.head.await()
+	return r
+}
+
+// BeginRequest must be called before each request on the connection.
+func (c *Conn) BeginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.await()
+}
+
+// HeaderMemory returns the memory, in bytes, that the headers of the present response take.
+func (c *Conn) HeaderMemory() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.memory()
+}
+
+// Write writes to the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.broken == nil && breaks(err) {
+		c.broken = err
+	}
+	return n, err
+}
+
+// breaks reports whether the error of a write shows that the connection has ended out of order. A
+// peer that resets the connection after it has closed its sending side causes EPIPE.
+func breaks(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+}
+
+// Read reads from the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.endError(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.judgeEnd()
+	}
+	return c.scan(p[:n], err)
+}
+
+// endError returns the error with which reading has ended, or nil.
+func (c *Conn) endError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// judgeEnd returns io.EOF if the peer has closed its sending side. The kernel reports the error of
+// a connection once. If that was to a write, reading ends as if in order, maybe before the write
+// has returned: writes are ended, and the one in progress is waited for.
+func (c *Conn) judgeEnd() error {
+	_ = c.SetWriteDeadline(time.Unix(0, 1))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.broken != nil {
+		return fmt.Errorf("read response: a write found the connection broken: %w", c.broken)
+	}
+	return io.EOF
+}
+
+// scan scans for the header of a response in what was read, and returns the result of the read,
+// which had the given error.
+func (c *Conn) scan(p []byte, err error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	status, fields, found := c.head.scan(p)
+	if found && fields != nil && c.onHeader != nil {
+		c.onHeader(status, fields)
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended = err
+	}
+	return len(p), err
+}
--- a/internal/request/connection/head.go
+++ b/internal/base/response/head.go
@@ -1,4 +1,4 @@
-package connection
+package response
 
 import (
 	"bytes"
@@ -8,6 +8,8 @@
 )
 
 const (
+	// MaxHeadBytes bounds the headers of the responses to a request.
+	MaxHeadBytes = 256 << 10
 	// maxLineBytes is the part of a line of a header that is read: a name, and the beginning of a
 	// value.
 	maxLineBytes = 256
@@ -17,9 +19,9 @@
 	textCopies = 2
 )
 
-// headScanner finds the header of the response to each request on a connection. It keeps one
+// head finds the header of the response to each request on a connection. It keeps one
 // line, and the fields that matter.
-type headScanner struct {
+type head struct {
 	// fields are the names, in canonical form, of the fields that matter.
 	fields map[string]bool
 	// awaited is true while the header of a response is awaited.
@@ -39,75 +41,75 @@
 }
 
 // await begins to scan for the header of the response to a request.
-func (s *headScanner) await() {
-	*s = headScanner{fields: s.fields, line: s.line[:0], awaited: true}
+func (h *head) await() {
+	*h = head{fields: h.fields, line: h.line[:0], awaited: true}
 }
 
 // memory returns the memory, in bytes, that the headers take which were scanned for the present
 // request.
-func (s *headScanner) memory() int64 {
-	return int64(textCopies*s.bytes + parsedFieldBytes*s.lines)
+func (h *head) memory() int64 {
+	return int64(textCopies*h.bytes + parsedFieldBytes*h.lines)
 }
 
 // scan scans what was read from the connection. It returns true with the status of a response when
 // its header is complete, and the fields that matter unless it is a success. Informational responses
 // are passed over.
 // A longer header than the transport accepts is not scanned to its end.
-func (s *headScanner) scan(p []byte) (status int, h http.Header, found bool) {
-	for s.awaited && len(p) > 0 {
+func (h *head) scan(p []byte) (status int, fields http.Header, found bool) {
+	for h.awaited && len(p) > 0 {
 		n := bytes.IndexByte(p, '\n') + 1
 		ends := n > 0
 		if !ends {
 			n = len(p)
 		}
-		s.add(p[:n])
+		h.add(p[:n])
 		p = p[n:]
-		if ends && s.endLine() && s.end() {
-			return s.status, s.found, true
+		if ends && h.endLine() && h.end() {
+			return h.status, h.found, true
 		}
 	}
 	return 0, nil, false
 }
 
 // add adds a part of a line.
-func (s *headScanner) add(p []byte) {
-	kept := p[:min(len(p), maxLineBytes-len(s.line))]
-	s.line = append(s.line, kept...)
-	s.cut = s.cut || len(kept) < len(p)
-	s.size += len(p)
-	s.bytes += len(p)
-	s.awaited = s.bytes <= maxResponseHeaderBytes
+func (h *head) add(p []byte) {
+	kept := p[:min(len(p), maxLineBytes-len(h.line))]
+	h.line = append(h.line, kept...)
+	h.cut = h.cut || len(kept) < len(p)
+	h.size += len(p)
+	h.bytes += len(p)
+	h.awaited = h.bytes <= MaxHeadBytes
 }
 
 // endLine processes a complete line. It returns true for the empty one at the end of a header.
-func (s *headScanner) endLine() bool {
-	line := bytes.TrimSuffix(bytes.TrimSuffix(s.line, []byte("\n")), []byte("\r"))
-	cut := s.cut
-	s.line, s.cut = s.line[:0], false
-	s.lines++
+func (h *head) endLine() bool {
+	line := bytes.TrimSuffix(bytes.TrimSuffix(h.line, []byte("\n")), []byte("\r"))
+	cut := h.cut
+	h.line, h.cut = h.line[:0], false
+	h.lines++
 	// An empty first line may precede a header.
 	const emptyLineBytes = 2
 	switch {
 	case len(line) == 0:
-		return s.size > emptyLineBytes
-	case !s.statusOK:
-		s.status, s.statusOK = lineStatus(line), true
-		if s.status >= http.StatusMultipleChoices {
-			s.found = make(http.Header)
+		return h.size > emptyLineBytes
+	case !h.statusOK:
+		h.status, h.statusOK = lineStatus(line), true
+		if h.status >= http.StatusMultipleChoices {
+			h.found = make(http.Header)
 		}
-	case s.found != nil:
-		s.addField(line, cut)
+	case h.found != nil:
+		h.addField(line, cut)
 	}
 	return false
 }
 
 // end ends a header. It returns true unless the response is informational.
-func (s *headScanner) end() bool {
-	if s.status >= http.StatusOK || s.status == 0 {
-		s.awaited = false
+func (h *head) end() bool {
+	if h.status >= http.StatusOK || h.status == 0 {
+		h.awaited = false
 		return true
 	}
-	s.size, s.status, s.statusOK = 0, 0, false
+	h.size, h.status, h.statusOK = 0, 0, false
 	return false
 }
 
@@ -115,20 +117,20 @@
 const cutValue = "..."
 
 // addField keeps a field that matters. A long value is cut.
-func (s *headScanner) addField(line []byte, cut bool) {
+func (h *head) addField(line []byte, cut bool) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok {
 		return
 	}
 	canonical := textproto.CanonicalMIMEHeaderKey(string(name))
-	if !s.fields[canonical] {
+	if !h.fields[canonical] {
 		return
 	}
 	text := string(bytes.TrimSpace(value))
 	if text == "" && cut {
 		text = cutValue
 	}
-	s.found.Add(canonical, text)
+	h.found.Add(canonical, text)
 }
 
 // lineStatus returns the status in the first line of a header, or 0 if it has none.
--- a/internal/request/connection/counted.go
+++ b/internal/request/connection/counted.go
@@ -10,13 +10,14 @@
 
 	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/response"
 )
 
-// CountedConn is a connection to a server that counts reads and writes. Its writes
-// can be blocked, after which no further byte is sent. After a response that a later request
-// could be given by mistake it reads as closed.
+// CountedConn is a connection to a server that judges the responses, and counts reads and writes.
+// Its writes can be blocked, after which no further byte is sent. After a response that a later
+// request could be given by mistake it reads as closed.
 type CountedConn struct {
-	net.Conn
+	*response.Conn
 	cfg   CountedConfig
 	reads atomic.Int64
 	ended atomic.Bool
@@ -24,7 +25,6 @@
 	mu            sync.Mutex
 	writes        int64
 	writesBlocked bool
-	scanner       headScanner
 	// held is the memory taken from cfg.Heads for the headers of the present response. None is
 	// taken once the connection is closed.
 	held   int64
@@ -54,21 +54,24 @@
 
 // NewCountedConn returns a connection whose counts are zero.
 func NewCountedConn(c net.Conn, cfg CountedConfig) *CountedConn {
-	counted := &CountedConn{Conn: c, cfg: cfg}
-	counted.scanner.fields = make(map[string]bool, len(cfg.LastFields))
-	for _, name := range cfg.LastFields {
-		counted.scanner.fields[http.CanonicalHeaderKey(name)] = true
-	}
-	counted.scanner.await()
+	counted := &CountedConn{cfg: cfg}
+	counted.Conn = response.NewConn(c, response.Config{Fields: cfg.LastFields, OnHeader: counted.endAfterLast})
 	return counted
 }
 
+// endAfterLast ends the connection after a response that has to be the last one.
+func (c *CountedConn) endAfterLast(status int, h http.Header) {
+	if c.cfg.Last != nil && c.cfg.Last(status, h) {
+		c.ended.Store(true)
+	}
+}
+
 // BeginRequest must be called before each request on the connection. It reports whether the
 // request may be sent.
 func (c *CountedConn) BeginRequest() bool {
+	c.Conn.BeginRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scanner.await()
 	c.returnHeads()
 	return !c.ended.Load()
 }
@@ -116,29 +119,25 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.reads.Add(1)
-		if scanErr := c.scan(p[:n]); scanErr != nil {
-			return 0, scanErr
+		if headsErr := c.takeHeads(c.HeaderMemory()); headsErr != nil {
+			return 0, headsErr
 		}
 	}
 	return n, err
 }
 
-// scan ends the connection after a response that has to be the last one. It returns an error if
-// the budget has too little memory for a header.
-func (c *CountedConn) scan(p []byte) error {
+// takeHeads takes memory from the budget, so that headers of n bytes are covered. It ends the
+// connection and returns an error if there is too little.
+func (c *CountedConn) takeHeads(n int64) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	status, h, found := c.scanner.scan(p)
-	for c.scanner.memory() > freeHeadBytes+c.held {
+	for n > freeHeadBytes+c.held {
 		if c.closed || !c.cfg.Heads.TryTake(headStepBytes) {
 			c.ended.Store(true)
 			return errHeadMemory
 		}
 		c.held += headStepBytes
 	}
-	if found && h != nil && c.cfg.Last != nil && c.cfg.Last(status, h) {
-		c.ended.Store(true)
-	}
 	return nil
 }
 
--- a/internal/request/connection/transport.go
+++ b/internal/request/connection/transport.go
@@ -7,11 +7,11 @@
 	"net"
 	"net/http"
 	"time"
+
+	"mustardsaddle.example/mustardsaddle/internal/base/response"
 )
 
 const (
-	// maxResponseHeaderBytes bounds the response header of a server.
-	maxResponseHeaderBytes = 256 << 10
 	// expectContinueTimeout is how long a request with "Expect: 100-continue" waits
 	// for the server's 100 response before it sends its body.
 	expectContinueTimeout = time.Second
@@ -61,7 +61,7 @@
 		MaxIdleConnsPerHost:    MaxIdlePerServer,
 		IdleConnTimeout:        cfg.IdleTimeout,
 		ExpectContinueTimeout:  expectContinueTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxResponseHeaderBytes: response.MaxHeadBytes,
 	}
 }
 
