Take a first line without a status of HTTP/1 for no response

What callers saw: a server in trouble sends status 000, 099, +20 or -00: the caller's connection was closed without an answer. Status 600 and 999 and a 101 that nobody had asked for were passed on as they were (101 over HTTP/2 as 200), and a first line with version 2.0 as a success.

Cause: the parser accepts any three characters that are a number, and any version. WriteHeader panics below 100. The 1xx responses and the search for refusals read the head before any check could.

Change: the scan of heads below the transport, which saw each head before the parser already, judges the first line of final and informational responses, and fails the read. So a broken head ends the attempt like one that breaks off: Unknown if a byte of the request was written, 502, or a retry if the request may be repeated; the budgets and claims see nothing new, and what such a head states of NotRun counts for nothing.

--- a/cmd/mustardsaddle/cut_server_test.go
+++ b/cmd/mustardsaddle/cut_server_test.go
@@ -36,8 +36,8 @@
 	endHold  = "Hold"
 )
 
-// cuttingServer sends responses that break off as the query of the request states. It counts the
-// requests by their ID.
+// cuttingServer sends responses that break off as the query of the request states, or the response
+// that stands there. It counts the requests by their ID.
 type cuttingServer struct {
 	net.Listener
 
@@ -78,6 +78,11 @@
 			return
 		}
 		query := r.URL.Query()
+		if query.Has("Response") {
+			s.add(query.Get("ID"), 0)
+			_, _ = io.WriteString(c, query.Get("Response"))
+			return
+		}
 		if !query.Has("Framing") {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			continue
--- a/internal/base/code/list.go
+++ b/internal/base/code/list.go
@@ -117,7 +117,7 @@
 	CallOverloaded
 	// CallDeadline means that the deadline was exceeded.
 	CallDeadline
-	// CallBroken means that the server's response was incomplete.
+	// CallBroken means that the server's response was incomplete or malformed.
 	CallBroken
 	// CallNotReady means that the gateway has no rules yet.
 	CallNotReady
--- a/internal/base/response/conn.go
+++ b/internal/base/response/conn.go
@@ -1,5 +1,8 @@
-// Package response judges what is received on a connection to which requests are sent: it finds the
-// headers of responses, and tells whether the connection has ended in order.
+// Package response judges what is received on a connection before it is taken for a response: the
+// headers of responses, before they are parsed, and the end of the connection.
+//
+// A header is a response's only if its first line has a version 1.x and a status from 100 to 599,
+// and if it switches the protocol only where that was asked for. The rest is left to the parser.
 //
 // A connection ends in order only if its peer has closed the sending side. A body whose end is that
 // of the connection is complete then, and in no other case.
@@ -25,6 +28,8 @@
 
 // Config configures a Conn.
 type Config struct {
+	// Upgrade permits responses that switch the protocol.
+	Upgrade bool
 	// Fields are the names of the fields that OnHeader gets.
 	Fields []string
 	// OnHeader, if set, is called with the status and the Fields of each response other than a
@@ -32,8 +37,8 @@
 	OnHeader func(status int, h http.Header)
 }
 
-// Conn is a connection on which responses are received. A read fails if the connection has ended
-// out of order.
+// Conn is a connection on which responses are received. A read fails if what it received belongs
+// to no response, or if the connection has ended out of order; all later reads fail as well.
 type Conn struct {
 	net.Conn
 	onHeader func(status int, h http.Header)
@@ -52,6 +57,7 @@
 // NewConn returns a connection on which the header of a response is awaited.
 func NewConn(c net.Conn, cfg Config) *Conn {
 	r := &Conn{Conn: c, onHeader: cfg.OnHeader}
+	r.head.upgrade = cfg.Upgrade
 	r.head.fields = make(map[string]bool, len(cfg.Fields))
 	for _, name := range cfg.Fields {
 		r.head.fields[http.CanonicalHeaderKey(name)] = true
@@ -100,7 +106,7 @@
 	if errors.Is(err, io.EOF) {
 		err = c.judgeEnd()
 	}
-	return c.scan(p[:n], err)
+	return c.judge(p[:n], err)
 }
 
 // endError returns the error with which reading has ended, or nil.
@@ -123,17 +129,20 @@
 	return io.EOF
 }
 
-// scan scans for the header of a response in what was read, and returns the result of the read,
-// which had the given error.
-func (c *Conn) scan(p []byte, err error) (int, error) {
+// judge judges the header in what was read, and returns the result of the read, which had the
+// given error.
+func (c *Conn) judge(p []byte, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	status, fields, found := c.head.scan(p)
-	if found && fields != nil && c.onHeader != nil {
-		c.onHeader(status, fields)
+	complete, headErr := c.head.scan(p)
+	if headErr != nil {
+		p, err = nil, headErr
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended = err
 	}
+	if complete && c.head.found != nil && c.onHeader != nil {
+		c.onHeader(c.head.first.status, c.head.found)
+	}
 	return len(p), err
 }
--- a/internal/base/response/head.go
+++ b/internal/base/response/head.go
@@ -2,28 +2,40 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"net/textproto"
 	"strconv"
 )
 
 const (
-	// MaxHeadBytes bounds the headers of the responses to a request.
+	// MaxHeadBytes bounds the headers of the responses to a request. Longer ones are not judged to
+	// their end.
 	MaxHeadBytes = 256 << 10
-	// maxLineBytes is the part of a line of a header that is read: a name, and the beginning of a
-	// value.
+	// maxLineBytes is the part of a line of a header that is kept: a status, or a name and the
+	// beginning of a value.
 	maxLineBytes = 256
 	// parsedFieldBytes is the memory for a field of a parsed header, beside its text.
 	parsedFieldBytes = 256
 	// textCopies is how often the text of a header is kept: as it is parsed, and as it is sent on.
 	textCopies = 2
+	// maxStatus is the largest status that HTTP defines a class for.
+	maxStatus = 599
 )
 
-// head finds the header of the response to each request on a connection. It keeps one
-// line, and the fields that matter.
+// Errors of a header that is not one of a response.
+var (
+	ErrStatus  = errors.New("read response header: the first line has no version 1.x and status from 100 to 599")
+	ErrUpgrade = errors.New("read response header: the protocol is switched, which the request did not ask for")
+)
+
+// head judges the headers of the responses to each request on a connection, as they are received.
+// It keeps one line, and the fields that matter.
 type head struct {
 	// fields are the names, in canonical form, of the fields that matter.
 	fields map[string]bool
+	// upgrade is true if a response may switch the protocol.
+	upgrade bool
 	// awaited is true while the header of a response is awaited.
 	awaited bool
 	// line is the beginning of the present line, and cut is true if it is not the whole line.
@@ -31,10 +43,9 @@
 	cut  bool
 	// size is the size of the present header up to now, in bytes.
 	size int
-	// status is that of the present header, once its first line is complete.
-	status   int
-	statusOK bool
-	found    http.Header
+	// first describes the first line of the present header; its status is 0 before that.
+	first statusLine
+	found http.Header
 	// bytes and lines count what was scanned for the present request, informational responses
 	// included.
 	bytes, lines int
@@ -42,7 +53,7 @@
 
 // await begins to scan for the header of the response to a request.
 func (h *head) await() {
-	*h = head{fields: h.fields, line: h.line[:0], awaited: true}
+	*h = head{fields: h.fields, upgrade: h.upgrade, line: h.line[:0], awaited: true}
 }
 
 // memory returns the memory, in bytes, that the headers take which were scanned for the present
@@ -51,11 +62,10 @@
 	return int64(textCopies*h.bytes + parsedFieldBytes*h.lines)
 }
 
-// scan scans what was read from the connection. It returns true with the status of a response when
-// its header is complete, and the fields that matter unless it is a success. Informational responses
-// are passed over.
-// A longer header than the transport accepts is not scanned to its end.
-func (h *head) scan(p []byte) (status int, fields http.Header, found bool) {
+// scan scans what was read from the connection. It returns true when the header of a response is
+// complete: first then holds its first line and, unless it is a success, found the fields that
+// matter. Informational responses are judged and passed over.
+func (h *head) scan(p []byte) (ended bool, err error) {
 	for h.awaited && len(p) > 0 {
 		n := bytes.IndexByte(p, '\n') + 1
 		ends := n > 0
@@ -64,11 +74,18 @@
 		}
 		h.add(p[:n])
 		p = p[n:]
-		if ends && h.endLine() && h.end() {
-			return h.status, h.found, true
+		if !ends {
+			continue
+		}
+		last, err := h.endLine()
+		if err != nil {
+			return false, err
+		}
+		if last && h.end() {
+			return true, nil
 		}
 	}
-	return 0, nil, false
+	return false, nil
 }
 
 // add adds a part of a line.
@@ -82,7 +99,7 @@
 }
 
 // endLine processes a complete line. It returns true for the empty one at the end of a header.
-func (h *head) endLine() bool {
+func (h *head) endLine() (last bool, err error) {
 	line := bytes.TrimSuffix(bytes.TrimSuffix(h.line, []byte("\n")), []byte("\r"))
 	cut := h.cut
 	h.line, h.cut = h.line[:0], false
@@ -90,26 +107,41 @@
 	// An empty first line may precede a header.
 	const emptyLineBytes = 2
 	switch {
+	case h.first.status == 0 && len(line) == 0 && h.size <= emptyLineBytes:
+		return false, nil
+	case h.first.status == 0:
+		return false, h.begin(line)
 	case len(line) == 0:
-		return h.size > emptyLineBytes
-	case !h.statusOK:
-		h.status, h.statusOK = lineStatus(line), true
-		if h.status >= http.StatusMultipleChoices {
-			h.found = make(http.Header)
-		}
+		return true, nil
 	case h.found != nil:
 		h.addField(line, cut)
 	}
-	return false
+	return false, nil
+}
+
+// begin begins a header with its first line.
+func (h *head) begin(line []byte) error {
+	first, ok := parseStatusLine(line)
+	switch {
+	case !ok:
+		return ErrStatus
+	case first.status == http.StatusSwitchingProtocols && !h.upgrade:
+		return ErrUpgrade
+	}
+	h.first = first
+	if first.status >= http.StatusMultipleChoices {
+		h.found = make(http.Header)
+	}
+	return nil
 }
 
 // end ends a header. It returns true unless the response is informational.
 func (h *head) end() bool {
-	if h.status >= http.StatusOK || h.status == 0 {
+	if h.first.status >= http.StatusOK || h.first.status == http.StatusSwitchingProtocols {
 		h.awaited = false
 		return true
 	}
-	h.size, h.status, h.statusOK = 0, 0, false
+	h.size, h.first = 0, statusLine{}
 	return false
 }
 
@@ -133,15 +165,27 @@
 	h.found.Add(canonical, text)
 }
 
-// lineStatus returns the status in the first line of a header, or 0 if it has none.
-func lineStatus(line []byte) int {
-	words := bytes.Fields(line)
-	if len(words) < 2 {
-		return 0
+// statusLine is the first line of a response.
+type statusLine struct {
+	// minor is the minor version of HTTP/1, and status is from 100 to 599.
+	minor, status int
+}
+
+// parseStatusLine parses the first line of a response. It returns false if it is none.
+func parseStatusLine(line []byte) (statusLine, bool) {
+	const versionBytes, statusBytes = len("HTTP/1.1"), len("200")
+	version, rest, ok := bytes.Cut(line, []byte(" "))
+	if !ok || len(version) != versionBytes || !bytes.HasPrefix(version, []byte("HTTP/1.")) {
+		return statusLine{}, false
+	}
+	minor, err := strconv.ParseUint(string(version[versionBytes-1:]), 10, 8)
+	if err != nil {
+		return statusLine{}, false
 	}
-	status, err := strconv.Atoi(string(words[1]))
-	if err != nil || status < 0 {
-		return 0
+	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.ParseUint(string(text), 10, 16)
+	if err != nil || len(text) != statusBytes || status < http.StatusContinue || status > maxStatus {
+		return statusLine{}, false
 	}
-	return status
+	return statusLine{minor: int(minor), status: int(status)}, true
 }
