--- a/cmd/mustardsaddle/broken_head_test.go
+++ b/cmd/mustardsaddle/broken_head_test.go
@@ -26,6 +26,20 @@
 		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade" + end},
 		{"status of 4 digits", "HTTP/1.1 2000 Long" + end},
 		{"version 2.0", "HTTP/2.0 200 OK" + end},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Odd: 1" + end},
+		{"blank behind a name", "HTTP/1.1 200 OK\r\nX-Odd : 1" + end},
+		{"blank behind a name of early hints", "HTTP/1.1 103 Early Hints\r\nX-Odd : 1\r\n\r\nHTTP/1.1 200 OK" + end},
+		{"blank behind Content-Length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nwood"},
+		{"blank behind Transfer-Encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nwood\r\n0\r\n\r\n"},
+		{"tab behind a name", "HTTP/1.1 200 OK\r\nX-Odd\t: 1" + end},
+		{"tab in a name", "HTTP/1.1 200 OK\r\nX\tOdd: 1" + end},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1" + end},
+		{"zero byte in a name", "HTTP/1.1 200 OK\r\nX\x00Odd: 1" + end},
+		{"DEL in a name", "HTTP/1.1 200 OK\r\nX\x7fOdd: 1" + end},
+		{"return in a name", "HTTP/1.1 200 OK\r\nX\rOdd: 1" + end},
+		{"no name", "HTTP/1.1 200 OK\r\n: 1" + end},
+		{"blank before the first name", "HTTP/1.1 200 OK\r\n X-Odd: 1" + end},
+		{"control byte in a value", "HTTP/1.1 200 OK\r\nX-Odd: \x01" + end},
 	}
 }
 
--- a/internal/base/response/head.go
+++ b/internal/base/response/head.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/textproto"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -25,8 +27,9 @@
 
 // Errors of a header that is not one of a response.
 var (
-	ErrStatus  = errors.New("read response header: the first line has no version 1.x and status from 100 to 599")
-	ErrUpgrade = errors.New("read response header: the protocol is switched, which the request did not ask for")
+	ErrStatus    = errors.New("read response header: the first line has no version 1.x and status from 100 to 599")
+	ErrUpgrade   = errors.New("read response header: the protocol is switched, which the request did not ask for")
+	ErrFieldName = errors.New("read response header: a field name is not a token")
 )
 
 // head judges the headers of the responses to each request on a connection, as they are received.
@@ -41,11 +44,16 @@
 	// line is the beginning of the present line, and cut is true if it is not the whole line.
 	line []byte
 	cut  bool
+	// named is true once the name of the field in the present line has ended, and returned once
+	// the line has had a carriage return before that.
+	named, returned bool
 	// size is the size of the present header up to now, in bytes.
 	size int
 	// first describes the first line of the present header; its status is 0 before that.
 	first statusLine
-	found http.Header
+	// continuable is true if the present line may continue a field.
+	continuable bool
+	found       http.Header
 	// bytes and lines count what was scanned for the present request, informational responses
 	// included.
 	bytes, lines int
@@ -72,7 +80,9 @@
 		if !ends {
 			n = len(p)
 		}
-		h.add(p[:n])
+		if err := h.add(p[:n]); err != nil {
+			return false, err
+		}
 		p = p[n:]
 		if !ends {
 			continue
@@ -89,20 +99,49 @@
 }
 
 // add adds a part of a line.
-func (h *head) add(p []byte) {
+func (h *head) add(p []byte) error {
+	if err := h.judgeName(p); err != nil {
+		return err
+	}
 	kept := p[:min(len(p), maxLineBytes-len(h.line))]
 	h.line = append(h.line, kept...)
 	h.cut = h.cut || len(kept) < len(p)
 	h.size += len(p)
 	h.bytes += len(p)
 	h.awaited = h.bytes <= MaxHeadBytes
+	return nil
+}
+
+// judgeName judges the part of a line that belongs to the name of a field. A line that begins with
+// a blank continues the field before it.
+func (h *head) judgeName(p []byte) error {
+	if h.first.status == 0 || h.named {
+		return nil
+	}
+	for i, b := range p {
+		begins := i == 0 && len(h.line) == 0
+		switch {
+		case b == '\n':
+			return nil
+		case h.returned:
+			return ErrFieldName
+		case b == '\r':
+			h.returned = true
+		case b == ':' && !begins, begins && h.continuable && (b == ' ' || b == '\t'):
+			h.named = true
+			return nil
+		case !httpguts.IsTokenRune(rune(b)):
+			return ErrFieldName
+		}
+	}
+	return nil
 }
 
 // endLine processes a complete line. It returns true for the empty one at the end of a header.
 func (h *head) endLine() (last bool, err error) {
 	line := bytes.TrimSuffix(bytes.TrimSuffix(h.line, []byte("\n")), []byte("\r"))
-	cut := h.cut
-	h.line, h.cut = h.line[:0], false
+	cut, named := h.cut, h.named
+	h.line, h.cut, h.named, h.returned = h.line[:0], false, false, false
 	h.lines++
 	// An empty first line may precede a header.
 	const emptyLineBytes = 2
@@ -113,7 +152,11 @@
 		return false, h.begin(line)
 	case len(line) == 0:
 		return true, nil
-	case h.found != nil:
+	case !named:
+		return false, ErrFieldName
+	}
+	h.continuable = true
+	if h.found != nil {
 		h.addField(line, cut)
 	}
 	return false, nil
@@ -128,7 +171,7 @@
 	case first.status == http.StatusSwitchingProtocols && !h.upgrade:
 		return ErrUpgrade
 	}
-	h.first = first
+	h.first, h.continuable = first, false
 	if first.status >= http.StatusMultipleChoices {
 		h.found = make(http.Header)
 	}
@@ -189,3 +232,14 @@
 	}
 	return statusLine{minor: int(minor), status: int(status)}, true
 }
+
+// CheckTrailer returns an error if the name of a field that was received in a trailer is not a
+// token.
+func CheckTrailer(trailer http.Header) error {
+	for name, values := range trailer {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return ErrFieldName
+		}
+	}
+	return nil
+}
--- a/internal/base/response/head_test.go
+++ b/internal/base/response/head_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -90,3 +91,59 @@
 		{"other protocol that was asked for", "HTTP/1.1 101 Switching Protocols" + end + "\x00HTTP/1.1 000 None" + end, nil},
 	})
 }
+
+// TestFieldNamesAreJudged guards against a response being read with a field whose name is no token:
+// a blank behind the name of a field that states the length gave another body.
+func TestFieldNamesAreJudged(t *testing.T) {
+	const begin, end = "HTTP/1.1 503 No\r\n", "\r\n\r\n"
+	long := strings.Repeat("x", 5000)
+	tests := []headTest{
+		{"token", begin + "X-9!#$%&'*+.^_`|~: y" + end, nil},
+		{"blank before a value", begin + "X:  \t y" + end, nil},
+		{"empty value", begin + "X:\r\nY:" + end, nil},
+		{"long name and value", begin + long + ":" + long + end, nil},
+		{"colons in a value", begin + "X: y:: z z" + end, nil},
+		{"continued value", begin + "X: y\r\n z z: y\r\n\t\r\nY: z" + end, nil},
+		{"body that looks like a field", begin + "X: y" + end + "X Odd: 1" + end, nil},
+		{"blank in a name", begin + "X Odd: 1" + end, response.ErrFieldName},
+		{"blank behind a name", begin + "X-Odd : 1" + end, response.ErrFieldName},
+		{"blank behind a long name", begin + long + " : 1" + end, response.ErrFieldName},
+		{"blank behind the name of a later field", begin + "X: y\r\nContent-Length : 1" + end, response.ErrFieldName},
+		{"blank behind a name, lines without returns", "HTTP/1.1 200 OK\nX-Odd : 1\n\n", response.ErrFieldName},
+		{"blank behind a name of early hints", "HTTP/1.1 103 Hints\r\nX-Odd : 1" + end + begin + end, response.ErrFieldName},
+		{"blank behind a name behind early hints", "HTTP/1.1 103 Hints\r\nX: y" + end + begin + "X-Odd : 1" + end, response.ErrFieldName},
+		{"blank before the first name", begin + " X: 1" + end, response.ErrFieldName},
+		{"blank before the first name behind early hints", "HTTP/1.1 103 Hints\r\nX: y" + end + begin + " X: 1" + end, response.ErrFieldName},
+		{"tab behind a name", begin + "X\t: 1" + end, response.ErrFieldName},
+		{"control byte in a name", begin + "X\x01: 1" + end, response.ErrFieldName},
+		{"zero byte in a name", begin + "X\x00: 1" + end, response.ErrFieldName},
+		{"DEL in a name", begin + "X\x7f: 1" + end, response.ErrFieldName},
+		{"byte above ASCII in a name", begin + "X\xe9: 1" + end, response.ErrFieldName},
+		{"return in a name", begin + "X\rY: 1" + end, response.ErrFieldName},
+		{"two returns", begin + "X: y\r\n\r\r\n" + end, response.ErrFieldName},
+		{"separator in a name", begin + "X/Y: 1" + end, response.ErrFieldName},
+		{"empty name", begin + ": 1" + end, response.ErrFieldName},
+		{"no colon", begin + "X" + end, response.ErrFieldName},
+	}
+	checkHeads(t, response.Config{}, tests)
+}
+
+func TestCheckTrailer(t *testing.T) {
+	const blankBehind = "X-Odd "
+	tests := []struct {
+		name    string
+		trailer http.Header
+		want    error
+	}{
+		{"none", nil, nil},
+		{"token", http.Header{"Checksum": {"1"}}, nil},
+		{"announced and not received", http.Header{"X Odd": nil}, nil},
+		{"blank in a name", http.Header{"X Odd": {"1"}}, response.ErrFieldName},
+		{"blank behind a name", http.Header{"Checksum": {"1"}, blankBehind: {"1"}}, response.ErrFieldName},
+	}
+	for _, tt := range tests {
+		if err := response.CheckTrailer(tt.trailer); !errors.Is(err, tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, err, tt.want)
+		}
+	}
+}
--- a/internal/request/gateway/framing_test.go
+++ b/internal/request/gateway/framing_test.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// TestCutResponseIsNotWhole guards against a response that breaks off being passed on as a
-// complete one.
+// TestCutResponseIsNotWhole guards against a response that breaks off, or whose trailer is broken,
+// being passed on as a complete one.
 func TestCutResponseIsNotWhole(t *testing.T) {
 	long := strings.Repeat("x", 100_000)
 	responses := []struct {
@@ -102,6 +102,8 @@
 		{"chunks cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwood\r\n", false},
 		{"last chunk cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwood\r\n0\r\n", false},
 		{"trailer cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n4\r\nwood\r\n0\r\nA: b", false},
+		{"blank in a name of a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwood\r\n0\r\nX Odd: 1\r\n\r\n", false},
+		{"blank behind a name of a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n4\r\nwood\r\n0\r\nA : 1\r\n\r\n", false},
 		{"length not reached", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwood", false},
 		{"long, length not reached", "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + long, false},
 	}
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -12,6 +12,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/response"
 	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
@@ -80,8 +81,8 @@
 		if n > 0 {
 			s.emptyResumes = 0
 		}
-		if err == io.EOF && s.total >= 0 && s.offset < s.total && s.c.bodyExpected(s.attempt) {
-			err = io.ErrUnexpectedEOF
+		if err == io.EOF {
+			err = s.end()
 		}
 		if err == nil || err == io.EOF {
 			return n, err
@@ -98,6 +99,17 @@
 	}
 }
 
+// end returns io.EOF if a body that has ended is complete and its trailer is sound.
+func (s *bodySource) end() error {
+	if s.total >= 0 && s.offset < s.total && s.c.bodyExpected(s.attempt) {
+		return io.ErrUnexpectedEOF
+	}
+	if err := response.CheckTrailer(s.attempt.resp.Trailer); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // resume replaces the failed attempt by one that continues the body.
 func (s *bodySource) resume(cause error) error {
 	broken := s.attempt
