Take chunks on HTTP/1.0 for no response's

What callers saw: a response on HTTP/1.0 with "Transfer-Encoding: chunked" came with the sizes of the chunks in its body (14 bytes in place of 4), as a 200.

Cause: the parser ignores Transfer-Encoding on HTTP/1.0, removes the field and takes the end of the connection for that of the body.

Evidence: the row of TestBrokenHeadIsNoResponse fails before, over each protocol, directly and through another gateway (6 of 6).

Change: the scan of heads refuses the field below version 1.1, where the framing of a message cannot be relied on. 0 of 6 fail now.

--- a/cmd/mustardsaddle/broken_head_test.go
+++ b/cmd/mustardsaddle/broken_head_test.go
@@ -31,6 +31,7 @@
 		{"blank behind a name of early hints", "HTTP/1.1 103 Early Hints\r\nX-Odd : 1\r\n\r\nHTTP/1.1 200 OK" + end},
 		{"blank behind Content-Length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nwood"},
 		{"blank behind Transfer-Encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nwood\r\n0\r\n\r\n"},
+		{"chunks on HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwood\r\n0\r\n\r\n"},
 		{"tab behind a name", "HTTP/1.1 200 OK\r\nX-Odd\t: 1" + end},
 		{"tab in a name", "HTTP/1.1 200 OK\r\nX\tOdd: 1" + end},
 		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1" + end},
--- a/internal/base/response/conn.go
+++ b/internal/base/response/conn.go
@@ -2,8 +2,9 @@
 // headers of responses, before they are parsed, and the end of the connection.
 //
 // A header is a response's only if its first line has a version 1.x and a status from 100 to 599,
-// if each field name is a token, and if it switches the protocol only where that was asked for.
-// Values are left to the parser. CheckTrailer judges the names in a trailer.
+// if each field name is a token, if it has a Transfer-Encoding only from version 1.1 on, and if it
+// switches the protocol only where that was asked for. Values are left to the parser. CheckTrailer
+// judges the names in a trailer.
 //
 // A connection ends in order only if its peer has closed the sending side. A body whose end is that
 // of the connection is complete then, and in no other case.
--- a/internal/base/response/head.go
+++ b/internal/base/response/head.go
@@ -30,6 +30,7 @@
 	ErrStatus    = errors.New("read response header: the first line has no version 1.x and status from 100 to 599")
 	ErrUpgrade   = errors.New("read response header: the protocol is switched, which the request did not ask for")
 	ErrFieldName = errors.New("read response header: a field name is not a token")
+	ErrFraming   = errors.New("read response header: HTTP/1.0 has no Transfer-Encoding")
 )
 
 // head judges the headers of the responses to each request on a connection, as they are received.
@@ -156,10 +157,7 @@
 		return false, ErrFieldName
 	}
 	h.continuable = true
-	if h.found != nil {
-		h.addField(line, cut)
-	}
-	return false, nil
+	return false, h.addField(line, cut)
 }
 
 // begin begins a header with its first line.
@@ -192,20 +190,27 @@
 const cutValue = "..."
 
 // addField keeps a field that matters. A long value is cut.
-func (h *head) addField(line []byte, cut bool) {
+func (h *head) addField(line []byte, cut bool) error {
+	if h.found == nil && h.first.minor > 0 {
+		return nil
+	}
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok {
-		return
+		return nil
 	}
 	canonical := textproto.CanonicalMIMEHeaderKey(string(name))
-	if !h.fields[canonical] {
-		return
+	if h.first.minor == 0 && canonical == "Transfer-Encoding" {
+		return ErrFraming
+	}
+	if h.found == nil || !h.fields[canonical] {
+		return nil
 	}
 	text := string(bytes.TrimSpace(value))
 	if text == "" && cut {
 		text = cutValue
 	}
 	h.found.Add(canonical, text)
+	return nil
 }
 
 // statusLine is the first line of a response.
--- a/internal/base/response/head_test.go
+++ b/internal/base/response/head_test.go
@@ -128,6 +128,17 @@
 	checkHeads(t, response.Config{}, tests)
 }
 
+// TestChunksNeedHTTP11 guards against the sizes of chunks being read as a part of the body, since
+// HTTP/1.0 has no Transfer-Encoding.
+func TestChunksNeedHTTP11(t *testing.T) {
+	const end = "\r\n\r\n"
+	checkHeads(t, response.Config{}, []headTest{
+		{"HTTP/1.1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + end, nil},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nX: y\r\ntransfer-encoding:chunked" + end, response.ErrFraming},
+		{"HTTP/1.0 behind early hints", "HTTP/1.1 103 Hints" + end + "HTTP/1.0 503 No\r\nTransfer-Encoding: chunked" + end, response.ErrFraming},
+	})
+}
+
 func TestCheckTrailer(t *testing.T) {
 	const blankBehind = "X-Odd "
 	tests := []struct {
