Take what came before a request for no response to it

What callers saw: a server sends more bytes behind a response than belong to it. The next request on the connection, maybe another caller's, got them as its answer.

Cause: the transport closes an idle connection on which something arrives, but a request that is sent at that moment gets it as its response. Such bytes were read before the request began, so the scan of heads had not judged them either.

Where responses name their request or attempt, matchesRequest refuses them already (read, not run).

Change: an attempt and a load query take a response only if the connection has received its head since the request began. Otherwise the connection is closed and the attempt has failed: NotRun if no byte of the request was written, Unknown if one was.

--- a/internal/base/response/conn.go
+++ b/internal/base/response/conn.go
@@ -2,9 +2,9 @@
 // headers of responses, before they are parsed, and the end of the connection.
 //
 // A header is a response's only if its first line has a version 1.x and a status from 100 to 599,
-// if each field name is a token, if it has a Transfer-Encoding only from version 1.1 on, and if it
-// switches the protocol only where that was asked for. Values are left to the parser. CheckTrailer
-// judges the names in a trailer.
+// if each field name is a token, if it has a Transfer-Encoding only from version 1.1 on, if it
+// switches the protocol only where that was asked for, and if it came after its request. Values are
+// left to the parser. CheckTrailer judges the names in a trailer.
 //
 // A connection ends in order only if its peer has closed the sending side. A body whose end is that
 // of the connection is complete then, and in no other case.
@@ -14,6 +14,7 @@
 //	c := response.NewConn(conn, response.Config{})
 //	c.BeginRequest()
 //	...  // write the request to c, and read the response from it
+//	if !c.Answered() { ... } // the response came before the request
 package response
 
 import (
@@ -28,6 +29,9 @@
 	"time"
 )
 
+// ErrEarly is the error of a response that came before its request.
+var ErrEarly = errors.New("read response header: it came before the request")
+
 // Config configures a Conn.
 type Config struct {
 	// Upgrade permits responses that switch the protocol.
@@ -75,6 +79,13 @@
 	c.head.await()
 }
 
+// Answered reports whether the header of a response was received since BeginRequest.
+func (c *Conn) Answered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.complete
+}
+
 // HeaderMemory returns the memory, in bytes, that the headers of the present response take.
 func (c *Conn) HeaderMemory() int64 {
 	c.mu.Lock()
--- a/internal/request/admission/query.go
+++ b/internal/request/admission/query.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"time"
@@ -175,12 +174,12 @@
 // no ID: the connection is closed, because the response to the load request would follow.
 func (cs *Controllers) fetchHeader(r *http.Request) (http.Header, int, error) {
 	connection.DisableResend(r)
-	var conn net.Conn
+	var conn *connection.CountedConn
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			conn = info.Conn
-			if counted, ok := conn.(*connection.CountedConn); ok && !counted.BeginRequest() {
-				counted.BlockWrites()
+			conn, _ = info.Conn.(*connection.CountedConn)
+			if conn != nil && !conn.BeginRequest() {
+				conn.BlockWrites()
 			}
 		},
 	}))
@@ -189,7 +188,8 @@
 		return nil, 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if cs.namesRequest(resp.Header) {
+	early := conn != nil && !conn.Answered()
+	if early || cs.namesRequest(resp.Header) {
 		_ = conn.Close()
 		return nil, 0, errOtherRequest
 	}
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/response"
 	"mustardsaddle.example/mustardsaddle/internal/choice/reach"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
@@ -147,6 +148,10 @@
 	transport := a.transport()
 	a.body = out.Body
 	a.resp, a.err = transport.RoundTrip(out) //nolint:bodyclose // finish closes it
+	if a.err == nil && a.conn != nil && !a.conn.Answered() {
+		_, _ = a.resp.Body.Close(), a.conn.Close()
+		a.resp, a.err = nil, response.ErrEarly
+	}
 }
 
 // transport returns the transport for the receiver and the connection policy.
