Judge the responses of the store and of peers like those of servers

What could happen: a response of the store with a blank in a field name, with chunks on HTTP/1.0 or on a version 2.0 was read as an object, in three of five forms with a value or end that the platform did not state; what came behind a response was read as the next one. A peer whose head was broken got a link, and was asked for quota.

Cause: the clients of the store, of links and of quota connections used the parser alone, as servers' did.

Change: response.Transport, an http.RoundTripper over judged connections, for these three. A broken response of the store is an error with StoreUnavailable, as one that breaks off; that of a peer a failed dial.

--- a/internal/base/response/conn.go
+++ b/internal/base/response/conn.go
@@ -1,5 +1,6 @@
 // Package response judges what is received on a connection before it is taken for a response: the
-// headers of responses, before they are parsed, and the end of the connection.
+// headers of responses, before they are parsed, and the end of the connection. All clients of this
+// program use it: those of the endpoint servers, of the other gateways and of the store.
 //
 // A header is a response's only if its first line has a version 1.x and a status from 100 to 599,
 // if each field name is a token, if it has a Transfer-Encoding only from version 1.1 on, if it
@@ -11,6 +12,8 @@
 //
 // # Usage
 //
+//	client := http.Client{Transport: response.NewTransport(&http.Transport{}, response.Config{})}
+//
 //	c := response.NewConn(conn, response.Config{})
 //	c.BeginRequest()
 //	...  // write the request to c, and read the response from it
--- a/internal/control/store/client.go
+++ b/internal/control/store/client.go
@@ -26,6 +26,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
+	"mustardsaddle.example/mustardsaddle/internal/base/response"
 )
 
 // MaxValueBytes is the maximum size of a value in the platform's store.
@@ -113,9 +114,9 @@
 	cfg = cfg.withDefaults()
 	return &Client{
 		cfg: cfg,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: response.NewTransport(&http.Transport{
 			MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		}},
+		}, response.Config{})},
 		core: &core{
 			rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
 			breaker: NewBreaker(failuresToOpen, cfg.Backoff),
--- a/internal/peer/grant/grant.go
+++ b/internal/peer/grant/grant.go
@@ -31,6 +31,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/response"
 )
 
 // Path is the URL path, at the peer address, of the connections.
@@ -138,7 +139,7 @@
 	base, stop := context.WithCancel(context.Background())
 	return &Quotas{
 		base: base, stop: stop, cfg: cfg, codec: newCodec(), metrics: newMetrics(cfg.Metrics), desk: cfg.Desk,
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
+		client: &http.Client{Transport: response.NewUpgradeTransport(maxResponseHeaderBytes)},
 		wake:   make(chan struct{}, 1), ends: make(chan *conn),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
 		reads:   buffer.ReadLimits{MaxBytes: maxMessageBytes, FreeBytes: freeMessageBytes, Large: buffer.NewPool(largeMessageBytes)},
--- a/internal/peer/grant/grant_test.go
+++ b/internal/peer/grant/grant_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +20,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/peer/grant"
+	"mustardsaddle.example/mustardsaddle/internal/standin/relay"
 )
 
 var gold = mustardsaddle.Customer{Name: "gold", Rate: 1, Burst: 1}
@@ -92,10 +94,17 @@
 
 // start runs the quotas of a desk behind a server. The log goes to the buffer.
 func start(d *desk, log *bytes.Buffer) (q *grant.Quotas, address string, stop func()) {
+	return startWith(d, log, func(ln net.Listener) net.Listener { return ln })
+}
+
+// startWith starts quotas whose listener is wrapped.
+func startWith(d *desk, log *bytes.Buffer, wrap func(net.Listener) net.Listener) (q *grant.Quotas, address string, stop func()) {
 	q = grant.New(grant.Config{Desk: d, Wait: 500 * time.Millisecond, Logger: zerolog.New(log)})
 	r := mux.NewRouter()
 	q.Mount(r)
-	s := httptest.NewServer(r)
+	s := httptest.NewUnstartedServer(r)
+	s.Listener = wrap(s.Listener)
+	s.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go q.Run(ctx, done)
@@ -131,6 +140,21 @@
 	}
 }
 
+// TestBrokenHeadOpensNoConnection guards against an ask for quota over a connection that was
+// accepted with a broken head.
+func TestBrokenHeadOpensNoConnection(t *testing.T) {
+	convey.Convey("Given a granter whose head has a blank in a field name", t, func() {
+		_, address, stopGranter := startWith(&desk{}, &bytes.Buffer{}, func(ln net.Listener) net.Listener { return relay.HeadBreaker{Listener: ln} })
+		asker := &desk{peer: mustardsaddle.VM{Name: "gateway-2", Peer: address}}
+		q, _, stop := start(asker, &bytes.Buffer{})
+		allowed := q.Acquire(context.Background(), time.Now(), gold).Allowed
+		stop()
+		stopGranter()
+		convey.So(allowed, convey.ShouldBeFalse)
+		convey.So(asker.failed, convey.ShouldBeTrue)
+	})
+}
+
 func TestPeerOfOlderBuild(t *testing.T) {
 	convey.Convey("Given a peer that answers 404", t, func() {
 		s := httptest.NewServer(http.NotFoundHandler())
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -39,6 +39,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/buffer"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/base/response"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 )
 
@@ -138,7 +139,7 @@
 		timing:          cfg.Timing.withDefaults(),
 		codec:           news.NewCodec(),
 		reads:           buffer.ReadLimits{MaxBytes: news.MaxBytes, FreeBytes: freeMessageBytes, Large: buffer.NewPool(largeMessageBytes)},
-		client:          &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
+		client:          &http.Client{Transport: response.NewUpgradeTransport(maxResponseHeaderBytes)},
 		neighborUpdates: make(chan []mustardsaddle.VM, 1),
 		acceptedConns:   make(chan acceptedConn),
 		stopped:         make(chan struct{}),
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -52,6 +52,8 @@
 	lostPeers  []string
 	// receiveGate, if set, blocks the handling of messages until it is closed.
 	receiveGate chan struct{}
+	// wrap, if set, wraps the listener.
+	wrap func(net.Listener) net.Listener
 	// onMessage, if set, handles the messages instead of the node.
 	onMessage func(news.Message)
 }
@@ -66,6 +68,9 @@
 		t.Fatal(err)
 	}
 	n.vm.Peer = listener.Addr().String()
+	if n.wrap != nil {
+		listener = n.wrap(listener)
+	}
 	n.relay = news.NewRelay(news.RelayConfig{})
 	n.links = link.New(link.Config{
 		Self: n.vm, Summary: n.summary, Receive: n.receive, OnNeighborLost: n.onLost, Timing: timing, Logger: zerolog.Nop(),
@@ -240,6 +245,23 @@
 	})
 }
 
+// TestBrokenHeadOpensNoLink guards against messages over a link that was accepted with a broken
+// head.
+func TestBrokenHeadOpensNoLink(t *testing.T) {
+	const dials = 3
+	broken := &node{
+		vm:   mustardsaddle.VM{Name: "gateway-2", Incarnation: 1, Zone: "zone-a"},
+		wrap: func(ln net.Listener) net.Listener { return relay.HeadBreaker{Listener: ln} },
+	}
+	startNode(t, broken, fastTiming())
+	n := newNode(t, "gateway-1", "zone-a", fastTiming())
+	n.links.SetNeighbors([]mustardsaddle.VM{broken.vm})
+	waitFor(t, "repeated dials", func() bool { return n.links.Stats().Dials >= dials || n.isLinked(broken.vm.Name) })
+	if n.isLinked(broken.vm.Name) {
+		t.Error("got a link, want none")
+	}
+}
+
 func TestSlowReader(t *testing.T) {
 	convey.Convey("Given a peer that is blocked while it handles a message", t, func() {
 		a := newNode(t, "gateway-a", "1", fastTiming())
