--- a/internal/request/gateway/broken_head_test.go
+++ b/internal/request/gateway/broken_head_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/choice/report"
+	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
@@ -65,3 +71,57 @@
 		}
 	}
 }
+
+// TestBrokenHeadIsNoRestOfDownload guards against a download that is continued with a response whose
+// head is broken.
+func TestBrokenHeadIsNoRestOfDownload(t *testing.T) {
+	const size, part = 400 << 10, 100 << 10
+	body := strings.Repeat("v", size)
+	serve := func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		if r.Header.Get("Range") == "" {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nEtag: \"a\"\r\nContent-Length: %d\r\n\r\n%s", size, body[:part])
+			return
+		}
+		var offset int
+		_, _ = fmt.Sscanf(r.Header.Get("Range"), "bytes=%d-", &offset)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 206 Partial Content\r\nX Odd: 1\r\nEtag: \"a\"\r\nContent-Range: bytes %d-%d/%d\r\nContent-Length: %d\r\n\r\n%s",
+			offset, size-1, size, size-offset, body[offset:])
+	}
+	front, _ := newGateway(t, gateway.Config{MaxAttempts: 5}, newConnServer(t, serve), newConnServer(t, serve))
+	if resp, text, err := do(t, front, http.MethodGet, "/video", ""); err == nil {
+		t.Errorf("got %v and %d bytes, want a visible cut", resp, len(text))
+	}
+}
+
+// TestBrokenHeadIsNoLoadReport guards against a load report in a response whose head is broken.
+func TestBrokenHeadIsNoLoadReport(t *testing.T) {
+	queries := make(chan struct{}, 100)
+	address := newConnServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX Odd: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", report.Header, report.Format(1, 2, false))
+		queries <- struct{}{}
+	})
+	var reports atomic.Int64
+	_, g := newGateway(t, gateway.Config{Admission: admission.Options{
+		OnReport: func(time.Time, string, string, mustardsaddle.Report) { reports.Add(1) },
+	}}, address)
+	budget := &countedBudget{}
+	budget.left.Store(100)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go admission.NewProber(admission.ProberConfig{Controllers: g.Controllers(), Budget: budget, Interval: time.Millisecond}).Run(ctx, done)
+	for range 3 {
+		<-queries
+	}
+	cancel()
+	<-done
+	if n := reports.Load(); n > 0 {
+		t.Errorf("got %d load reports, want none", n)
+	}
+}
