--- a/internal/base/response/conn.go
+++ b/internal/base/response/conn.go
@@ -32,8 +32,9 @@
 	"time"
 )
 
-// ErrEarly is the error of a response that came before its request.
-var ErrEarly = errors.New("read response header: it came before the request")
+// ErrEarly is the error of a response whose header was not judged, since it came before its request
+// or is longer than MaxHeadBytes.
+var ErrEarly = errors.New("read response header: it came before the request, or is too long")
 
 // Config configures a Conn.
 type Config struct {
