--- a/cmd/mustardsaddle/cut_server_test.go
+++ b/cmd/mustardsaddle/cut_server_test.go
@@ -54,17 +54,18 @@
 	}
 	s := &cuttingServer{Listener: ln, requests: make(map[string]int)}
 	t.Cleanup(func() { _ = ln.Close() })
-	go s.accept()
+	go acceptAll(ln, s.serve)
 	return s
 }
 
-func (s *cuttingServer) accept() {
+// acceptAll calls serve for each connection until the listener is closed.
+func acceptAll(ln net.Listener, serve func(c net.Conn)) {
 	for {
-		c, err := s.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
-		go s.serve(c)
+		go serve(c)
 	}
 }
 
--- a/cmd/mustardsaddle/early_answer_test.go
+++ b/cmd/mustardsaddle/early_answer_test.go
@@ -29,34 +29,20 @@
 // endSent is the value of the query parameter End for a server that closes its sending side alone.
 const endSent = "Sent"
 
-// earlyServer answers uploads before it has read them. Other requests get a short response.
-type earlyServer struct {
-	net.Listener
-}
-
-func newEarlyServer(t *testing.T) *earlyServer {
+// newEarlyServer returns the address of a server that answers uploads before it has read them.
+func newEarlyServer(t *testing.T) string {
 	ln, err := net.Listen("tcp", freeAddress(t))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &earlyServer{Listener: ln}
 	t.Cleanup(func() { _ = ln.Close() })
-	go s.accept()
-	return s
-}
-
-func (s *earlyServer) accept() {
-	for {
-		c, err := s.Accept()
-		if err != nil {
-			return
-		}
-		go s.serve(c.(*net.TCPConn))
-	}
+	go acceptAll(ln, answerEarly)
+	return ln.Addr().String()
 }
 
-// serve serves the requests on a connection until one is answered early.
-func (s *earlyServer) serve(c *net.TCPConn) {
+// answerEarly serves the requests on a connection until one is answered early. Requests without a
+// framing in their query get a short response.
+func answerEarly(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for {
@@ -72,10 +58,10 @@
 		_, _ = c.Write(responseUntil(query.Get("Framing"), query.Get("Part"), bodyOf(query.Get("ID"))))
 		time.Sleep(earlyPause)
 		if query.Get("End") == endReset {
-			_ = c.SetLinger(0)
+			_ = c.(*net.TCPConn).SetLinger(0)
 			return
 		}
-		_ = c.CloseWrite()
+		_ = c.(*net.TCPConn).CloseWrite()
 		_, _ = io.Copy(io.Discard, in)
 		return
 	}
@@ -126,10 +112,9 @@
 // used up the error, and the answer ended like one in order.
 func TestEarlyAnswerThatIsResetNeverLooksComplete(t *testing.T) {
 	s := newSystem(t, 0, 0)
-	server := newEarlyServer(t)
 	s.listMachine(mustardsaddle.Machine{
 		Name: "booking-00", Incarnation: 1, Zone: "zone-a", Service: "Booking", Slots: 64, Connections: 1000,
-		Address: server.Addr().String(),
+		Address: newEarlyServer(t),
 	})
 	s.submitRules("# Generation 0\nPath=/* Service=Booking Deadline=10s # Ana: plans and videos\n")
 	direct := strings.TrimPrefix(s.startNext().url, "http://")
