--- a/internal/base/response/conn.go
+++ b/internal/base/response/conn.go
@@ -1,11 +1,11 @@
-// Package response judges what is received on a connection before it is taken for a response: the
+// Package response validates what is received on a connection before it is taken for a response: the
 // headers of responses, before they are parsed, and the end of the connection. All clients of this
 // program use it: those of the endpoint servers, of the other gateways and of the store.
 //
 // A header is a response's only if its first line has a version 1.x and a status from 100 to 599,
 // if each field name is a token, if it has a Transfer-Encoding only from version 1.1 on, if it
 // switches the protocol only where that was asked for, and if it came after its request. Values are
-// left to the parser. CheckTrailer judges the names in a trailer.
+// left to the parser. CheckTrailer validates the names in a trailer.
 //
 // A connection ends in order only if its peer has closed the sending side. A body whose end is that
 // of the connection is complete then, and in no other case.
@@ -32,8 +32,8 @@
 	"time"
 )
 
-// ErrEarly is the error of a response whose header was not judged, since it came before its request
-// or is longer than MaxHeadBytes.
+// ErrEarly is the error of a response whose header was not validated, since it came before its
+// request or is longer than MaxHeadBytes.
 var ErrEarly = errors.New("read response header: it came before the request, or is too long")
 
 // Config configures a Conn.
@@ -121,9 +121,9 @@
 	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
-		err = c.judgeEnd()
+		err = c.endOfStream()
 	}
-	return c.judge(p[:n], err)
+	return c.validate(p[:n], err)
 }
 
 // endError returns the error with which reading has ended, or nil.
@@ -133,10 +133,10 @@
 	return c.ended
 }
 
-// judgeEnd returns io.EOF if the peer has closed its sending side. The kernel reports the error of
-// a connection once. If that was to a write, reading ends as if in order, maybe before the write
+// endOfStream returns io.EOF if the peer has closed its sending side. The kernel reports the error
+// of a connection once. If that was to a write, reading ends as if in order, maybe before the write
 // has returned: writes are ended, and the one in progress is waited for.
-func (c *Conn) judgeEnd() error {
+func (c *Conn) endOfStream() error {
 	_ = c.SetWriteDeadline(time.Unix(0, 1))
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -146,9 +146,9 @@
 	return io.EOF
 }
 
-// judge judges the header in what was read, and returns the result of the read, which had the
-// given error.
-func (c *Conn) judge(p []byte, err error) (int, error) {
+// validate scans what was read for headers, and returns the result of the read, which had the given
+// error.
+func (c *Conn) validate(p []byte, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	complete, headErr := c.head.scan(p)
--- a/internal/base/response/fuzz_test.go
+++ b/internal/base/response/fuzz_test.go
@@ -12,8 +12,8 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/response"
 )
 
-// FuzzHead guards against heads that are judged otherwise than they are parsed: what passes and is
-// parsed has a status and names of HTTP, wherever reads divide it.
+// FuzzHead guards against heads that are validated otherwise than they are parsed: what passes and
+// is parsed has a status and names of HTTP, wherever reads divide it.
 func FuzzHead(f *testing.F) {
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nX: y\r\n\r\nbody",
@@ -36,7 +36,7 @@
 	})
 }
 
-// checkParsed checks the heads of a text that was judged to be a response.
+// checkParsed checks the heads of a text that has passed as a response.
 func checkParsed(t *testing.T, text string) {
 	t.Helper()
 	in := bufio.NewReader(strings.NewReader(text))
--- a/internal/base/response/head.go
+++ b/internal/base/response/head.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// MaxHeadBytes bounds the headers of the responses to a request. Longer ones are not judged to
-	// their end.
+	// MaxHeadBytes bounds the headers of the responses to a request. Longer ones are not validated
+	// to their end.
 	MaxHeadBytes = 256 << 10
 	// maxLineBytes is the part of a line of a header that is kept: a status, or a name and the
 	// beginning of a value.
@@ -33,14 +33,14 @@
 	ErrFraming   = errors.New("read response header: HTTP/1.0 has no Transfer-Encoding")
 )
 
-// head judges the headers of the responses to each request on a connection, as they are received.
-// It keeps one line, and the fields that matter.
+// head validates the headers of the responses to each request on a connection, as they are
+// received. It keeps one line, and the fields that matter.
 type head struct {
 	// fields are the names, in canonical form, of the fields that matter.
 	fields map[string]bool
 	// upgrade is true if a response may switch the protocol.
 	upgrade bool
-	// awaited is true while the header of a response is awaited, and complete once it was judged.
+	// awaited is true while the header of a response is awaited, and complete once it was validated.
 	awaited, complete bool
 	// line is the beginning of the present line, and cut is true if it is not the whole line.
 	line []byte
@@ -73,7 +73,7 @@
 
 // scan scans what was read from the connection. It returns true when the header of a response is
 // complete: first then holds its first line and, unless it is a success, found the fields that
-// matter. Informational responses are judged and passed over.
+// matter. Informational responses are validated and passed over.
 func (h *head) scan(p []byte) (ended bool, err error) {
 	for h.awaited && len(p) > 0 {
 		n := bytes.IndexByte(p, '\n') + 1
@@ -101,7 +101,7 @@
 
 // add adds a part of a line.
 func (h *head) add(p []byte) error {
-	if err := h.judgeName(p); err != nil {
+	if err := h.validateName(p); err != nil {
 		return err
 	}
 	kept := p[:min(len(p), maxLineBytes-len(h.line))]
@@ -113,9 +113,9 @@
 	return nil
 }
 
-// judgeName judges the part of a line that belongs to the name of a field. A line that begins with
-// a blank continues the field before it.
-func (h *head) judgeName(p []byte) error {
+// validateName validates the part of a line that belongs to the name of a field. A line that begins
+// with a blank continues the field before it.
+func (h *head) validateName(p []byte) error {
 	if h.first.status == 0 || h.named {
 		return nil
 	}
--- a/internal/base/response/head_test.go
+++ b/internal/base/response/head_test.go
@@ -50,9 +50,9 @@
 	}
 }
 
-// TestFirstLineIsJudged guards against a response being read whose first line has no status of
+// TestFirstLineIsValidated guards against a response being read whose first line has no status of
 // HTTP/1.
-func TestFirstLineIsJudged(t *testing.T) {
+func TestFirstLineIsValidated(t *testing.T) {
 	const end = "\r\n\r\n"
 	long := strings.Repeat("x", 5000)
 	tests := []headTest{
@@ -92,9 +92,9 @@
 	})
 }
 
-// TestFieldNamesAreJudged guards against a response being read with a field whose name is no token:
-// a blank behind the name of a field that states the length gave another body.
-func TestFieldNamesAreJudged(t *testing.T) {
+// TestFieldNamesAreValidated guards against a response being read with a field whose name is no
+// token: a blank behind the name of a field that states the length gave another body.
+func TestFieldNamesAreValidated(t *testing.T) {
 	const begin, end = "HTTP/1.1 503 No\r\n", "\r\n\r\n"
 	long := strings.Repeat("x", 5000)
 	tests := []headTest{
--- a/internal/base/response/transport.go
+++ b/internal/base/response/transport.go
@@ -7,7 +7,7 @@
 	"net/http/httptrace"
 )
 
-// Transport sends requests over connections on which responses are judged. It is safe for
+// Transport sends requests over connections on which responses are validated. It is safe for
 // concurrent use.
 type Transport struct {
 	inner *http.Transport
--- a/internal/request/connection/counted.go
+++ b/internal/request/connection/counted.go
@@ -13,7 +13,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/response"
 )
 
-// CountedConn is a connection to a server that judges the responses, and counts reads and writes.
+// CountedConn is a connection to a server that validates the responses, and counts reads and writes.
 // Its writes can be blocked, after which no further byte is sent. After a response that a later
 // request could be given by mistake it reads as closed.
 type CountedConn struct {
