Match a response to its request by number, not by the last one begun

The transport returns the connection of such a response before the response.

TestEmptyResponsesAreTaken fails before: 16 of 16 callers within 500 calls.

Change: a connection counts its requests, and the header of a response answers the one that had begun last when it was received.

--- a/internal/base/response/conn.go
+++ b/internal/base/response/conn.go
@@ -16,8 +16,9 @@
 //
 //	c := response.NewConn(conn, response.Config{})
 //	c.BeginRequest()
+//	n := c.Requests()
 //	...  // write the request to c, and read the response from it
-//	if !c.Answered() { ... } // the response came before the request
+//	if !c.Answered(n) { ... } // the response came before the request
 package response
 
 import (
@@ -55,6 +56,9 @@
 
 	mu   sync.Mutex
 	head head
+	// begun is the number of requests begun, and answered the number of the last one of them whose
+	// response has a complete header.
+	begun, answered int64
 	// ended is the error of the read that has ended the stream.
 	ended error
 
@@ -81,13 +85,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.await()
+	c.begun++
 }
 
-// Answered reports whether the header of a response was received since BeginRequest.
-func (c *Conn) Answered() bool {
+// Requests returns the number of requests begun, which is the number of the present one.
+func (c *Conn) Requests() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.complete
+	return c.begun
+}
+
+// Answered reports whether the header of a response was received since the request with the given
+// number began. The next request may have begun meanwhile.
+func (c *Conn) Answered(request int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered >= request
 }
 
 // HeaderMemory returns the memory, in bytes, that the headers of the present response take.
@@ -158,6 +171,9 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended = err
 	}
+	if complete {
+		c.answered = c.begun
+	}
 	if complete && c.head.found != nil && c.onHeader != nil {
 		c.onHeader(c.head.first.status, c.head.found)
 	}
--- a/internal/base/response/conn_test.go
+++ b/internal/base/response/conn_test.go
@@ -119,3 +119,20 @@
 		}
 	}
 }
+
+// TestAnsweredWhileNextRequestBegins guards against the response to a request counting as none
+// because the next one on the connection has begun before it was looked at.
+func TestAnsweredWhileNextRequestBegins(t *testing.T) {
+	near, far := tcpPair(t, response.Config{})
+	near.BeginRequest()
+	first := near.Requests()
+	const head = "HTTP/1.1 204 No Content\r\n\r\n"
+	_, _ = io.WriteString(far, head)
+	if _, err := io.ReadFull(near, make([]byte, len(head))); err != nil {
+		t.Fatal(err)
+	}
+	near.BeginRequest()
+	if next := near.Requests(); !near.Answered(first) || near.Answered(next) {
+		t.Errorf("got answered %v and %v, want the first request alone", near.Answered(first), near.Answered(next))
+	}
+}
--- a/internal/base/response/head.go
+++ b/internal/base/response/head.go
@@ -40,8 +40,8 @@
 	fields map[string]bool
 	// upgrade is true if a response may switch the protocol.
 	upgrade bool
-	// awaited is true while the header of a response is awaited, and complete once it was validated.
-	awaited, complete bool
+	// awaited is true while the header of a response is awaited.
+	awaited bool
 	// line is the beginning of the present line, and cut is true if it is not the whole line.
 	line []byte
 	cut  bool
@@ -179,7 +179,7 @@
 // end ends a header. It returns true unless the response is informational.
 func (h *head) end() bool {
 	if h.first.status >= http.StatusOK || h.first.status == http.StatusSwitchingProtocols {
-		h.awaited, h.complete = false, true
+		h.awaited = false
 		return true
 	}
 	h.size, h.first = 0, statusLine{}
--- a/internal/base/response/transport.go
+++ b/internal/base/response/transport.go
@@ -35,14 +35,15 @@
 // an error.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn *Conn
+	var request int64
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
 			c.BeginRequest()
-			conn = c
+			conn, request = c, c.Requests()
 		}
 	}}
 	resp, err := t.inner.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if err != nil || conn == nil || conn.Answered() {
+	if err != nil || conn == nil || conn.Answered(request) {
 		return resp, err
 	}
 	_, _ = resp.Body.Close(), conn.Close()
--- a/internal/request/admission/query.go
+++ b/internal/request/admission/query.go
@@ -175,12 +175,17 @@
 func (cs *Controllers) fetchHeader(r *http.Request) (http.Header, int, error) {
 	connection.DisableResend(r)
 	var conn *connection.CountedConn
+	var request int64
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			conn, _ = info.Conn.(*connection.CountedConn)
-			if conn != nil && !conn.BeginRequest() {
+			if conn == nil {
+				return
+			}
+			if !conn.BeginRequest() {
 				conn.BlockWrites()
 			}
+			request = conn.Requests()
 		},
 	}))
 	resp, err := cs.cfg.Transport.RoundTrip(r)
@@ -188,7 +193,7 @@
 		return nil, 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	early := conn != nil && !conn.Answered()
+	early := conn != nil && !conn.Answered(request)
 	if early || cs.namesRequest(resp.Header) {
 		_ = conn.Close()
 		return nil, 0, errOtherRequest
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -45,6 +45,7 @@
 
 	body         io.Closer
 	conn         *connection.CountedConn
+	sequence     int64 // the number of the request among those on conn
 	writesBefore int64
 	readsBefore  int64
 	reused       bool
@@ -148,7 +149,7 @@
 	transport := a.transport()
 	a.body = out.Body
 	a.resp, a.err = transport.RoundTrip(out) //nolint:bodyclose // finish closes it
-	if a.err == nil && a.conn != nil && !a.conn.Answered() {
+	if a.err == nil && a.conn != nil && !a.conn.Answered(a.sequence) {
 		_, _ = a.resp.Body.Close(), a.conn.Close()
 		a.resp, a.err = nil, response.ErrEarly
 	}
@@ -221,6 +222,7 @@
 	a.conn, a.reused = cn, info.Reused
 	a.writesBefore, a.readsBefore = cn.Writes(), cn.Reads()
 	sound := cn.BeginRequest()
+	a.sequence = cn.Requests()
 	if !sound || a.policy == aliveConnection && info.IdleTime > connection.LivenessWindow {
 		a.stale = true
 		cn.BlockWrites()
--- a/internal/request/gateway/before_request_test.go
+++ b/internal/request/gateway/before_request_test.go
@@ -52,3 +52,22 @@
 		})
 	}
 }
+
+// TestEmptyResponsesAreTaken guards against a response without a body counting as one that came
+// before its request, because the connection has begun its next request meanwhile.
+func TestEmptyResponsesAreTaken(t *testing.T) {
+	s := newCountingServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	front, _ := newGateway(t, gateway.Config{Deadline: 10 * time.Second, MaxAttempts: 1}, s.address())
+	var wg sync.WaitGroup
+	for range 16 {
+		wg.Go(func() {
+			for range 500 {
+				if resp, text, err := do(t, front, http.MethodGet, "/x", ""); err != nil || resp.StatusCode == http.StatusBadGateway {
+					t.Errorf("got %v, body %q, error %v, want no failure", resp, text, err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
