--- a/review/lab/node.go
+++ b/review/lab/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -34,16 +35,27 @@
 	ended              chan struct{}
 }
 
+// Ports of gateways lie below those that the kernel gives to outgoing connections, so that no such
+// connection takes one before its gateway listens.
+const (
+	lowestPort  = 18000
+	highestPort = 30000
+)
+
 // freeAddresses returns n loopback addresses whose ports are free.
 func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range addresses {
-		ln, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // It is closed at once.
+	var addresses []string
+	for tries := 0; len(addresses) < n; tries++ {
+		if tries > highestPort-lowestPort {
+			return nil, fmt.Errorf("there are no %d free ports from %d to %d", n, lowestPort, highestPort)
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		ln, err := net.Listen("tcp", address) //nolint:noctx // It is closed at the end.
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = ln.Close() }()
-		addresses[i] = ln.Addr().String()
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
