Send the body of a request whole or not at all

Cause: a request body had no owner. After a pooled connection turned out to be unusable, attempt.send repeated the round trip; resume.go requested the rest of a download. Neither asked whether an earlier round trip had read from the body. http.Transport reads one byte of a body of unknown length before it writes, for GET, HEAD, DELETE, OPTIONS, PROPFIND and SEARCH.

Ruled out: bodies with a length and POST, never changed; retries after a refusal, which ask booking.Call.

Change: internal/request/upload owns the body. Open returns all of it or ErrTaken, to one sending at a time; an attempt of any kind needs a sending. A body of unknown length is stated as chunked, so that nothing is read before the header is written.

--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -20,6 +19,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 	"mustardsaddle.example/mustardsaddle/internal/request/forward"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
+	"mustardsaddle.example/mustardsaddle/internal/request/upload"
 )
 
 var (
@@ -43,7 +43,7 @@
 	cancel     context.CancelCauseFunc
 	policy     connectionPolicy
 
-	body         io.Closer
+	body         *upload.Sending // nil if the attempt could not have the body
 	conn         *connection.CountedConn
 	sequence     int64 // the number of the request among those on conn
 	writesBefore int64
@@ -86,7 +86,7 @@
 
 // send sends the request once and classifies the outcome. If the connection had
 // been idle for too long and nothing was written to it, the request is sent on a
-// new one.
+// new one, if its whole body is still there.
 func (a *attempt) send(setHeaders func(http.Header)) {
 	a.sentAt = time.Now()
 	if a.mayMove() {
@@ -95,6 +95,7 @@
 	}
 	a.roundTrip(setHeaders)
 	if a.stale && a.err != nil && a.conn.BlockWrites() == a.writesBefore {
+		_ = a.body.Close()
 		a.conn, a.reused, a.stale, a.policy = nil, false, false, newConnection
 		a.roundTrip(setHeaders)
 	}
@@ -112,13 +113,16 @@
 // one can no longer reach the service.
 func (a *attempt) mayMove() bool {
 	c := a.c
-	return a.through == nil && c.match.carried == nil && !c.isolated && c.match.repeat == mustardsaddle.RepeatYes && !c.body.streamed() &&
+	return a.through == nil && c.match.carried == nil && !c.isolated && c.match.repeat == mustardsaddle.RepeatYes && !c.body.Streamed() &&
 		c.g.cfg.Forwarding.MaxGateways > 0
 }
 
 // recordPath records whether the server could be reached. An attempt that was canceled
 // before it had a connection shows nothing.
 func (a *attempt) recordPath() {
+	if a.bodyTaken() {
+		return
+	}
 	server, controller, now := a.assignment.Choice.Server.Name, a.c.match.controller, time.Now()
 	f := reach.Failure{Server: server, NewConnection: true, SentAt: a.sentAt}
 	if a.conn != nil && !a.reused {
@@ -134,6 +138,12 @@
 	}
 }
 
+// bodyTaken reports whether the attempt was not sent because an earlier one has a part of the body.
+// That shows nothing about the server.
+func (a *attempt) bodyTaken() bool {
+	return errors.Is(a.err, upload.ErrTaken)
+}
+
 // unsent reports whether the attempt found no connection to its server.
 func (a *attempt) unsent() bool {
 	return a.through == nil && a.err != nil && a.conn == nil
@@ -142,13 +152,15 @@
 // roundTrip passes the request to the transport that the connection policy
 // requires.
 func (a *attempt) roundTrip(setHeaders func(http.Header)) {
+	a.body, a.err = a.c.body.Open()
+	if a.err != nil {
+		return
+	}
 	out := a.request()
 	if setHeaders != nil {
 		setHeaders(out.Header)
 	}
-	transport := a.transport()
-	a.body = out.Body
-	a.resp, a.err = transport.RoundTrip(out) //nolint:bodyclose // finish closes it
+	a.resp, a.err = a.transport().RoundTrip(out) //nolint:bodyclose // finish closes it
 	if a.err == nil && a.conn != nil && !a.conn.Answered(a.sequence) {
 		_, _ = a.resp.Body.Close(), a.conn.Close()
 		a.resp, a.err = nil, response.ErrEarly
@@ -170,7 +182,7 @@
 	}
 }
 
-// request builds the outgoing request.
+// request builds the outgoing request, with the body that the attempt has.
 func (a *attempt) request() *http.Request {
 	c := a.c
 	out := c.r.WithContext(httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{
@@ -188,7 +200,7 @@
 	fields.Set(header.Attempt, a.id)
 	c.setCustomer(&fields)
 	names := c.g.cfg.Headers
-	if !c.body.unbounded() && names.Deadline != "" {
+	if !c.unboundedUpload() && names.Deadline != "" {
 		left := max(time.Until(c.deadline).Milliseconds(), 1)
 		fields.Set(names.Deadline, strconv.FormatInt(left, 10))
 	}
@@ -199,10 +211,12 @@
 		fields.Set(names.Instance, a.assignment.Choice.Server.Name)
 	}
 	out.Header = fields.Header
-	if c.body.empty {
+	if c.body.Empty() {
 		delete(out.Header, "Expect")
 	}
-	c.body.attach(out, a.policy != newConnection)
+	trailer := header.TrailerNames(c.r.Trailer)
+	c.g.removeCustomer(c.match.identification, trailer)
+	a.body.Attach(out, trailer, a.policy != newConnection)
 	return out
 }
 
@@ -259,7 +273,9 @@
 // gives the server's capacity to the next queued call. The connection is closed
 // unless the response was read to its end.
 func (a *attempt) finish() {
-	_ = a.body.Close()
+	if a.body != nil {
+		_ = a.body.Close()
+	}
 	if a.resp != nil {
 		_ = a.resp.Body.Close()
 	}
@@ -305,14 +321,13 @@
 // isServerFault reports whether the result counts as a failure of the server.
 func (a *attempt) isServerFault() bool {
 	if a.err != nil || a.mismatch {
-		return true
+		return !a.bodyTaken()
 	}
 	return !a.shed && a.resp != nil && a.resp.StatusCode >= http.StatusInternalServerError
 }
 
 // code returns the result code for an attempt without a usable response.
 func (a *attempt) code() code.Code {
-	_, tooLarge := a.c.body.state()
 	switch {
 	case errors.Is(context.Cause(a.ctx), errDeadline):
 		return code.CallDeadline
@@ -320,7 +335,7 @@
 		return code.CallStopping
 	case a.c.r.Context().Err() != nil:
 		return code.CallCanceled
-	case tooLarge:
+	case a.c.body.TooLarge():
 		return code.CallTooLarge
 	case a.through != nil && !a.mismatch:
 		return a.forwardCode()
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -13,6 +13,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
 	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
 	"mustardsaddle.example/mustardsaddle/internal/request/slot"
+	"mustardsaddle.example/mustardsaddle/internal/request/upload"
 )
 
 // call is the state of one caller's request.
@@ -26,7 +27,7 @@
 	// time; the start of the call unless late calls are refused in a shortage.
 	firstSentAt time.Time
 	deadline    time.Time
-	body        requestBody
+	body        *upload.Body
 	timer       *time.Timer
 	request     admission.Request
 	claim       *mustardsaddle.Claim // held by this call; nil if none
@@ -57,8 +58,7 @@
 
 func newCall(g *Gateway, now time.Time, w http.ResponseWriter, r *http.Request, m matchResult) *call {
 	c := &call{g: g, w: w, r: r, match: m, start: now, firstSentAt: now.Add(-m.elapsed), deadline: now.Add(m.deadline)}
-	c.body.c, c.body.identity = c, g.newIdentity(r, m)
-	c.body.inspect()
+	c.body = c.newBody()
 	c.request = admission.Request{
 		Begin: c.beginAttempt, Entry: c.queueEntry, NoTokenWait: m.carried != nil || g.cfg.Forwarding.MaxGateways > 0,
 	}
@@ -86,7 +86,7 @@
 			a.cancel(errDeadline)
 		}
 	}
-	if c.body.streamed() {
+	if c.body.Streamed() {
 		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now())
 	}
 }
@@ -159,7 +159,7 @@
 // end releases the call.
 func (c *call) end() {
 	c.timer.Stop()
-	c.body.release()
+	c.body.Release()
 	if !c.settled && c.endedByStop() {
 		c.g.stop.ended.Add(1)
 	}
@@ -171,7 +171,7 @@
 	if refused := c.refuseStopping(time.Now()); refused != nil {
 		return refused
 	}
-	if refused := c.body.buffer(); refused != nil {
+	if refused := c.keepBody(); refused != nil {
 		return refused
 	}
 	return c.refuseStopping(time.Now())
@@ -248,7 +248,7 @@
 func (c *call) beginAttempt(now time.Time, b *booking.Budgets) (booking.Kind, []string, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if consumed, _ := c.body.state(); consumed {
+	if c.body.Taken() {
 		c.state.MarkBodyConsumed()
 	}
 	kind, ok := c.state.Begin(now, b)
@@ -376,7 +376,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responseStarted = true
-	if c.body.streamed() {
+	if c.body.Streamed() {
 		_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
 	}
 }
--- a/internal/request/gateway/crash.go
+++ b/internal/request/gateway/crash.go
@@ -41,7 +41,7 @@
 	}
 	server := a.assignment.Choice.Server
 	check := c.match.controller.CheckEnded(c.r.Context(), time.Now(), server)
-	digest, known := c.body.knownDigest()
+	digest, known := c.body.KnownDigest()
 	if known {
 		check.OnEnded(func() { c.recordCrash(digest, server) })
 	}
@@ -56,7 +56,7 @@
 	}
 	a.serverEnded = check.Ended()
 	if a.serverEnded && !known {
-		if digest, known = c.body.digest(discardTimeout); known {
+		if digest, known = c.body.Digest(time.Now(), discardTimeout); known {
 			c.recordCrash(digest, server)
 		}
 	}
@@ -75,7 +75,7 @@
 // recordCrash records that a server has ended while it had the request.
 func (c *call) recordCrash(digest mustardsaddle.RequestDigest, server mustardsaddle.Server) {
 	c.g.isolation.RecordCrash(time.Now(), quarantine.Crash{
-		Digest: digest, Head: c.body.identity.Head(), Service: c.match.controller.Service, Instance: server.Instance(),
+		Digest: digest, Head: c.body.Head(), Service: c.match.controller.Service, Instance: server.Instance(),
 	})
 }
 
@@ -85,7 +85,7 @@
 	if a.through != nil || !provesExecution(a.resp.StatusCode) {
 		return
 	}
-	if digest, known := c.body.knownDigest(); known {
+	if digest, known := c.body.KnownDigest(); known {
 		c.g.isolation.RecordCompleted(time.Now(), digest)
 	}
 }
--- a/internal/request/gateway/forward.go
+++ b/internal/request/gateway/forward.go
@@ -184,7 +184,7 @@
 // permits no further attempt.
 func (c *call) newForward(vm mustardsaddle.VM, reason string) (*attempt, bool) {
 	c.mu.Lock()
-	if consumed, _ := c.body.state(); consumed {
+	if c.body.Taken() {
 		c.state.MarkBodyConsumed()
 	}
 	sent := c.state.Sent()
--- a/internal/request/gateway/hedge.go
+++ b/internal/request/gateway/hedge.go
@@ -31,7 +31,7 @@
 // hedgeDelay returns the delay after which a hedge is sent, and false if there is
 // none.
 func (c *call) hedgeDelay() (time.Duration, bool) {
-	if c.match.repeat != mustardsaddle.RepeatYes || c.body.streamed() || c.isolated {
+	if c.match.repeat != mustardsaddle.RepeatYes || c.body.Streamed() || c.isolated {
 		return 0, false
 	}
 	return c.match.controller.HedgeDelay()
--- a/internal/request/gateway/isolate.go
+++ b/internal/request/gateway/isolate.go
@@ -63,13 +63,14 @@
 // suspectDigest returns the digest of the request, if the request may be suspect. Known is
 // false if its body arrives too slowly to tell.
 func (c *call) suspectDigest() (digest mustardsaddle.RequestDigest, mayBeSuspect, known bool) {
-	if digest, known = c.body.knownDigest(); known {
+	if digest, known = c.body.KnownDigest(); known {
 		return digest, true, true
 	}
-	if !c.g.isolation.Concerns(c.body.identity.Head()) {
+	if !c.g.isolation.Concerns(c.body.Head()) {
 		return digest, false, false
 	}
-	digest, known = c.body.digest(time.Until(c.deadline))
+	now := time.Now()
+	digest, known = c.body.Digest(now, c.deadline.Sub(now))
 	return digest, true, known
 }
 
@@ -144,7 +145,7 @@
 // decision returns what may be done with the request once a server has sent a part of
 // its response.
 func (c *call) decision() quarantine.Decision {
-	digest, known := c.body.knownDigest()
+	digest, known := c.body.KnownDigest()
 	if !known {
 		return quarantine.Decision{State: quarantine.Quarantined}
 	}
--- a/internal/request/gateway/policy.go
+++ b/internal/request/gateway/policy.go
@@ -45,9 +45,9 @@
 func (c *call) needsNewConnection() bool {
 	switch c.r.Method {
 	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		if c.body.empty {
+		if c.body.Empty() {
 			return true
 		}
 	}
-	return c.match.repeat != mustardsaddle.RepeatYes && c.body.streamed()
+	return c.match.repeat != mustardsaddle.RepeatYes && c.body.Streamed()
 }
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -79,7 +79,7 @@
 // bufferedLimit returns how long the body of a small response may take, of which the caller
 // has received nothing yet.
 func (c *call) bufferedLimit(now time.Time) time.Duration {
-	if c.body.unbounded() {
+	if c.unboundedUpload() {
 		return c.match.deadline + bufferedGrace
 	}
 	return max(c.deadline.Sub(now), 0) + bufferedGrace
--- a/internal/request/gateway/stop.go
+++ b/internal/request/gateway/stop.go
@@ -92,7 +92,7 @@
 // call is taken.
 func (c *call) refuseStopping(now time.Time) *refusal.Refusal {
 	p := c.g.stop.period.Load()
-	if p == nil || p.Takes(now, drain.Request{Deadline: c.deadline, Unbounded: c.body.unbounded()}) {
+	if p == nil || p.Takes(now, drain.Request{Deadline: c.deadline, Unbounded: c.unboundedUpload()}) {
 		return nil
 	}
 	return refusal.NotRun(code.CallStopping)
