Ask for the rest of a download only if the request can be sent again

Cause: booking.Call.Resume did not know of a body that was consumed; Begin did.

Change: Resume refuses such a call, and the gateway tells it.

Evidence: TestCallInvariants, whose random sequences now check it, failed before: "got a resumed attempt after a part of the request body was consumed".

--- a/internal/request/booking/booking.go
+++ b/internal/request/booking/booking.go
@@ -100,7 +100,7 @@
 // the policy permits it. It ends with the response that it continues, so that End is not called.
 func (c *Call) Resume(now time.Time, b *Budgets) bool {
 	late := c.cfg.Bounded && !now.Before(c.cfg.Deadline)
-	if late || c.cfg.Repeat != mustardsaddle.RepeatYes || c.Sent() >= max(c.cfg.MaxAttempts, 1) || !b.take(now, Retry) {
+	if late || c.bodyConsumed || c.cfg.Repeat != mustardsaddle.RepeatYes || c.Sent() >= max(c.cfg.MaxAttempts, 1) || !b.take(now, Retry) {
 		return false
 	}
 	c.counted++
--- a/internal/request/booking/booking_test.go
+++ b/internal/request/booking/booking_test.go
@@ -16,7 +16,7 @@
 // model counts the attempts of a call independently of its implementation.
 type model struct {
 	begun, inFlight, maybeRun, notRun, resumed int
-	ran                                        bool
+	ran, consumed                              bool
 }
 
 func TestCallInvariants(t *testing.T) {
@@ -50,10 +50,14 @@
 	}
 	if rapid.IntRange(0, 9).Draw(t, "Consume") == 0 {
 		call.MarkBodyConsumed()
+		m.consumed = true
 	}
 	if m.ran && rapid.Bool().Draw(t, "Resume") {
 		if call.Resume(now, b) {
 			m.resumed++
+			if m.consumed {
+				t.Fatal("got a resumed attempt after a part of the request body was consumed, want none")
+			}
 		}
 		return
 	}
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -151,6 +151,9 @@
 func (c *call) beginResume(now time.Time, b *booking.Budgets) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.body.Taken() {
+		c.state.MarkBodyConsumed()
+	}
 	return c.state.Resume(now, b)
 }
 
