End a response body that stands at the deadline of its rule

Cause: startResponse stopped the timer of the call; from then on only the progress timeout ended the body, as SPEC.md stated. Ruled out: waits for the header, which got 504 in the same runs; responses up to 32 KiB, which had a bound.

A body that moves at the deadline goes on; one that stands is cut then, at most 0.4 s later. A download with a strong ETag is requested from another server after a quarter of the time left, within its attempts and the retry budget, while the first one may still go on. Before the first byte of a body with a length the caller gets 504 in place of a cut.

--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -307,7 +307,7 @@
 	a.observeResponse()
 	outcome := a.outcome
 	if a.err != nil {
-		c.checkServer(a)
+		c.checkServer(a.c.r.Context(), a)
 	}
 	c.logAttempt(a)
 	if a.through != nil {
--- a/internal/request/gateway/crash.go
+++ b/internal/request/gateway/crash.go
@@ -8,6 +8,7 @@
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
+	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/identity"
 )
 
@@ -30,46 +31,65 @@
 	if a.through != nil || a.outcome == mustardsaddle.NotRun {
 		return false
 	}
-	return a.ctx.Err() == nil || a.timedOut()
+	return a.ctx.Err() == nil || a.timedOut() || errors.Is(context.Cause(a.ctx), errReplaced)
 }
 
 // checkServer finds out whether the server of an attempt that did not bring a complete
-// response has ended, and records that the request was in progress there.
-func (c *call) checkServer(a *attempt) {
-	if !a.mayHaveEndedServer() {
+// response has ended, and records that the request was in progress there. It waits for that while
+// the request may be sent again and ctx is not done.
+func (c *call) checkServer(ctx context.Context, a *attempt) {
+	check, known := c.observeServer(a)
+	if check == nil || errors.Is(context.Cause(a.ctx), errDeadline) {
 		return
 	}
-	server := a.assignment.Choice.Server
-	check := c.match.controller.CheckEnded(c.r.Context(), time.Now(), server)
-	digest, known := c.body.KnownDigest()
-	if known {
-		check.OnEnded(func() { c.recordCrash(digest, server) })
-	}
-	if errors.Is(context.Cause(a.ctx), errDeadline) {
-		return
-	}
-	timer := time.NewTimer(c.endedWait(time.Now()))
+	now := time.Now()
+	timer := time.NewTimer(c.endedWait(now))
 	defer timer.Stop()
 	select {
 	case <-check.Done():
 	case <-timer.C:
+	case <-ctx.Done():
 	}
 	a.serverEnded = check.Ended()
-	if a.serverEnded && !known {
-		if digest, known = c.body.Digest(time.Now(), discardTimeout); known {
-			c.recordCrash(digest, server)
-		}
+	if !a.serverEnded || known || ctx.Err() != nil {
+		return
+	}
+	if digest, ok := c.body.Digest(now, c.digestWait(now)); ok {
+		c.recordCrash(digest, a.assignment.Choice.Server)
+	}
+}
+
+// observeServer starts to find out whether the server of an attempt has ended, and records that the
+// request was in progress there if its digest is known. It returns nil if the attempt does not suggest
+// that the server has ended.
+func (c *call) observeServer(a *attempt) (check *admission.EndCheck, known bool) {
+	if !a.mayHaveEndedServer() {
+		return nil, false
 	}
+	server := a.assignment.Choice.Server
+	check = c.match.controller.CheckEnded(c.r.Context(), time.Now(), server)
+	digest, known := c.body.KnownDigest()
+	if known {
+		check.OnEnded(func() { c.recordCrash(digest, server) })
+	}
+	return check, known
 }
 
-// endedWait returns how long the call may wait to learn whether a server has ended. The
-// deadline does not bound the body of a response.
+// endedWait returns how long the call may wait to learn whether a server has ended.
 func (c *call) endedWait(now time.Time) time.Duration {
 	left := c.deadline.Sub(now)
-	if left <= 0 {
-		return maxEndedWait
+	if left <= 0 && !c.match.bounded {
+		return maxEndedWait // the default deadline does not bound the body of a response
+	}
+	return max(min(maxEndedWait, left/endedWaitDivisor), 0)
+}
+
+// digestWait returns how long the call may wait for the part of its body that identifies it.
+func (c *call) digestWait(now time.Time) time.Duration {
+	if !c.match.bounded {
+		return discardTimeout
 	}
-	return min(maxEndedWait, left/endedWaitDivisor)
+	return max(min(discardTimeout, c.deadline.Sub(now)), 0)
 }
 
 // recordCrash records that a server has ended while it had the request.
--- a/internal/request/gateway/log.go
+++ b/internal/request/gateway/log.go
@@ -82,7 +82,7 @@
 		line = line.Int("Status", a.resp.StatusCode)
 	}
 	if a.serverEnded {
-		if digest, ok := c.body.Digest(time.Now(), discardTimeout); ok {
+		if digest, ok := c.body.KnownDigest(); ok {
 			line = line.Stringer("Digest", digest)
 		}
 	}
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -33,18 +33,31 @@
 		c.logResult(a, 0)
 		return
 	}
-	switch {
-	case a.resp.ContentLength >= 0 && a.resp.ContentLength <= copyBufferBytes:
-		c.relayBuffered(h, a, src, buf[:a.resp.ContentLength])
-		return
-	case a.resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1):
+	switch n := a.resp.ContentLength; {
+	case n >= 0 && n <= copyBufferBytes:
+		c.relayBuffered(h, a, src, buf[:n])
+	case n < 0 && !c.r.ProtoAtLeast(1, 1):
 		c.relayWhole(h, a, src, buf)
-		return
+	default:
+		c.relayStreamed(h, a, src, buf[:])
+	}
+}
+
+// relayStreamed sends a response while its body is received. If it has a length, the header waits for the
+// first bytes of the body: until then, the caller can get a response with a code.
+func (c *call) relayStreamed(h http.Header, a *attempt, src *bodySource, buf []byte) {
+	first, stream := 0, a.resp.ContentLength < 0
+	if !stream {
+		var err error
+		if first, err = io.ReadAtLeast(src, buf, 1); err != nil {
+			c.refuse(c.brokenRefusal(src.attempt))
+			return
+		}
 	}
 	c.relayHeader(h, a)
 	c.g.extendWriteDeadline(c.w)
 	c.w.WriteHeader(a.resp.StatusCode)
-	n, err := c.copyBody(src, buf[:], a.resp.ContentLength < 0)
+	n, err := c.copyBody(src, buf, first, stream)
 	if err != nil {
 		c.abortResponse(a, n, err)
 	}
@@ -108,16 +121,15 @@
 	return c.r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// copyBody copies the body through one buffer, and flushes after each write if it
-// is a stream.
-func (c *call) copyBody(src *bodySource, buf []byte, stream bool) (int64, error) {
+// copyBody copies the body through one buffer, which holds its first bytes, and flushes after each
+// write if it is a stream.
+func (c *call) copyBody(src *bodySource, buf []byte, first int, stream bool) (int64, error) {
 	rc := http.NewResponseController(c.w)
 	if stream {
 		_ = rc.Flush()
 	}
 	var total int64
-	for {
-		n, err := src.Read(buf)
+	for n, err := first, error(nil); ; n, err = src.Read(buf) {
 		if n > 0 {
 			c.g.extendWriteDeadline(c.w)
 			if _, werr := c.w.Write(buf[:n]); werr != nil {
--- a/internal/request/gateway/resume.go
+++ b/internal/request/gateway/resume.go
@@ -1,18 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
-	"mustardsaddle.example/mustardsaddle/internal/base/response"
 	"mustardsaddle.example/mustardsaddle/internal/choice/quarantine"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/booking"
@@ -21,32 +19,37 @@
 // maxResumes bounds the consecutive range requests that bring no data.
 const maxResumes = 3
 
-// bodySource reads a response body. It enforces the progress timeout and checks the
-// length. If the body breaks off, it continues from another server where the bytes
-// provably belong to the same body: for an idempotent GET whose response has a
-// strong ETag and a length, by means of Range and If-Range.
-type bodySource struct {
-	c            *call
-	attempt      *attempt
-	etag         string
-	total        int64
-	offset       int64
-	emptyResumes int
-	// resumedSuspect is true once the body was requested again although the request is
-	// suspect.
-	resumedSuspect bool
-	timer          *time.Timer
-
-	mu sync.Mutex
+// errReplaced is the cause of the end of an attempt whose body stands, once another server sends the rest.
+var errReplaced = errors.New("read response body: another server sends the rest")
+
+// restRequest requests the rest of a body from another server: for an idempotent GET whose
+// response has a strong ETag and a length, by means of Range and If-Range.
+type restRequest struct {
+	// offset is where the rest begins.
+	offset int64
+	// ctx ends with drop, when the result is no longer needed.
+	ctx  context.Context
+	drop context.CancelFunc
+	// done is closed when the request has ended.
+	done chan struct{}
+	// result is the attempt that continues the body; nil if there is none. It is set before done is closed.
+	result *attempt
 }
 
-func newBodySource(c *call, a *attempt) *bodySource {
-	s := &bodySource{c: c, attempt: a, total: a.resp.ContentLength}
-	if c.resumable(a) {
-		s.etag = a.resp.Header.Get("Etag")
+func newRestRequest(ctx context.Context, offset int64) *restRequest {
+	r := &restRequest{offset: offset, done: make(chan struct{})}
+	r.ctx, r.drop = context.WithCancel(ctx)
+	return r
+}
+
+// end drops the request, waits for its end and finishes its result.
+func (r *restRequest) end() {
+	r.drop()
+	<-r.done
+	if r.result != nil {
+		r.result.cancel(errSuperseded)
+		r.result.finish()
 	}
-	s.timer = time.AfterFunc(c.g.cfg.ProgressTimeout, s.onStall)
-	return s
 }
 
 // resumable reports whether another server may send the rest of the body.
@@ -57,82 +60,88 @@
 		c.r.Header.Get("Range") == "" && strings.HasPrefix(etag, `"`)
 }
 
-// expire cancels the current attempt when the body of a small response takes too long.
-func (s *bodySource) expire() {
+// replace continues the body from another server after the current attempt has ended with an error.
+// It returns nil if that is possible, or else the cause.
+func (s *bodySource) replace(cause error) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.attempt.cancel(errDeadline)
+	beside := s.beside
+	s.beside = nil
+	s.mu.Unlock()
+	if beside != nil {
+		<-beside.done
+		if beside.result != nil && !s.hasExpired() {
+			s.c.observeServer(s.attempt)
+			s.adopt(beside.result, s.offset-beside.offset, cause)
+			return nil
+		}
+		beside.end()
+	}
+	s.c.checkServer(s.c.r.Context(), s.attempt)
+	if s.etag == "" {
+		return cause
+	}
+	return s.resume(cause)
 }
 
-// onStall cancels the current attempt when the body makes no progress.
-func (s *bodySource) onStall() {
+// onAsk requests the rest of a body that stands from another server, while the current attempt may go on.
+func (s *bodySource) onAsk() {
+	s.mu.Lock()
+	if !s.reading || s.beside != nil || s.expired || time.Now().Before(s.asksAt) || s.resumes >= maxResumes || !s.mayResume() {
+		s.mu.Unlock()
+		return
+	}
+	s.resumes++
+	rest := newRestRequest(s.c.r.Context(), s.offset)
+	s.beside = rest
+	s.mu.Unlock()
+	defer close(rest.done)
+	rest.result = s.requestRest(rest)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.attempt.cancel(errStalled)
-}
-
-// Read reads from the current attempt, and resumes the body if it breaks off.
-func (s *bodySource) Read(p []byte) (int, error) {
-	for {
-		s.timer.Reset(s.c.g.cfg.ProgressTimeout)
-		n, err := s.attempt.resp.Body.Read(p)
-		s.timer.Stop()
-		s.offset += int64(n)
-		if n > 0 {
-			s.emptyResumes = 0
-		}
-		if err == io.EOF {
-			err = s.end()
-		}
-		if err == nil || err == io.EOF {
-			return n, err
-		}
-		if s.c.checkServer(s.attempt); s.etag == "" {
-			return n, err
-		}
-		if cause := s.resume(err); cause != nil {
-			return n, cause
-		}
-		if n > 0 {
-			return n, nil
-		}
+	if rest.result != nil && s.reading && s.beside == rest {
+		s.attempt.cancel(errReplaced)
 	}
 }
 
-// end returns io.EOF if a body that has ended is complete and its trailer is sound.
-func (s *bodySource) end() error {
-	if s.total >= 0 && s.offset < s.total && s.c.bodyExpected(s.attempt) {
-		return io.ErrUnexpectedEOF
-	}
-	if err := response.CheckTrailer(s.attempt.resp.Trailer); err != nil {
-		return err
+// dropBeside ends a request for the rest, since the current attempt goes on.
+func (s *bodySource) dropBeside() {
+	s.mu.Lock()
+	beside := s.beside
+	s.beside = nil
+	s.mu.Unlock()
+	if beside != nil {
+		beside.end()
 	}
-	return io.EOF
 }
 
-// resume replaces the failed attempt by one that continues the body.
+// resume requests the rest of a body that broke off.
 func (s *bodySource) resume(cause error) error {
-	broken := s.attempt
-	for s.c.r.Context().Err() == nil && s.emptyResumes < maxResumes && s.mayResume() {
-		s.emptyResumes++
-		next, ok := s.requestRest()
-		if !ok {
-			continue
+	for s.c.r.Context().Err() == nil && !s.hasExpired() && s.resumes < maxResumes && s.mayResume() {
+		s.resumes++
+		rest := newRestRequest(s.c.r.Context(), s.offset)
+		if next := s.requestRest(rest); next != nil {
+			s.adopt(next, 0, cause)
+			return nil
 		}
-		s.mu.Lock()
-		s.attempt = next
-		s.mu.Unlock()
-		broken.err = cause
-		broken.finish()
-		controller := s.c.match.controller
-		controller.Metrics.Resumed.Inc(1)
-		event.Info(s.c.g.cfg.Logger, event.CallResumed).Str("Attempt", next.id).Str("Service", controller.Service).
-			Str("Server", next.assignment.Choice.Server.Name).Int64("Offset", s.offset).Err(cause).Send()
-		return nil
 	}
 	return cause
 }
 
+// adopt replaces the current attempt by one that continues the body. Next repeats the last bytes
+// that were read, as many as skip.
+func (s *bodySource) adopt(next *attempt, skip int64, cause error) {
+	s.mu.Lock()
+	broken := s.attempt
+	s.attempt, s.skip = next, skip
+	s.mu.Unlock()
+	broken.err = cause
+	broken.finish()
+	controller := s.c.match.controller
+	controller.Metrics.Resumed.Inc(1)
+	event.Info(s.c.g.cfg.Logger, event.CallResumed).Str("Attempt", next.id).Str("Service", controller.Service).
+		Str("Server", next.assignment.Choice.Server.Name).Int64("Offset", s.offset).Err(cause).Send()
+}
+
 // mayResume reports whether another server may get the request. A suspect request, under
 // which one server has ended, is sent once more.
 func (s *bodySource) mayResume() bool {
@@ -157,25 +166,22 @@
 	return c.state.Resume(now, b)
 }
 
-// requestRest requests the rest of the body from another server, and verifies that
-// it continues the same body.
-func (s *bodySource) requestRest() (*attempt, bool) {
+// requestRest requests the rest of the body from another server, and verifies that it continues the
+// same body. It returns nil if there is no such response.
+func (s *bodySource) requestRest(rest *restRequest) *attempt {
 	controller := s.c.match.controller
 	if !controller.Resume(time.Now(), s.c.beginResume) {
-		return nil, false
+		return nil
 	}
 	choice, ok := controller.ChooseOther(time.Now(), s.attempt.assignment.Choice.Server.Name)
 	if !ok {
-		return nil, false
+		return nil
 	}
 	a := s.c.newAttempt(admission.Assignment{Kind: booking.Retry, Choice: choice}, newConnection)
-	wait := s.c.match.deadline
-	if s.c.match.bounded {
-		wait = time.Until(s.c.deadline)
-	}
-	timer := time.AfterFunc(wait, func() { a.cancel(errDeadline) })
+	stop := context.AfterFunc(rest.ctx, func() { a.cancel(errSuperseded) })
+	timer := time.AfterFunc(s.restWait(time.Now()), func() { a.cancel(errDeadline) })
 	a.send(func(h http.Header) {
-		h["Range"] = []string{fmt.Sprintf("bytes=%d-", s.offset)}
+		h["Range"] = []string{fmt.Sprintf("bytes=%d-", rest.offset)}
 		h["If-Range"] = []string{s.etag}
 		if !s.c.match.bounded {
 			// The default deadline bounds only the wait for the first response.
@@ -183,35 +189,38 @@
 		}
 	})
 	timer.Stop()
-	if err := s.checkRest(a); err != nil {
-		s.c.checkServer(a)
+	stop()
+	if err := s.checkRest(a, rest.offset); err != nil {
+		s.c.checkServer(rest.ctx, a)
 		if a.err == nil {
 			a.cancel(err)
 		}
 		a.finish()
-		return nil, false
+		return nil
 	}
-	return a, true
+	return a
+}
+
+// restWait returns how long the response header to a request for the rest may take.
+func (s *bodySource) restWait(now time.Time) time.Duration {
+	if s.c.match.bounded {
+		return s.c.deadline.Sub(now)
+	}
+	return s.c.match.deadline
 }
 
 var errBodyMismatch = errors.New("resume download: server returned a different body")
 
 // checkRest returns an error unless the response continues the body at the offset.
-func (s *bodySource) checkRest(a *attempt) error {
+func (s *bodySource) checkRest(a *attempt, offset int64) error {
 	if a.outcome != mustardsaddle.Ran {
-		return code.Wrapf(code.CallBroken, a.err, "resume download at %d: got outcome %v", s.offset, a.outcome)
+		return code.Wrapf(code.CallBroken, a.err, "resume download at %d: got outcome %v", offset, a.outcome)
 	}
-	want := fmt.Sprintf("bytes %d-%d/%d", s.offset, s.total-1, s.total)
+	want := fmt.Sprintf("bytes %d-%d/%d", offset, s.total-1, s.total)
 	h := a.resp.Header
 	if a.resp.StatusCode != http.StatusPartialContent || h.Get("Etag") != s.etag || h.Get("Content-Range") != want ||
-		a.resp.ContentLength != s.total-s.offset {
+		a.resp.ContentLength != s.total-offset {
 		return errBodyMismatch
 	}
 	return nil
 }
-
-// close finishes the current attempt.
-func (s *bodySource) close() {
-	s.timer.Stop()
-	s.attempt.finish()
-}
