Let the rest of a request not hold back the end of its response

Callers saw: the last chunk of a response that came before the end of its request arrived up to 1 s late, past the deadline of the rule.

Cause: the rest of the request body is discarded for up to 1 s before the handler returns, and net/http sends the last chunk when it returns. Ruled out: responses with a length, which are complete before.

Evidence: row "rest of a request body" of TestEachWaitEndsByTheDeadlineOfItsRule failed before: 1.05 s at a deadline of 0.4 s, want at most 0.9 s.

Change: after a response without a length the rest is discarded until 0.4 s after the deadline at most. After others it has 1 s as before, so that a caller that is still sending does not lose its response to a reset.

--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -7,6 +7,7 @@
 
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
+	"mustardsaddle.example/mustardsaddle/internal/request/download"
 	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
 	"mustardsaddle.example/mustardsaddle/internal/request/upload"
 )
@@ -46,18 +47,28 @@
 	return refusal.NotRun(code.CallBadRequest)
 }
 
+// endLimit returns the time until which the end of a response in chunks may wait for something else, which is
+// to take no longer than timeout. net/http sends it when the handler returns.
+func (c *call) endLimit(now time.Time, timeout time.Duration) time.Time {
+	limit, end := now.Add(timeout), c.deadline.Add(download.Grace)
+	if c.match.bounded && c.openEnded && end.Before(limit) {
+		return end
+	}
+	return limit
+}
+
 // discardTimeout bounds the time in which the rest of a request body is discarded.
 const discardTimeout = time.Second
 
 // discardRest sends what is left of the response and discards the rest of the request body.
 // net/http does the latter after the handler has returned, too, but with full duplex it
-// then fails to read the next request and closes the connection. If the time does not suffice,
-// or the rest cannot be read, the connection takes no further request: net/http would keep it
-// and read the rest of the body as one.
-func discardRest(w http.ResponseWriter, r *http.Request) {
+// then fails to read the next request and closes the connection. If the time until limit does not
+// suffice, or the rest cannot be read, the connection takes no further request: net/http would keep
+// it and read the rest of the body as one.
+func discardRest(w http.ResponseWriter, r *http.Request, limit time.Time) {
 	rc := http.NewResponseController(w)
 	_ = rc.Flush()
-	_ = rc.SetReadDeadline(time.Now().Add(discardTimeout))
+	_ = rc.SetReadDeadline(limit)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		connection.EndRequests(r)
 		return
--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -40,6 +40,8 @@
 	// suspicion is the digest of the request if it is suspect or quarantined; empty
 	// otherwise.
 	suspicion string
+	// openEnded is true once a response without a length has begun.
+	openEnded bool
 	// settled is true once the call was answered completely, or refused before its first attempt.
 	settled bool
 
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -335,12 +335,18 @@
 	// Without full duplex, net/http discards up to 256 KiB of the request body when
 	// the response starts. HTTP/2 is always full duplex and returns an error here.
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	g.serve(w, r, carried)
-	discardRest(w, r)
+	c := g.serve(w, r, carried)
+	now := time.Now()
+	limit := now.Add(discardTimeout)
+	if c != nil {
+		limit = c.endLimit(now, discardTimeout)
+	}
+	discardRest(w, r, limit)
 }
 
-// serve sends the final response to one request.
-func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, carried *forward.Call) {
+// serve sends the final response to one request. It returns the call, or nil if the request was refused
+// before there was one.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, carried *forward.Call) *call {
 	now := time.Now()
 	m, refused := g.match(r, carried)
 	if refused != nil {
@@ -348,11 +354,12 @@
 			refused = refused.WithForward(carried.Gateway, 0)
 		}
 		g.refuse(w, r, "", refused)
-		return
+		return nil
 	}
 	c := newCall(g, now, w, r, m)
 	defer c.end()
 	c.serve()
+	return c
 }
 
 // nextAttempt returns an attempt ID that is unique across gateways and restarts.
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -54,6 +54,7 @@
 			return
 		}
 	}
+	c.openEnded = stream
 	c.relayHeader(h, a)
 	c.g.extendWriteDeadline(c.w)
 	c.w.WriteHeader(a.resp.StatusCode)
