Let the record of a claim not hold back the end of its response

Callers saw: the last chunk of a response to a claimed request arrived up to 2 s late while the store did not answer, past the deadline of the rule.

Cause: the outcome is recorded before the handler returns, and net/http sends the last chunk when it returns.

Evidence: row "record of a claim" of TestEachWaitEndsByTheDeadlineOfItsRule failed before: 2.0 s at a deadline of 0.4 s, want at most 0.9 s.

Change: the handler waits for the record until 0.4 s after the deadline at most, if the response has no length. The record goes on for up to 2 s as before, and counts as a call in flight, so that a stop awaits it.

--- a/internal/request/gateway/claim.go
+++ b/internal/request/gateway/claim.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
 	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
@@ -46,7 +47,8 @@
 
 // recordClaimOutcome records the outcome of a claimed request after the caller
 // has its response. If that fails, the stored outcome stays Unknown, which is
-// never wrong.
+// never wrong. It does not wait for the store longer than the end of the response may; the
+// gateway does, since the record counts as a call in flight.
 func (c *call) recordClaimOutcome() {
 	if c.claim == nil {
 		return
@@ -59,9 +61,27 @@
 		status = winner.resp.StatusCode
 	}
 	_ = http.NewResponseController(c.w).Flush()
+	now := time.Now()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.r.Context()), settleTimeout)
-	defer cancel()
-	if err := c.g.cfg.Claims.RecordOutcome(ctx, c.claim.WithOutcome(outcome, status)); err != nil {
-		event.Warn(c.g.cfg.Logger, event.StoreFailed).Str("Key", c.claim.Key).Err(err).Send()
+	done := make(chan struct{})
+	c.g.inFlight.Add(1)
+	go func() {
+		defer c.g.inFlight.Add(-1)
+		defer cancel()
+		defer close(done)
+		c.g.storeOutcome(ctx, c.claim.WithOutcome(outcome, status))
+	}()
+	timer := time.NewTimer(c.endLimit(now, settleTimeout).Sub(now))
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// storeOutcome stores the outcome of a claimed request.
+func (g *Gateway) storeOutcome(ctx context.Context, claim mustardsaddle.Claim) {
+	if err := g.cfg.Claims.RecordOutcome(ctx, claim); err != nil {
+		event.Warn(g.cfg.Logger, event.StoreFailed).Str("Key", claim.Key).Err(err).Send()
 	}
 }
--- a/internal/request/gateway/waits_test.go
+++ b/internal/request/gateway/waits_test.go
@@ -191,6 +191,7 @@
 		{name: "trailer", send: plainRequest, server: beginOfChunks + "0\r\nX: y\r\n", want: cut},
 		{name: "rest of a download", send: plainRequest, servers: 3, server: etagLength + part, want: cut},
 		{name: "response before the end of its request", send: stalledChunks, server: beginOfChunks, want: cut},
+		{name: "record of a claim", send: claimedRequest, cfg: gateway.Config{Claims: slowClaims{acquires: true}}, server: beginOfChunks + "0\r\n\r\n", want: []int{http.StatusOK}},
 		{name: "rest of a request body", send: stalledChunks, server: beginOfChunks + "0\r\n\r\n", want: []int{http.StatusOK}},
 	}
 }
