Count the memory in use after the calls have ended

Cause: the test counted when its callers had their responses; a call returns its memory after the last byte is written.

The check and its bound are the same: nothing in use once all calls have ended. Two tests beside it counted in the same way.

--- a/internal/request/gateway/memory_test.go
+++ b/internal/request/gateway/memory_test.go
@@ -43,13 +43,14 @@
 			s.pause = 20 * time.Millisecond
 			go s.serve()
 			buffers := buffer.New(8 << 20)
-			front, _ := newGateway(t, gateway.Config{Deadline: deadline, Buffers: buffers}, s.Addr().String())
+			front, g := newGateway(t, gateway.Config{Deadline: deadline, Buffers: buffers}, s.Addr().String())
 			start := time.Now()
 			status, _, err := callHTTP10(front.Listener.Addr().String(), "/x")
 			if took := time.Since(start); err != nil || status != http.StatusGatewayTimeout || took > deadline+slack {
 				t.Errorf("got status %d, error %v after %s, want 504 within %s", status, err, took, deadline+slack)
 			}
 			s.waitClosed(t)
+			waitCalls(g)
 			if used := buffers.Stats().Used; used != 0 {
 				t.Errorf("got %d bytes that are still taken, want none", used)
 			}
@@ -57,6 +58,13 @@
 	}
 }
 
+// waitCalls waits until all calls have ended. A call ends after its caller has the response.
+func waitCalls(g *gateway.Gateway) {
+	for g.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestWholeResponsesWaitForMemory guards against complete responses to callers on HTTP/1.0 being
 // refused, or using up the memory, because many of them arrive at once.
 func TestWholeResponsesWaitForMemory(t *testing.T) {
@@ -69,7 +77,7 @@
 		}
 	})
 	buffers := buffer.New(8 << 20)
-	front, _ := newGateway(t, gateway.Config{Buffers: buffers}, s.address())
+	front, g := newGateway(t, gateway.Config{Buffers: buffers}, s.address())
 	var wg sync.WaitGroup
 	for range calls {
 		wg.Go(func() {
@@ -79,6 +87,7 @@
 		})
 	}
 	wg.Wait()
+	waitCalls(g)
 	if stats := buffers.Stats(); stats.Used != 0 || stats.Refused != 0 {
 		t.Errorf("got %+v, want nothing in use and nothing refused", stats)
 	}
@@ -105,13 +114,14 @@
 func TestRequestsAreStreamedWithoutMemory(t *testing.T) {
 	s := newCountingServer(t, nil)
 	buffers := buffer.New(8 << 20)
-	front, _ := newGateway(t, gateway.Config{Buffers: buffers}, s.address())
+	front, g := newGateway(t, gateway.Config{Buffers: buffers}, s.address())
 	body := strings.Repeat("x", 50_000)
 	check := func() {
 		t.Helper()
 		if resp, got, err := do(t, front, http.MethodPost, "/safe", body); err != nil || resp.StatusCode != http.StatusOK || got != body {
 			t.Errorf("got %v, %d bytes and error %v, want 200 and the body", resp, len(got), err)
 		}
+		waitCalls(g)
 	}
 	check()
 	if used := buffers.Stats().Used; used != 0 || !buffers.Requests.TryTake(2<<20) {
