Write an informational response only while its deadline lasts

Callers saw: an upload that lasted longer than [Limits] Deadline, on a rule without a deadline, ended with a closed connection and no response, if the server sent an informational response before its final one.

Cause: the write deadline of an informational response was that of the call, which does not bound such an upload and had passed. The failed write broke the connection for the final response, too. Found while listing the waits of callers.

Evidence: TestInformationalResponseAfterLongUpload failed before: got EOF, want 200.

Change: the progress timeout bounds the write where the deadline does not bound the upload; after the deadline nothing is written.

--- a/internal/request/gateway/progress.go
+++ b/internal/request/gateway/progress.go
@@ -37,6 +37,15 @@
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
 }
 
+// informationalLimit returns the time until which an informational response may be written. A write that
+// fails leaves the connection without a response.
+func (c *call) informationalLimit(now time.Time) time.Time {
+	if c.unboundedUpload() {
+		return now.Add(c.g.cfg.ProgressTimeout)
+	}
+	return c.deadline
+}
+
 // maxInformational is the maximum number of 1xx responses to one call.
 const maxInformational = 16
 
@@ -53,12 +62,14 @@
 	if c.informational > maxInformational {
 		return errInformational
 	}
-	if c.responseStarted || status == http.StatusContinue || !c.r.ProtoAtLeast(1, 1) {
+	now := time.Now()
+	limit := c.informationalLimit(now)
+	if c.responseStarted || status == http.StatusContinue || !c.r.ProtoAtLeast(1, 1) || !now.Before(limit) {
 		return nil
 	}
 	h := c.w.Header()
 	header.CopyEndToEnd(h, http.Header(fields))
-	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline)
+	_ = http.NewResponseController(c.w).SetWriteDeadline(limit)
 	c.w.WriteHeader(status)
 	for name := range fields {
 		delete(h, name)
--- a/internal/request/gateway/upload_test.go
+++ b/internal/request/gateway/upload_test.go
@@ -91,3 +91,38 @@
 		})
 	}
 }
+
+// TestInformationalResponseAfterLongUpload guards against a response that is lost because an informational
+// one came before it, when the default deadline, which does not bound an upload, had passed.
+func TestInformationalResponseAfterLongUpload(t *testing.T) {
+	const deadline, pause = 100 * time.Millisecond, 30 * time.Millisecond
+	address := newConnServer(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+	})
+	front, _ := newGateway(t, gateway.Config{Deadline: deadline}, address)
+	body, end := io.Pipe()
+	go func() {
+		for range 10 {
+			time.Sleep(pause)
+			_, _ = io.WriteString(end, "part")
+		}
+		_ = end.Close()
+	}()
+	r, err := http.NewRequest(http.MethodPost, front.URL+"/scans", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := front.Client().Transport.RoundTrip(r)
+	if err != nil {
+		t.Fatalf("got %v, want 200", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if text, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || string(text) != "done" {
+		t.Errorf("got status %d, body %q and error %v, want 200 and done", resp.StatusCode, text, err)
+	}
+}
