Check standing responses over each protocol and through another gateway

The rows of TestEachWaitEndsByTheDeadlineOfItsRule use HTTP/1.1. TestStandingResponseEndsOverEachProtocol plays eight standing responses over HTTP/1.0, 1.1 and 2, directly and through another gateway.

--- a/internal/request/gateway/waits_test.go
+++ b/internal/request/gateway/waits_test.go
@@ -337,3 +337,61 @@
 	slices.Sort(names)
 	return names
 }
+
+// TestStandingResponseEndsOverEachProtocol guards against a response that stands having no end for callers of
+// one protocol, or of a gateway that forwards their calls.
+func TestStandingResponseEndsOverEachProtocol(t *testing.T) {
+	responses := map[string]string{
+		"no header": "", "header": stalledDownload, "short": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nbegin", "length": stalledDownload + part,
+		"chunks": beginOfChunks, "close": "HTTP/1.1 200 OK\r\n\r\n" + part, "trailer": beginOfChunks + "0\r\nX: y\r\n", "strong etag": etagLength + part,
+	}
+	callers := map[string]func(t *testing.T, front *httptest.Server){
+		"HTTP/1.0": func(t *testing.T, front *httptest.Server) {
+			checkWait(t, front, oldRequest, 0, []int{http.StatusGatewayTimeout, cutOff})
+		},
+		"HTTP/1.1": func(t *testing.T, front *httptest.Server) {
+			checkWait(t, front, plainRequest, 0, []int{http.StatusGatewayTimeout, cutOff})
+		},
+		"HTTP/2": checkWaitHTTP2,
+	}
+	for name, response := range responses {
+		for protocol, check := range callers {
+			for _, through := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, through another gateway %v", name, protocol, through), func(t *testing.T) {
+					t.Parallel()
+					fleet := newFleet(t, 2, gateway.Config{}, newConnServer(t, stand(response)))
+					for _, g := range fleet {
+						g.SetRules(compileRules(t, waitRules))
+					}
+					if through {
+						fleet[0].dialer.SetCut(relay.ResetAndRefuse)
+					}
+					check(t, fleet[0].front)
+				})
+			}
+		}
+	}
+}
+
+// checkWaitHTTP2 sends a request over HTTP/2, and checks that it ends in time and is not answered with success.
+func checkWaitHTTP2(t *testing.T, front *httptest.Server) {
+	t.Helper()
+	client := &http.Transport{Protocols: new(http.Protocols)}
+	client.Protocols.SetUnencryptedHTTP2(true)
+	defer client.CloseIdleConnections()
+	r, err := http.NewRequest(http.MethodGet, front.URL+"/rosters", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun := time.Now()
+	resp, err := client.RoundTrip(r)
+	status := 0
+	if err == nil {
+		status = resp.StatusCode
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	if took := time.Since(begun); took > waitDeadline+waitSlack || err == nil && status != http.StatusGatewayTimeout {
+		t.Errorf("got status %d and error %v after %s, want 504 or a cut within %s", status, err, took, waitDeadline+waitSlack)
+	}
+}
