Cut a body at its deadline if its silence is longer than usual

Callers saw: with a busy machine the end of a response that stands could come later than 0.5 s after the deadline: it was cut 0.4 s after it, unless it had been silent for a second.

Change: what stands at the deadline is told by the body's usual pauses: silence of four of them, 0.2 s at least and 1 s at most. A body that pauses as it did before still has the 0.4 s.

--- a/internal/request/download/wait.go
+++ b/internal/request/download/wait.go
@@ -30,11 +30,14 @@
 const (
 	// Grace is the time after the deadline in which a body has to move.
 	Grace = 400 * time.Millisecond
-	// standTime is the time of reading in which a body has to bring minMoved bytes, or it
-	// stands.
-	standTime = time.Second
-	// minMoved is a number of bytes.
-	minMoved = 1 << 10
+	// A body stands if it brings less than minMoved bytes in maxStandTime of reading. At the
+	// deadline, standPauses of its usual pauses suffice, but for minStandTime.
+	minStandTime = 200 * time.Millisecond
+	maxStandTime = time.Second
+	standPauses  = 4
+	minMoved     = 1 << 10 // bytes
+	// minPause is the shortest read that counts as a pause.
+	minPause = time.Millisecond
 	// minAskTime and maxAskTime bound the time after which another server is asked, which
 	// is the time left divided by askDivisor.
 	minAskTime = 100 * time.Millisecond
@@ -58,6 +61,8 @@
 	// the body last moved.
 	stood time.Duration
 	moved int
+	// pause is the usual time between two parts of the body.
+	pause time.Duration
 	// ended is the end of the last read, and late true if the body has moved since the deadline.
 	ended time.Time
 	late  bool
@@ -70,7 +75,11 @@
 
 // WithRead returns the wait after a read that brought n bytes.
 func (w Wait) WithRead(began, ended time.Time, n int) Wait {
-	w.stood += ended.Sub(began)
+	took := ended.Sub(began)
+	if n > 0 && took >= minPause {
+		w.pause = max(took, w.pause*3/4) // the longest of the last few
+	}
+	w.stood += took
 	w.moved += n
 	w.ended = ended
 	if w.moved >= minMoved {
@@ -94,18 +103,23 @@
 
 // limit returns when the deadline ends a read that begins now.
 func (w Wait) limit(now time.Time) time.Time {
-	deadline, stands := w.cfg.Deadline, now.Add(standTime-w.stood)
+	deadline := w.cfg.Deadline
 	waitedAtDeadline := !now.After(deadline) || w.ended.After(deadline)
 	switch {
 	case w.late || !waitedAtDeadline:
-		return stands
-	case !stands.After(deadline):
+		return now.Add(maxStandTime - w.stood)
+	case !now.Add(w.standTime() - w.stood).After(deadline):
 		return deadline
 	default:
 		return deadline.Add(Grace)
 	}
 }
 
+// standTime returns the time of reading after which the body stands, if that is at the deadline.
+func (w Wait) standTime() time.Duration {
+	return min(max(standPauses*w.pause, minStandTime), maxStandTime)
+}
+
 // AsksAt returns when another server is asked for the rest, if a read that begins now has brought
 // nothing by then. It returns false if there is no time for that.
 func (w Wait) AsksAt(now time.Time) (time.Time, bool) {
