Refuse to send a kept body that was not received

Body.Open gave an empty body if a body that is to be kept had not been read. TestKeptBodyIsNotSentBeforeItIsRead failed before in both rows (got no error).

--- a/internal/request/upload/body.go
+++ b/internal/request/upload/body.go
@@ -15,6 +15,8 @@
 var (
 	// ErrTaken is returned if an earlier sending has, or may have, taken a part of the body.
 	ErrTaken = errors.New("send request body: an earlier sending has taken a part of it")
+	// ErrNotKept is returned if the body is to be kept and was not received.
+	ErrNotKept = errors.New("send request body: it has not been received")
 	// ErrTooLarge ends a sending whose body exceeds the size limit.
 	ErrTooLarge = errors.New("read request body: body exceeds the size limit")
 	errClosed   = errors.New("read request body: sending is closed")
@@ -112,8 +114,11 @@
 	return nil
 }
 
-// Open returns the whole body for one sending of the request, or ErrTaken.
+// Open returns the whole body for one sending of the request, or ErrTaken or ErrNotKept.
 func (b *Body) Open() (*Sending, error) {
+	if b.replayable && b.kept == nil {
+		return nil, ErrNotKept
+	}
 	s := &Sending{body: b}
 	if !b.Streamed() {
 		return s, nil
--- a/internal/request/upload/upload_test.go
+++ b/internal/request/upload/upload_test.go
@@ -86,6 +86,22 @@
 	})
 }
 
+// TestKeptBodyIsNotSentBeforeItIsRead guards against a request that is sent with an empty body because the
+// body that is to be kept was not received.
+func TestKeptBodyIsNotSentBeforeItIsRead(t *testing.T) {
+	for name, body := range map[string]io.Reader{"not read": strings.NewReader("a lathe"), "too short": strings.NewReader("a")} {
+		t.Run(name, func(t *testing.T) {
+			b := newBody(http.MethodPost, body, 7)
+			if name == "too short" && b.Keep(time.Now()) == nil {
+				t.Fatal("got no error from a body that is too short, want one")
+			}
+			if _, err := b.Open(); !errors.Is(err, upload.ErrNotKept) {
+				t.Errorf("got error %v, want %v", err, upload.ErrNotKept)
+			}
+		})
+	}
+}
+
 func TestDigestLeavesBodyWhole(t *testing.T) {
 	convey.Convey("Given a body in chunks", t, func() {
 		b := newBody(http.MethodPost, strings.NewReader("a lathe"), -1)
