Report connections that are ended with data that no response follows

Neither the log nor the metrics said which of our ends of a caller's connection met a request that lay unread, or that was read and got no response. net/http closes without a word, and so did the idle timeout and a graceful shutdown.

Each connection from a caller or a gateway now looks, once, when this gateway closes it: the bytes that the operating system holds are peeked at with MSG_PEEK and MSG_DONTWAIT, and the connection knows whether it read data after its last response. If either is the case, the event ConnectionCut and the counter ConnectionsCut give the reason (an enum), the time without a request, how late the idle timer fired, the caller's address and the request's ID if the unread bytes hold it. Nothing is reported if the caller has ended the connection. RawConn.Control is used because RawConn.Read waits for the read in progress.

The cost is one system call for each connection that is closed, none for a call. Links on the peer listener are hijacked and not reported, so that server gets the ConnState hook, with an idle timeout that never passes.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -133,6 +133,9 @@
 	ServerWarm
 	// RetryRefused is logged when the retry budget does not allow a retry or a hedge.
 	RetryRefused
+	// ConnectionCut is logged when the gateway ends a connection although data of the caller has
+	// arrived on it that no response follows.
+	ConnectionCut
 )
 
 // Peer events.
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -124,13 +124,15 @@
 	in.quotas.Mount(peers)
 	in.peerServer = &http.Server{
 		Handler: in.peerHandler(peers), ReadHeaderTimeout: s.Limits.Progress, MaxHeaderBytes: s.Limits.HeaderBytes + forward.MaxBytes,
-		BaseContext: in.gateway.BaseContext, ConnContext: connection.Context,
+		BaseContext: in.gateway.BaseContext, ConnContext: connection.Context, ConnState: connection.NewIdleCloser(keepIdle).StateChanged,
 	}
 	serveErrors := make(chan error, 4)
 	callers := in.gateway.Listener(l.callers)
 	go func() { serveErrors <- in.callerServer.Serve(callers) }()
 	go func() { serveErrors <- in.adminServer.Serve(l.admin) }()
-	gateways := connection.NewErrorListener(l.peer, in.cfg.Logger)
+	gateways := connection.NewListener(l.peer, connection.ListenerConfig{
+		RequestID: s.Headers.RequestID, Metrics: in.metrics.Scope().Tagged(map[string]string{"From": "Gateway"}), Logger: in.cfg.Logger,
+	})
 	go func() { serveErrors <- in.peerServer.Serve(gateways) }()
 	if l.metrics != nil {
 		in.metricsServer = &http.Server{Handler: in.metricsHandler(), ReadHeaderTimeout: s.Limits.Progress, MaxHeaderBytes: s.Limits.HeaderBytes}
@@ -139,6 +141,11 @@
 	return serveErrors
 }
 
+// keepIdle is the idle timeout of connections from other gateways, which end them first.
+func keepIdle() time.Duration {
+	return connection.MaxIdleTimeout
+}
+
 // peerHandler serves calls that other gateways forward, whatever their path, and the links.
 func (in *instance) peerHandler(links http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/request/connection/caller.go
+++ b/internal/request/connection/caller.go
@@ -2,39 +2,44 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 )
 
-// NewErrorListener returns a listener whose connections add the result code and the
+// NewListener returns a listener whose connections add the result code and the
 // outcome to the error responses that net/http sends itself: for conflicting
-// lengths, an unknown transfer encoding, or a header above the size limit.
-func NewErrorListener(ln net.Listener, logger zerolog.Logger) net.Listener {
-	return &errorListener{Listener: ln, logger: logger}
+// lengths, an unknown transfer encoding, or a header above the size limit. They also report
+// when the gateway ends them although data has arrived that no response follows.
+func NewListener(ln net.Listener, cfg ListenerConfig) net.Listener {
+	return &listener{Listener: ln, logger: cfg.Logger, ends: newEndReporter(cfg)}
 }
 
-type errorListener struct {
+type listener struct {
 	net.Listener
 	logger zerolog.Logger
+	ends   *endReporter
 }
 
 // Accept returns the next connection.
-func (l *errorListener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, logger: l.logger}, nil
+	return &callerConn{Conn: c, logger: l.logger, ends: l.ends}, nil
 }
 
 // callerConn is a connection from a caller.
 type callerConn struct {
 	net.Conn
 	logger zerolog.Logger
+	ends   *endReporter
 
 	mu sync.Mutex
 	// pending is true from the first byte of a request until the first byte of its
@@ -44,6 +49,15 @@
 	closed bool
 	// begun is true once data was received, and http2 if it begins like HTTP/2.
 	begun, http2 bool
+	// left is true after the caller has ended the connection, and timedOut after a read deadline
+	// has passed that was not replaced since.
+	left, timedOut bool
+	// reported is true once the end of the connection has been reported, or need not be.
+	reported bool
+	// idleSince is when the last request ended; zero while there is one.
+	idleSince time.Time
+	// end states how the gateway ends the connection, as far as that is known before.
+	end ending
 }
 
 // Read reads from the connection. After the connection was closed as idle, or has had its last
@@ -55,20 +69,42 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
+		c.noteReadError(err)
 		return n, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.pending = true
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	c.pending = true
 	if !c.begun {
 		c.begun, c.http2 = true, beginsLikeHTTP2(p[:n])
 	}
 	return n, err
 }
 
+// noteReadError records why a read returned nothing.
+func (c *callerConn) noteReadError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed, errors.Is(err, net.ErrClosed):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.timedOut = true
+	default:
+		c.left = true
+	}
+}
+
+// SetReadDeadline sets the deadline of reads.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timedOut = false
+	return c.Conn.SetReadDeadline(t)
+}
+
 // http2Begin begins the first bytes of an HTTP/2 connection.
 const http2Begin = "PRI "
 
@@ -96,8 +132,8 @@
 func (c *callerConn) endRequests() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
-	_ = c.SetReadDeadline(time.Now())
+	c.closed, c.end.reason = true, EndLast
+	_ = c.Conn.SetReadDeadline(time.Now())
 }
 
 // contextKey is the key of the connection in the context of its requests.
@@ -126,25 +162,68 @@
 	c.pending = pending
 }
 
-// closeIdle closes the connection unless a request has arrived on it. It reports whether
-// it closed the connection.
-func (c *callerConn) closeIdle() bool {
-	if !c.markClosed() {
+// setState records the state of the connection.
+func (c *callerConn) setState(now time.Time, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+	switch state {
+	case http.StateNew, http.StateIdle:
+		c.pending, c.idleSince = false, now
+	case http.StateHijacked:
+		c.reported = true
+	case http.StateActive, http.StateClosed:
+	}
+}
+
+// closeIdle closes the connection, for the reason in e, unless a request has arrived on it. It
+// reports whether it closed the connection.
+func (c *callerConn) closeIdle(e ending) bool {
+	if !c.markClosed(e) {
 		return false
 	}
 	_ = c.Close()
 	return true
 }
 
-// markClosed records that the connection is closed, or returns false if a request is
+// markClosed records that the connection is closed, and why, or returns false if a request is
 // pending.
-func (c *callerConn) markClosed() bool {
+func (c *callerConn) markClosed(e ending) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = !c.pending
+	if c.closed = !c.pending; c.closed {
+		c.end = e
+	}
 	return c.closed
 }
 
+// Close closes the connection. It reports the end if it may leave a request without a response.
+func (c *callerConn) Close() error {
+	if e, ok := c.takeEnding(time.Now()); ok {
+		e.unread = unread(c.Conn)
+		c.ends.report(c.RemoteAddr(), e)
+	}
+	return c.Conn.Close()
+}
+
+// takeEnding returns how the gateway ends the connection. It returns false if that need not be
+// reported: it was before, or the caller has ended the connection.
+func (c *callerConn) takeEnding(now time.Time) (ending, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.end
+	if e.reason == EndOther && c.timedOut {
+		e.reason = EndTimeout
+	}
+	if !c.idleSince.IsZero() {
+		e.idle = now.Sub(c.idleSince)
+	}
+	e.begun = c.pending && !c.http2
+	report := !c.reported && !c.left
+	c.reported = true
+	return e, report
+}
+
 // CloseWrite closes the sending side. net/http uses it when it closes a connection
 // without reading the whole request, so that its response is not lost.
 func (c *callerConn) CloseWrite() error {
--- a/internal/request/connection/caller_test.go
+++ b/internal/request/connection/caller_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 )
 
@@ -61,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := connection.NewErrorListener(ln, zerolog.Nop())
+	listener := connection.NewListener(ln, connection.ListenerConfig{})
 	s := &http.Server{
 		Handler:           http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
 		ConnState:         connection.NewIdleCloser(func() time.Duration { return timeout }).StateChanged,
--- a/internal/request/connection/idle.go
+++ b/internal/request/connection/idle.go
@@ -74,8 +74,8 @@
 func (i *IdleCloser) StateChanged(c net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if caller, ok := c.(*callerConn); ok && state == http.StateIdle {
-		caller.setPending(false)
+	if caller, ok := c.(*callerConn); ok {
+		caller.setState(time.Now(), state)
 	}
 	if entry := i.conns[c]; entry != nil {
 		entry.stop()
@@ -103,7 +103,7 @@
 		if !ok || caller.endsWithShutdown() {
 			continue
 		}
-		if entry.expected(now) || !caller.closeIdle() {
+		if entry.expected(now) || !caller.closeIdle(ending{reason: EndStop}) {
 			arriving++
 		}
 	}
@@ -119,13 +119,14 @@
 	if entry == nil {
 		return
 	}
-	if left := i.timeout() + idleTimeoutMargin - now.Sub(entry.since); left > 0 {
+	left := i.timeout() + idleTimeoutMargin - now.Sub(entry.since)
+	if left > 0 {
 		entry.timer.Reset(left)
 		return
 	}
 	delete(i.conns, c)
 	if caller, ok := c.(*callerConn); ok {
-		caller.closeIdle()
+		caller.closeIdle(ending{reason: EndIdle, late: -left})
 		return
 	}
 	_ = c.Close()
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -300,7 +300,9 @@
 // Listener wraps the listener for callers, so that the error responses of net/http
 // itself have a code and an outcome.
 func (g *Gateway) Listener(ln net.Listener) net.Listener {
-	g.listener = connection.NewErrorListener(ln, g.cfg.Logger)
+	g.listener = connection.NewListener(ln, connection.ListenerConfig{
+		RequestID: g.cfg.Headers.RequestID, Metrics: g.cfg.Metrics.Tagged(map[string]string{"From": "Caller"}), Logger: g.cfg.Logger,
+	})
 	return g.listener
 }
 
