--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -11,30 +11,17 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/juju/errors"
 
-	"mustardsaddle.example/mustardsaddle/internal/choice/report"
-	"mustardsaddle.example/mustardsaddle/internal/choice/statement"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
 )
 
-const (
-	// NotRunHeader is the response header by which the server declares that it
-	// did not run the request.
-	NotRunHeader = "Endpoint-Not-Run"
-	// RequestHeader is the request header with the caller's request ID.
-	RequestHeader = "Request-ID"
-)
-
 // coldStartFactor multiplies service times during a cold start.
 const coldStartFactor = 3
 
@@ -172,41 +159,6 @@
 	s.setReportHeader(w.Header())
 }
 
-// Execution records that a server began to run a request, or refused it.
-type Execution struct {
-	// Server is the name of the server.
-	Server string
-	// Request is the caller's request ID, and Attempt the gateway's attempt ID.
-	Request, Attempt string
-	// At is when the execution began, or when the request was refused.
-	At time.Time
-	// Refused is true if the server has not run the request.
-	Refused bool
-}
-
-// Count holds the counters of a server.
-type Count struct {
-	// Runs is the number of executions by attempt ID.
-	Runs map[string]int
-	// Total is the number of executions.
-	Total int64
-	// Probes is the number of probes and load queries answered.
-	Probes int64
-	// Shed is the number of requests refused because of load or draining.
-	Shed int64
-}
-
-// Count returns a copy of the counters.
-func (s *Server) Count() Count {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := Count{Runs: make(map[string]int, len(s.runs)), Total: s.total, Probes: s.probes, Shed: s.shed}
-	for id, n := range s.runs {
-		c.Runs[id] = n
-	}
-	return c
-}
-
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int {
 	s.mu.Lock()
@@ -214,39 +166,6 @@
 	return s.inFlight
 }
 
-func (s *Server) handleCount(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(s.Count())
-}
-
-// setReportHeader sets the headers with the load report and what the server states.
-func (s *Server) setReportHeader(h http.Header) {
-	s.mu.Lock()
-	inFlight, mode := s.loadToReport(time.Now()), s.mode
-	s.mu.Unlock()
-	if mode.Limit != nil {
-		h.Set(statement.LimitHeader, strconv.FormatFloat(*mode.Limit, 'f', -1, 64))
-	}
-	if left := time.Until(mode.WarmAt); left > 0 {
-		h.Set(statement.WarmUpHeader, strconv.FormatInt(left.Milliseconds(), 10))
-	}
-	if mode.Leaving {
-		h.Set(statement.LeavingHeader, "1")
-	}
-	h.Set(report.Header, report.Format(inFlight, s.cfg.Slots, mode.Draining))
-}
-
-// loadToReport returns the number of requests in flight to report. The caller
-// holds mu.
-func (s *Server) loadToReport(now time.Time) int {
-	if s.mode.ReportInFlight != nil {
-		return *s.mode.ReportInFlight
-	}
-	if now.Sub(s.reportedAt) >= s.mode.ReportEvery {
-		s.reportedLoad, s.reportedAt = s.inFlight, now
-	}
-	return s.reportedLoad
-}
-
 // handleWork executes a request, or sheds it if the queue is full or the server
 // is draining.
 func (s *Server) handleWork(w http.ResponseWriter, r *http.Request) {
@@ -313,35 +232,6 @@
 	s.inFlight--
 }
 
-// recordExecution records and counts an execution, and reports whether it must
-// fail immediately. After an error the request must not be run.
-func (s *Server) recordExecution(now time.Time, attempt, request string) (fail bool, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.record(Execution{Server: s.cfg.Name, Request: request, Attempt: attempt, At: now}); err != nil {
-		return false, err
-	}
-	s.total++
-	s.runs[attempt]++
-	return s.mode.FailFast, nil
-}
-
-// recordRefusal records a request that was refused. Its caller is refused all the same if
-// the record cannot be written.
-func (s *Server) recordRefusal(now time.Time, attempt, request string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_ = s.record(Execution{Server: s.cfg.Name, Request: request, Attempt: attempt, At: now, Refused: true})
-}
-
-// record writes a line to the record, if there is one. The caller holds mu.
-func (s *Server) record(e Execution) error {
-	if s.cfg.Record == nil {
-		return nil
-	}
-	return errors.Annotatef(json.NewEncoder(s.cfg.Record).Encode(e), "record attempt %s", e.Attempt)
-}
-
 // simulateWork sleeps for the service time. It returns false if the request is
 // canceled first.
 func (s *Server) simulateWork(r *http.Request) bool {
@@ -374,70 +264,3 @@
 	}
 	return time.Duration(float64(d) * factor)
 }
-
-// writeResponse sends the number of bytes given by the Size parameter, echoes
-// the request body, or sends a line about the request if it has no body. With the parameter
-// Framing=Close the bytes are sent slowly and without a length.
-func (s *Server) writeResponse(w http.ResponseWriter, r *http.Request) {
-	s.setReportHeader(w.Header())
-	if text := r.URL.Query().Get("Size"); text != "" {
-		size, _ := strconv.ParseInt(text, 10, 64)
-		if r.URL.Query().Get("Framing") == "Close" {
-			writeUntilClose(w, size)
-			return
-		}
-		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
-		_, _ = io.CopyN(w, zeroReader{}, size)
-		return
-	}
-	if r.ContentLength != 0 {
-		echo(w, r)
-		return
-	}
-	_, _ = fmt.Fprintf(w, "%s %s from %s\n", r.Method, r.URL.Path, s.cfg.Name)
-}
-
-const (
-	// slowPieces is the number of pieces of a slow response, and slowPause the time between two.
-	slowPieces = 20
-	slowPause  = 30 * time.Millisecond
-)
-
-// writeUntilClose sends a response whose end only the close of its connection marks, in pieces.
-func writeUntilClose(w http.ResponseWriter, size int64) {
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	defer func() { _ = c.Close() }()
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
-	_ = w.Header().Write(c)
-	_, _ = io.WriteString(c, "Connection: close\r\n\r\n")
-	for i := range int64(slowPieces) {
-		n := size*(i+1)/slowPieces - size*i/slowPieces
-		if _, err := io.CopyN(c, zeroReader{}, n); err != nil {
-			return
-		}
-		time.Sleep(slowPause)
-	}
-}
-
-// echo streams the request body back. If the body cannot be read to its end,
-// the response is aborted.
-func echo(w http.ResponseWriter, r *http.Request) {
-	// Without full duplex, net/http discards the rest of the request body once the
-	// response begins. HTTP/2 is always full duplex and returns an error here.
-	_ = http.NewResponseController(w).EnableFullDuplex()
-	if _, err := io.Copy(w, r.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// zeroReader is an infinite reader of zero bytes.
-type zeroReader struct{}
-
-// Read fills p with zeros.
-func (zeroReader) Read(p []byte) (int, error) {
-	clear(p)
-	return len(p), nil
-}
