Convert updates of a directory to messages in package news

The conversions between updates of a directory and the messages Listing, Evacuations and Known were in package instance, so no test of the links could use them. They move to package news, without a change of what they do. Tests of internal/peer/news and internal/product/instance pass with the race detector.

--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -40,19 +40,19 @@
 	}
 	switch m := msg.(type) {
 	case news.Listing:
-		if in.catalog.Receive(now, from, collectionByFlag(m.Servers), updateFromListing(m)) {
+		if in.catalog.Receive(now, from, m.Collection(), m.Update()) {
 			in.links.Send(from, news.AskListing{Servers: m.Servers})
 		}
 	case news.AskListing:
-		c := collectionByFlag(m.Servers)
+		c := m.Collection()
 		if u, ok := in.catalog.CollectionSnapshot(now, c); ok {
-			in.links.Send(from, listingFromUpdate(c, u))
+			in.links.Send(from, news.NewListing(c, u))
 		}
 	case news.Evacuations:
-		in.catalog.Receive(now, from, mustardsaddle.EvacuationsCollection, updateFromEvacuations(m))
+		in.catalog.Receive(now, from, mustardsaddle.EvacuationsCollection, m.Update())
 	case news.AskEvacuations:
 		if u, ok := in.catalog.CollectionSnapshot(now, mustardsaddle.EvacuationsCollection); ok {
-			in.links.Send(from, evacuationsFromUpdate(u))
+			in.links.Send(from, news.NewEvacuations(u))
 		}
 	}
 }
@@ -66,92 +66,22 @@
 	for c, known := range map[mustardsaddle.Collection]news.Known{
 		mustardsaddle.RulesCollection: theirs.Rules, mustardsaddle.ServersCollection: theirs.Servers,
 	} {
-		if in.catalog.ReceiveState(now, c, stateFromKnown(known)) {
+		if in.catalog.ReceiveState(now, c, known.State()) {
 			in.links.Send(from, news.AskListing{Servers: c == mustardsaddle.ServersCollection})
 		}
 	}
 	in.recordStatesEvacuations(from, theirs.Evacuations.Revision > 0)
-	if in.catalog.ReceiveState(now, mustardsaddle.EvacuationsCollection, stateFromKnown(theirs.Evacuations)) {
+	if in.catalog.ReceiveState(now, mustardsaddle.EvacuationsCollection, theirs.Evacuations.State()) {
 		in.links.Send(from, news.AskEvacuations{})
 	}
 }
 
-func collectionByFlag(servers bool) mustardsaddle.Collection {
-	if servers {
-		return mustardsaddle.ServersCollection
-	}
-	return mustardsaddle.RulesCollection
-}
-
-// knownFromState converts the state of a collection to its part of a summary.
-func knownFromState(s mustardsaddle.CollectionState) news.Known {
-	return news.Known{Era: s.Position.Era, Revision: s.Position.Revision, Age: s.Age.Milliseconds(), Generation: s.Generation, Digest: s.Digest}
-}
-
-// stateFromKnown converts the part of a summary that describes a collection to its state.
-func stateFromKnown(k news.Known) mustardsaddle.CollectionState {
-	return mustardsaddle.CollectionState{
-		Position: mustardsaddle.Position{Era: k.Era, Revision: k.Revision}, Age: time.Duration(k.Age) * time.Millisecond,
-		Generation: k.Generation, Digest: k.Digest,
-	}
-}
-
 // messageFromUpdate converts an update that is forwarded to a message.
 func messageFromUpdate(c mustardsaddle.Collection, u mustardsaddle.Update) news.Message {
 	if c == mustardsaddle.EvacuationsCollection {
-		return evacuationsFromUpdate(u)
-	}
-	return listingFromUpdate(c, u)
-}
-
-// evacuationsFromUpdate converts a snapshot of the evacuations to a message.
-func evacuationsFromUpdate(u mustardsaddle.Update) news.Evacuations {
-	m := news.Evacuations{Era: u.Position.Era, Revision: u.Position.Revision, Age: u.Age.Milliseconds(), Reading: u.Reading}
-	for _, e := range u.Evacuations {
-		m.Zones = append(m.Zones, e.Zone)
-	}
-	return m
-}
-
-// updateFromEvacuations converts a message to a snapshot of the evacuations.
-func updateFromEvacuations(m news.Evacuations) mustardsaddle.Update {
-	u := mustardsaddle.Update{
-		Whole: true, Position: mustardsaddle.Position{Era: m.Era, Revision: m.Revision}, Age: time.Duration(m.Age) * time.Millisecond,
-		Reading: m.Reading,
-	}
-	for _, zone := range m.Zones {
-		u.Evacuations = append(u.Evacuations, mustardsaddle.Evacuation{Zone: zone})
-	}
-	return u
-}
-
-// listingFromUpdate converts an update to a message.
-func listingFromUpdate(c mustardsaddle.Collection, u mustardsaddle.Update) news.Listing {
-	m := news.Listing{
-		Servers: c == mustardsaddle.ServersCollection, Whole: u.Whole, AfterEra: u.After.Era, After: u.After.Revision,
-		Era: u.Position.Era, Revision: u.Position.Revision, Age: u.Age.Milliseconds(), Digest: u.Digest,
-		Machines: u.Machines, Removed: u.Removed, Reading: u.Reading,
-	}
-	if u.Rules != nil {
-		m.Generation, m.Rules = u.Rules.Generation, u.Rules.Text
-	}
-	m.RuleChange = (*news.RuleChange)(u.RuleChange)
-	return m
-}
-
-// updateFromListing converts a message to an update.
-func updateFromListing(m news.Listing) mustardsaddle.Update {
-	u := mustardsaddle.Update{
-		Whole: m.Whole, After: mustardsaddle.Position{Era: m.AfterEra, Revision: m.After},
-		Position: mustardsaddle.Position{Era: m.Era, Revision: m.Revision},
-		Age:      time.Duration(m.Age) * time.Millisecond, Digest: m.Digest, Machines: m.Machines, Removed: m.Removed,
-		Reading: m.Reading,
-	}
-	if m.Generation > 0 {
-		u.Rules = &mustardsaddle.RulesText{Generation: m.Generation, Text: m.Rules}
+		return news.NewEvacuations(u)
 	}
-	u.RuleChange = (*mustardsaddle.RuleChange)(m.RuleChange)
-	return u
+	return news.NewListing(c, u)
 }
 
 // machineFromVM converts a gateway VM to its entry in the directory.
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -39,9 +39,9 @@
 		return s
 	}
 	now := time.Now()
-	s.Rules = knownFromState(in.catalog.Known(now, mustardsaddle.RulesCollection))
-	s.Servers = knownFromState(in.catalog.Known(now, mustardsaddle.ServersCollection))
-	s.Evacuations = knownFromState(in.catalog.Known(now, mustardsaddle.EvacuationsCollection))
+	s.Rules = news.NewKnown(in.catalog.Known(now, mustardsaddle.RulesCollection))
+	s.Servers = news.NewKnown(in.catalog.Known(now, mustardsaddle.ServersCollection))
+	s.Evacuations = news.NewKnown(in.catalog.Known(now, mustardsaddle.EvacuationsCollection))
 	return s
 }
 
