--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -84,6 +84,8 @@
 	// SentMessages, SentBytes, ReceivedMessages and ReceivedBytes count the encoded
 	// messages, without the framing of WebSocket and TCP.
 	SentMessages, SentBytes, ReceivedMessages, ReceivedBytes int64
+	// Compressed and Decompressed count large messages that were encoded and decoded.
+	Compressed, Decompressed int64
 	// Dials counts attempts to connect.
 	Dials int64
 	// TimedOut counts links closed because nothing was received for
@@ -239,12 +241,15 @@
 
 // Stats returns the current number of links and the counters.
 func (l *Links) Stats() Stats {
+	codec := l.codec.Stats()
 	return Stats{
 		Links:            len(l.Peers()),
 		SentMessages:     l.counts.sentMessages.Load(),
 		SentBytes:        l.counts.sentBytes.Load(),
 		ReceivedMessages: l.counts.receivedMessages.Load(),
 		ReceivedBytes:    l.counts.receivedBytes.Load(),
+		Compressed:       codec.Compressed,
+		Decompressed:     codec.Decompressed,
 		Dials:            l.counts.dials.Load(),
 		TimedOut:         l.counts.timedOut.Load(),
 		Dropped:          l.counts.dropped.Load(),
--- a/internal/peer/news/bench_test.go
+++ b/internal/peer/news/bench_test.go
@@ -1,12 +1,16 @@
 package news_test
 
 import (
+	"fmt"
 	"testing"
 
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/peer/news"
 )
 
+// newRoutes is the number of routes that a large version of the rules adds.
+const newRoutes = 1400
+
 // benchmarkEncode reports the time to encode a message, and its size.
 func benchmarkEncode(b *testing.B, msg news.Message) {
 	codec := news.NewCodec()
@@ -42,3 +46,34 @@
 		Crashes: []mustardsaddle.Instance{{Name: "booking-0007", Incarnation: 1_800_000_000_000}},
 	}}})
 }
+
+// largeListing returns the listing of a version of the rules with the given number of new routes.
+func largeListing(routes int) news.Listing {
+	c := &news.RuleChange{From: 12, To: 13, Digest: 1 << 60}
+	for i := range routes {
+		c.In = append(c.In, mustardsaddle.RuleEdit{At: 40 + i, Text: fmt.Sprintf("Host=jede%d.example Prefix=/voxa%d/ Service=%s "+
+			"Deadline=2.5s Repeat=Yes Attempts=3 Target=600ms Priority=%d # Platform operator: route r%d", i%97, i*7919%9973, []string{"roster-svc", "signoff-svc", "fieldcrew-svc"}[i%3], i%3, i)})
+	}
+	return news.Listing{After: 41, Revision: 43, Digest: 7, RuleChange: c, Reading: mustardsaddle.Reading{Gateway: "edge-rustaq-5", Incarnation: 1_800_000_000_000, Seq: 9}}
+}
+
+// BenchmarkEncodeRules measures the listing of a version of the rules with many new routes.
+func BenchmarkEncodeRules(b *testing.B) {
+	b.ReportAllocs()
+	benchmarkEncode(b, largeListing(newRoutes))
+}
+
+// BenchmarkDecodeRules measures the listing of a version of the rules with many new routes.
+func BenchmarkDecodeRules(b *testing.B) {
+	codec := news.NewCodec()
+	encoded, err := codec.Encode(largeListing(newRoutes))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := codec.Decode(encoded); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -18,6 +19,14 @@
 	decMode cbor.DecMode
 	// decoders holds the decoder of each known type by the name of the type.
 	decoders map[string]decoder
+	// compressed and decompressed count bodies.
+	compressed, decompressed atomic.Int64
+}
+
+// CodecStats holds counters since a Codec was made.
+type CodecStats struct {
+	// Compressed and Decompressed count the bodies that were compressed and decompressed.
+	Compressed, Decompressed int64
 }
 
 // decoder decodes the body of a message of one type.
@@ -58,6 +67,11 @@
 	return &Codec{encMode: encMode, decMode: decMode, decoders: newDecoders()}
 }
 
+// Stats returns the counters.
+func (c *Codec) Stats() CodecStats {
+	return CodecStats{Compressed: c.compressed.Load(), Decompressed: c.decompressed.Load()}
+}
+
 // Encode returns the encoded message. It validates the fields as Decode does, with
 // code.PeerBadMessage for one that is missing or out of range, but does not compare
 // the encoded size with MaxBytes.
@@ -71,6 +85,7 @@
 	}
 	e := envelope{Format: Format, Type: typeName(msg.Type()), Body: body}
 	if len(body) >= minCompressedBytes {
+		c.compressed.Add(1)
 		e.Format, e.Body, e.Compressed = FormatCompressed, nil, compress(body)
 	}
 	b, err := c.encMode.Marshal(e)
@@ -103,6 +118,7 @@
 		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message")
 	}
 	if h.Format == FormatCompressed {
+		c.decompressed.Add(1)
 		body, err := decompress(e.Compressed, MaxBytes)
 		if err != nil {
 			return nil, code.Wrapf(code.PeerBadMessage, err, "decompress message %s", e.Type)
