--- a/internal/peer/link/fleet_test.go
+++ b/internal/peer/link/fleet_test.go
@@ -162,6 +162,7 @@
 	for _, m := range members {
 		s := m.links.Stats()
 		sum.SentMessages += s.SentMessages
+		sum.ReceivedMessages += s.ReceivedMessages
 		sum.SentBytes += s.SentBytes
 		sum.ReceivedBytes += s.ReceivedBytes
 		sum.Compressed += s.Compressed
@@ -188,6 +189,103 @@
 	return time.Since(begin)
 }
 
+// awaitQuiet waits until every message that was sent has been received.
+func awaitQuiet(t testing.TB, members []*member) {
+	t.Helper()
+	const checks = 20
+	quiet, before := 0, link.Stats{}
+	waitFor(t, "all messages to arrive", func() bool {
+		sum, _ := totals(members)
+		if sum != before || sum.SentMessages != sum.ReceivedMessages {
+			quiet = 0
+		}
+		before = sum
+		quiet++
+		return quiet > checks
+	})
+}
+
+// startLargeVersion starts a fleet, has one gateway read a version of the rules with many new
+// routes, and waits until all have it in force. Only the changes of the rules and the answers to
+// them cross the links, since heartbeats are far apart. It returns the gateways and what each has
+// used since it was linked.
+func startLargeVersion(t testing.TB, n int) ([]*member, []link.Stats) {
+	members := startFleet(t, n, link.Timing{Heartbeat: 10 * time.Minute})
+	awaitQuiet(t, members)
+	var before []link.Stats
+	for _, m := range members {
+		before = append(before, m.links.Stats())
+	}
+	members[0].read(t, 1, 2, fewRoutes+newRoutes)
+	awaitGeneration(t, members, 2)
+	awaitQuiet(t, members)
+	var used []link.Stats
+	for i, m := range members {
+		after := m.links.Stats()
+		used = append(used, link.Stats{
+			Compressed: after.Compressed - before[i].Compressed, Decompressed: after.Decompressed - before[i].Decompressed,
+			SentBytes: after.SentBytes - before[i].SentBytes, ReceivedBytes: after.ReceivedBytes - before[i].ReceivedBytes,
+		})
+	}
+	return members, used
+}
+
+// largeVersionBytes returns the size of the message that startLargeVersion sends.
+func largeVersionBytes(t testing.TB) int {
+	from, _, _ := rule.ParseDirectory(manyRoutes(fewRoutes))
+	to, _, _ := rule.ParseDirectory(manyRoutes(fewRoutes + newRoutes))
+	change := mustardsaddle.RuleChange(rule.Diff(from.WithGeneration(1), to.WithGeneration(2)))
+	encoded, err := news.NewCodec().Encode(news.NewListing(mustardsaddle.RulesCollection, mustardsaddle.Update{
+		After: mustardsaddle.Position{Revision: 1}, Position: mustardsaddle.Position{Revision: 2}, RuleChange: &change,
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(encoded)
+}
+
+// fleetSize is the number of gateways in tests, each of which has several neighbors.
+const fleetSize = 24
+
+// TestLargeVersionIsDecodedOnce guards against a gateway that spends its processor on each copy of
+// a large version of the rules that its neighbors send, instead of on its callers.
+func TestLargeVersionIsDecodedOnce(t *testing.T) {
+	members, used := startLargeVersion(t, fleetSize)
+	for i, u := range used {
+		if u.Decompressed > 1 {
+			t.Errorf("gateway %s: got %d copies decompressed, want at most 1", members[i].vm.Name, u.Decompressed)
+		}
+	}
+}
+
+// TestLargeVersionIsCompressedOnce guards against each gateway of a fleet compressing a large
+// version of the rules anew that it has received compressed.
+func TestLargeVersionIsCompressedOnce(t *testing.T) {
+	members, used := startLargeVersion(t, fleetSize)
+	for i, u := range used {
+		want := int64(0)
+		if i == 0 {
+			want = 1
+		}
+		if u.Compressed > want {
+			t.Errorf("gateway %s: got %d messages compressed, want at most %d", members[i].vm.Name, u.Compressed, want)
+		}
+	}
+}
+
+// TestLargeVersionCrossesFewLinks guards against a large version of the rules filling the slow
+// links of a gateway, because each neighbor sends it a copy.
+func TestLargeVersionCrossesFewLinks(t *testing.T) {
+	const maxCopies = 2
+	size := largeVersionBytes(t)
+	members, used := startLargeVersion(t, fleetSize)
+	for i, u := range used {
+		if limit := int64(maxCopies * size); u.ReceivedBytes > limit {
+			t.Errorf("gateway %s: got %d bytes received, want at most %d", members[i].vm.Name, u.ReceivedBytes, limit)
+		}
+	}
+}
+
 // usage is what a fleet has used since it started.
 type usage struct {
 	at    time.Time
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -56,6 +56,8 @@
 	wrap func(net.Listener) net.Listener
 	// onMessage, if set, handles the messages instead of the node.
 	onMessage func(news.Message)
+	// onSummary, if set, is called before the node states its summary.
+	onSummary func()
 }
 
 func newNode(t testing.TB, name, zone string, timing link.Timing) *node {
@@ -97,6 +99,12 @@
 }
 
 func (n *node) summary() news.Summary {
+	n.mu.Lock()
+	onSummary := n.onSummary
+	n.mu.Unlock()
+	if onSummary != nil {
+		onSummary()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return news.Summary{Generation: n.generation}
