--- a/internal/request/gateway/forward_test.go
+++ b/internal/request/gateway/forward_test.go
@@ -14,10 +14,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/request/claim"
+	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 	"mustardsaddle.example/mustardsaddle/internal/request/forward"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 	"mustardsaddle.example/mustardsaddle/internal/request/header"
@@ -63,11 +66,9 @@
 		g.SetServers(time.Now(), "Booking", servers)
 		g.front = httptest.NewUnstartedServer(g)
 		g.front.Config = gateway.NewServer(gateway.ServerConfig{Handler: g.Gateway})
+		g.front.Listener = g.Listener(g.front.Listener)
 		g.front.Start()
-		g.peer = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			g.carried.Add(1)
-			g.ServeForwarded(w, r)
-		}))
+		g.peer = newPeerServer(g)
 		t.Cleanup(func() { g.front.Close(); g.peer.Close(); g.Close() })
 		fleet = append(fleet, g)
 	}
@@ -75,6 +76,18 @@
 	return fleet
 }
 
+// newPeerServer serves the calls that other gateways forward, on connections like those of callers.
+func newPeerServer(g *fleetGateway) *httptest.Server {
+	peer := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.carried.Add(1)
+		g.ServeForwarded(w, r)
+	}))
+	peer.Config.BaseContext, peer.Config.ConnContext = g.BaseContext, connection.Context
+	peer.Listener = connection.NewErrorListener(peer.Listener, zerolog.Nop())
+	peer.Start()
+	return peer
+}
+
 // setFleet makes the gateways known to each other, at the peer addresses that address
 // returns.
 func setFleet(fleet []*fleetGateway, address func(*fleetGateway) string) {
