--- a/internal/request/gateway/forward_test.go
+++ b/internal/request/gateway/forward_test.go
@@ -14,8 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/control/rule"
@@ -83,7 +81,7 @@
 		g.ServeForwarded(w, r)
 	}))
 	peer.Config.BaseContext, peer.Config.ConnContext = g.BaseContext, connection.Context
-	peer.Listener = connection.NewErrorListener(peer.Listener, zerolog.Nop())
+	peer.Listener = connection.NewListener(peer.Listener, connection.ListenerConfig{})
 	peer.Start()
 	return peer
 }
