--- a/internal/control/rule/customer.go
+++ b/internal/control/rule/customer.go
@@ -157,19 +157,23 @@
 	quotaFields    = []string{"Priority", "Rate", "Burst"}     //nolint:gochecknoglobals // a table
 )
 
+// notInCustomer returns the fields that a line about a customer does not allow.
+func notInCustomer() []string {
+	others := slices.Concat([]string{"Path", "Service", idleField}, routeFields, serviceFields)
+	return slices.DeleteFunc(others, func(name string) bool { return slices.Contains(quotaFields, name) })
+}
+
 // checkCustomerFields returns problems for the fields that a line about a customer lacks or
 // does not allow. A line with a Part holds further keys of a customer and nothing else.
-func checkCustomerFields(seen map[string]bool) []Problem {
-	others := slices.Concat([]string{"Path", "Service", idleField}, routeFields, serviceFields)
-	others = slices.DeleteFunc(others, func(name string) bool { return slices.Contains(quotaFields, name) })
-	problems := disallow(seen, others, "declares a customer")
-	if seen["Burst"] && !seen["Rate"] {
+func checkCustomerFields(seen *fieldNames) []Problem {
+	problems := disallow(seen, notInCustomer(), "declares a customer")
+	if seen.has("Burst") && !seen.has("Rate") {
 		problems = append(problems, problemf(code.RuleMissingField, "customer has a Burst but no Rate"))
 	}
-	if !seen["Part"] {
+	if !seen.has("Part") {
 		return problems
 	}
-	if !seen["Keys"] {
+	if !seen.has("Keys") {
 		problems = append(problems, problemf(code.RuleMissingField, "further part of a customer has no Keys"))
 	}
 	return append(problems, disallow(seen, quotaFields, "holds further keys of a customer")...)
--- a/internal/control/rule/field.go
+++ b/internal/control/rule/field.go
@@ -246,17 +246,23 @@
 	if strings.ContainsAny(path, `%?\`) {
 		return problemf(code.RuleBadPattern, "got Path=%s, want a path without %%, ? and \\", path)
 	}
-	segments := strings.Split(rest, "/")
-	seen := make(map[string]bool)
-	for i, segment := range segments {
-		last := i == len(segments)-1
-		if expected := checkSegment(segment, last); expected != "" {
+	var params map[string]bool
+	for more := true; more; {
+		var segment string
+		segment, rest, more = strings.Cut(rest, "/")
+		if expected := checkSegment(segment, !more); expected != "" {
 			return problemf(code.RuleBadPattern, "got Path=%s, %s", path, expected)
 		}
-		if isParam(segment) && seen[segment] {
+		if !isParam(segment) {
+			continue
+		}
+		if params[segment] {
 			return problemf(code.RuleBadPattern, "got Path=%s, want each {Name} once", path)
 		}
-		seen[segment] = true
+		if params == nil {
+			params = make(map[string]bool)
+		}
+		params[segment] = true
 	}
 	return Problem{}
 }
--- a/internal/control/rule/header.go
+++ b/internal/control/rule/header.go
@@ -29,6 +29,9 @@
 // Such a line is never kept among the rules, where it could be parsed as part of
 // the header once the lines above it are removed.
 func isHeaderLine(s string) bool {
+	if s != "" && 'A' <= s[0] && s[0] <= 'Z' {
+		return false // a field
+	}
 	if strings.HasPrefix(s, generationPrefix) || isFormatLine(s) {
 		return true
 	}
--- a/internal/control/rule/name.go
+++ b/internal/control/rule/name.go
@@ -17,6 +17,9 @@
 // encode returns a text in which bytes other than those of letters, digits, -, _, . and the
 // characters to keep are replaced by %XX.
 func encode(text, keep string) string {
+	if isPlainText(text, keep) {
+		return text
+	}
 	var b strings.Builder
 	for at, c := range text {
 		n := max(utf8.RuneLen(c), 1)
@@ -34,6 +37,17 @@
 	return b.String()
 }
 
+// isPlainText reports whether encode keeps all bytes of a text, which are ASCII.
+func isPlainText(text, keep string) bool {
+	for i := range len(text) {
+		c := text[i]
+		if c >= utf8.RuneSelf || !isPlainRune(rune(c)) && strings.IndexByte(keep, c) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // isPlainRune reports whether a character stands for itself in an encoded text.
 func isPlainRune(c rune) bool {
 	return isNameRune(c) && c != utf8.RuneError || c == '-' || c == '.'
--- a/internal/control/rule/parse.go
+++ b/internal/control/rule/parse.go
@@ -72,7 +72,7 @@
 }
 
 func newParser(f format) *parser {
-	return &parser{format: f, file: File{directory: f.directory}, seen: make(map[ID]int)}
+	return &parser{format: f, file: File{directory: f.directory}}
 }
 
 func (p *parser) addProblem(number int, problem Problem) {
@@ -132,6 +132,9 @@
 		p.addProblem(number, problemf(code.RuleDuplicate, "duplicate of line %d, with the same Host, Path and Method or the same declaration", first))
 		return
 	}
+	if p.seen == nil {
+		p.seen = make(map[ID]int)
+	}
 	p.seen[r.ID()] = number
 	p.file.lines = append(p.file.lines, line{text: s, rule: &r, number: number})
 }
@@ -159,78 +162,20 @@
 	fields, comment, _ := strings.Cut(s, "#")
 	r := Rule{Comment: strings.TrimSpace(comment)}
 	var problems []Problem
-	seen := make(map[string]bool)
-	for _, field := range strings.Fields(fields) {
-		if problem := f.parseField(&r, seen, field); problem.Code != code.OK {
+	var seen fieldNames
+	for field := range strings.FieldsSeq(fields) {
+		if problem := f.parseField(&r, &seen, field); problem.Code != code.OK {
 			problems = append(problems, problem)
 		}
 	}
-	r.PrioritySet = r.IsCustomer() && seen["Priority"]
-	problems = append(problems, checkFields(seen)...)
+	r.PrioritySet = r.IsCustomer() && seen.has("Priority")
+	problems = append(problems, checkFields(&seen)...)
 	if !namesRequester(r.Comment) {
 		problems = append(problems, problemf(code.RuleNoWho, "rule has no comment that names who requested it and why, want # Who: why"))
 	}
 	return r, problems
 }
 
-// Fields of routing rules and of service declarations, besides Path and Service.
-var (
-	routeFields   = []string{"Prefix", "Host", "Method", "Deadline", "Repeat", "Attempts", "Target", "Priority", "Anonymous"} //nolint:gochecknoglobals // a table
-	serviceFields = []string{"Probe", "Connections", "WarmUp", "WarmUpRate"}                                                  //nolint:gochecknoglobals // a table
-)
-
-// checkFields returns problems for the fields that a line lacks, and for those that
-// its kind of line does not allow.
-func checkFields(seen map[string]bool) []Problem {
-	if seen["Customer"] {
-		return checkCustomerFields(seen)
-	}
-	declares := slices.ContainsFunc(serviceFields, func(name string) bool { return seen[name] })
-	switch {
-	case seen["WarmUp"] != seen["WarmUpRate"]:
-		return []Problem{problemf(code.RuleMissingField, "rule has only one of WarmUp and WarmUpRate, want both or neither")}
-	case (seen[idleField] || seen[evacuateField]) && len(seen) == 1:
-		return nil
-	case declares && !seen["Path"] && !seen["Prefix"] && seen["Service"]:
-		return disallow(seen, slices.Concat([]string{idleField, evacuateField}, routeFields, customerFields), "declares a service")
-	}
-	var problems []Problem
-	if !seen["Path"] && !seen["Prefix"] {
-		problems = append(problems, problemf(code.RuleMissingField, "rule has no Path"))
-	}
-	if !seen["Service"] {
-		problems = append(problems, problemf(code.RuleMissingField, "rule has no Service"))
-	}
-	if seen["Path"] && seen["Prefix"] {
-		problems = append(problems, problemf(code.RuleSyntax, "rule has both Path and Prefix, want one"))
-	}
-	return append(problems, disallow(seen, slices.Concat([]string{idleField, evacuateField}, serviceFields, customerFields), "routes requests")...)
-}
-
-// disallow returns a problem for each of the named fields that a kind of line has and must
-// not have.
-func disallow(seen map[string]bool, names []string, kind string) []Problem {
-	var problems []Problem
-	for _, name := range names {
-		if seen[name] {
-			problems = append(problems, problemf(code.RuleSyntax, "field %s is not allowed in a line that %s", name, kind))
-		}
-	}
-	return problems
-}
-
-func (f format) parseField(r *Rule, seen map[string]bool, field string) Problem {
-	name, value, ok := strings.Cut(field, "=")
-	if !ok {
-		return problemf(code.RuleSyntax, "got %q, want Name=Value", field)
-	}
-	if seen[name] {
-		return problemf(code.RuleRepeatedField, "duplicate field %s", name)
-	}
-	seen[name] = true
-	return f.setField(r, name, value)
-}
-
 // namesRequester reports whether a comment has the form "Who: why". The full-width colon
 // that Chinese input methods produce is accepted as well.
 func namesRequester(comment string) bool {
--- a/internal/control/rule/split.go
+++ b/internal/control/rule/split.go
@@ -82,8 +82,8 @@
 		name, problem := f.parseService(value)
 		return TrafficSplit{services: []WeightedService{{Service: name, Weight: 1}}, total: 1}, problem
 	}
-	var s TrafficSplit
-	seen := make(map[string]bool)
+	s := TrafficSplit{services: make([]WeightedService, 0, strings.Count(value, ",")+1)}
+	var seen fieldNames
 	for text := range strings.SplitSeq(value, ",") {
 		encoded, weight, _ := strings.Cut(text, ":")
 		name, problem := f.parseService(encoded)
@@ -91,10 +91,9 @@
 			return TrafficSplit{}, problem
 		}
 		w, err := strconv.ParseFloat(weight, 64)
-		if err != nil || math.IsNaN(w) || w < 0 || w > MaxWeight || seen[name] {
+		if err != nil || math.IsNaN(w) || w < 0 || w > MaxWeight || !seen.add(name) {
 			return TrafficSplit{}, problemf(code.RuleBadValue, "got Service=%s, want each service once, with its weight, such as A:90,B:10", value)
 		}
-		seen[name] = true
 		s.services = append(s.services, WeightedService{Service: name, Weight: w})
 		s.total += w
 	}
