--- a/internal/control/rule/change.go
+++ b/internal/control/rule/change.go
@@ -36,21 +36,26 @@
 // Diff returns the change that turns one file into another.
 func Diff(from, to File) Change {
 	c := Change{From: from.Generation, To: to.Generation, Digest: to.Digest()}
-	start := 0
-	for start < len(from.lines) && start < len(to.lines) && sameText(from.lines[start], to.lines[start]) {
-		start++
-	}
-	endFrom, endTo := len(from.lines), len(to.lines)
-	for endFrom > start && endTo > start && sameText(from.lines[endFrom-1], to.lines[endTo-1]) {
-		endFrom--
-		endTo--
-	}
+	start, end := commonEnds(from.lines, to.lines)
+	endFrom, endTo := len(from.lines)-end, len(to.lines)-end
 	keptFrom, keptTo := commonLines(from.lines[start:endFrom], to.lines[start:endTo])
 	c.Out = unmatched(from.lines[start:endFrom], keptFrom, start)
 	c.In = unmatched(to.lines[start:endTo], keptTo, start)
 	return c
 }
 
+// commonEnds returns how many lines at the start and at the end two files have in common.
+func commonEnds(from, to []line) (start, end int) {
+	n := min(len(from), len(to))
+	for start < n && sameText(from[start], to[start]) {
+		start++
+	}
+	for end < n-start && sameText(from[len(from)-1-end], to[len(to)-1-end]) {
+		end++
+	}
+	return start, end
+}
+
 // unmatched returns the lines whose positions are not in kept.
 func unmatched(lines []line, kept []int, offset int) []Edit {
 	var edits []Edit
--- a/internal/control/rule/merge.go
+++ b/internal/control/rule/merge.go
@@ -10,15 +10,15 @@
 	occurrence int
 }
 
-// index maps the keys of a file's lines to their positions.
-type index struct {
+// lineIndex maps the keys of a file's lines to their positions.
+type lineIndex struct {
 	file      File
 	keys      []key
 	positions map[key]int
 }
 
-func indexOf(f File) index {
-	x := index{file: f, keys: make([]key, len(f.lines)), positions: make(map[key]int, len(f.lines))}
+func indexOf(f File) lineIndex {
+	x := lineIndex{file: f, keys: make([]key, len(f.lines)), positions: make(map[key]int, len(f.lines))}
 	occurrences := make(map[string]int)
 	for i, l := range f.lines {
 		// The prefix keeps the key of an empty line different from that of the rule that
@@ -36,7 +36,7 @@
 }
 
 // line returns the line with the given key, or nil if there is none.
-func (x index) line(k key) *line {
+func (x lineIndex) line(k key) *line {
 	i, ok := x.positions[k]
 	if !ok {
 		return nil
@@ -71,7 +71,7 @@
 }
 
 type merger struct {
-	base, accepted, submitted index
+	base, accepted, submitted lineIndex
 }
 
 // mergeAccepted returns the merged version of each accepted line, nil if the
--- a/internal/control/rule/prefix.go
+++ b/internal/control/rule/prefix.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/url"
 	"strings"
+
+	"mustardsaddle.example/mustardsaddle/internal/base/index"
 )
 
 // prefixIndex finds rules of a directory by the literal prefix of the paths that they match. A
@@ -13,7 +15,7 @@
 type prefixIndex struct {
 	// stated has the prefixes as they are written, and decoded the decoded forms of those with
 	// encodings.
-	stated, decoded map[prefixKey]*Rule
+	stated, decoded index.Map[prefixKey, *Rule]
 }
 
 // prefixKey identifies a rule of a prefixIndex.
@@ -24,23 +26,21 @@
 	prefix string
 }
 
-func newPrefixIndex() prefixIndex {
-	return prefixIndex{stated: make(map[prefixKey]*Rule), decoded: make(map[prefixKey]*Rule)}
-}
-
-// add adds a rule, or returns false if the index cannot hold it.
-func (x prefixIndex) add(r *Rule) bool {
+// prefixKeys returns the keys of a rule, with the prefix as it is written and decoded. It returns
+// false for a rule that the index cannot hold.
+func prefixKeys(r *Rule) (stated, decoded prefixKey, ok bool) {
 	prefix, ok := r.prefix()
 	if !ok || r.Method != "" {
-		return false
+		return stated, decoded, false
 	}
 	prefix = capitalDigits(prefix)
-	x.stated[prefixKey{host: r.Host, prefix: prefix}] = r
-	if decoded := decodeSegments(prefix); decoded != prefix {
-		key := prefixKey{host: r.Host, prefix: decoded}
-		x.decoded[key] = cmp.Or(x.decoded[key], r)
-	}
-	return true
+	return prefixKey{host: r.Host, prefix: prefix}, prefixKey{host: r.Host, prefix: decodeSegments(prefix)}, true
+}
+
+// find returns the rule of a key in one of the indexes, or nil.
+func find(m index.Map[prefixKey, *Rule], key prefixKey) *Rule {
+	r, _ := m.Get(key)
+	return r
 }
 
 // matches returns the rules whose prefix begins the path of a request, those with its host before
@@ -50,7 +50,7 @@
 // a path without the prefix.
 func (x prefixIndex) matches(r *http.Request) iter.Seq[Rule] {
 	return func(yield func(Rule) bool) {
-		if len(x.stated) == 0 {
+		if x.stated.Len() == 0 {
 			return
 		}
 		stated := capitalDigits(statedPath(r))
@@ -75,7 +75,7 @@
 			return true
 		}
 		inDecoded := prefixKey{host, decoded[:j+1]}
-		found := cmp.Or(x.stated[prefixKey{host, stated[:i+1]}], x.stated[inDecoded], x.decoded[inDecoded])
+		found := cmp.Or(find(x.stated, prefixKey{host, stated[:i+1]}), find(x.stated, inDecoded), find(x.decoded, inDecoded))
 		if found != nil && !hasDotSegment(whole[j:]) && !yield(*found) {
 			return false
 		}
--- a/internal/control/rule/table.go
+++ b/internal/control/rule/table.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/base/index"
 )
 
 // Table is a compiled rules file. It is immutable and safe for concurrent use.
@@ -19,14 +20,17 @@
 	// File is the rules file that was compiled.
 	File File
 
-	buckets map[bucketKey]*bucket
+	buckets index.Map[bucketKey, *bucket]
 	// prefixes finds the rules of a directory that match all paths with a prefix.
 	prefixes prefixIndex
 	// splits maps the values of Service to their parsed form.
-	splits map[string]TrafficSplit
+	splits index.Map[string, splitUse]
 	// services maps service names to the rules that declare them.
-	services map[string]Rule
-	idle     time.Duration
+	services index.Map[string, *Rule]
+	// contested is true if several rules have the same key in prefixes or services, so that the
+	// order of the file decides which of them is found.
+	contested bool
+	idle      time.Duration
 	// customers finds customers by key; nil if the file declares none.
 	customers *customerIndex
 	// evacuations are the availability zones that the file evacuates.
@@ -35,14 +39,15 @@
 
 // TrafficSplit returns the weighted services of a rule of this table.
 func (t *Table) TrafficSplit(r Rule) TrafficSplit {
-	return t.splits[r.Service]
+	use, _ := t.splits.Get(r.Service)
+	return use.split
 }
 
 // Service returns the declaration of a service, or a Rule with only its name if the
 // file does not declare it.
 func (t *Table) Service(name string) Rule {
-	if declared, ok := t.services[name]; ok {
-		return declared
+	if declared, ok := t.services.Get(name); ok {
+		return *declared
 	}
 	return Rule{Service: name}
 }
@@ -76,64 +81,6 @@
 	router *mux.Router
 }
 
-// Compile builds the routing table of a rules file.
-func Compile(file File) *Table {
-	return (&Table{}).Recompile(file)
-}
-
-// Recompile builds the routing table of another file. Buckets whose rules are
-// unchanged are shared with t.
-func (t *Table) Recompile(file File) *Table {
-	rules := make(map[bucketKey][]*Rule)
-	var customers []*Rule
-	next := &Table{File: file, splits: make(map[string]TrafficSplit), services: make(map[string]Rule), prefixes: newPrefixIndex()}
-	for _, l := range file.lines {
-		if l.rule == nil {
-			continue
-		}
-		if l.rule.IsCustomer() {
-			customers = append(customers, l.rule)
-			continue
-		}
-		if !l.rule.IsRoute() {
-			next.declare(*l.rule)
-			continue
-		}
-		next.splits[l.rule.Service] = l.rule.trafficSplit()
-		if file.directory && next.prefixes.add(l.rule) {
-			continue
-		}
-		k := keyOf(l.rule)
-		rules[k] = append(rules[k], l.rule)
-	}
-	next.customers = t.customers.recompile(customers)
-	next.buckets = make(map[bucketKey]*bucket, len(rules))
-	for k, bucketRules := range rules {
-		slices.SortFunc(bucketRules, func(a, b *Rule) int { return a.compare(*b) })
-		previous := t.buckets[k]
-		if previous != nil && slices.EqualFunc(previous.rules, bucketRules, sameRule) {
-			next.buckets[k] = previous
-			continue
-		}
-		next.buckets[k] = newBucket(bucketRules)
-	}
-	return next
-}
-
-// declare adds a rule that declares a service, the idle timeout or an evacuated zone.
-func (t *Table) declare(r Rule) {
-	switch {
-	case r.Service != "":
-		for _, declared := range r.Services() {
-			t.services[declared.Service] = r
-		}
-	case r.Evacuate != "":
-		t.evacuations = append(t.evacuations, mustardsaddle.Evacuation{Zone: r.Evacuate, Comment: r.Comment})
-	default:
-		t.idle = r.Idle
-	}
-}
-
 func sameRule(a, b *Rule) bool {
 	return a == b || *a == *b
 }
@@ -248,7 +195,7 @@
 	list := prefixes(r.URL.Path)
 	for _, host := range []string{hostName(r.Host), ""} {
 		for _, prefix := range list {
-			b := t.buckets[bucketKey{host: host, prefix: prefix}]
+			b, _ := t.buckets.Get(bucketKey{host: host, prefix: prefix})
 			if b != nil && !slices.Contains(found[:n], b) {
 				found[n] = b
 				n++
