End an idle connection by its reader, if nothing has arrived

Callers saw a kept connection closed with no answer 100 to 600 ms after they had sent a whole request on it, while a large configuration kept the process busy.

Cause: the goroutine of a timer, or the one of a stop, decided that a connection was idle by what the reading goroutine had noted so far. After a stall both are due at once and nothing orders them. So a request was cut off that lay unread, and also one that was already read: Read checked after the system call whether the connection had been closed meanwhile, and then dropped what it had read. A byte that net/http reads ahead during a request was forgotten when the connection became idle.

Seven connections were cut within 19.5 to 20.4 s, all with reason Idle, a whole unread request, and timers that were up to 430 ms late. Ruled out for these: header timeout, stop, end after a last response.

Change: IdleCloser only asks the reader of the connection, by a read deadline in the past. The reader takes what has arrived, and otherwise looks once more into the kernel, half-closes and ends the connection: it alone knows that nothing was read. A timer that fires more than 100 ms late gives the connection another 500 ms. The data is not read after the end, so the caller can see that its request was not taken and may repeat it. Connections keep one entry and one timer for their life, in place of new ones for each request.

Not covered: a request that is sent before the caller sees the end still crosses it; it is not read.

--- a/internal/request/connection/caller.go
+++ b/internal/request/connection/caller.go
@@ -35,7 +35,8 @@
 	return &callerConn{Conn: c, logger: l.logger, ends: l.ends}, nil
 }
 
-// callerConn is a connection from a caller.
+// callerConn is a connection from a caller. Its reader, the goroutine that reads from it, alone
+// ends it as idle: only there is it known that nothing was read.
 type callerConn struct {
 	net.Conn
 	logger zerolog.Logger
@@ -45,13 +46,20 @@
 	// pending is true from the first byte of a request until the first byte of its
 	// response. net/http notices a request only after its whole header.
 	pending bool
-	// closed is true after the connection was closed as idle, or has had its last request.
+	// active is true while a request is in progress, and ahead once a byte of the next one was
+	// read meanwhile.
+	active, ahead bool
+	// ending is true while the reader is to end the connection unless data has arrived.
+	ending bool
+	// closed is true after the connection was ended as idle, or has had its last request.
 	closed bool
 	// begun is true once data was received, and http2 if it begins like HTTP/2.
 	begun, http2 bool
 	// left is true after the caller has ended the connection, and timedOut after a read deadline
 	// has passed that was not replaced since.
 	left, timedOut bool
+	// readDeadline is the deadline of reads for which SetReadDeadline was called.
+	readDeadline time.Time
 	// reported is true once the end of the connection has been reported, or need not be.
 	reported bool
 	// idleSince is when the last request ended; zero while there is one.
@@ -60,48 +68,89 @@
 	end ending
 }
 
-// Read reads from the connection. After the connection was closed as idle, or has had its last
+// Read reads from the connection. After the connection was ended as idle, or has had its last
 // request, it returns an error even if it has received data, so that no request is accepted
 // from it.
 func (c *callerConn) Read(p []byte) (int, error) {
-	if c.isClosed() {
-		return 0, net.ErrClosed
+	for {
+		if c.endedBeforeRead() {
+			return 0, net.ErrClosed
+		}
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			return c.noteData(p[:n], len(p), err)
+		}
+		if again := c.noteReadError(err); !again {
+			return 0, err
+		}
+	}
+}
+
+// endedBeforeRead reports whether nothing may be read any more. If the connection is to be ended
+// and no data has arrived, it ends it: the caller sees that before net/http closes the
+// connection.
+func (c *callerConn) endedBeforeRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending || c.closed {
+		return c.closed
+	}
+	if c.pending || len(unread(c.Conn)) > 0 {
+		c.keep()
+		return false
 	}
-	n, err := c.Conn.Read(p)
-	if n == 0 {
-		c.noteReadError(err)
-		return n, err
+	c.closed = true
+	_ = c.CloseWrite()
+	return true
+}
+
+// keep takes back that the connection is to be ended. The caller holds mu.
+func (c *callerConn) keep() {
+	if c.ending {
+		c.ending, c.end = false, ending{}
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
+}
+
+// noteData records that data was read into a buffer of the given size.
+func (c *callerConn) noteData(data []byte, size int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending = true
 	if c.closed {
 		return 0, net.ErrClosed
 	}
+	c.keep()
+	// Beside a handler, net/http reads one byte to notice the end of the connection.
+	c.ahead = c.active && size == 1
 	if !c.begun {
-		c.begun, c.http2 = true, beginsLikeHTTP2(p[:n])
+		c.begun, c.http2 = true, beginsLikeHTTP2(data)
 	}
-	return n, err
+	return len(data), err
 }
 
-// noteReadError records why a read returned nothing.
-func (c *callerConn) noteReadError(err error) {
+// noteReadError records why a read returned nothing. It reports whether to try again, because
+// the read ended for the reader to see whether the connection is idle.
+func (c *callerConn) noteReadError(err error) (again bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.closed, errors.Is(err, net.ErrClosed):
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.timedOut = true
-	default:
+	case !errors.Is(err, os.ErrDeadlineExceeded):
 		c.left = true
+	case c.ending:
+		return true
+	default:
+		c.timedOut = true
 	}
+	return false
 }
 
 // SetReadDeadline sets the deadline of reads.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.timedOut = false
+	c.readDeadline, c.timedOut = t, false
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -122,12 +171,6 @@
 	return c.http2
 }
 
-func (c *callerConn) isClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closed
-}
-
 // endRequests makes the present request the last one of the connection. A read that waits ends.
 func (c *callerConn) endRequests() {
 	c.mu.Lock()
@@ -166,35 +209,30 @@
 func (c *callerConn) setState(now time.Time, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince = time.Time{}
+	c.active, c.idleSince = state == http.StateActive, time.Time{}
 	switch state {
-	case http.StateNew, http.StateIdle:
-		c.pending, c.idleSince = false, now
+	case http.StateNew:
+		c.idleSince = now
+	case http.StateActive:
+		c.keep()
+	case http.StateIdle:
+		c.pending, c.ahead, c.idleSince = c.ahead, false, now
 	case http.StateHijacked:
 		c.reported = true
-	case http.StateActive, http.StateClosed:
+	case http.StateClosed:
 	}
 }
 
-// closeIdle closes the connection, for the reason in e, unless a request has arrived on it. It
-// reports whether it closed the connection.
-func (c *callerConn) closeIdle(e ending) bool {
-	if !c.markClosed(e) {
-		return false
-	}
-	_ = c.Close()
-	return true
-}
-
-// markClosed records that the connection is closed, and why, or returns false if a request is
-// pending.
-func (c *callerConn) markClosed(e ending) bool {
+// endIfIdle makes the reader end the connection, as e says, unless data has arrived. A read that
+// waits ends for that.
+func (c *callerConn) endIfIdle(e ending) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed = !c.pending; c.closed {
-		c.end = e
+	if c.pending || c.ending || c.closed {
+		return
 	}
-	return c.closed
+	c.ending, c.end = true, e
+	_ = c.Conn.SetReadDeadline(time.Now())
 }
 
 // Close closes the connection. It reports the end if it may leave a request without a response.
--- a/internal/request/connection/idle.go
+++ b/internal/request/connection/idle.go
@@ -27,6 +27,11 @@
 	idleTimeoutMargin = 2 * time.Second
 	// newTimeout is how long a new connection is expected to bring its first request.
 	newTimeout = 500 * time.Millisecond
+	// maxTimerDelay is how late a timer may fire before the process counts as stalled.
+	maxTimerDelay = 100 * time.Millisecond
+	// settleTime is the time for what has arrived during a stall to be read, and the interval
+	// at which a connection that is not closed at its timeout is looked at again.
+	settleTime = 500 * time.Millisecond
 	// MaxIdleTimeout bounds the idle timeout that the rules can set.
 	MaxIdleTimeout = 24 * time.Hour
 	// ServerIdleTimeout exceeds every idle timeout with its margin. As
@@ -35,38 +40,48 @@
 )
 
 // IdleCloser closes callers' connections that have been idle for longer than the
-// timeout. The timeout may change with the rules while connections are open.
+// timeout. The timeout may change with the rules while connections are open. A connection is
+// closed by its reader, and only if no data has arrived.
 type IdleCloser struct {
 	// timeout returns the current idle timeout.
 	timeout func() time.Duration
 
 	mu    sync.Mutex
-	conns map[net.Conn]*idleConn
+	conns map[net.Conn]*openConn
 }
 
-// idleConn is a connection without a request in progress. A new one, which has had no request
-// yet, has no timer.
-type idleConn struct {
+// openConn is an open connection.
+type openConn struct {
+	state http.ConnState
+	// since is when the state began, unless a request is in progress.
 	since time.Time
+	// timer fires when the connection may have been idle for long enough; nil before it was
+	// idle.
 	timer *time.Timer
+	// settled is true once the timer has waited for the end of a stall.
+	settled bool
 }
 
 // expected reports whether a first request is to be expected on the connection.
-func (c *idleConn) expected(now time.Time) bool {
-	return c.timer == nil && now.Sub(c.since) < newTimeout
+func (c *openConn) expected(now time.Time) bool {
+	return c.state == http.StateNew && now.Sub(c.since) < newTimeout
 }
 
-// stop stops the timer.
-func (c *idleConn) stop() {
-	if c.timer != nil {
-		c.timer.Stop()
+// wait returns how much longer an idle connection is kept, if timeout is the time that it may be
+// idle. After a timer that fired late it is kept a little longer, once.
+func (c *openConn) wait(now time.Time, timeout time.Duration) time.Duration {
+	left := timeout - now.Sub(c.since)
+	if left < -maxTimerDelay && !c.settled {
+		c.settled = true
+		return settleTime
 	}
+	return left
 }
 
 // NewIdleCloser returns an IdleCloser that calls timeout for the current idle
 // timeout.
 func NewIdleCloser(timeout func() time.Duration) *IdleCloser {
-	return &IdleCloser{timeout: timeout, conns: make(map[net.Conn]*idleConn)}
+	return &IdleCloser{timeout: timeout, conns: make(map[net.Conn]*openConn)}
 }
 
 // StateChanged tracks the state of a connection. It is the ConnState hook of an
@@ -74,60 +89,87 @@
 func (i *IdleCloser) StateChanged(c net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := time.Now()
 	if caller, ok := c.(*callerConn); ok {
-		caller.setState(time.Now(), state)
+		caller.setState(now, state)
 	}
-	if entry := i.conns[c]; entry != nil {
-		entry.stop()
-		delete(i.conns, c)
+	entry := i.conns[c]
+	if entry == nil {
+		entry = new(openConn)
+		i.conns[c] = entry
 	}
+	entry.state, entry.since = state, now
 	switch state {
 	case http.StateNew:
-		i.conns[c] = &idleConn{since: time.Now()}
+	case http.StateActive:
+		entry.stop()
 	case http.StateIdle:
-		d := i.timeout() + idleTimeoutMargin
-		i.conns[c] = &idleConn{since: time.Now(), timer: time.AfterFunc(d, func() { i.expire(time.Now(), c) })}
-	case http.StateActive, http.StateHijacked, http.StateClosed:
+		entry.settled = false
+		i.startTimer(c, entry)
+	case http.StateHijacked, http.StateClosed:
+		entry.stop()
+		delete(i.conns, c)
 	}
 }
 
-// CloseIdle closes the idle connections, except those on which a request has begun to arrive
-// and new ones on which one is to be expected. It returns the number of these. It leaves
-// connections of HTTP/2 to http.Server.Shutdown.
+// startTimer starts the timer of a connection that has become idle.
+func (i *IdleCloser) startTimer(c net.Conn, entry *openConn) {
+	d := i.timeout() + idleTimeoutMargin
+	if entry.timer != nil {
+		entry.timer.Reset(d)
+		return
+	}
+	entry.timer = time.AfterFunc(d, func() { i.expire(time.Now(), c) })
+}
+
+// stop stops the timer.
+func (c *openConn) stop() {
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+}
+
+// CloseIdle makes the readers of the idle connections close them, except those on which data has
+// arrived and new ones on which a first request is to be expected. It returns the number of
+// connections that are still open. It leaves connections of HTTP/2 to http.Server.Shutdown and
+// does not count them.
 func (i *IdleCloser) CloseIdle(now time.Time) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	arriving := 0
+	open := 0
 	for c, entry := range i.conns {
 		caller, ok := c.(*callerConn)
 		if !ok || caller.endsWithShutdown() {
 			continue
 		}
-		if entry.expected(now) || !caller.closeIdle(ending{reason: EndStop}) {
-			arriving++
+		open++
+		if entry.state != http.StateActive && !entry.expected(now) {
+			caller.endIfIdle(ending{reason: EndStop})
 		}
 	}
-	return arriving
+	return open
 }
 
-// expire closes a connection that has been idle for longer than the current
-// timeout, or else waits for the rest of it.
+// expire makes the reader of a connection that has been idle for longer than the current
+// timeout close it, or else waits for the rest of it.
 func (i *IdleCloser) expire(now time.Time, c net.Conn) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	entry := i.conns[c]
-	if entry == nil {
+	if entry == nil || entry.state != http.StateIdle {
 		return
 	}
-	left := i.timeout() + idleTimeoutMargin - now.Sub(entry.since)
-	if left > 0 {
-		entry.timer.Reset(left)
+	timeout := i.timeout() + idleTimeoutMargin
+	if wait := entry.wait(now, timeout); wait > 0 {
+		entry.timer.Reset(wait)
 		return
 	}
-	delete(i.conns, c)
-	if caller, ok := c.(*callerConn); ok {
-		caller.closeIdle(ending{reason: EndIdle, late: -left})
+	caller, ok := c.(*callerConn)
+	if !ok {
+		delete(i.conns, c)
+		_ = c.Close()
 		return
 	}
-	_ = c.Close()
+	caller.endIfIdle(ending{reason: EndIdle, late: now.Sub(entry.since) - timeout})
+	entry.timer.Reset(settleTime)
 }
