Parse only the lines that a version changes

If a line has an error, or two lines belong together wrongly, the whole text is parsed as before. Table.ReviseChange does the same for the change of a peer. Both take a GiveWay, which is called between lines and may end them; the catalog's does nothing yet. The digest between gateways is the one of earlier builds, computed once.

TestRevisionIsTheParsedVersion compares prepared versions, with errors among the lines, with parsed ones: lines, problems, tables and what a peer makes of the change. TestEndedRevisionChangesNothing ends a preparation after each number of steps.

What remains for an unchanged line is a comparison, a copy and its part of the digest.

--- a/internal/control/catalog/digest.go
+++ b/internal/control/catalog/digest.go
@@ -7,16 +7,16 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mustardsaddle.example/mustardsaddle"
-	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 )
 
-// digestRules returns a digest of a rules file with its generation; 0 if there is none.
-func digestRules(f rule.File) uint64 {
-	if f.Generation == 0 {
+// digestRules returns a digest of a rules file, by its generation and the digest of its lines; 0
+// if there is none.
+func digestRules(generation int64, lines uint64) uint64 {
+	if generation == 0 {
 		return 0
 	}
-	b := binary.BigEndian.AppendUint64(nil, uint64(f.Generation))
-	return nonZero(xxhash.Sum64(binary.BigEndian.AppendUint64(b, f.Digest())))
+	b := binary.BigEndian.AppendUint64(nil, uint64(generation))
+	return nonZero(xxhash.Sum64(binary.BigEndian.AppendUint64(b, lines)))
 }
 
 // digestMachines returns a digest of the listed VMs, which are ordered by name.
--- a/internal/control/catalog/follow.go
+++ b/internal/control/catalog/follow.go
@@ -156,7 +156,7 @@
 	if Compare(p.position, u) == Applicable {
 		c.apply(now, collection, u, rules, "Directory")
 	}
-	if u.Whole {
+	if !rules.newer {
 		c.putInForce(c.correctedRules(u), u.Position, "Directory")
 	}
 	forwardable.Reading = c.nextReading()
--- a/internal/control/catalog/forward.go
+++ b/internal/control/catalog/forward.go
@@ -18,7 +18,7 @@
 func (c *Catalog) forwardable(collection mustardsaddle.Collection, u mustardsaddle.Update, rules nextRules) mustardsaddle.Update {
 	if !u.Whole {
 		if u.Rules != nil {
-			u.Rules, u.RuleChange = nil, c.changeTo(rules)
+			u.Rules, u.RuleChange = nil, rules.change()
 		}
 		return u
 	}
@@ -35,7 +35,7 @@
 		changed, removed = diffMachines(c.servers.Machines(), u.Machines)
 	}
 	if len(changed)+len(removed) <= maxForwarded {
-		forwardable.After, forwardable.RuleChange, forwardable.Machines, forwardable.Removed = known, c.changeTo(rules), changed, removed
+		forwardable.After, forwardable.RuleChange, forwardable.Machines, forwardable.Removed = known, rules.change(), changed, removed
 	}
 	return forwardable
 }
--- a/internal/control/rule/change.go
+++ b/internal/control/rule/change.go
@@ -31,11 +31,22 @@
 	// BadDigest means that the change does not apply to the file, or that the
 	// result's digest differs from the sender's: the whole file is needed.
 	BadDigest
+	// Unreadable means that the text is too large, so that none of it was read.
+	Unreadable
+	// Ended means that GiveWay ended the operation.
+	Ended
 )
 
 // Diff returns the change that turns one file into another.
 func Diff(from, to File) Change {
-	c := Change{From: from.Generation, To: to.Generation, Digest: to.Digest()}
+	c := diffLines(from, to)
+	c.Digest = to.Digest()
+	return c
+}
+
+// diffLines returns the change that turns one file into another, without a digest.
+func diffLines(from, to File) Change {
+	c := Change{From: from.Generation, To: to.Generation}
 	start, end := commonEnds(from.lines, to.lines)
 	endFrom, endTo := len(from.lines)-end, len(to.lines)-end
 	keptFrom, keptTo := commonLines(from.lines[start:endFrom], to.lines[start:endTo])
@@ -115,6 +126,10 @@
 // Apply applies the change to a file. It returns the new file if the result is
 // Applied, and f otherwise. The rules of unchanged lines are shared with f.
 func (c Change) Apply(f File) (File, Result) {
+	return c.apply(f, proceed)
+}
+
+func (c Change) apply(f File, giveWay GiveWay) (File, Result) {
 	switch {
 	case c.To <= f.Generation:
 		return f, Stale
@@ -125,15 +140,20 @@
 	if !ok {
 		return f, BadDigest
 	}
-	lines, ok := c.insert(kept, f.format())
-	if !ok {
-		return f, BadDigest
+	lines, result := c.insert(kept, f.format(), giveWay)
+	if result != Applied {
+		return f, result
 	}
 	next := File{Generation: c.To, HasGeneration: true, directory: f.directory, lines: lines}
-	if next.Digest() != c.Digest {
+	digest, ok := next.digest(giveWay)
+	switch {
+	case !ok:
+		return f, Ended
+	case digest != c.Digest:
 		return f, BadDigest
+	default:
+		return next, Applied
 	}
-	return next, Applied
 }
 
 // remove returns the lines without the deleted ones. It returns false if a deleted
@@ -151,40 +171,45 @@
 	return append(kept, lines[next:]...), true
 }
 
-// insert returns the kept lines with the inserted ones at their positions. It
-// returns false if a position or a line is invalid.
-func (c Change) insert(kept []line, f format) ([]line, bool) {
+// insert returns the kept lines with the inserted ones at their positions. The result is
+// BadDigest if a position or a line is invalid, and Ended if giveWay ends it.
+func (c Change) insert(kept []line, f format, giveWay GiveWay) ([]line, Result) {
 	if len(c.In) == 0 {
-		return kept, true
+		return kept, Applied
 	}
 	lines := make([]line, 0, len(kept)+len(c.In))
 	for _, in := range c.In {
 		n := in.At - len(lines)
 		if n < 0 || n > len(kept) {
-			return nil, false
+			return nil, BadDigest
 		}
 		lines = append(lines, kept[:n]...)
 		kept = kept[n:]
-		l, ok := parseEdit(in.Text, f)
+		l, ok := f.parseLine(in.Text)
 		if !ok {
-			return nil, false
+			return nil, BadDigest
 		}
 		lines = append(lines, l)
+		if !giveWay(parseWork) {
+			return nil, Ended
+		}
 	}
-	return append(lines, kept...), true
+	return append(lines, kept...), Applied
 }
 
-// parseEdit parses one line received from a peer.
-func parseEdit(text string, f format) (line, bool) {
-	p := newParser(f)
+// parseLine parses one line below the header. It returns false if the line is not valid.
+func (f format) parseLine(text string) (line, bool) {
 	// The clone keeps the line from retaining the larger text that it may be a
 	// substring of.
 	text = strings.Clone(text)
-	p.parseLine(1, text)
-	if len(p.problems) > 0 || len(p.file.lines) != 1 || p.file.lines[0].text != text {
+	switch {
+	case f.checkText(text).Code != code.OK || isHeaderLine(text):
 		return line{}, false
+	case text == "" || strings.HasPrefix(text, "#"):
+		return line{text: text, number: 1}, true
 	}
-	return p.file.lines[0], true
+	r, problems := f.parseRule(text)
+	return line{text: text, rule: &r, number: 1}, len(problems) == 0
 }
 
 // Err returns nil for Applied and Stale, and otherwise an error that states why
--- a/internal/control/rule/enum_string.go
+++ b/internal/control/rule/enum_string.go
@@ -12,11 +12,13 @@
 	_ = x[Stale-1]
 	_ = x[Gap-2]
 	_ = x[BadDigest-3]
+	_ = x[Unreadable-4]
+	_ = x[Ended-5]
 }
 
-const _Result_name = "AppliedStaleGapBadDigest"
+const _Result_name = "AppliedStaleGapBadDigestUnreadableEnded"
 
-var _Result_index = [...]uint8{0, 7, 12, 15, 24}
+var _Result_index = [...]uint8{0, 7, 12, 15, 24, 34, 39}
 
 func (i Result) String() string {
 	idx := int(i) - 0
--- a/internal/control/rule/file.go
+++ b/internal/control/rule/file.go
@@ -89,12 +89,21 @@
 
 // Digest returns a hash of the lines below the header.
 func (f File) Digest() uint64 {
+	digest, _ := f.digest(proceed)
+	return digest
+}
+
+// digest returns the Digest, or false if giveWay ends it.
+func (f File) digest(giveWay GiveWay) (uint64, bool) {
 	d := xxhash.New()
 	for _, l := range f.lines {
 		_, _ = d.WriteString(l.text)
 		_, _ = d.WriteString("\n")
+		if !giveWay(compareWork) {
+			return 0, false
+		}
 	}
-	return d.Sum64()
+	return d.Sum64(), true
 }
 
 // Equal reports whether both files have the same generation and lines.
--- a/internal/control/rule/keyindex.go
+++ b/internal/control/rule/keyindex.go
@@ -12,30 +12,31 @@
 // returns the line number of a rule in the text that the operator wrote, and 0 if the text
 // does not have it.
 func (f File) customerProblems(lineOf func(ID) int) []Problem {
+	rules := f.customerRules()
+	if len(rules) == 0 {
+		return nil
+	}
 	holders := make(map[KeyDigest]*Rule)
 	declared := make(map[string]bool)
-	for _, l := range f.lines {
-		if l.rule != nil && l.rule.Part == 0 {
-			declared[l.rule.Customer] = true
+	for _, r := range rules {
+		if r.Part == 0 {
+			declared[r.Customer] = true
 		}
 	}
 	var problems []Problem
-	for _, l := range f.lines {
-		if l.rule == nil || !l.rule.IsCustomer() {
-			continue
-		}
-		if !declared[l.rule.Customer] {
-			problem := problemf(code.RuleMissingField, "Customer=%s has a Part=%d but no line that declares it", l.rule.Customer, l.rule.Part)
-			problems = append(problems, problem.atLine(max(lineOf(l.rule.ID()), 1)))
+	for _, r := range rules {
+		if !declared[r.Customer] {
+			problem := problemf(code.RuleMissingField, "Customer=%s has a Part=%d but no line that declares it", r.Customer, r.Part)
+			problems = append(problems, problem.atLine(max(lineOf(r.ID()), 1)))
 		}
-		for _, d := range l.rule.KeyDigests() {
+		for _, d := range r.KeyDigests() {
 			first := holders[d]
 			if first == nil {
-				holders[d] = l.rule
+				holders[d] = r
 				continue
 			}
-			problem := problemf(code.RuleDuplicate, "key %s belongs to Customer=%s and Customer=%s, want each key once", d, first.Customer, l.rule.Customer)
-			problems = append(problems, problem.atLine(max(lineOf(l.rule.ID()), lineOf(first.ID()), 1)))
+			problem := problemf(code.RuleDuplicate, "key %s belongs to Customer=%s and Customer=%s, want each key once", d, first.Customer, r.Customer)
+			problems = append(problems, problem.atLine(max(lineOf(r.ID()), lineOf(first.ID()), 1)))
 		}
 	}
 	return problems
--- a/internal/control/rule/parse.go
+++ b/internal/control/rule/parse.go
@@ -29,38 +29,56 @@
 // Header lines of Rules/Accepted and Rules/InForce are skipped, so that an operator
 // can edit and submit a file that was read from there.
 func Parse(text string) (File, []Problem) {
-	return parse(text, operatorFormat())
+	file, problems, _ := parse(text, operatorFormat(), proceed)
+	return file, problems
 }
 
 // ParseDirectory parses the rules of a directory like Parse, with the limits of a directory.
 // Names in them are encoded by EncodeName and prefixes of paths by EncodePrefix. It returns false
 // if the text is too large, so that none of it was read.
 func ParseDirectory(text string) (File, []Problem, bool) {
-	f, problems := parse(text, directoryFormat())
+	f, problems, _ := parse(text, directoryFormat(), proceed)
 	return f, problems, len(text) <= MaxDirectoryBytes
 }
 
-func parse(text string, f format) (File, []Problem) {
+// parse parses a text. It returns false if giveWay ends it.
+func parse(text string, f format, giveWay GiveWay) (File, []Problem, bool) {
 	p := newParser(f)
 	if len(text) > f.maxBytes {
-		return File{}, []Problem{problemf(code.RuleTooLarge, "got %d bytes, want at most %d", len(text), f.maxBytes).atLine(1)}
+		return File{}, []Problem{f.tooLarge(text)}, true
 	}
 	if rest, ok := strings.CutPrefix(text, byteOrderMark); ok {
 		p.addProblem(1, problemf(code.RuleBadEncoding, "file starts with a byte order mark, want plain UTF-8"))
 		text = rest
 	}
-	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
-	if text == "" {
-		lines = nil
-	}
-	for i, s := range lines {
-		p.parseLine(i+1, strings.TrimSpace(s))
+	for i, s := range splitLines(text) {
+		p.parseLine(i+1, s)
+		if !giveWay(parseWork) {
+			return File{}, nil, false
+		}
 	}
 	if problems := p.file.customerProblems(func(id ID) int { return p.seen[id] }); len(problems) > 0 {
 		p.problems = append(p.problems, problems...)
 		slices.SortStableFunc(p.problems, func(a, b Problem) int { return a.Line - b.Line })
 	}
-	return p.file, p.problems
+	return p.file, p.problems, true
+}
+
+// tooLarge returns the problem of a text that is larger than the format allows.
+func (f format) tooLarge(text string) Problem {
+	return problemf(code.RuleTooLarge, "got %d bytes, want at most %d", len(text), f.maxBytes).atLine(1)
+}
+
+// splitLines returns the lines of a text, trimmed of surrounding white space.
+func splitLines(text string) []string {
+	if text == "" {
+		return nil
+	}
+	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+	for i, s := range lines {
+		lines[i] = strings.TrimSpace(s)
+	}
+	return lines
 }
 
 type parser struct {
