Send a heartbeat behind the messages that its summary counts

One part of the work then: most gateways requested all rules from a peer, which formats, encodes and compresses them, although the change was already in the peer's queue.

The cause: a link takes heartbeats and queued messages from two channels. A gateway holds the lock of its catalog while it compiles and forwards a version; heartbeats that are due meanwhile wait for the same lock in Summary, and are then written before the queue that was filled under the lock. The peer sees a newer generation and requests all rules.

Ruled out: that the peers had lost the change. No message was dropped, and the gateways that asked received the change too.

A heartbeat now takes its summary first and empties the queue before it is written.

--- a/internal/peer/link/conn.go
+++ b/internal/peer/link/conn.go
@@ -160,8 +160,10 @@
 	}
 }
 
-// sendHeartbeat sends a heartbeat. It returns an error instead if nothing has been
-// received for Timing.SilenceTimeout.
+// sendHeartbeat sends a heartbeat behind the queued messages. The peer requests what a
+// heartbeat counts and it lacks, so the messages that bring it must arrive first.
+// sendHeartbeat returns an error instead if nothing has been received for
+// Timing.SilenceTimeout.
 func (lk *link) sendHeartbeat(ctx context.Context, now time.Time) error {
 	if last := time.Unix(0, lk.lastReceived.Load()); lk.owner.timing.isSilent(now, last) {
 		event.Warn(lk.owner.cfg.Logger, event.LinkSilent).Str("Peer", lk.hello.VM.Name).
@@ -171,7 +173,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lk.owner.timing.SilenceTimeout)
 	defer cancel()
-	return lk.owner.writeMessage(ctx, lk.conn, news.Heartbeat{Summary: lk.owner.cfg.Summary()})
+	// What the summary counts was queued before it returned.
+	heartbeat := news.Heartbeat{Summary: lk.owner.cfg.Summary()}
+	if err := lk.flush(ctx); err != nil {
+		return err
+	}
+	return lk.owner.writeMessage(ctx, lk.conn, heartbeat)
 }
 
 // receiveLoop reads messages until the connection ends. A message of a newer format
