Drop copies of a large message before they are decoded

One part of the work then: each gateway decompressed and decoded the version once for each neighbor, five times in a fleet of 101.

The cause: whether an update of the directory is new is decided from its position, generation and reading, but these were readable only in the decoded body, so every copy was decompressed, decoded and checked first.

A compressed Listing or RuleChange now states in the envelope everything but its content, its head. Links give the head to the owner and drop a message that brings nothing new. Large messages are handled one at a time: copies that arrive together would all be decoded before the first is applied otherwise.

--- a/internal/control/catalog/forward.go
+++ b/internal/control/catalog/forward.go
@@ -72,7 +72,7 @@
 	if r.IsZero() {
 		return true
 	}
-	if known, ok := p.readings[r.Gateway]; ok && !r.Newer(known) {
+	if p.recorded(r) {
 		return false
 	}
 	if p.readings == nil || len(p.readings) >= maxReadings {
@@ -82,6 +82,12 @@
 	return true
 }
 
+// recorded reports whether record would return false.
+func (p *progress) recorded(r mustardsaddle.Reading) bool {
+	known, ok := p.readings[r.Gateway]
+	return ok && !r.Newer(known)
+}
+
 // forwardConfirmation forwards that the collection was up to date at the position of an
 // update, without what the update contains, which is known already. An update of an unknown
 // reading is not forwarded, since the peers could not tell its copies from newer ones. The
--- a/internal/control/catalog/peer.go
+++ b/internal/control/catalog/peer.go
@@ -113,6 +113,39 @@
 	return false
 }
 
+// ReceiveHead processes an update of a peer of which everything but the content is known: the
+// lines of the rules or of their change, and the VMs. It returns true if Receive would do nothing
+// with the whole update, which then need not be decoded.
+func (c *Catalog) ReceiveHead(now time.Time, collection mustardsaddle.Collection, u mustardsaddle.Update) (done bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.follows(collection) {
+		return true
+	}
+	p := &c.known[collection]
+	if p.position.Before(u.Position) || c.table.File.Generation < rulesGeneration(u) {
+		return false
+	}
+	if !p.recorded(u.Reading) && now.Add(-u.Age).Sub(p.freshAt) >= confirmInterval {
+		return false
+	}
+	p.record(u.Reading)
+	return true
+}
+
+// rulesGeneration returns the generation of the rules that an update leads to; 0 if it contains
+// none.
+func rulesGeneration(u mustardsaddle.Update) int64 {
+	switch {
+	case u.Rules != nil:
+		return u.Rules.Generation
+	case u.RuleChange != nil:
+		return u.RuleChange.To
+	default:
+		return 0
+	}
+}
+
 // freshAt returns when the collection was up to date, by an update of a peer. The caller
 // holds mu.
 func (c *Catalog) freshAt(now time.Time, collection mustardsaddle.Collection, u mustardsaddle.Update) time.Time {
--- a/internal/peer/link/conn.go
+++ b/internal/peer/link/conn.go
@@ -45,7 +45,11 @@
 	if err := l.writeMessage(ctx, conn, news.Hello{VM: l.cfg.Self, Summary: l.cfg.Summary()}); err != nil {
 		return nil, err
 	}
-	msg, _, err := l.readMessage(ctx, conn)
+	received, _, err := l.readMessage(ctx, conn)
+	if err != nil {
+		return nil, err
+	}
+	msg, err := received.Message()
 	if err != nil {
 		return nil, err
 	}
@@ -84,21 +88,21 @@
 	return nil
 }
 
-// readMessage receives and decodes one message. It also reports whether a frame was
-// received, which is true even if the frame does not decode.
-func (l *Links) readMessage(ctx context.Context, conn *websocket.Conn) (news.Message, bool, error) {
+// readMessage receives one message. It also reports whether a frame was received, which
+// is true even if the frame does not decode.
+func (l *Links) readMessage(ctx context.Context, conn *websocket.Conn) (news.Received, bool, error) {
 	_, r, err := conn.Reader(ctx)
 	if err != nil {
-		return nil, false, code.Wrapf(code.PeerUnavailable, err, "read from peer")
+		return news.Received{}, false, code.Wrapf(code.PeerUnavailable, err, "read from peer")
 	}
 	b, err := l.reads.Read(ctx, r)
 	if err != nil {
-		return nil, false, code.Wrapf(code.PeerUnavailable, err, "read from peer")
+		return news.Received{}, false, code.Wrapf(code.PeerUnavailable, err, "read from peer")
 	}
 	l.counts.receivedMessages.Add(1)
 	l.counts.receivedBytes.Add(int64(len(b)))
-	msg, err := l.codec.Decode(b)
-	return msg, true, err
+	received, err := l.codec.Open(b)
+	return received, true, err
 }
 
 // run sends and receives on the link until it fails, nothing is received for
@@ -186,7 +190,7 @@
 // connected during an upgrade. A malformed message ends the link.
 func (lk *link) receiveLoop(ctx context.Context) error {
 	for {
-		msg, gotFrame, err := lk.owner.readMessage(ctx, lk.conn)
+		received, gotFrame, err := lk.owner.readMessage(ctx, lk.conn)
 		now := time.Now()
 		if gotFrame {
 			lk.lastReceived.Store(now.UnixNano())
@@ -194,17 +198,46 @@
 		switch {
 		case code.Of(err) == code.PeerNewerFormat:
 			lk.rejectNewerFormat(err)
-		case err != nil:
+			continue
+		case err == nil && received.Large():
+			err = lk.handleLarge(now, received)
+		case err == nil:
+			err = lk.handle(now, received)
+		}
+		if err != nil {
 			return err
-		case msg.Type() == news.TypeUnknown:
-			event.Warn(lk.owner.cfg.Logger, event.PeerMessageUnknown).Str("Peer", lk.hello.VM.Name).
-				Interface("Message", msg).Send()
-		default:
-			lk.owner.cfg.Receive(now, lk.hello.VM.Name, msg)
 		}
 	}
 }
 
+// handleLarge decodes and handles a large message unless it brings nothing new. Large
+// messages are handled one at a time, so that of the copies of a message that several peers
+// send at the same time only the first is decoded.
+func (lk *link) handleLarge(now time.Time, received news.Received) error {
+	l := lk.owner
+	l.largeMu.Lock()
+	defer l.largeMu.Unlock()
+	if head := received.Head(); head != nil && l.cfg.Known != nil && l.cfg.Known(now, head) {
+		l.counts.duplicates.Add(1)
+		return nil
+	}
+	return lk.handle(now, received)
+}
+
+// handle decodes and handles a message.
+func (lk *link) handle(now time.Time, received news.Received) error {
+	msg, err := received.Message()
+	if err != nil {
+		return err
+	}
+	if msg.Type() == news.TypeUnknown {
+		event.Warn(lk.owner.cfg.Logger, event.PeerMessageUnknown).Str("Peer", lk.hello.VM.Name).Interface("Message", msg).Send()
+		return nil
+	}
+	lk.owner.cfg.Receive(now, lk.hello.VM.Name, msg)
+	return nil
+}
+
 // rejectNewerFormat counts a message of a newer format, and logs the first one on
 // this link.
 func (lk *link) rejectNewerFormat(err error) {
--- a/internal/peer/link/fleet_test.go
+++ b/internal/peer/link/fleet_test.go
@@ -44,7 +44,7 @@
 		Self: name, Incarnation: 1, InForce: func(t *rule.Table) { m.generation.Store(t.File.Generation) },
 		Servers: func(time.Time, string, []mustardsaddle.Server) {}, Forward: m.forward, Logger: zerolog.Nop(),
 	})
-	m.links = link.New(link.Config{Self: m.vm, Summary: m.summary, Receive: m.receive, Timing: timing, Logger: zerolog.Nop()})
+	m.links = link.New(link.Config{Self: m.vm, Summary: m.summary, Receive: m.receive, Known: m.known, Timing: timing, Logger: zerolog.Nop()})
 	router := mux.NewRouter()
 	m.links.Mount(router)
 	server := &http.Server{Handler: router}
@@ -97,6 +97,12 @@
 	}
 }
 
+// known reports whether a large message brings nothing new.
+func (m *member) known(now time.Time, head news.Message) bool {
+	listing, ok := head.(news.Listing)
+	return ok && m.catalog.ReceiveHead(now, listing.Collection(), listing.Update())
+}
+
 func (m *member) compare(now time.Time, from string, theirs news.Summary) {
 	if m.catalog.ReceiveState(now, mustardsaddle.RulesCollection, theirs.Rules.State()) {
 		m.ask(from)
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -57,6 +57,10 @@
 	// may call Send and Broadcast, and must not block, since the link reads nothing
 	// meanwhile.
 	Receive func(now time.Time, from string, msg news.Message)
+	// Known, if set, reports whether a large message brings nothing new, given its head
+	// (news.Received). Such a message is neither decoded nor passed to Receive. Known must
+	// not block.
+	Known func(now time.Time, head news.Message) bool
 	// OnNeighborLost, if set, is called when a neighbor has had no link for
 	// Timing.SilenceTimeout. A later Hello from the neighbor shows that it is
 	// reachable again.
@@ -86,6 +90,8 @@
 	SentMessages, SentBytes, ReceivedMessages, ReceivedBytes int64
 	// Compressed and Decompressed count large messages that were encoded and decoded.
 	Compressed, Decompressed int64
+	// Duplicates counts large messages that brought nothing new and were not decoded.
+	Duplicates int64
 	// Dials counts attempts to connect.
 	Dials int64
 	// TimedOut counts links closed because nothing was received for
@@ -98,7 +104,7 @@
 }
 
 type counters struct {
-	sentMessages, sentBytes, receivedMessages, receivedBytes, dials, timedOut, dropped, newerFormat atomic.Int64
+	sentMessages, sentBytes, receivedMessages, receivedBytes, dials, timedOut, dropped, duplicates, newerFormat atomic.Int64
 }
 
 // Links maintains the links of one gateway. It is safe for concurrent use.
@@ -114,6 +120,9 @@
 	// whose handshake is not complete.
 	inboundConns atomic.Int64
 
+	// largeMu is held while a large message is decoded and handled.
+	largeMu sync.Mutex
+
 	// Run alone receives from neighborUpdates and acceptedConns, and closes stopped
 	// when it returns.
 	neighborUpdates chan []mustardsaddle.VM
@@ -250,6 +259,7 @@
 		ReceivedBytes:    l.counts.receivedBytes.Load(),
 		Compressed:       codec.Compressed,
 		Decompressed:     codec.Decompressed,
+		Duplicates:       l.counts.duplicates.Load(),
 		Dials:            l.counts.dials.Load(),
 		TimedOut:         l.counts.timedOut.Load(),
 		Dropped:          l.counts.dropped.Load(),
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -6,7 +6,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 )
 
@@ -30,13 +29,16 @@
 }
 
 // decoder decodes the body of a message of one type.
-type decoder func(c *Codec, e envelope) (Message, error)
+type decoder func(c *Codec, typ string, body []byte) (Message, error)
 
 // envelope is the outer map of an encoded message.
 type envelope struct {
 	Format int
 	Type   string
 	Body   cbor.RawMessage `cbor:",omitempty"`
+	// Head is the encoded message without its content, beside Compressed. Earlier builds
+	// skip it.
+	Head cbor.RawMessage `cbor:",omitempty"`
 	// Compressed is the compressed body of a message of FormatCompressed.
 	Compressed []byte `cbor:",omitempty"`
 }
@@ -79,14 +81,15 @@
 	if err := check(msg); err != nil {
 		return nil, err
 	}
-	body, err := c.encMode.Marshal(msg)
-	if err != nil {
-		return nil, code.Wrapf(code.PeerBadMessage, err, "encode message %s", typeName(msg.Type()))
+	e := envelope{Format: Format, Type: typeName(msg.Type())}
+	var err error
+	if e.Body, err = c.encMode.Marshal(msg); err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "encode message %s", e.Type)
 	}
-	e := envelope{Format: Format, Type: typeName(msg.Type()), Body: body}
-	if len(body) >= minCompressedBytes {
-		c.compressed.Add(1)
-		e.Format, e.Body, e.Compressed = FormatCompressed, nil, compress(body)
+	if len(e.Body) >= minCompressedBytes {
+		if e, err = c.compressEnvelope(e, msg); err != nil {
+			return nil, code.Wrapf(code.PeerBadMessage, err, "encode the head of message %s", e.Type)
+		}
 	}
 	b, err := c.encMode.Marshal(e)
 	if err != nil {
@@ -95,48 +98,17 @@
 	return b, nil
 }
 
-// Decode returns the message in b. The error has code.PeerNewerFormat for a
-// message of a newer format, and code.PeerBadMessage for any other message that is
-// malformed or exceeds a limit. A message type that this version does not know
-// decodes as Unknown.
-func (c *Codec) Decode(b []byte) (Message, error) {
-	if len(b) > MaxBytes {
-		return nil, code.Errorf(code.PeerBadMessage, "decode message: got %d bytes, want at most %d", len(b), MaxBytes)
-	}
-	var h header
-	if err := c.decMode.Unmarshal(b, &h); err != nil {
-		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message")
-	}
-	if h.Format > FormatCompressed {
-		return nil, code.Errorf(code.PeerNewerFormat, "decode message: got format %d, want at most %d", h.Format, FormatCompressed)
-	}
-	if h.Format < 1 {
-		return nil, code.Errorf(code.PeerBadMessage, "decode message: got format %d, want at least 1", h.Format)
-	}
-	var e envelope
-	if err := c.decMode.Unmarshal(b, &e); err != nil {
-		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message")
-	}
-	if h.Format == FormatCompressed {
-		c.decompressed.Add(1)
-		body, err := decompress(e.Compressed, MaxBytes)
-		if err != nil {
-			return nil, code.Wrapf(code.PeerBadMessage, err, "decompress message %s", e.Type)
-		}
-		e.Body = body
-	}
-	return c.decodeBody(e)
-}
-
-// decodeBody decodes the body of an envelope according to its type.
-func (c *Codec) decodeBody(e envelope) (Message, error) {
-	if e.Type == "" {
-		return nil, code.Errorf(code.PeerBadMessage, "decode message: the type is missing")
-	}
-	if decode := c.decoders[e.Type]; decode != nil {
-		return decode(c, e)
-	}
-	return Unknown{Name: e.Type[:min(len(e.Type), mustardsaddle.MaxNameBytes)]}, nil
+// compressEnvelope returns the envelope of a large message with a compressed body.
+func (c *Codec) compressEnvelope(e envelope, msg Message) (envelope, error) {
+	c.compressed.Add(1)
+	e.Format, e.Body, e.Compressed = FormatCompressed, nil, compress(e.Body)
+	head := headOf(msg)
+	if head == nil {
+		return e, nil
+	}
+	var err error
+	e.Head, err = c.encMode.Marshal(head)
+	return e, err
 }
 
 // newDecoders returns the decoders of all types.
@@ -161,10 +133,10 @@
 	return decoders
 }
 
-func decode[M Message](c *Codec, e envelope) (Message, error) {
+func decode[M Message](c *Codec, typ string, body []byte) (Message, error) {
 	var msg M
-	if err := c.decMode.Unmarshal(e.Body, &msg); err != nil {
-		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message %s", e.Type)
+	if err := c.decMode.Unmarshal(body, &msg); err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "decode message %s", typ)
 	}
 	if err := check(msg); err != nil {
 		return nil, err
--- a/internal/product/instance/listing.go
+++ b/internal/product/instance/listing.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// isKnown reports whether a large message of a peer brings nothing new, given its head.
+func (in *instance) isKnown(now time.Time, head news.Message) bool {
+	switch m := head.(type) {
+	case news.Listing:
+		return in.catalog == nil || in.catalog.ReceiveHead(now, m.Collection(), m.Update())
+	case news.RuleChange:
+		return in.registry == nil || m.To <= in.generation.Load()
+	default:
+		return false
+	}
+}
+
 // requestNewerCollections requests from a peer the collections for which its state is
 // newer.
 func (in *instance) requestNewerCollections(now time.Time, from string, theirs news.Summary) {
--- a/internal/product/instance/peers.go
+++ b/internal/product/instance/peers.go
@@ -21,6 +21,7 @@
 		Self:           in.self,
 		Summary:        in.summary,
 		Receive:        in.receive,
+		Known:          in.isKnown,
 		OnNeighborLost: in.membership.markUnreachable,
 		Timing:         link.Timing{Heartbeat: s.Peers.Heartbeat, SilenceTimeout: s.Peers.Silent},
 		Seed:           seed,
