Do not take a large response of the platform for none

Cause: the timeout of a call bounded the transfer of its whole response, 500 ms on the users' platform. A configuration of 4,200 routes is some 0.7 MB by calculation, which takes 0.57 s on a link of 10 Mbit/s. So gateways with such links cannot read it at all, and when all of a fleet read at once, none can.

Ruled out: a store that is down, since the readers got the same object.

Change: the timeout bounds the time until the header of the response, and then each pause in its body; the whole body may take six times as long, so that a response that trickles ends.

--- a/internal/base/settings/list.go
+++ b/internal/base/settings/list.go
@@ -123,7 +123,7 @@
 			"Whether a Directory lists evacuated availability zones. Yes: the gateway follows the list, and uses no endpoint server before it knows it.",
 			func(s *Settings) *bool { return &s.Platform.Evacuations }),
 		duration(sectionPlatform, "Timeout", "2s", 10*time.Millisecond, time.Minute,
-			"Timeout of one call to the platform, except for watches.",
+			"Timeout of one call to the platform, except for watches, until its response begins, and then for each part of the response.",
 			func(s *Settings) *time.Duration { return &s.Platform.Timeout }),
 		duration(sectionPlatform, "Poll", "2s", 100*time.Millisecond, time.Minute,
 			"Mean interval between reads of the rules and the VM list when no watch or peer delivers updates; jittered.",
--- a/internal/control/store/call.go
+++ b/internal/control/store/call.go
@@ -71,10 +71,9 @@
 	if err := c.admit(time.Now(), q.Kind); err != nil {
 		return Response{}, err
 	}
-	timeout := c.cfg.Timeout + q.Wait
-	limited, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	resp, err := c.send(limited, q)
+	limited, timer, end := startCallTimer(ctx, c.cfg.Timeout+q.Wait, c.cfg.Timeout)
+	defer end()
+	resp, err := c.send(limited, q, timer)
 	if err == nil {
 		err = q.Check(q, resp.Status)
 	} else if ctx.Err() == nil {
@@ -85,7 +84,8 @@
 	return resp, err
 }
 
-func (c *Client) send(ctx context.Context, q Request) (Response, error) {
+// send sends a request. The timer ends the context, unless the body of the response arrives.
+func (c *Client) send(ctx context.Context, q Request, timer *callTimer) (Response, error) {
 	r, err := http.NewRequestWithContext(ctx, q.Method, c.cfg.URL+q.Path, bytes.NewReader(q.Body))
 	if err != nil {
 		return Response{}, code.Wrapf(code.StoreRefused, err, "%s %s", q.Method, q.Path)
@@ -100,7 +100,7 @@
 		return Response{}, code.Wrapf(code.StoreUnavailable, err, "%s %s", q.Method, q.Path)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := buffer.ReadLimits{MaxBytes: int64(q.MaxBytes), FreeBytes: freeBodyBytes, Large: c.core.largeBodies}.Read(ctx, resp.Body)
+	body, err := buffer.ReadLimits{MaxBytes: int64(q.MaxBytes), FreeBytes: freeBodyBytes, Large: c.core.largeBodies}.Read(ctx, timer.body(time.Now(), resp.Body))
 	if errors.Is(err, buffer.ErrTooLarge) {
 		return Response{}, code.Errorf(code.StoreTooLarge, "%s %s: response is larger than %d bytes", q.Method, q.Path, q.MaxBytes)
 	}
--- a/internal/control/store/client.go
+++ b/internal/control/store/client.go
@@ -56,7 +56,8 @@
 type Config struct {
 	// URL is the base URL of the platform.
 	URL string
-	// Timeout is the timeout of calls other than watches; 0 means 2 s.
+	// Timeout is the timeout of calls other than watches, until the header of the response, and
+	// then for each part of its body; 0 means 2 s. A body may take six times as long in all.
 	Timeout time.Duration
 	// Rates are the rate limits of the whole fleet; 0 means 400 reads and 100 writes per
 	// second, a fifth of the platform's capacity.
