Keep a connection usable after the deadline of an upload

When a call with a streamed body reached its deadline, its caller got 504, and then 503 with code 4009 to the next request on the connection, or 502 with Unknown if it had been sent: each request there counted as canceled.

Cause: the end of the deadline sets a read deadline in the past, so that a read of the body ends. Once the body has been read, net/http reads the connection itself, to notice that the caller leaves; it took the deadline for that, and ended the context of the connection, which all later requests share.

Ruled out: a read deadline that outlives the call; net/http resets it before the next request. Calls without a body and with a kept one were not affected (rows of TestEachEndIsAnsweredOrVisible).

The deadline is now set only while the body is read. If the context has ended all the same, because the end of the body and the deadline coincide, the response closes the connection on HTTP/1. TestConnectionServesAfterDeadlineOfUpload failed in 3 of 4 rows (503, code 4009); now 5 of 5 plays of all rows pass with -race. That both coincide was not reproduced.

--- a/internal/request/gateway/call.go
+++ b/internal/request/gateway/call.go
@@ -88,7 +88,8 @@
 			a.cancel(errDeadline)
 		}
 	}
-	if c.body.Streamed() {
+	// After the end of the body, net/http would take the read deadline for the end of the connection.
+	if c.body.Streamed() && !c.body.Received() {
 		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now())
 	}
 }
@@ -372,7 +373,8 @@
 }
 
 // startResponse stops the deadline timer and the relay of 1xx responses. From here
-// on, only the final response uses the response writer.
+// on, only the final response uses the response writer. It is the last one on a connection of HTTP/1 whose
+// context has ended, since that is also the context of the requests behind it.
 func (c *call) startResponse() {
 	c.timer.Stop()
 	c.mu.Lock()
@@ -381,4 +383,7 @@
 	if c.body.Streamed() {
 		_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
 	}
+	if c.r.ProtoMajor == 1 && c.r.Context().Err() != nil {
+		c.w.Header().Set("Connection", "close")
+	}
 }
--- a/internal/request/upload/body.go
+++ b/internal/request/upload/body.go
@@ -98,6 +98,20 @@
 	return !b.empty && !b.replayable
 }
 
+// Received reports whether the caller's body was read to its end. It does not wait for a read in progress.
+func (b *Body) Received() bool {
+	if !b.Streamed() {
+		return b.empty || b.kept != nil
+	}
+	select {
+	case b.reading <- struct{}{}:
+	default:
+		return false
+	}
+	defer b.endRead()
+	return b.ended
+}
+
 // Keep reads a body that is to be kept, until the time limit. It does nothing for any other.
 func (b *Body) Keep(limit time.Time) error {
 	if !b.replayable {
