End a stream whose response precedes the end of its body

On HTTP/2 a caller that did not end the body of its request got a whole early response, or a 504, whose stream did not end: it was reset after 15 s, so that the response was cut.

Cause: the handler discards the rest of the body while the sending of the attempt still reads it. The pipe of a stream wakes one of two readers when the read deadline ends it, and the handler may be the other one. It then waits for the write deadline, which resets the stream. On HTTP/1 a lock keeps the two readers apart.

--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -60,18 +59,20 @@
 // discardTimeout bounds the time in which the rest of a request body is discarded.
 const discardTimeout = time.Second
 
-// discardRest sends what is left of the response and discards the rest of the request body.
+// discardRest sends what is left of the response and discards the rest of the request body. C is the call of the
+// request, or nil if it was refused before there was one.
 // net/http does the latter after the handler has returned, too, but with full duplex it
-// then fails to read the next request and closes the connection. If the time until limit does not
+// then fails to read the next request and closes the connection. If the time until the limit does not
 // suffice, or the rest cannot be read, the connection takes no further request: net/http would keep
 // it and read the rest of the body as one.
-func discardRest(w http.ResponseWriter, r *http.Request, limit time.Time) {
-	rc := http.NewResponseController(w)
-	_ = rc.Flush()
-	_ = rc.SetReadDeadline(limit)
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+func discardRest(w http.ResponseWriter, r *http.Request, c *call) {
+	_ = http.NewResponseController(w).Flush()
+	now := time.Now()
+	body, limit := upload.New(upload.Config{Request: r, Connection: http.NewResponseController(w)}), now.Add(discardTimeout)
+	if c != nil {
+		body, limit = c.body, c.endLimit(now, discardTimeout)
+	}
+	if body.Discard(limit) != nil {
 		connection.EndRequests(r)
-		return
 	}
-	_ = rc.SetReadDeadline(time.Time{})
 }
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -338,13 +338,7 @@
 	// Without full duplex, net/http discards up to 256 KiB of the request body when
 	// the response starts. HTTP/2 is always full duplex and returns an error here.
 	_ = http.NewResponseController(out).EnableFullDuplex()
-	c := g.serve(out, r, carried)
-	now := time.Now()
-	limit := now.Add(discardTimeout)
-	if c != nil {
-		limit = c.endLimit(now, discardTimeout)
-	}
-	discardRest(out, r, limit)
+	discardRest(out, r, g.serve(out, r, carried))
 }
 
 // serve sends the final response to one request. It returns the call, or nil if the request was refused
--- a/internal/request/upload/body.go
+++ b/internal/request/upload/body.go
@@ -128,6 +128,21 @@
 	return nil
 }
 
+// Discard reads the rest of the caller's body until the time limit, once a read of a sending has ended. It
+// returns an error if the rest did not arrive, or was not read; the read deadline is then still set.
+func (b *Body) Discard(limit time.Time) error {
+	if b.Received() {
+		return nil
+	}
+	_ = b.cfg.Connection.SetReadDeadline(limit)
+	b.reading <- struct{}{}
+	defer b.endRead()
+	if _, err := io.Copy(io.Discard, b.cfg.Request.Body); err != nil {
+		return err
+	}
+	return b.cfg.Connection.SetReadDeadline(time.Time{})
+}
+
 // Open returns the whole body for one sending of the request, or ErrTaken or ErrNotKept.
 func (b *Body) Open() (*Sending, error) {
 	if b.replayable && b.kept == nil {
--- a/internal/request/upload/upload_test.go
+++ b/internal/request/upload/upload_test.go
@@ -86,6 +86,36 @@
 	})
 }
 
+// recordingCaller is the connection of a caller that records whether a read deadline was set.
+type recordingCaller struct{ deadlines int }
+
+// SetReadDeadline records the call.
+func (c *recordingCaller) SetReadDeadline(time.Time) error {
+	c.deadlines++
+	return nil
+}
+
+// TestDiscardLeavesReceivedBodyAlone guards against a read deadline after the end of a body, which net/http would
+// take for the end of the connection.
+func TestDiscardLeavesReceivedBodyAlone(t *testing.T) {
+	for name, length := range map[string]int64{"kept": 7, "chunks": -1, "none": 0} {
+		c := &recordingCaller{}
+		r := httptest.NewRequest(http.MethodPost, "/rosters", strings.NewReader("a lathe"))
+		r.ContentLength = length
+		b := upload.New(upload.Config{Request: r, Connection: c, Identity: identity.New(r, identity.Scope{}), MaxBytes: 10, MaxKeptBytes: 10})
+		if err := b.Keep(time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		if s, err := b.Open(); err != nil || readAll(t, s) != "a lathe" && length != 0 {
+			t.Fatalf("%s: got error %v or another body, want the whole body", name, err)
+		}
+		before := c.deadlines
+		if err := b.Discard(time.Now()); err != nil || c.deadlines != before {
+			t.Errorf("%s: got %d read deadlines, error %v, want none", name, c.deadlines-before, err)
+		}
+	}
+}
+
 // TestKeptBodyIsNotSentBeforeItIsRead guards against a request that is sent with an empty body because the
 // body that is to be kept was not received.
 func TestKeptBodyIsNotSentBeforeItIsRead(t *testing.T) {
