Read nothing behind a request body that is broken

Cause: EndRequests ends the reads from the connection, but net/http has read up to 4 KiB ahead and serves a request that is in its buffer. With full duplex it does not close a connection whose body failed.

After such a body, and after one whose rest does not arrive in time, net/http is now told to close the connection when the response is sent, as http.MaxBytesReader does: it closes the sending side first and waits 0.5 s, so that the response is not lost to unread data.

--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
@@ -64,8 +66,8 @@
 // net/http does the latter after the handler has returned, too, but with full duplex it
 // then fails to read the next request and closes the connection. If the time until the limit does not
 // suffice, or the rest cannot be read, the connection takes no further request: net/http would keep
-// it and read the rest of the body as one.
-func discardRest(w http.ResponseWriter, r *http.Request, c *call) {
+// it and read the rest of the body, or what is buffered behind it, as one.
+func discardRest(w *responseWriter, r *http.Request, c *call) {
 	_ = http.NewResponseController(w).Flush()
 	now := time.Now()
 	body, limit := upload.New(upload.Config{Request: r, Connection: http.NewResponseController(w)}), now.Add(discardTimeout)
@@ -74,5 +76,12 @@
 	}
 	if body.Discard(limit) != nil {
 		connection.EndRequests(r)
+		closeAfterResponse(w)
 	}
 }
+
+// closeAfterResponse makes net/http close a connection of HTTP/1 once the response is sent, in a way that does not lose
+// the response to what is unread. It has no effect on HTTP/2.
+func closeAfterResponse(w *responseWriter) {
+	_, _ = http.MaxBytesReader(w.ResponseWriter, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
+}
