--- a/internal/peer/news/bench_test.go
+++ b/internal/peer/news/bench_test.go
@@ -57,8 +57,20 @@
 	return news.Listing{After: 41, Revision: 43, Digest: 7, RuleChange: c, Reading: mustardsaddle.Reading{Gateway: "edge-rustaq-5", Incarnation: 1_800_000_000_000, Seq: 9}}
 }
 
-// BenchmarkEncodeRules measures the listing of a version of the rules with many new routes.
+// BenchmarkEncodeRules measures listings of a version of the rules with many new routes.
 func BenchmarkEncodeRules(b *testing.B) {
+	codec, msg := news.NewCodec(), largeListing(newRoutes)
+	b.ReportAllocs()
+	for b.Loop() {
+		msg.Age++
+		if _, err := codec.Encode(msg); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkForwardRules measures the same listing again and again, as it is forwarded.
+func BenchmarkForwardRules(b *testing.B) {
 	b.ReportAllocs()
 	benchmarkEncode(b, largeListing(newRoutes))
 }
--- a/internal/peer/news/codec.go
+++ b/internal/peer/news/codec.go
@@ -18,6 +18,7 @@
 	decMode cbor.DecMode
 	// decoders holds the decoder of each known type by the name of the type.
 	decoders map[string]decoder
+	bodies   bodyCache
 	// compressed and decompressed count bodies.
 	compressed, decompressed atomic.Int64
 }
@@ -82,12 +83,23 @@
 		return nil, err
 	}
 	e := envelope{Format: Format, Type: typeName(msg.Type())}
-	var err error
-	if e.Body, err = c.encMode.Marshal(msg); err != nil {
-		return nil, code.Wrapf(code.PeerBadMessage, err, "encode message %s", e.Type)
+	key, err := c.bodyKey(msg)
+	if err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "encode the head of message %s", e.Type)
+	}
+	if e.Compressed = c.bodies.get(key); e.Compressed == nil {
+		if e.Body, err = c.encMode.Marshal(msg); err != nil {
+			return nil, code.Wrapf(code.PeerBadMessage, err, "encode message %s", e.Type)
+		}
 	}
 	if len(e.Body) >= minCompressedBytes {
-		if e, err = c.compressEnvelope(e, msg); err != nil {
+		e.Compressed = compress(e.Body)
+		c.compressed.Add(1)
+		c.bodies.put(key, e.Compressed)
+	}
+	if e.Compressed != nil {
+		e.Format, e.Body = FormatCompressed, nil
+		if e.Head, err = c.encodeHead(msg); err != nil {
 			return nil, code.Wrapf(code.PeerBadMessage, err, "encode the head of message %s", e.Type)
 		}
 	}
@@ -98,17 +110,24 @@
 	return b, nil
 }
 
-// compressEnvelope returns the envelope of a large message with a compressed body.
-func (c *Codec) compressEnvelope(e envelope, msg Message) (envelope, error) {
-	c.compressed.Add(1)
-	e.Format, e.Body, e.Compressed = FormatCompressed, nil, compress(e.Body)
+// encodeHead returns the encoded head of a message; nil if it has none.
+func (c *Codec) encodeHead(msg Message) ([]byte, error) {
 	head := headOf(msg)
 	if head == nil {
-		return e, nil
+		return nil, nil
+	}
+	return c.encMode.Marshal(head)
+}
+
+// bodyKey returns the key of the body of a message; the zero value if the head does not determine
+// the body.
+func (c *Codec) bodyKey(msg Message) (bodyKey, error) {
+	change := ruleChangeOf(msg)
+	if change == nil {
+		return bodyKey{}, nil
 	}
-	var err error
-	e.Head, err = c.encMode.Marshal(head)
-	return e, err
+	head, err := c.encodeHead(msg)
+	return bodyKey{typ: msg.Type(), head: string(head), out: len(change.Out), in: len(change.In)}, err
 }
 
 // newDecoders returns the decoders of all types.
--- a/internal/peer/news/received.go
+++ b/internal/peer/news/received.go
@@ -63,19 +63,32 @@
 // Message decodes the body. The error has code.PeerBadMessage. A message type that this version
 // does not know decodes as Unknown.
 func (r Received) Message() (Message, error) {
-	e := r.envelope
-	if r.Large() {
-		r.codec.decompressed.Add(1)
-		body, err := decompress(e.Compressed, MaxBytes)
-		if err != nil {
-			return nil, code.Wrapf(code.PeerBadMessage, err, "decompress message %s", e.Type)
-		}
-		e.Body = body
+	if !r.Large() {
+		return r.codec.decodeBody(r.envelope.Type, r.envelope.Body)
+	}
+	body, err := decompress(r.envelope.Compressed, MaxBytes)
+	if err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "decompress message %s", r.envelope.Type)
+	}
+	r.codec.decompressed.Add(1)
+	msg, err := r.codec.decodeBody(r.envelope.Type, body)
+	if err != nil {
+		return nil, err
+	}
+	key, err := r.codec.bodyKey(msg)
+	if err != nil {
+		return nil, code.Wrapf(code.PeerBadMessage, err, "encode the head of message %s", r.envelope.Type)
 	}
-	if decode := r.codec.decoders[e.Type]; decode != nil {
-		return decode(r.codec, e.Type, e.Body)
+	r.codec.bodies.put(key, r.envelope.Compressed)
+	return msg, nil
+}
+
+// decodeBody decodes the body of a message of the given type.
+func (c *Codec) decodeBody(typ string, body []byte) (Message, error) {
+	if decode := c.decoders[typ]; decode != nil {
+		return decode(c, typ, body)
 	}
-	return Unknown{Name: e.Type[:min(len(e.Type), mustardsaddle.MaxNameBytes)]}, nil
+	return Unknown{Name: typ[:min(len(typ), mustardsaddle.MaxNameBytes)]}, nil
 }
 
 // Decode returns the message in b. The errors are those of Open and Received.Message.
--- a/internal/peer/news/received_test.go
+++ b/internal/peer/news/received_test.go
@@ -59,3 +59,42 @@
 		}
 	}
 }
+
+// TestForwardedBodies guards against a gateway that compresses again what it forwards as it was
+// received, and against one that forwards the body of another message.
+func TestForwardedBodies(t *testing.T) {
+	received := largeListing(newRoutes)
+	b, err := news.NewCodec().Encode(received)
+	if err != nil {
+		t.Fatal(err)
+	}
+	older, later, longer, other := received, received, received, received
+	older.Age, later.Revision, longer.Removed = 7, 44, []string{"booking-08"}
+	change := *received.RuleChange
+	change.In = change.In[1:]
+	other.RuleChange = &change
+	for _, tt := range []struct {
+		name string
+		msg  news.Message
+		want int64
+	}{
+		{"the same message", received, 0},
+		{"another age", older, 1},
+		{"another revision", later, 1},
+		{"other content besides", longer, 1},
+		{"another change", other, 1},
+		{"the change alone", *received.RuleChange, 1},
+	} {
+		codec := news.NewCodec()
+		if _, err := codec.Decode(b); err != nil {
+			t.Fatal(err)
+		}
+		forwarded, err := codec.Encode(tt.msg)
+		if err != nil || codec.Stats().Compressed != tt.want {
+			t.Errorf("%s: got %d messages compressed, error %v, want %d", tt.name, codec.Stats().Compressed, err, tt.want)
+		}
+		if got, err := codec.Decode(forwarded); err != nil || !reflect.DeepEqual(got, tt.msg) {
+			t.Errorf("%s: got another message, error %v, want the encoded one", tt.name, err)
+		}
+	}
+}
