Wait for arriving requests of other gateways at a stop

A stop closed the kept connections of other gateways at once, by http.Server.Shutdown alone, also one on which a request lay unread or was half read. The other gateway then has a call with an unknown outcome: 502.

The loop that waits is now IdleCloser.Drain, and the server for other gateways has an IdleCloser of its own. Its idle timeout never passes: the dialing gateway gives up an idle connection first, after 15 s by default, as it did when that server had no idle timeout at all.

What remains: a request that another gateway sends before it sees the end crosses it.

--- a/internal/product/instance/instance.go
+++ b/internal/product/instance/instance.go
@@ -40,6 +40,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/product/admin"
 	"mustardsaddle.example/mustardsaddle/internal/request/admission"
 	"mustardsaddle.example/mustardsaddle/internal/request/claim"
+	"mustardsaddle.example/mustardsaddle/internal/request/connection"
 	"mustardsaddle.example/mustardsaddle/internal/request/gateway"
 )
 
@@ -89,6 +90,7 @@
 	callerServer *http.Server
 	adminServer  *http.Server
 	peerServer   *http.Server
+	peerIdle     *connection.IdleCloser
 	// metricsServer is nil if there is no address for the metrics page alone.
 	metricsServer *http.Server
 	probeBudget   *report.Budget
--- a/internal/product/instance/serve.go
+++ b/internal/product/instance/serve.go
@@ -122,9 +122,10 @@
 	peers := mux.NewRouter()
 	in.links.Mount(peers)
 	in.quotas.Mount(peers)
+	in.peerIdle = connection.NewIdleCloser(keepIdle)
 	in.peerServer = &http.Server{
 		Handler: in.peerHandler(peers), ReadHeaderTimeout: s.Limits.Progress, MaxHeaderBytes: s.Limits.HeaderBytes + forward.MaxBytes,
-		BaseContext: in.gateway.BaseContext, ConnContext: connection.Context, ConnState: connection.NewIdleCloser(keepIdle).StateChanged,
+		BaseContext: in.gateway.BaseContext, ConnContext: connection.Context, ConnState: in.peerIdle.StateChanged,
 	}
 	serveErrors := make(chan error, 4)
 	callers := in.gateway.Listener(l.callers)
--- a/internal/product/instance/stop.go
+++ b/internal/product/instance/stop.go
@@ -43,6 +43,7 @@
 		defer close(stopped)
 		// Both fail only if the context is canceled.
 		_ = in.gateway.Shutdown(ctx, in.callerServer)
+		in.peerIdle.Drain(ctx, in.gateway.InFlight)
 		_ = in.peerServer.Shutdown(ctx)
 	}()
 	select {
--- a/internal/request/connection/idle.go
+++ b/internal/request/connection/idle.go
@@ -15,6 +15,7 @@
 package connection
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -32,6 +33,12 @@
 	// settleTime is the time for what has arrived during a stall to be read, and the interval
 	// at which a connection that is not closed at its timeout is looked at again.
 	settleTime = 500 * time.Millisecond
+	// drainPollInterval is the interval at which Drain checks for requests.
+	drainPollInterval = 5 * time.Millisecond
+	// maxArrivalPolls is for how many intervals Drain waits, without requests in flight, for the
+	// headers of requests that have begun to arrive. A time in which the process stalls counts
+	// as one.
+	maxArrivalPolls = 200
 	// MaxIdleTimeout bounds the idle timeout that the rules can set.
 	MaxIdleTimeout = 24 * time.Hour
 	// ServerIdleTimeout exceeds every idle timeout with its margin. As
@@ -150,6 +157,24 @@
 	return open
 }
 
+// Drain closes connections as CloseIdle does as they become idle, and returns when all are closed
+// and no request is in flight, or the context ends. It waits only for a while for requests that
+// have begun to arrive.
+func (i *IdleCloser) Drain(ctx context.Context, inFlight func() int) {
+	poll := time.NewTicker(drainPollInterval)
+	defer poll.Stop()
+	for polls := 0; i.CloseIdle(time.Now()) > 0 && polls < maxArrivalPolls || inFlight() > 0; polls++ {
+		if inFlight() > 0 {
+			polls = 0
+		}
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // expire makes the reader of a connection that has been idle for longer than the current
 // timeout close it, or else waits for the rest of it.
 func (i *IdleCloser) expire(now time.Time, c net.Conn) {
--- a/internal/request/gateway/stop.go
+++ b/internal/request/gateway/stop.go
@@ -13,15 +13,6 @@
 	"mustardsaddle.example/mustardsaddle/internal/request/refusal"
 )
 
-const (
-	// shutdownPollInterval is the interval at which a shutdown checks for calls and requests.
-	shutdownPollInterval = 5 * time.Millisecond
-	// maxArrivalPolls is for how many intervals a shutdown without calls in flight waits for the
-	// headers of requests that have begun to arrive. A time in which the process stalls counts
-	// as one.
-	maxArrivalPolls = 200
-)
-
 // errStopped is the cause of the end of calls that a stop does not wait for.
 var errStopped = errors.New("serve call: the gateway stops")
 
@@ -72,18 +63,7 @@
 	if g.listener != nil {
 		_ = g.listener.Close()
 	}
-	poll := time.NewTicker(shutdownPollInterval)
-	defer poll.Stop()
-	for polls := 0; g.idle.CloseIdle(time.Now()) > 0 && polls < maxArrivalPolls || g.InFlight() > 0; polls++ {
-		if g.InFlight() > 0 {
-			polls = 0
-		}
-		select {
-		case <-poll.C:
-		case <-ctx.Done():
-			return srv.Shutdown(ctx)
-		}
-	}
+	g.idle.Drain(ctx, g.InFlight)
 	return srv.Shutdown(ctx)
 }
 
