Prepare rules in slices and without the catalog's lock

A gateway held the catalog's mutex while it parsed and compiled a version, and did so in one go: whatever asked the catalog for its state or brought servers waited for all of it, and on one processor the calls did.

Rules are now prepared without mu. Stopping ends it too. A pause is a sleep, since a goroutine that only yields on one processor may be chosen again before the network is polled.

--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -27,6 +27,12 @@
 // accepted only if their generation is higher than the one in force, so that they
 // never revert.
 //
+// # New rules
+//
+// Rules are parsed and compiled without the lock and in slices with pauses, so that no call
+// waits for all of it. Only what differs from the rules in force is. The table is replaced as a
+// whole.
+//
 // # Outages
 //
 // While the directory does not respond, the last known state stays in use. Core
@@ -90,7 +96,8 @@
 	maxBackoff = 800 * time.Millisecond
 )
 
-// Config configures a Catalog. Its functions must neither block nor call the Catalog.
+// Config configures a Catalog. Its functions must neither block nor call the Catalog, except for
+// Pause.
 type Config struct {
 	// Self is the name of this gateway, and Incarnation its incarnation, by which its peers
 	// tell the updates that it reads from repeated ones. Without a name they do not forward
@@ -130,6 +137,9 @@
 	// Restored is called when the directory was found to be restored from an older copy of
 	// its data, with the new era. A nil Restored is not called.
 	Restored func(now time.Time, era int64)
+	// Pause waits for the given time while the preparation of rules gives way to calls; nil means
+	// time.Sleep.
+	Pause func(time.Duration)
 	// Core configures the handling of entries that are missing after an outage.
 	Core CoreConfig
 	// Logger receives the log events.
@@ -146,9 +156,17 @@
 	// readFrom is when the wait for peers ends.
 	readFrom time.Time
 
+	// preparing is held while rules are prepared and until they are in force. It is locked before
+	// mu.
+	preparing sync.Mutex
+	// stopped is closed when the context of Run ends.
+	stopped chan struct{}
+
 	mu    sync.Mutex
 	rng   *rand.Rand
 	table *rule.Table
+	// texts are the generations of the texts that are prepared or wait for it.
+	texts []int64
 	// rereadGeneration is the newest generation of the rules that was to be read from the directory
 	// because a peer had other lines of it.
 	rereadGeneration int64
@@ -196,6 +214,9 @@
 	if cfg.WarmUp == nil {
 		cfg.WarmUp = func(string) time.Duration { return 0 }
 	}
+	if cfg.Pause == nil {
+		cfg.Pause = time.Sleep
+	}
 	if cfg.Restored == nil {
 		cfg.Restored = func(time.Time, int64) {}
 	}
@@ -207,6 +228,7 @@
 		readFrom: cfg.StartedAt.Add(wait),
 		rng:      rng,
 		table:    rule.Compile(rule.NewDirectoryFile()),
+		stopped:  make(chan struct{}),
 		servers:  NewCore(cfg.Core),
 
 		evacuations: evacuationsState{zones: evacuation.New(evacuation.Config{})},
@@ -217,7 +239,13 @@
 // Run replicates the directory until the context ends, then closes done.
 func (c *Catalog) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	store.RunConcurrently(ctx, c.runLoops()...)
+	store.RunConcurrently(ctx, append(c.runLoops(), c.stop)...)
+}
+
+// stop ends the preparation of rules when the context ends.
+func (c *Catalog) stop(ctx context.Context) {
+	<-ctx.Done()
+	close(c.stopped)
 }
 
 // Snapshot returns the text and the generation of the rules in force; the generation
--- a/internal/control/catalog/follow.go
+++ b/internal/control/catalog/follow.go
@@ -7,6 +7,7 @@
 	"mustardsaddle.example/mustardsaddle"
 	"mustardsaddle.example/mustardsaddle/internal/base/code"
 	"mustardsaddle.example/mustardsaddle/internal/base/event"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 	"mustardsaddle.example/mustardsaddle/internal/control/store"
 )
 
@@ -131,8 +132,13 @@
 // continues from a position of another era, and with code.StoreOldEra if a newer era than
 // that of the update is known.
 func (c *Catalog) ReceiveResponse(started, now time.Time, collection mustardsaddle.Collection, u mustardsaddle.Update) error {
+	rules, release := c.prepare(u, true)
+	defer release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if rules.result == rule.Ended {
+		return nil
+	}
 	for _, err := range u.Skipped {
 		event.Warn(c.cfg.Logger, event.EntrySkipped).Stringer("Collection", collection).Err(err).Send()
 	}
@@ -150,14 +156,13 @@
 	if !u.Whole && u.HasChanges() {
 		p.changedAt = now
 	}
-	rules, _ := c.nextRules(u)
 	forwardable := c.forwardable(collection, u, rules)
 	c.servers.Contact(started, now)
 	if Compare(p.position, u) == Applicable {
 		c.apply(now, collection, u, rules, "Directory")
 	}
-	if !rules.newer {
-		c.putInForce(c.correctedRules(u), u.Position, "Directory")
+	if rules.corrected {
+		c.putInForce(rules, u.Position, "Directory")
 	}
 	forwardable.Reading = c.nextReading()
 	c.forward("", collection, forwardable)
--- a/internal/control/catalog/peer.go
+++ b/internal/control/catalog/peer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mustardsaddle.example/mustardsaddle"
+	"mustardsaddle.example/mustardsaddle/internal/control/rule"
 )
 
 // Known returns the state of a collection.
@@ -70,22 +71,23 @@
 // than its age states, and would be forwarded in circles. Receive returns true if changes before the update are missing here, so that
 // the peer is to be asked for a snapshot of the collection.
 func (c *Catalog) Receive(now time.Time, from string, collection mustardsaddle.Collection, u mustardsaddle.Update) (shouldRequest bool) {
+	rules, release := c.prepare(u, false)
+	defer release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.follows(collection) {
+	if !c.follows(collection) || rules.result == rule.Ended {
 		return false
 	}
 	c.raiseEra(now, u.Position.Era)
 	p := &c.known[collection]
 	freshAt := c.freshAt(now, collection, u)
-	rules, result := c.nextRules(u)
 	forwardable := c.forwardable(collection, u, rules)
 	order := Compare(p.position, u)
 	if order == Gap && p.sameContent(u.Digest) {
 		p.adopt(u.Position)
 		order = Outdated
 	}
-	if order == Gap || order == Applicable && result.Err() != nil {
+	if order == Gap || order == Applicable && rules.result.Err() != nil {
 		return p.shouldRequest(now)
 	}
 	if order == Outdated {
@@ -102,9 +104,7 @@
 		c.apply(now, collection, u, rules, "Peer")
 	}
 	p.historyLost = p.historyLost && u.Position.Before(p.position)
-	if freshAt.After(p.freshAt) {
-		p.freshAt = freshAt
-	}
+	p.confirm(freshAt)
 	if order == Applicable || rules.newer {
 		c.forward(from, collection, forwardable)
 	} else {
@@ -159,6 +159,13 @@
 	return now.Add(-u.Age)
 }
 
+// confirm records that the collection was up to date at a time.
+func (p *progress) confirm(at time.Time) {
+	if at.After(p.freshAt) {
+		p.freshAt = at
+	}
+}
+
 // sameContent reports whether a digest is that of the known content.
 func (p *progress) sameContent(digest uint64) bool {
 	return digest != 0 && digest == p.digest
--- a/internal/control/rule/giveway.go
+++ b/internal/control/rule/giveway.go
@@ -7,8 +7,8 @@
 // Work of the parts of an operation. One unit is the work for a line that is only compared.
 const (
 	compareWork = 1
-	parseWork   = 16
-	compileWork = 8
+	parseWork   = 32
+	compileWork = 16
 )
 
 // proceed is a GiveWay that never waits.
