Answer a call whose response breaks within its first bytes

A caller whose server broke off a long response within its first 2 KiB saw its connection close without a byte, on HTTP/2 its stream reset without a header: a request that was read as a whole got neither an answer nor a refusal.

Cause: the gateway began the response with the first bytes of the body. net/http keeps 2 KiB of a body, or 4 KiB on HTTP/2, before it sends the header, and an aborted handler discards them.

The first 4 KiB of a body above 32 KiB are now read before the response begins; until then the caller gets 502 or 504 with a code. The header of such a response was not sent before that in any case, on HTTP/1 not before 2 KiB.

--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -17,6 +17,10 @@
 // still answered with a code.
 const copyBufferBytes = 32 << 10
 
+// firstBytes is the part of a longer body that is read before the header is sent. net/http keeps about as much before
+// it sends the header, so that a cut within it would leave the caller without any response.
+const firstBytes = 4 << 10
+
 // relay sends the server's response to the caller. If the response is incomplete,
 // the caller's connection is aborted, so that a truncated body is never taken for a
 // complete one.
@@ -49,7 +53,7 @@
 	first, stream := 0, a.resp.ContentLength < 0
 	if !stream {
 		var err error
-		if first, err = io.ReadAtLeast(src, buf, 1); err != nil {
+		if first, err = io.ReadAtLeast(src, buf, firstBytes); err != nil {
 			c.refuse(c.brokenRefusal(src.attempt))
 			return
 		}
