Clear the write deadline of an informational response

A call whose server sent an informational response lost its final one: on HTTP/1, if the upload took longer than the progress timeout and the response had no body; on HTTP/2, where the stream was reset at the deadline in place of a 504.

Cause: the write of an informational response is bounded by a write deadline that stayed set. A response without a body did not replace it. On HTTP/2 a write deadline resets the stream when it passes, whether or not a write waits; it is the deadline of the call, so that the reset and the 504 raced.

The deadline is cleared after the write, and a response without a body sets its own.

--- a/internal/request/gateway/progress.go
+++ b/internal/request/gateway/progress.go
@@ -69,8 +69,11 @@
 	}
 	h := c.w.Header()
 	header.CopyEndToEnd(h, http.Header(fields))
-	_ = http.NewResponseController(c.w).SetWriteDeadline(limit)
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetWriteDeadline(limit)
 	c.w.WriteHeader(status)
+	// The deadline of this write must not end the final response, nor on HTTP/2 the stream before it.
+	_ = rc.SetWriteDeadline(time.Time{})
 	for name := range fields {
 		delete(h, name)
 	}
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -33,6 +33,7 @@
 	h := c.w.Header()
 	if !c.bodyExpected(a) {
 		c.relayHeader(h, a)
+		c.g.extendWriteDeadline(c.w)
 		c.w.WriteHeader(a.resp.StatusCode)
 		c.logResult(a, 0)
 		return
