Send the end of a response after a slow record of its claim

A response in chunks to a claimed request lacked its last chunk, so that its caller took it for cut, if the store was slow to record the outcome and the last write was longer ago than the progress timeout less that time.

Cause: net/http sends the last chunk when the handler returns, after the record, under the write deadline of the last write of the body. The deadline now starts anew after the record. With the default of 15 s it takes a body that pauses for 13 s before its end.

--- a/internal/request/gateway/claim.go
+++ b/internal/request/gateway/claim.go
@@ -77,6 +77,7 @@
 	case <-done:
 	case <-timer.C:
 	}
+	c.g.extendWriteDeadline(c.w) // for the end of the response
 }
 
 // storeOutcome stores the outcome of a claimed request.
