Do not reset a stream that waits for the rest of its download

On HTTP/2 a download was reset when no data came for the progress timeout, although another server was about to send the rest: a body that stands for a while and breaks, and then a server that responds late, take longer than one timeout.

Cause: the write deadline of the last write stays set while the next data is awaited. On HTTP/2 it resets the stream when it passes. It is now cleared while nothing is written, and set again for the next write and the end of the body. HTTP/1 needs neither: there it only ends writes.

--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -136,8 +136,8 @@
 	}
 	var total int64
 	for n, err := first, error(nil); ; n, err = src.Read(buf) {
+		c.g.extendWriteDeadline(c.w)
 		if n > 0 {
-			c.g.extendWriteDeadline(c.w)
 			if _, werr := c.w.Write(buf[:n]); werr != nil {
 				return total, werr
 			}
@@ -152,6 +152,14 @@
 		if err != nil {
 			return total, err
 		}
+		c.suspendWriteDeadline()
+	}
+}
+
+// suspendWriteDeadline ends the write deadline while nothing is written. On HTTP/2 it would reset the stream.
+func (c *call) suspendWriteDeadline() {
+	if c.r.ProtoMajor > 1 {
+		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Time{})
 	}
 }
 
