Fail at once if a preparation has no pause

TestVersionsFollowEachOther waited for its second version for ever in a trial without pauses, where none began. It fails with a message now.

--- a/internal/control/catalog/prepare_test.go
+++ b/internal/control/catalog/prepare_test.go
@@ -117,6 +117,9 @@
 				}()
 			}
 			receiveFromPeer(t, p.Catalog, v)
+			if p.pauses == 0 {
+				t.Fatal("got no pause, want some")
+			}
 			<-done
 			if slices.Contains(p.inForce, 2) || tt.update.RuleChange != nil {
 				p.checkInForce(t, 1, 2, 3)
