Test the ends of stops and of connections between gateways

Rows for calls that a stop ends or awaits, with a request behind them, and for calls whose connection to the gateway that carries them is reset, closed or silent, within the request or its response.

The request behind a call is sent together with it.

--- a/internal/request/gateway/end_harness_test.go
+++ b/internal/request/gateway/end_harness_test.go
@@ -103,6 +103,12 @@
 	}
 }
 
+// answersLate responds after a pause.
+func answersLate(c net.Conn, r *http.Request) bool {
+	time.Sleep(answerPause)
+	return answers(typedResponse)(c, r)
+}
+
 // answers is like sends, but keeps the connection for further requests.
 func answers(response string) func(c net.Conn, r *http.Request) bool {
 	return func(c net.Conn, r *http.Request) bool {
@@ -177,8 +183,17 @@
 	front  *httptest.Server
 	server *endServer
 	log    *endLog
-	// through is true if another gateway carries the calls.
+	// through is true if another gateway carries the calls, and fleet are then both gateways.
 	through bool
+	fleet   []*fleetGateway
+}
+
+// breakPeers ends the connections between the gateways, and gives new ones a fault.
+func (g *endGateway) breakPeers(t *testing.T, f fault) {
+	t.Helper()
+	proxy := newFaultProxy(t, g.fleet[1].peer.Listener.Addr().String(), func(int) fault { return f })
+	setFleet(g.fleet, func(*fleetGateway) string { return proxy.Addr().String() })
+	g.fleet[1].peer.CloseClientConnections()
 }
 
 // newEndGateway starts a gateway. With through it reaches the server only through another gateway.
@@ -195,7 +210,7 @@
 			g.SetRules(compileRules(t, endRules))
 		}
 		fleet[0].dialer.SetCut(relay.ResetAndRefuse)
-		return &endGateway{Gateway: fleet[0].Gateway, front: fleet[0].front, server: s, log: log, through: true}
+		return &endGateway{Gateway: fleet[0].Gateway, front: fleet[0].front, server: s, log: log, through: true, fleet: fleet}
 	}
 	front, g := newGateway(t, cfg, s.address)
 	g.SetRules(compileRules(t, endRules))
