--- a/internal/control/catalog/evacuations.go
+++ b/internal/control/catalog/evacuations.go
@@ -144,10 +144,14 @@
 // readTiming returns the duration of a watch of a collection and the age from which a
 // gateway reads it itself.
 func (c *Catalog) readTiming(collection mustardsaddle.Collection) (wait, stale time.Duration) {
-	if collection == mustardsaddle.EvacuationsCollection {
+	switch collection {
+	case mustardsaddle.EvacuationsCollection:
 		return c.cfg.Wait * evacuationsFactor, c.cfg.Stale * evacuationsFactor
+	case mustardsaddle.RulesCollection:
+		return c.cfg.Wait / rulesWatchDivisor, c.cfg.Stale
+	default:
+		return c.cfg.Wait, c.cfg.Stale
 	}
-	return c.cfg.Wait, c.cfg.Stale
 }
 
 // runLoops returns the loops of Run.
