--- a/internal/control/rule/doc.go
+++ b/internal/control/rule/doc.go
@@ -17,6 +17,12 @@
 //	change := rule.Diff(accepted.File, decision.Next.File)
 //	next, result := change.Apply(other)
 //
+// Prepare a newer version of the rules of a directory, or the change of a peer, at a cost that
+// depends on what has changed. The GiveWay may wait, so that others use the processor:
+//
+//	revision, result := table.ReviseText(text, giveWay)
+//	revision, result = table.ReviseChange(change, giveWay)
+//
 // # The rules file
 //
 // The file is UTF-8 text with one rule per line. A rule is a list of Name=Value
