Do not take a response of a handler for an error of net/http

A caller that closes its connection after the response, and that got a response without a Content-Type and with a short header, got the body of a refusal behind '200 OK', with two lengths. The same came to gateways that forward calls over new connections.

Cause: the connection recognizes error responses of net/http by the end of their header, which a sniffed text/plain also has, and by a start of at most 200 bytes, which was to exclude responses with a Date. A short header fits.

Change: such an error has the status line alone before that end.

--- a/internal/request/connection/framing.go
+++ b/internal/request/connection/framing.go
@@ -12,15 +12,18 @@
 )
 
 // defaultErrorHeader is the header that net/http sends with its own error responses
-// to requests that it cannot parse. It matches no response of a handler, since those
-// have a Date.
+// to requests that it cannot parse, behind the status line. Responses of handlers have a Date
+// before it.
 const defaultErrorHeader = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
 
+// maxStatusBytes bounds the status line of an error response of net/http.
+const maxStatusBytes = 200
+
 // Write replaces an error response of net/http by one with code and outcome.
 func (c *callerConn) Write(p []byte) (int, error) {
 	c.setPending(false)
 	status, _, ok := bytes.Cut(p, []byte(defaultErrorHeader))
-	if !ok || len(status) > 200 || !bytes.HasPrefix(status, []byte("HTTP/1.1 ")) {
+	if !ok || len(status) > maxStatusBytes || bytes.Contains(status, []byte("\r\n")) || !bytes.HasPrefix(status, []byte("HTTP/1.1 ")) {
 		return c.Conn.Write(p)
 	}
 	refused := refusal.NotRun(code.CallBadRequest)
