Keep the end of a response whose connection closes with a request unread

A caller that sends a request behind its last one on a connection could lose the end of the response to the last one: the gateway closed the connection while data lay unread, and the operating system then resets it and drops what it has not sent yet.

Change: if data is unread, the sending side is closed first, and the connection half a second later.

--- a/internal/request/connection/caller.go
+++ b/internal/request/connection/caller.go
@@ -263,13 +263,25 @@
 	_ = c.Conn.SetReadDeadline(time.Now())
 }
 
+// lingerTime is how long a connection with unread data is still open after its sending side was
+// closed.
+const lingerTime = 500 * time.Millisecond
+
 // Close closes the connection. It reports the end if it may leave a request without a response.
+// If data is unread, it closes the sending side at once and the rest a little later: the
+// operating system would drop the end of the last response.
 func (c *callerConn) Close() error {
-	if e, ok := c.takeEnding(time.Now()); ok {
-		e.unread = unread(c.Conn)
-		c.ends.report(c.RemoteAddr(), e)
+	e, first := c.takeEnding(time.Now())
+	if !first {
+		return c.Conn.Close()
+	}
+	e.unread = unread(c.Conn)
+	c.ends.report(c.RemoteAddr(), e)
+	if len(e.unread) == 0 || c.CloseWrite() != nil {
+		return c.Conn.Close()
 	}
-	return c.Conn.Close()
+	time.AfterFunc(lingerTime, func() { _ = c.Conn.Close() })
+	return nil
 }
 
 // takeEnding returns how the gateway ends the connection. It returns false if that need not be
