Let a stopping gateway wait for calls whose service seems lost

After a SIGTERM, callers got 502 for requests at which their servers were at work.

Cause: a gateway that takes a service for lost ends the calls in flight that may be repeated, and sends them through another gateway. In a stop it then has neither the time for another way nor the calls that would show it that the service is there.

Change: in a stop such calls wait for their response. That a busy process takes its own silence for a loss is not mended; it is listed as open.

--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -92,7 +92,7 @@
 func (a *attempt) send(setHeaders func(http.Header)) {
 	a.sentAt = time.Now()
 	if a.mayMove() {
-		remove := a.c.match.controller.OnLost(func() { a.cancel(errLost) })
+		remove := a.c.match.controller.OnLost(a.leaveLost)
 		defer remove()
 	}
 	a.roundTrip(setHeaders)
@@ -111,6 +111,15 @@
 	a.recordPath()
 }
 
+// leaveLost ends the attempt because the service is lost. A gateway that stops waits for the
+// response instead: another way may take longer than it has, and it does not get calls for long
+// enough to regain a service that it has only taken for lost.
+func (a *attempt) leaveLost() {
+	if !a.c.g.stopping() {
+		a.cancel(errLost)
+	}
+}
+
 // mayMove reports whether the request may be sent again through another gateway when this
 // one can no longer reach the service.
 func (a *attempt) mayMove() bool {
