--- a/internal/control/catalog/follow.go
+++ b/internal/control/catalog/follow.go
@@ -151,7 +151,7 @@
 			collection, u.Position.Era, u.After.Revision, u.After.Era)
 	}
 	p := &c.known[collection]
-	p.freshAt = now
+	p.confirm(now)
 	p.historyLost = p.historyLost && !u.Whole
 	if !u.Whole && u.HasChanges() {
 		p.changedAt = now
