--- a/internal/base/index/index.go
+++ b/internal/base/index/index.go
@@ -16,7 +16,7 @@
 import "hash/maphash"
 
 const (
-	// minChains is the least number of chains, a power of two as each number of them.
+	// minChains is the least number of chains. The number of chains is always a power of two.
 	minChains = 8
 	// maxLoad is the average length of the chains above which their number is doubled.
 	maxLoad = 2
--- a/internal/base/pace/pace.go
+++ b/internal/base/pace/pace.go
@@ -18,7 +18,7 @@
 import "time"
 
 const (
-	// MaxWork is the work of a slice, in units of some 200 ns.
+	// MaxWork is the work of a slice, in units of a compared line.
 	MaxWork = 2048
 	// MaxSlice is the longest time of a slice.
 	MaxSlice = time.Millisecond
--- a/internal/base/pace/pace_test.go
+++ b/internal/base/pace/pace_test.go
@@ -7,6 +7,7 @@
 	"mustardsaddle.example/mustardsaddle/internal/base/pace"
 )
 
+// TestSliceEnds guards against a slice that ends too late, so that calls wait for it, or too early.
 func TestSliceEnds(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for _, tt := range []struct {
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -69,8 +69,8 @@
 	defaultWait = 1200 * time.Millisecond
 	// defaultStale is the default age from which a gateway reads the directory itself.
 	defaultStale = 1400 * time.Millisecond
-	// rulesWatchDivisor shortens the watches of the rules, which may take long to transfer: until a
-	// reader has received them, no peer should find its copy too old.
+	// rulesWatchDivisor makes watches of the rules shorter than others, so that the copies of peers
+	// do not become stale while a reader receives a large version.
 	rulesWatchDivisor = 2
 	// staleJitter is the upper bound of the random time added to Config.Stale, so that
 	// gateways that have lost their readers do not all read the directory at once.
--- a/internal/control/rule/alignment.go
+++ b/internal/control/rule/alignment.go
@@ -13,8 +13,8 @@
 	added map[ID]bool
 	// moved is true if lines in common have another order, so that out and in are incomplete.
 	moved bool
-	// failed is true if the text has errors, so that the lines depend on each other.
-	failed bool
+	// needsFullParse is true if the text has errors, so that the lines depend on each other.
+	needsFullParse bool
 }
 
 func newAlignment(from File, texts []string, giveWay GiveWay) *alignment {
@@ -39,7 +39,7 @@
 	for i := range end {
 		a.keep(len(a.from.lines) - end + i)
 	}
-	return a.failed || a.check()
+	return a.needsFullParse || a.check()
 }
 
 // commonEnds returns how many lines at the start and at the end the text and the file have in
@@ -82,7 +82,7 @@
 		at, ok := known[text]
 		if !ok {
 			a.parse(text)
-			if a.failed {
+			if a.needsFullParse {
 				return true
 			}
 			if !a.giveWay(parseWork) {
@@ -116,13 +116,13 @@
 	l, ok := directoryFormat().parseLine(text)
 	if l.rule != nil {
 		id := l.rule.ID()
-		a.failed = a.failed || a.added[id]
+		a.needsFullParse = a.needsFullParse || a.added[id]
 		a.added[id] = true
 	}
 	l.number = len(a.lines) + 1
 	a.in = append(a.in, Edit{At: len(a.lines), Text: l.text})
 	a.lines = append(a.lines, l)
-	a.failed = a.failed || !ok
+	a.needsFullParse = a.needsFullParse || !ok
 }
 
 // check checks the lines against each other. It returns false if giveWay ends it.
@@ -134,14 +134,14 @@
 			continue
 		}
 		if len(a.added) > 0 && l.rule != nil && a.added[l.rule.ID()] {
-			a.failed = true
+			a.needsFullParse = true
 		}
 		if !a.giveWay(compareWork) {
 			return false
 		}
 	}
 	noLine := func(ID) int { return 0 }
-	a.failed = a.failed || len(a.file().customerProblems(noLine)) > 0
+	a.needsFullParse = a.needsFullParse || len(a.file().customerProblems(noLine)) > 0
 	return true
 }
 
--- a/internal/control/rule/revision.go
+++ b/internal/control/rule/revision.go
@@ -35,7 +35,7 @@
 	if !a.run() {
 		return Revision{}, Ended
 	}
-	if a.failed {
+	if a.needsFullParse {
 		return t.reviseParsed(r, giveWay)
 	}
 	file := a.file().WithGeneration(r.Generation)
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -54,7 +54,7 @@
 	Summary func() news.Summary
 	// Receive is called with each message, beginning with the Hello of a new link.
 	// Calls for one link are sequential, and calls for different links concurrent. It
-	// may call Send and Broadcast, and must not block, since the link reads nothing
+	// may call Send and Broadcast, and must end soon, since the link reads nothing
 	// meanwhile.
 	Receive func(now time.Time, from string, msg news.Message)
 	// Known, if set, reports whether a large message brings nothing new, given its head
--- a/internal/request/connection/caller.go
+++ b/internal/request/connection/caller.go
@@ -46,9 +46,12 @@
 	// pending is true from the first byte of a request until the first byte of its
 	// response. net/http notices a request only after its whole header.
 	pending bool
-	// active is true while a request is in progress, answered once its response has begun, and
-	// ahead once a byte of the next request was read meanwhile.
-	active, answered, ahead bool
+	// active is true while a request is in progress.
+	active bool
+	// answered is true once the response to that request has begun.
+	answered bool
+	// ahead is true once a byte of the next request was read meanwhile.
+	ahead bool
 	// ending is true while the reader is to end the connection unless data has arrived.
 	ending bool
 	// closed is true after the connection was ended as idle, or has had its last request.
@@ -62,8 +65,8 @@
 	readDeadline time.Time
 	// reported is true once the end of the connection has been reported, or need not be.
 	reported bool
-	// told is the idle timeout that the caller was told in the last response.
-	told time.Duration
+	// promised is the idle timeout that the last response stated.
+	promised time.Duration
 	// idleSince is when the last request ended; zero while there is one.
 	idleSince time.Time
 	// end states how the gateway ends the connection, as far as that is known before.
@@ -202,20 +205,20 @@
 }
 
 // KeepIdle makes the connection of a request on HTTP/1 stay open for at least the timeout after it,
-// whatever the idle timeout is then: the caller is told it. It returns false if the connection is
+// whatever the idle timeout is then: the caller was told it. It returns false if the connection is
 // not from a listener of this package.
 func KeepIdle(r *http.Request, timeout time.Duration) bool {
 	c, ok := r.Context().Value(contextKey{}).(*callerConn)
 	if ok {
-		c.setTold(timeout)
+		c.setPromised(timeout)
 	}
 	return ok
 }
 
-func (c *callerConn) setTold(timeout time.Duration) {
+func (c *callerConn) setPromised(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.told = timeout
+	c.promised = timeout
 }
 
 // idleTimeout returns for how long the caller may expect the connection to be idle, if timeout is
@@ -223,7 +226,7 @@
 func (c *callerConn) idleTimeout(timeout time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(c.told, timeout)
+	return max(c.promised, timeout)
 }
 
 // noteResponse records that a response is written.
--- a/internal/request/connection/framing.go
+++ b/internal/request/connection/framing.go
@@ -12,8 +12,8 @@
 )
 
 // defaultErrorHeader is the header that net/http sends with its own error responses
-// to requests that it cannot parse, behind the status line. Responses of handlers have a Date
-// before it.
+// to requests that it cannot parse, behind the status line alone. A response of a handler has
+// further fields.
 const defaultErrorHeader = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
 
 // maxStatusBytes bounds the status line of an error response of net/http.
--- a/internal/request/gateway/body.go
+++ b/internal/request/gateway/body.go
@@ -81,7 +81,8 @@
 }
 
 // closeAfterResponse makes net/http close a connection of HTTP/1 once the response is sent, in a way that does not lose
-// the response to what is unread. It has no effect on HTTP/2.
+// the response to what is unread. It has no effect on HTTP/2. Only an exceeded limit of a body makes net/http close the
+// sending side first.
 func closeAfterResponse(w *responseWriter) {
 	_, _ = http.MaxBytesReader(w.ResponseWriter, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
 }
